--- /dev/null
+++ b/src/main/java/portrelay/Decide.java
@@ -0,0 +1,649 @@
+package portrelay;
+
+// The decisions of one sidecar, all of them. A front makes one Decide for each instance, hands it the settings,
+// and calls start, list, arrival, outcome, begun, left and alarm in the order in which things happen, each with
+// the time in seconds. Decide answers through portrelay.model.Effects, which the front implements; the types that
+// pass between them stand in portrelay.model. A call never waits and nothing here is shared between instances.
+// docs/design.md tells what is kept of the design, what is changed and when each change acts.
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import portrelay.model.Asked;
+import portrelay.model.ColdRule;
+import portrelay.model.Effects;
+import portrelay.model.ListNews;
+import portrelay.model.ListRule;
+import portrelay.model.Listed;
+import portrelay.model.LoadReport;
+import portrelay.model.Offering;
+import portrelay.model.Outcome;
+import portrelay.model.Permits;
+import portrelay.model.QueryId;
+import portrelay.model.Tenant;
+import portrelay.model.UpstreamId;
+
+public final class Decide {
+
+    // ---- The table -------------------------------------------------------------------------------------------
+
+    /** HELD has nothing out and waits for a place; BARE has nothing out after an execution that did not help. */
+    enum State { FRESH, HELD, ALONE, RACING, BARE, CLOSED }
+
+    enum Input { ARRIVED, NOWHERE, TURN, WAITED, PLACED, COPY_DUE, KEPT, ENDED, WON, LEFT }
+
+    /** What a row does; the input it returns, if any, is read from the row's next state at once. */
+    private interface Effect {
+        Input on(Decide d, Query q);
+    }
+
+    private record Row(State state, Input input, State next, Effect effect) { }
+
+    private static final Effect NOTHING = (d, q) -> null;
+
+    private static final List<Row> TABLE = List.of(
+            new Row(State.FRESH, Input.ARRIVED, State.ALONE, Decide::sendFirst),
+            new Row(State.ALONE, Input.NOWHERE, State.HELD, Decide::hold),
+            new Row(State.ALONE, Input.COPY_DUE, State.RACING, Decide::sendCopy),
+            new Row(State.ALONE, Input.ENDED, State.BARE, Decide::sendFurther),
+            new Row(State.ALONE, Input.WON, State.CLOSED, Decide::settle),
+            new Row(State.ALONE, Input.LEFT, State.CLOSED, Decide::callOffRest),
+            new Row(State.RACING, Input.KEPT, State.ALONE, NOTHING),
+            new Row(State.RACING, Input.ENDED, State.ALONE, NOTHING),
+            new Row(State.RACING, Input.WON, State.CLOSED, Decide::settle),
+            new Row(State.RACING, Input.LEFT, State.CLOSED, Decide::callOffRest),
+            new Row(State.BARE, Input.PLACED, State.ALONE, NOTHING),
+            new Row(State.BARE, Input.NOWHERE, State.CLOSED, Decide::giveUp),
+            new Row(State.HELD, Input.TURN, State.ALONE, Decide::sendFirst),
+            new Row(State.HELD, Input.WAITED, State.CLOSED, Decide::giveUp),
+            new Row(State.HELD, Input.LEFT, State.CLOSED, NOTHING));
+
+    private static final Row[][] ROWS = new Row[State.values().length][Input.values().length];
+
+    static {
+        for (Row row : TABLE) {
+            ROWS[row.state.ordinal()][row.input.ordinal()] = row;
+        }
+    }
+
+    /** An input that a state has no row for changes nothing: timers can't be taken back and come late. */
+    private void step(Query q, Input input) {
+        while (input != null) {
+            Row row = ROWS[q.state.ordinal()][input.ordinal()];
+            if (row == null) {
+                return;
+            }
+            q.state = row.next;
+            input = row.effect.on(this, q);
+        }
+    }
+
+    // ---- What is held ----------------------------------------------------------------------------------------
+
+    private static final class Execution {
+        final int index;
+        final Upstream at;
+        final double sentAt;
+        final boolean trial;
+        Outcome outcome;
+
+        Execution(int index, Upstream at, double sentAt, boolean trial) {
+            this.index = index;
+            this.at = at;
+            this.sentAt = sentAt;
+            this.trial = trial;
+        }
+
+        /** Out and unknown counts as run: only an outcome can prove the contrary. */
+        boolean mayHaveRun() {
+            return outcome == null || !outcome.neverRan;
+        }
+    }
+
+    private static final class Query {
+        final Asked asked;
+        final Offering offering;
+        final double arrivedAt;
+        final List<Execution> executions = new ArrayList<>(2);
+        State state = State.FRESH;
+        boolean copied;
+        boolean waiting;
+        Execution winner;
+
+        Query(Asked asked, Offering offering, double arrivedAt) {
+            this.asked = asked;
+            this.offering = offering;
+            this.arrivedAt = arrivedAt;
+        }
+
+        Execution primary() {
+            return executions.get(0);
+        }
+
+        Execution firstThatMayHaveRun() {
+            for (Execution e : executions) {
+                if (e.mayHaveRun()) {
+                    return e;
+                }
+            }
+            return null;
+        }
+
+        boolean anyOut() {
+            for (Execution e : executions) {
+                if (e.outcome == null) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        boolean triedAt(Upstream u) {
+            for (Execution e : executions) {
+                if (e.at == u) {
+                    return true;
+                }
+            }
+            return false;
+        }
+    }
+
+    private static final class Upstream {
+        final UpstreamId id;
+        Listed listed;
+        boolean ready;
+        double seenAt;
+        int inFlight;
+        int copyWins;
+        double passedUntil;
+        boolean trialOut;
+        double coldCredit;
+
+        Upstream(UpstreamId id) {
+            this.id = id;
+        }
+
+        boolean passedOver() {
+            return copyWins >= COPY_WINS;
+        }
+    }
+
+    private record Due(double time, long order, Query query, Input input) { }
+
+    // ---- Settings of the design that are ours to choose ----------------------------------------------------------
+
+    private static final double LONGEST_THRESHOLD = 1.0;
+    private static final int COPY_WINS = 5;
+    private static final double PASS_OVER = 5.0;
+    private static final double SETTLING = 3.0;
+    private static final double SHORTEST_BACKOFF = 0.5;
+    private static final double LONGEST_WAIT_SHARE = 0.25;
+
+    private final Effects out;
+    private final SplittableRandom chance;
+    private final List<Offering> offerings;
+    private final Permits permits;
+    private final Cold cold;
+    private final ListWatch watch;
+
+    private final Map<QueryId, Query> queries = new HashMap<>();
+    private final Map<UpstreamId, Upstream> known = new HashMap<>();
+    private final List<Upstream> roster = new ArrayList<>();
+    private final ArrayDeque<Query> held = new ArrayDeque<>();
+    private final PriorityQueue<Due> dues = new PriorityQueue<>(
+            (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
+    private final List<Upstream> best = new ArrayList<>();
+    private long dueOrder;
+    private double alarmAt = Double.POSITIVE_INFINITY;
+    private double now;
+
+    public Decide(Effects out, long seed, List<Offering> offerings, List<Tenant> tenants, Permits permits,
+            ColdRule coldRule, ListRule listRule, boolean sized) {
+        this.out = out;
+        this.chance = new SplittableRandom(seed);
+        this.offerings = offerings;
+        this.permits = permits;
+        this.cold = new Cold(coldRule.share(), coldRule.time(), sized);
+        this.watch = new ListWatch(listRule.onRequest(), listRule.askWithin());
+    }
+
+    // ---- Events ----------------------------------------------------------------------------------------------
+
+    public void start(double time) {
+        now = time;
+        watch.ask();
+        armAlarm();
+    }
+
+    public void arrival(double time, Asked asked) {
+        now = time;
+        Query q = new Query(asked, offerings.get(asked.offering().value()), time);
+        queries.put(asked.id(), q);
+        step(q, Input.ARRIVED);
+        forgetIfDone(q);
+        armAlarm();
+    }
+
+    public void outcome(double time, QueryId id, int execution, Outcome outcome, double spent, boolean ended,
+            LoadReport report) {
+        now = time;
+        Query q = queries.get(id);
+        if (q == null || execution >= q.executions.size() || q.executions.get(execution).outcome != null) {
+            return;
+        }
+        Execution e = q.executions.get(execution);
+        e.outcome = outcome;
+        e.at.inFlight--;
+        judge(q, e);
+        if (ended && q.state != State.CLOSED) {
+            q.winner = e;
+            step(q, outcome == Outcome.HANDLED ? Input.WON : Input.LEFT);
+        } else if (!ended) {
+            step(q, Input.ENDED);
+        }
+        forgetIfDone(q);
+        placeHeld();
+        armAlarm();
+    }
+
+    /** A streamed answer has begun: the execution is the client's now and the others are not needed. */
+    public void begun(double time, QueryId id, int execution) {
+        now = time;
+        Query q = queries.get(id);
+        if (q != null && q.state != State.CLOSED && execution < q.executions.size()) {
+            q.winner = q.executions.get(execution);
+            step(q, Input.WON);
+        }
+        armAlarm();
+    }
+
+    public void left(double time, QueryId id) {
+        now = time;
+        Query q = queries.get(id);
+        if (q != null) {
+            step(q, Input.LEFT);
+            forgetIfDone(q);
+        }
+        armAlarm();
+    }
+
+    public void alarm(double time) {
+        now = time;
+        if (now >= alarmAt) {
+            alarmAt = Double.POSITIVE_INFINITY;
+        }
+        while (!dues.isEmpty() && dues.peek().time <= now) {
+            Due due = dues.poll();
+            step(due.query, due.input);
+            forgetIfDone(due.query);
+        }
+        watch.askIfDue();
+        placeHeld();
+        armAlarm();
+    }
+
+    public void list(double time, ListNews news, List<Listed> rows) {
+        now = time;
+        if (news == ListNews.FAILED) {
+            watch.failed();
+            armAlarm();
+            return;
+        }
+        if (news != ListNews.REMEMBERED) {
+            watch.answered();
+        }
+        if (news != ListNews.CHANGES) {
+            for (Upstream u : roster) {
+                u.ready = false;
+            }
+        }
+        for (Listed row : rows) {
+            Upstream u = known.get(row.id());
+            if (u == null) {
+                u = new Upstream(row.id());
+                u.seenAt = news == ListNews.REMEMBERED ? Double.NEGATIVE_INFINITY : now;
+                u.coldCredit = chance.nextDouble();
+                known.put(row.id(), u);
+                roster.add(u);
+            } else if (row.onlineSince() > u.listed.onlineSince()) {
+                // A restarted process has nothing left of what its predecessor was judged by.
+                u.seenAt = now;
+                u.copyWins = 0;
+                u.coldCredit = chance.nextDouble();
+            }
+            u.listed = row;
+            u.ready = row.health() == Listed.Health.READY;
+        }
+        placeHeld();
+        armAlarm();
+    }
+
+    // ---- Effects of the table ----------------------------------------------------------------------------------
+
+    private Input sendFirst(Query q) {
+        Upstream u = pick(q, true);
+        if (u == null) {
+            return Input.NOWHERE;
+        }
+        double threshold = Math.min(LONGEST_THRESHOLD, (q.asked.cutOffAt() - q.arrivedAt) / 2);
+        send(q, u);
+        q.waiting = false;
+        if (q.offering.repeats() != Offering.Repeats.AT_MOST_ONCE && permits.copies()) {
+            due(now + threshold, q, Input.COPY_DUE);
+        }
+        return null;
+    }
+
+    /** A query that no upstream may take now waits a short while: cold upstreams take little, the list is late. */
+    private Input hold(Query q) {
+        if (!q.waiting) {
+            q.waiting = true;
+            held.add(q);
+            due(q.arrivedAt + (q.asked.cutOffAt() - q.arrivedAt) * LONGEST_WAIT_SHARE, q, Input.WAITED);
+        }
+        return null;
+    }
+
+    private Input sendCopy(Query q) {
+        Upstream u = q.copied || q.offering.repeats() != Offering.Repeats.REISSUABLE ? null : pick(q, false);
+        if (u == null) {
+            return Input.KEPT;
+        }
+        q.copied = true;
+        send(q, u);
+        return null;
+    }
+
+    private Input sendFurther(Query q) {
+        return Input.NOWHERE;
+    }
+
+    private Input settle(Query q) {
+        callOffRest(q);
+        return null;
+    }
+
+    private Input callOffRest(Query q) {
+        for (Execution e : q.executions) {
+            if (e.outcome == null && e != q.winner && permits.cancel()) {
+                out.callOff(q.asked.id(), e.index);
+            }
+        }
+        return null;
+    }
+
+    /** Answered at once: a client that is told early can still be served elsewhere or come back later. */
+    private Input giveUp(Query q) {
+        if (mayDeny(q)) {
+            out.deny(q.asked.id(), coolDown());
+        } else {
+            out.writeOff(q.asked.id());
+        }
+        return null;
+    }
+
+    private double coolDown() {
+        return permits.longestCoolDown();
+    }
+
+    // ---- The rules on repeats and denials ------------------------------------------------------------------------
+
+    private static boolean mayDeny(Query q) {
+        return switch (q.offering.repeats()) {
+            case REISSUABLE -> true;
+            case NUMBERED -> q.offering.group() == Offering.Group.ALL || q.firstThatMayHaveRun() == null;
+            case AT_MOST_ONCE -> q.firstThatMayHaveRun() == null;
+        };
+    }
+
+    /** Guards against a second effect: where an execution may have run, only its group drops the repeat. */
+    private boolean maySend(Query q, Upstream u) {
+        if (q.executions.size() >= permits.executions() || now >= q.asked.cutOffAt()) {
+            return false;
+        }
+        Execution first = q.firstThatMayHaveRun();
+        if (first == null) {
+            return true;
+        }
+        return switch (q.offering.repeats()) {
+            case REISSUABLE -> permits.copies() || !q.anyOut();
+            case AT_MOST_ONCE -> false;
+            case NUMBERED -> (permits.copies() || !q.anyOut()) && now < first.sentAt + q.offering.window()
+                    && sameGroup(q.offering.group(), first.at.listed, u.listed);
+        };
+    }
+
+    private static boolean sameGroup(Offering.Group group, Listed a, Listed b) {
+        return switch (group) {
+            case ALL -> true;
+            case ZONE -> a.zone().equals(b.zone());
+            case CELL -> a.cell().equals(b.cell());
+        };
+    }
+
+    // ---- Picking -------------------------------------------------------------------------------------------------
+
+    private Upstream pick(Query q, boolean first) {
+        double mean = meanInFlight();
+        if (first && q.offering.repeats() == Offering.Repeats.REISSUABLE) {
+            for (Upstream u : roster) {
+                if (u.ready && u.passedOver() && now >= u.passedUntil && !u.trialOut && mayTake(q, u)) {
+                    return u;
+                }
+            }
+        }
+        Upstream u = pickAmong(q, mean, false);
+        return u != null ? u : pickAmong(q, mean, true);
+    }
+
+    private boolean mayTake(Query q, Upstream u) {
+        return u.ready && !q.triedAt(u) && maySend(q, u) && cold.admits(u, now);
+    }
+
+    private Upstream pickAmong(Query q, double mean, boolean passedOverToo) {
+        best.clear();
+        double least = Double.POSITIVE_INFINITY;
+        for (Upstream u : roster) {
+            if (!u.ready || u.passedOver() && !passedOverToo || !mayTake(q, u)) {
+                continue;
+            }
+            double load = u.inFlight + (now < u.seenAt + SETTLING ? mean : 0);
+            if (load < least) {
+                least = load;
+                best.clear();
+            }
+            if (load == least) {
+                best.add(u);
+            }
+        }
+        return best.isEmpty() ? null : best.get(chance.nextInt(best.size()));
+    }
+
+    private double meanInFlight() {
+        double sum = 0;
+        int count = 0;
+        for (Upstream u : roster) {
+            if (u.ready) {
+                sum += u.inFlight;
+                count++;
+            }
+        }
+        return count == 0 ? 0 : sum / count;
+    }
+
+    private void send(Query q, Upstream u) {
+        boolean trial = u.passedOver() && now >= u.passedUntil;
+        u.trialOut |= trial;
+        q.executions.add(new Execution(q.executions.size(), u, now, trial));
+        u.inFlight++;
+        cold.sent(u, roster, now);
+        out.send(q.asked.id(), u.id);
+    }
+
+    // ---- Health --------------------------------------------------------------------------------------------------
+
+    private void judge(Query q, Execution e) {
+        if (e.trial) {
+            e.at.trialOut = false;
+            e.at.passedUntil = now + PASS_OVER;
+        }
+        if (e.outcome == Outcome.HANDLED) {
+            if (e == q.primary()) {
+                e.at.copyWins = 0;
+            } else if (q.state == State.RACING && q.primary().outcome == null) {
+                countCopyWin(q.primary().at);
+            }
+        }
+    }
+
+    private void countCopyWin(Upstream u) {
+        u.copyWins++;
+        if (u.passedOver()) {
+            u.passedUntil = now + PASS_OVER;
+        }
+    }
+
+    // ---- Cold upstreams --------------------------------------------------------------------------------------------
+
+    /**
+     * Guards against all sidecars together pushing over an upstream that has just started: each sends it no more
+     * than a ramp's share of what it sends a like warm one, so the sum keeps to the ramp with no agreement.
+     */
+    private static final class Cold {
+        private final double share;
+        private final double time;
+        private final boolean sized;
+
+        Cold(double share, double time, boolean sized) {
+            this.share = share;
+            this.time = time;
+            this.sized = sized;
+        }
+
+        double ramp(Upstream u, double now) {
+            double since = u.listed.onlineSince();
+            if (since <= 0 || now >= since + time || time <= 0) {
+                return 1;
+            }
+            return share + (1 - share) * Math.max(0, now - since) / time;
+        }
+
+        boolean admits(Upstream u, double now) {
+            return u.coldCredit >= 1 || ramp(u, now) >= 1;
+        }
+
+        /** Every send to a warm upstream earns each cold one its part of a send; with none warm, every send does. */
+        void sent(Upstream to, List<Upstream> roster, double now) {
+            int warm = 0;
+            double size = 0;
+            int ready = 0;
+            for (Upstream u : roster) {
+                if (u.ready) {
+                    ready++;
+                    if (ramp(u, now) >= 1) {
+                        warm++;
+                        size += u.listed.scale();
+                    }
+                }
+            }
+            if (warm == ready) {
+                return;
+            }
+            boolean toWarm = ramp(to, now) >= 1;
+            if (!toWarm) {
+                to.coldCredit -= 1;
+            }
+            if (!toWarm && warm > 0) {
+                return;
+            }
+            for (Upstream u : roster) {
+                double f = u.ready ? ramp(u, now) : 1;
+                if (f < 1) {
+                    double each = warm > 0 ? f * (sized ? u.listed.scale() / size : 1.0 / warm) : 1.0 / ready;
+                    u.coldCredit = Math.min(2, u.coldCredit + each);
+                }
+            }
+        }
+    }
+
+    // ---- Following the list ------------------------------------------------------------------------------------------
+
+    /** The list is one service for all sidecars: those that failed together must not come back together. */
+    private final class ListWatch {
+        private final boolean onRequest;
+        private final double longestBackoff;
+        private double askAt = Double.POSITIVE_INFINITY;
+        private int failures;
+
+        ListWatch(boolean onRequest, double askWithin) {
+            this.onRequest = onRequest;
+            this.longestBackoff = Math.max(SHORTEST_BACKOFF, askWithin / 4);
+        }
+
+        void ask() {
+            if (onRequest) {
+                askAt = Double.POSITIVE_INFINITY;
+                out.watchList();
+            }
+        }
+
+        void askIfDue() {
+            if (now >= askAt) {
+                ask();
+            }
+        }
+
+        void failed() {
+            double backoff = Math.min(longestBackoff, SHORTEST_BACKOFF * (1 << Math.min(failures, 8)));
+            failures++;
+            askAt = now + backoff * (0.5 + chance.nextDouble() / 2);
+        }
+
+        void answered() {
+            failures = 0;
+            askAt = Double.POSITIVE_INFINITY;
+        }
+    }
+
+    // ---- Held queries and timers ---------------------------------------------------------------------------------------
+
+    private void placeHeld() {
+        while (!held.isEmpty()) {
+            Query q = held.peek();
+            if (q.state == State.HELD) {
+                step(q, Input.TURN);
+                if (q.state == State.HELD) {
+                    return;
+                }
+            }
+            held.poll();
+            forgetIfDone(q);
+        }
+    }
+
+    private void due(double time, Query q, Input input) {
+        dues.add(new Due(time, dueOrder++, q, input));
+    }
+
+    private void armAlarm() {
+        while (!dues.isEmpty() && dues.peek().query.state == State.CLOSED) {
+            dues.poll();
+        }
+        double next = Math.min(watch.askAt, dues.isEmpty() ? Double.POSITIVE_INFINITY : dues.peek().time);
+        if (next < alarmAt) {
+            alarmAt = next;
+            out.alarmAt(next);
+        }
+    }
+
+    /** Kept until its last execution has ended: a late outcome still tells of the upstream. */
+    private void forgetIfDone(Query q) {
+        if (q.state == State.CLOSED && !q.anyOut()) {
+            queries.remove(q.asked.id());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/drill/Drill.java
@@ -0,0 +1,259 @@
+package portrelay.drill;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import portrelay.Decide;
+import portrelay.model.Asked;
+import portrelay.model.GroupId;
+import portrelay.model.ListNews;
+import portrelay.model.Listed;
+import portrelay.model.LoadReport;
+import portrelay.model.OfferingId;
+import portrelay.model.Outcome;
+import portrelay.model.QueryId;
+import portrelay.model.ShapeId;
+import portrelay.model.TenantId;
+import portrelay.model.UpstreamId;
+import portrelay.model.ZoneId;
+
+/** Drives many instances of the decisions on the bench's wire: one batch in, one reply out. */
+public final class Drill {
+
+    /** The wire tells each decision instance apart by a number of its own. */
+    private record InstanceId(long value) {
+    }
+
+    private record Instance(Decide decide, Map<String, OfferingId> offerings, Map<String, TenantId> tenants) {
+    }
+
+    /** One decision to make; kept apart from reading so that only the module's own faults become bail-outs. */
+    private interface Step {
+        void decide();
+    }
+
+    private final Reader in;
+    private final Replies replies;
+    private final Map<InstanceId, Instance> instances = new HashMap<>();
+    private final Map<Long, List<Listed>> pages = new HashMap<>();
+    private final Map<String, ZoneId> zones = new HashMap<>();
+    private final Map<String, ShapeId> shapes = new HashMap<>();
+    private double now;
+
+    public Drill(InputStream in, OutputStream out) throws IOException {
+        this.in = new Reader(in);
+        this.replies = new Replies(out);
+    }
+
+    /** Returns when the input ends between two batches. */
+    public void run() throws IOException, BadWire {
+        for (String name = in.message(); name != null; name = in.message()) {
+            if (!name.equals("clock")) {
+                throw in.bad("a clock message at the start of a batch, not " + name);
+            }
+            now = Clock.seconds(in.whole("the clock"));
+            in.endMessage();
+            batch();
+            replies.endBatch();
+        }
+    }
+
+    private void batch() throws IOException, BadWire {
+        for (String name = in.message(); name != null; name = in.message()) {
+            if (name.equals("flush")) {
+                in.endMessage();
+                return;
+            }
+            event(name);
+            in.endMessage();
+        }
+        throw new BadWire(in.line(), "flush before the end of input");
+    }
+
+    private void event(String name) throws IOException, BadWire {
+        if (name.equals("page")) {
+            page();
+            return;
+        }
+        if (!EVENTS.contains(name)) {
+            throw in.bad("a known event, not " + name);
+        }
+        InstanceId id = new InstanceId(in.whole("sidecar"));
+        if (name.equals("new-instance")) {
+            start(id);
+            return;
+        }
+        Instance at = instances.get(id);
+        if (at == null) {
+            throw in.bad("an event for a started instance, not for " + id.value());
+        }
+        switch (name) {
+            case "arrival" -> arrival(id, at);
+            case "closed-attempt" -> closedAttempt(id, at);
+            case "alarm" -> {
+                in.text("nonce");
+                decide(id, () -> at.decide().alarm(now));
+            }
+            case "sync" -> sync(id, at);
+            case "expired" -> {
+                QueryId query = new QueryId(in.text("request-id"));
+                decide(id, () -> at.decide().left(now, query));
+            }
+            case "accepted" -> {
+                QueryId query = new QueryId(in.text("request-id"));
+                in.whole("upstream");
+                in.whole("spent-us");
+                int execution = (int) in.whole("try");
+                decide(id, () -> at.decide().begun(now, query, execution));
+            }
+            case "check-result" -> {
+                outcome(in.whole("code"));
+                in.whole("upstream");
+                in.whole("spent-us");
+                report();
+            }
+            case "message" -> {
+                in.whole("who");
+                in.text("raw");
+            }
+            case "down" -> instances.remove(id);
+            default -> throw in.bad("a known event, not " + name);
+        }
+    }
+
+    private static final List<String> EVENTS = List.of("arrival", "closed-attempt", "alarm", "sync", "expired",
+            "accepted", "check-result", "message", "down", "new-instance");
+
+    private void decide(InstanceId id, Step step) throws IOException {
+        try {
+            step.decide();
+        } catch (RuntimeException e) {
+            StackTraceElement[] trace = e.getStackTrace();
+            replies.bailOut(id.value(), e + (trace.length > 0 ? " at " + trace[0] : ""));
+        }
+    }
+
+    private void start(InstanceId id) throws IOException, BadWire {
+        long seed = in.whole("init-seed");
+        BootInfo info = new BootInfo(in.tree(), in.line());
+        Decide decide = info.start(replies.forInstance(id.value()), seed);
+        instances.put(id, new Instance(decide, info.offerings, info.tenants));
+        decide(id, () -> decide.start(now));
+    }
+
+    private void page() throws IOException, BadWire {
+        long number = in.whole("sheet");
+        List<Listed> rows = new ArrayList<>();
+        in.openList("rows");
+        while (in.row()) {
+            double scale = in.number("scale");
+            GroupId cell = new GroupId(in.wholeOr("group", 0));
+            UpstreamId upstream = new UpstreamId(in.whole("upstream"));
+            double onlineSince = Clock.seconds(in.wholeOr("online-since-us", 0));
+            Listed.Health health = health(in.text("health"));
+            ShapeId shape = shapes.computeIfAbsent(in.text("shape"), n -> new ShapeId(shapes.size()));
+            ZoneId zone = zones.computeIfAbsent(in.text("zone"), n -> new ZoneId(zones.size()));
+            rows.add(new Listed(upstream, health, onlineSince, scale, cell, zone, shape));
+            in.endMessage();
+        }
+        pages.put(number, rows);
+    }
+
+    private Listed.Health health(String word) throws BadWire {
+        return switch (word) {
+            case "Ready" -> Listed.Health.READY;
+            case "Terminating" -> Listed.Health.DRAINING;
+            case "Gone" -> Listed.Health.GONE;
+            default -> throw in.bad("health Ready, Terminating or Gone, not " + word);
+        };
+    }
+
+    private void sync(InstanceId id, Instance at) throws IOException, BadWire {
+        in.whole("rev");
+        String mode = in.text("mode");
+        ListNews news = switch (mode) {
+            case "Partial" -> ListNews.CHANGES;
+            case "Complete" -> ListNews.WHOLE;
+            case "Persisted" -> ListNews.REMEMBERED;
+            case "Error" -> ListNews.FAILED;
+            default -> throw in.bad("mode Partial, Complete, Persisted or Error, not " + mode);
+        };
+        long number = in.wholeOr("sheet", -1);
+        List<Listed> rows = news == ListNews.FAILED ? List.of() : pages.get(number);
+        if (rows == null) {
+            throw in.bad("the number of a page that was delivered before, not " + number);
+        }
+        decide(id, () -> at.decide().list(now, news, rows));
+    }
+
+    private void arrival(InstanceId id, Instance at) throws IOException, BadWire {
+        QueryId query = new QueryId(in.text("request-id"));
+        OfferingId offering = at.offerings().get(in.text("priority"));
+        if (offering == null) {
+            throw in.bad("priority as one of the classes in boot-info");
+        }
+        String tenantName = in.textOrNull("tenant");
+        TenantId tenant = tenantName == null ? null : at.tenants().get(tenantName);
+        String key = in.textOrNull("target-key");
+        double cutOffAt = Clock.seconds(in.whole("due-us"));
+        long work = in.wholeOr("predicted-us", 0);
+        long bits = in.wholeOr("state-bits", 0);
+        Asked asked = new Asked(query, offering, tenant, key, cutOffAt,
+                (bits & 1) != 0 ? Clock.seconds(work) : Double.NaN, (bits & 2) != 0);
+        decide(id, () -> at.decide().arrival(now, asked));
+    }
+
+    private void closedAttempt(InstanceId id, Instance at) throws IOException, BadWire {
+        QueryId query = new QueryId(in.text("request-id"));
+        int execution = (int) in.whole("try");
+        in.whole("upstream");
+        Outcome outcome = outcome(in.whole("code"));
+        double spent = Clock.seconds(in.whole("spent-us"));
+        boolean ended = in.bool("ended");
+        LoadReport report = report();
+        decide(id, () -> at.decide().outcome(now, query, execution, outcome, spent, ended, report));
+    }
+
+    private Outcome outcome(long code) throws BadWire {
+        return switch ((int) code) {
+            case 0 -> Outcome.HANDLED;
+            case 255 -> Outcome.ERROR;
+            case 254 -> Outcome.FULL;
+            case 253 -> Outcome.TIMED_OUT;
+            case 252 -> Outcome.NO_CONNECTION;
+            case 251 -> Outcome.BROKEN;
+            case 250 -> Outcome.CALLED_OFF;
+            case 249 -> Outcome.NOT_SENT;
+            default -> throw in.bad("code 0 or 249 to 255, not " + code);
+        };
+    }
+
+    private LoadReport report() throws IOException, BadWire {
+        if (!in.openObject("telemetry")) {
+            return null;
+        }
+        double inHand = Double.NaN;
+        double waiting = Double.NaN;
+        double busyShare = Double.NaN;
+        double meanTime = Double.NaN;
+        double handledRate = Double.NaN;
+        double errorRate = Double.NaN;
+        for (String name = in.field(); name != null; name = in.field()) {
+            double value = in.numberOrNaN();
+            switch (name) {
+                case "concurrent" -> inHand = value;
+                case "depth" -> waiting = value;
+                case "load_share" -> busyShare = value;
+                case "mean_ms" -> meanTime = value / 1e3;
+                case "tps" -> handledRate = value;
+                case "err_ps" -> errorRate = value;
+                default -> { }
+            }
+        }
+        return new LoadReport(inHand, waiting, busyShare, meanTime, handledRate, errorRate);
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/drill/Replies.java
@@ -0,0 +1,126 @@
+package portrelay.drill;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.io.SerializedString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import portrelay.model.Effects;
+import portrelay.model.QueryId;
+import portrelay.model.UpstreamId;
+
+/** Gathers one batch's reply, one line an action, and writes it out in one piece. */
+final class Replies {
+
+    private static final SerializedString SEND = new SerializedString("hand-off");
+    private static final SerializedString CALL_OFF = new SerializedString("call-off");
+    private static final SerializedString ALARM = new SerializedString("set-timer");
+
+    private final OutputStream out;
+    private final ByteArrayOutputStream batch = new ByteArrayOutputStream(1 << 16);
+    private final JsonGenerator json;
+
+    Replies(OutputStream out) throws IOException {
+        this.out = out;
+        json = new JsonFactory().createGenerator(batch);
+        json.setRootValueSeparator(new SerializedString("\n"));
+    }
+
+    void endBatch() throws IOException {
+        json.writeStartArray();
+        json.writeString("ok");
+        json.writeEndArray();
+        json.flush();
+        batch.write('\n');
+        batch.writeTo(out);
+        out.flush();
+        batch.reset();
+    }
+
+    void bailOut(long instance, String cause) throws IOException {
+        json.writeStartArray();
+        json.writeString("bail-out");
+        json.writeNumber(instance);
+        json.writeString(cause);
+        json.writeEndArray();
+    }
+
+    Effects forInstance(long instance) {
+        return new Actions(instance);
+    }
+
+    private final class Actions implements Effects {
+
+        private final long instance;
+
+        Actions(long instance) {
+            this.instance = instance;
+        }
+
+        private interface Values {
+            void write() throws IOException;
+        }
+
+        private void action(SerializedString name, Values values) {
+            try {
+                json.writeStartArray();
+                json.writeString(name);
+                json.writeNumber(instance);
+                values.write();
+                json.writeEndArray();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
+        @Override
+        public void send(QueryId query, UpstreamId upstream) {
+            action(SEND, () -> {
+                json.writeString(query.value());
+                json.writeNumber(0);
+                json.writeNumber(upstream.value());
+            });
+        }
+
+        @Override
+        public void callOff(QueryId query, int execution) {
+            action(CALL_OFF, () -> {
+                json.writeString(query.value());
+                json.writeNumber(execution);
+            });
+        }
+
+        @Override
+        public void deny(QueryId query, double coolDown) {
+            action(new SerializedString("deny"), () -> {
+                json.writeString(query.value());
+                json.writeNumber(Clock.microsNotBefore(coolDown));
+            });
+        }
+
+        @Override
+        public void writeOff(QueryId query) {
+            action(new SerializedString("fail"), () -> json.writeString(query.value()));
+        }
+
+        @Override
+        public void alarmAt(double time) {
+            action(ALARM, () -> {
+                json.writeNumber(Clock.microsNotBefore(time));
+                json.writeString("a");
+            });
+        }
+
+        @Override
+        public void watchList() {
+            action(new SerializedString("stream-changes"), () -> json.writeBoolean(true));
+        }
+
+        @Override
+        public void note(String text) {
+            action(new SerializedString("debug"), () -> json.writeString(text));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/model/ListNews.java
@@ -0,0 +1,4 @@
+package portrelay.model;
+
+/** CHANGES holds changed rows only; REMEMBERED is a whole list that may be old; FAILED has no rows. */
+public enum ListNews { CHANGES, WHOLE, REMEMBERED, FAILED }
--- /dev/null
+++ b/src/main/java/portrelay/model/ZoneId.java
@@ -0,0 +1,4 @@
+package portrelay.model;
+
+public record ZoneId(int value) {
+}
