Bound what is in flight at each upstream and hold or deny the rest; alarms never early

Cause: queues at the upstreams that never drain once retries and copies feed them. A rounding error made alarms early by under a microsecond and lost waiting queries on the first try; the clock now reads its own result back.

--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -162,6 +162,8 @@
         double passedUntil;
         boolean trialOut;
         double coldCredit;
+        double limit = FIRST_LIMIT;
+        double cutAt = Double.NEGATIVE_INFINITY;
 
         Upstream(UpstreamId id) {
             this.id = id;
@@ -181,7 +183,10 @@
     private static final double PASS_OVER = 5.0;
     private static final double SETTLING = 3.0;
     private static final double SHORTEST_BACKOFF = 0.5;
-    private static final double LONGEST_WAIT_SHARE = 0.25;
+    private static final double LONGEST_WAIT_SHARE = 0.3;
+    private static final double FIRST_LIMIT = 3;
+    private static final double CUT_TO = 0.7;
+    private static final double PROMPT_SHARE = 0.6;
 
     private final Effects out;
     private final SplittableRandom chance;
@@ -343,7 +348,8 @@
         if (!q.waiting) {
             q.waiting = true;
             held.add(q);
-            due(q.arrivedAt + (q.asked.cutOffAt() - q.arrivedAt) * LONGEST_WAIT_SHARE, q, Input.WAITED);
+            double budget = Math.min(q.offering.targetTime(), q.asked.cutOffAt() - q.arrivedAt);
+            due(q.arrivedAt + budget * LONGEST_WAIT_SHARE, q, Input.WAITED);
         }
         return null;
     }
@@ -441,7 +447,7 @@
     }
 
     private boolean mayTake(Query q, Upstream u) {
-        return u.ready && !q.triedAt(u) && maySend(q, u) && cold.admits(u, now);
+        return u.ready && u.inFlight < u.limit && !q.triedAt(u) && maySend(q, u) && cold.admits(u, now);
     }
 
     private Upstream pickAmong(Query q, double mean, boolean passedOverToo) {
@@ -486,7 +492,28 @@
 
     // ---- Health --------------------------------------------------------------------------------------------------
 
+    /**
+     * What we keep in flight at one upstream grows by one for each full round of prompt outcomes and is cut by a
+     * share on a late or failed one. Guards against queues at the upstreams that no answer comes out of in time:
+     * work that can't be placed waits briefly here and is then denied, while the client can still use that.
+     */
+    private static void adaptLimit(Upstream u, Execution e, double now, double targetTime) {
+        double spent = now - e.sentAt;
+        boolean handled = e.outcome == Outcome.HANDLED;
+        if (handled && spent <= targetTime * PROMPT_SHARE) {
+            if (u.inFlight + 1 >= u.limit / 2) {
+                u.limit += 1 / u.limit;
+            }
+        } else if (e.outcome == Outcome.CALLED_OFF ? spent > targetTime : !handled || spent > targetTime) {
+            if (e.sentAt >= u.cutAt) {
+                u.limit = Math.max(1, u.limit * CUT_TO);
+                u.cutAt = now;
+            }
+        }
+    }
+
     private void judge(Query q, Execution e) {
+        adaptLimit(e.at, e, now, q.offering.targetTime());
         if (e.trial) {
             e.at.trialOut = false;
             e.at.passedUntil = now + PASS_OVER;
--- a/src/main/java/portrelay/drill/Clock.java
+++ b/src/main/java/portrelay/drill/Clock.java
@@ -3,8 +3,6 @@
 /** The wire counts whole microseconds, the decisions seconds with fractions. */
 final class Clock {
 
-    private static final double NOISE = 1e-3;
-
     private Clock() {
     }
 
@@ -12,10 +10,9 @@
         return micros / 1e6;
     }
 
-    /** Never before the time that was asked for; rounding noise of a double is not taken for a fraction. */
+    /** Never before the time that was asked for, as read back on this same clock. */
     static long microsNotBefore(double seconds) {
-        double micros = seconds * 1e6;
-        long near = Math.round(micros);
-        return micros - near < NOISE ? near : near + 1;
+        long near = Math.round(seconds * 1e6);
+        return seconds(near) >= seconds ? near : near + 1;
     }
 }
