--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -184,9 +184,10 @@
     private static final double SETTLING = 3.0;
     private static final double SHORTEST_BACKOFF = 0.5;
     private static final double LONGEST_WAIT_SHARE = 0.3;
-    private static final double FIRST_LIMIT = 3;
+    private static final double FIRST_LIMIT = 1.5;
     private static final double CUT_TO = 0.7;
-    private static final double PROMPT_SHARE = 0.6;
+    private static final double PROMPT_SHARE = 0.35;
+    private static final double LATE_SHARE = 0.6;
 
     private final Effects out;
     private final SplittableRandom chance;
@@ -504,7 +505,7 @@
             if (u.inFlight + 1 >= u.limit / 2) {
                 u.limit += 1 / u.limit;
             }
-        } else if (e.outcome == Outcome.CALLED_OFF ? spent > targetTime : !handled || spent > targetTime) {
+        } else if (e.outcome == Outcome.CALLED_OFF ? spent > targetTime * LATE_SHARE : !handled || spent > targetTime * LATE_SHARE) {
             if (e.sentAt >= u.cutAt) {
                 u.limit = Math.max(1, u.limit * CUT_TO);
                 u.cutAt = now;
