--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -164,6 +164,7 @@
         double coldCredit;
         double limit = FIRST_LIMIT;
         double cutAt = Double.NEGATIVE_INFINITY;
+        final Samples paces = new Samples(PACE_SAMPLES);
 
         Upstream(UpstreamId id) {
             this.id = id;
@@ -174,6 +175,37 @@
         }
     }
 
+    /** The last few samples of one thing measured, with their times. */
+    private static final class Samples {
+        private final double[] values;
+        private final double[] times;
+        private int count;
+
+        Samples(int most) {
+            values = new double[most];
+            times = new double[most];
+        }
+
+        void add(double time, double value) {
+            values[count % values.length] = value;
+            times[count % values.length] = time;
+            count++;
+        }
+
+        /** Mean of what came after the time, as if prior samples of the given value had come before. */
+        double mean(double after, double prior, double value) {
+            double sum = prior * value;
+            double weight = prior;
+            for (int i = 0; i < Math.min(count, values.length); i++) {
+                if (times[i] >= after) {
+                    sum += values[i];
+                    weight++;
+                }
+            }
+            return weight == 0 ? value : sum / weight;
+        }
+    }
+
     private record Due(double time, long order, Query query, Input input) { }
 
     // ---- Settings of the design that are ours to choose ----------------------------------------------------------
@@ -184,6 +216,10 @@
     private static final double SETTLING = 3.0;
     private static final double SHORTEST_BACKOFF = 0.5;
     private static final double LONGEST_WAIT_SHARE = 0.3;
+    private static final int PACE_SAMPLES = 16;
+    private static final double PACE_AGE = 5;
+    private static final double PACE_PRIOR = 3;
+    private static final int TIME_SAMPLES = 64;
     private static final double FIRST_LIMIT = 1.5;
     private static final double CUT_TO = 0.7;
     private static final double PROMPT_SHARE = 0.35;
@@ -202,7 +238,7 @@
     private final ArrayDeque<Query> held = new ArrayDeque<>();
     private final PriorityQueue<Due> dues = new PriorityQueue<>(
             (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
-    private final List<Upstream> best = new ArrayList<>();
+    private final List<Samples> times = new ArrayList<>();
     private long dueOrder;
     private double alarmAt = Double.POSITIVE_INFINITY;
     private double now;
@@ -213,6 +249,9 @@
         this.chance = new SplittableRandom(seed);
         this.offerings = offerings;
         this.permits = permits;
+        for (int i = 0; i < offerings.size(); i++) {
+            times.add(new Samples(TIME_SAMPLES));
+        }
         this.cold = new Cold(coldRule.share(), coldRule.time(), sized);
         this.watch = new ListWatch(listRule.onRequest(), listRule.askWithin());
     }
@@ -452,22 +491,27 @@
     }
 
     private Upstream pickAmong(Query q, double mean, boolean passedOverToo) {
-        best.clear();
+        Upstream pick = null;
         double least = Double.POSITIVE_INFINITY;
+        double idleWeight = 0;
         for (Upstream u : roster) {
             if (!u.ready || u.passedOver() && !passedOverToo || !mayTake(q, u)) {
                 continue;
             }
             double load = u.inFlight + (now < u.seenAt + SETTLING ? mean : 0);
-            if (load < least) {
-                least = load;
-                best.clear();
-            }
-            if (load == least) {
-                best.add(u);
+            double pace = pace(u);
+            if (load == 0) {
+                double weight = 1 / (pace * pace);
+                idleWeight += weight;
+                if (chance.nextDouble() * idleWeight < weight) {
+                    pick = u;
+                }
+            } else if (idleWeight == 0 && load * pace < least) {
+                least = load * pace;
+                pick = u;
             }
         }
-        return best.isEmpty() ? null : best.get(chance.nextInt(best.size()));
+        return pick;
     }
 
     private double meanInFlight() {
@@ -515,6 +559,7 @@
 
     private void judge(Query q, Execution e) {
         adaptLimit(e.at, e, now, q.offering.targetTime());
+        samplePace(q, e);
         if (e.trial) {
             e.at.trialOut = false;
             e.at.passedUntil = now + PASS_OVER;
@@ -528,6 +573,24 @@
         }
     }
 
+    /** How long an upstream takes against what the offering takes elsewhere; a loser's time counts as far as it got. */
+    private void samplePace(Query q, Execution e) {
+        Samples usual = times.get(q.asked.offering().value());
+        double spent = now - e.sentAt;
+        double mean = usual.mean(Double.NEGATIVE_INFINITY, 0, spent);
+        boolean handled = e.outcome == Outcome.HANDLED;
+        if (handled) {
+            usual.add(now, spent);
+        }
+        if (mean > 0 && (handled || !e.outcome.neverRan && spent > mean)) {
+            e.at.paces.add(now, spent / mean);
+        }
+    }
+
+    private double pace(Upstream u) {
+        return u.paces.mean(now - PACE_AGE, PACE_PRIOR, 1);
+    }
+
     private void countCopyWin(Upstream u) {
         u.copyWins++;
         if (u.passedOver()) {
