A limit over all upstreams, one up or a share down for each round of outcomes

Cause: one or two executions of each sidecar at every upstream are already enough to choke the fleet; only the sum is fine enough.

--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -219,6 +219,10 @@
     private static final int PACE_SAMPLES = 16;
     private static final double PACE_AGE = 5;
     private static final double PACE_PRIOR = 3;
+    private static final int ROUND = 16;
+    private static final double LATE_HIGH = 0.25;
+    private static final double LATE_LOW = 0.1;
+    private static final double TOTAL_CUT_TO = 0.8;
     private static final int TIME_SAMPLES = 64;
     private static final double FIRST_LIMIT = 1.5;
     private static final double CUT_TO = 0.7;
@@ -240,6 +244,8 @@
             (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
     private final List<Samples> times = new ArrayList<>();
     private long dueOrder;
+    private final TotalLimit total = new TotalLimit();
+    private int readyCount;
     private double alarmAt = Double.POSITIVE_INFINITY;
     private double now;
 
@@ -363,6 +369,10 @@
             u.listed = row;
             u.ready = row.health() == Listed.Health.READY;
         }
+        readyCount = 0;
+        for (Upstream u : roster) {
+            readyCount += u.ready ? 1 : 0;
+        }
         placeHeld();
         armAlarm();
     }
@@ -463,6 +473,49 @@
         };
     }
 
+    // ---- The limit over all upstreams ----------------------------------------------------------------------------
+
+    /**
+     * Guards against a fleet that all sidecars overfill together: one or two executions of each at every upstream
+     * are already too many there, and only the sum over our upstreams is fine enough to hold less than that.
+     */
+    private static final class TotalLimit {
+        private final Samples late = new Samples(ROUND);
+        private double size;
+        private double changedAt = Double.NEGATIVE_INFINITY;
+        private int round;
+        private boolean full;
+        private int inFlight;
+
+        boolean hasRoom(int ready) {
+            return inFlight < Math.max(size, 1) || size == 0 && inFlight < ready;
+        }
+
+        void ended(double now, double sentAt, boolean isLate, int ready) {
+            if (size == 0) {
+                size = ready;
+            }
+            full |= inFlight + 1 >= size;
+            inFlight--;
+            if (sentAt < changedAt) {
+                return;
+            }
+            late.add(now, isLate ? 1 : 0);
+            if (++round < ROUND) {
+                return;
+            }
+            double share = late.mean(Double.NEGATIVE_INFINITY, 0, 0);
+            if (share > LATE_HIGH) {
+                size = Math.max(1, size * TOTAL_CUT_TO);
+                changedAt = now;
+            } else if (share < LATE_LOW && full) {
+                size += 1;
+            }
+            round = 0;
+            full = false;
+        }
+    }
+
     private static boolean sameGroup(Offering.Group group, Listed a, Listed b) {
         return switch (group) {
             case ALL -> true;
@@ -487,7 +540,7 @@
     }
 
     private boolean mayTake(Query q, Upstream u) {
-        return u.ready && u.inFlight < u.limit && !q.triedAt(u) && maySend(q, u) && cold.admits(u, now);
+        return u.ready && total.hasRoom(readyCount) && u.inFlight < u.limit && !q.triedAt(u) && maySend(q, u) && cold.admits(u, now);
     }
 
     private Upstream pickAmong(Query q, double mean, boolean passedOverToo) {
@@ -531,6 +584,7 @@
         u.trialOut |= trial;
         q.executions.add(new Execution(q.executions.size(), u, now, trial));
         u.inFlight++;
+        total.inFlight++;
         cold.sent(u, roster, now);
         out.send(q.asked.id(), u.id);
     }
@@ -542,23 +596,24 @@
      * share on a late or failed one. Guards against queues at the upstreams that no answer comes out of in time:
      * work that can't be placed waits briefly here and is then denied, while the client can still use that.
      */
-    private static void adaptLimit(Upstream u, Execution e, double now, double targetTime) {
-        double spent = now - e.sentAt;
-        boolean handled = e.outcome == Outcome.HANDLED;
-        if (handled && spent <= targetTime * PROMPT_SHARE) {
+    private static void adaptLimit(Upstream u, Execution e, double now, boolean prompt, boolean late) {
+        if (prompt) {
             if (u.inFlight + 1 >= u.limit / 2) {
                 u.limit += 1 / u.limit;
             }
-        } else if (e.outcome == Outcome.CALLED_OFF ? spent > targetTime * LATE_SHARE : !handled || spent > targetTime * LATE_SHARE) {
-            if (e.sentAt >= u.cutAt) {
-                u.limit = Math.max(1, u.limit * CUT_TO);
-                u.cutAt = now;
-            }
+        } else if (late && e.sentAt >= u.cutAt) {
+            u.limit = Math.max(1, u.limit * CUT_TO);
+            u.cutAt = now;
         }
     }
 
     private void judge(Query q, Execution e) {
-        adaptLimit(e.at, e, now, q.offering.targetTime());
+        double spent = now - e.sentAt;
+        boolean handled = e.outcome == Outcome.HANDLED;
+        boolean slow = spent > q.offering.targetTime() * LATE_SHARE;
+        boolean late = slow || !handled && e.outcome != Outcome.CALLED_OFF;
+        adaptLimit(e.at, e, now, handled && spent <= q.offering.targetTime() * PROMPT_SHARE, late);
+        total.ended(now, e.sentAt, late, readyCount);
         samplePace(q, e);
         if (e.trial) {
             e.at.trialOut = false;
