--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -611,7 +611,8 @@
         double spent = now - e.sentAt;
         boolean handled = e.outcome == Outcome.HANDLED;
         boolean slow = spent > q.offering.targetTime() * LATE_SHARE;
-        boolean late = slow || !handled && e.outcome != Outcome.CALLED_OFF;
+        // An error that comes back quickly tells of the upstream, not of too much in flight.
+        boolean late = slow || e.outcome == Outcome.FULL || e.outcome == Outcome.TIMED_OUT;
         adaptLimit(e.at, e, now, handled && spent <= q.offering.targetTime() * PROMPT_SHARE, late);
         total.ended(now, e.sentAt, late, readyCount);
         samplePace(q, e);
