--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -414,8 +414,15 @@
         return null;
     }
 
+    /** Nothing is out any more: the copy goes now, not at its time, and later ones while budget and rules allow. */
     private Input sendFurther(Query q) {
-        return Input.NOWHERE;
+        Upstream u = pick(q, false);
+        if (u == null) {
+            return Input.NOWHERE;
+        }
+        q.copied = true;
+        send(q, u);
+        return Input.PLACED;
     }
 
     private Input settle(Query q) {
