Idle upstreams draw lots by key where keys make repeats cheaper

Cause: random idle picks scatter a key's queries so that no upstream remembers it. Acts only where the settings say warm keys.

--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -233,6 +233,7 @@
     private final SplittableRandom chance;
     private final List<Offering> offerings;
     private final Permits permits;
+    private final boolean warmKeys;
     private final Cold cold;
     private final ListWatch watch;
 
@@ -250,11 +251,12 @@
     private double now;
 
     public Decide(Effects out, long seed, List<Offering> offerings, List<Tenant> tenants, Permits permits,
-            ColdRule coldRule, ListRule listRule, boolean sized) {
+            ColdRule coldRule, ListRule listRule, boolean sized, boolean warmKeys) {
         this.out = out;
         this.chance = new SplittableRandom(seed);
         this.offerings = offerings;
         this.permits = permits;
+        this.warmKeys = warmKeys;
         for (int i = 0; i < offerings.size(); i++) {
             times.add(new Samples(TIME_SAMPLES));
         }
@@ -553,7 +555,8 @@
     private Upstream pickAmong(Query q, double mean, boolean passedOverToo) {
         Upstream pick = null;
         double least = Double.POSITIVE_INFINITY;
-        double idleWeight = 0;
+        double bestDraw = 0;
+        boolean idle = false;
         for (Upstream u : roster) {
             if (!u.ready || u.passedOver() && !passedOverToo || !mayTake(q, u)) {
                 continue;
@@ -561,12 +564,13 @@
             double load = u.inFlight + (now < u.seenAt + SETTLING ? mean : 0);
             double pace = pace(u);
             if (load == 0) {
-                double weight = 1 / (pace * pace);
-                idleWeight += weight;
-                if (chance.nextDouble() * idleWeight < weight) {
+                double draw = Math.log(draw(q, u)) * pace * pace;
+                if (!idle || draw > bestDraw) {
+                    idle = true;
+                    bestDraw = draw;
                     pick = u;
                 }
-            } else if (idleWeight == 0 && load * pace < least) {
+            } else if (!idle && load * pace < least) {
                 least = load * pace;
                 pick = u;
             }
@@ -574,6 +578,20 @@
         return pick;
     }
 
+    /**
+     * The idle ones draw lots, the slow with less luck. Where upstreams do a key's later queries at less work, the
+     * lot comes from key and upstream: every sidecar then finds the same ones for a key, with no agreement.
+     */
+    private double draw(Query q, Upstream u) {
+        if (!warmKeys || q.asked.key() == null) {
+            return chance.nextDouble();
+        }
+        long x = q.asked.key().hashCode() * 0x9E3779B97F4A7C15L ^ u.id.value() * 0xC2B2AE3D27D4EB4FL;
+        x = (x ^ x >>> 30) * 0xBF58476D1CE4E5B9L;
+        x = (x ^ x >>> 27) * 0x94D049BB133111EBL;
+        return ((x ^ x >>> 31) >>> 11) * 0x1.0p-53 + 0x1.0p-54;
+    }
+
     private double meanInFlight() {
         double sum = 0;
         int count = 0;
--- a/src/main/java/portrelay/drill/BootInfo.java
+++ b/src/main/java/portrelay/drill/BootInfo.java
@@ -53,8 +53,9 @@
         ColdRule cold = new ColdRule(number(rules, "cold-share", 1), time(rules, "cold-us"),
                 number(rules, "overload-factor", 1), time(rules, "tip-after-us"));
         ListRule list = new ListRule("on_request".equals(root.get("discovery")), time(rules, "ask-within-us"));
+        boolean warmKeys = root.get("family-info") instanceof Map<?, ?> info && flag(info, "warm-keys");
         boolean sized = !"silent".equals(root.get("weights"));
-        return new Decide(effects, seed, offered, shares, permits, cold, list, sized);
+        return new Decide(effects, seed, offered, shares, permits, cold, list, sized, warmKeys);
     }
 
     private Offering.Repeats repeats(String word) throws BadWire {
