--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -563,7 +563,7 @@
             }
             double load = u.inFlight + (now < u.seenAt + SETTLING ? mean : 0);
             double pace = pace(u);
-            if (load == 0) {
+            if (load == 0 || load <= 1 && warmKeys) {
                 double draw = Math.log(draw(q, u)) * pace * pace;
                 if (!idle || draw > bestDraw) {
                     idle = true;
