--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -223,6 +223,7 @@
     private static final double LATE_HIGH = 0.25;
     private static final double LATE_LOW = 0.1;
     private static final double TOTAL_CUT_TO = 0.8;
+    private static final double PACE_MOST = 4;
     private static final int TIME_SAMPLES = 64;
     private static final double FIRST_LIMIT = 1.5;
     private static final double CUT_TO = 0.7;
@@ -664,7 +665,7 @@
             usual.add(now, spent);
         }
         if (mean > 0 && (handled || !e.outcome.neverRan && spent > mean)) {
-            e.at.paces.add(now, spent / mean);
+            e.at.paces.add(now, Math.min(spent / mean, PACE_MOST));
         }
     }
 
--- /dev/null
+++ b/src/test/java/portrelay/FailuresTest.java
@@ -0,0 +1,148 @@
+package portrelay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import portrelay.model.ListNews;
+import portrelay.model.Listed;
+import portrelay.model.Outcome;
+import portrelay.model.QueryId;
+import portrelay.model.UpstreamId;
+
+/** One small test for each failure that the bench has shown, and for the design's ordinary path. */
+class FailuresTest {
+
+    private final Rig rig = new Rig(7);
+
+    @Test
+    void oneCopyGoesElsewhereAtHalfTheBudgetAndTheLoserIsCalledOff() {
+        rig.ready(6);
+        rig.ask("a", Rig.REISSUABLE, 0.6);
+        rig.pass(0.299);
+        assertEquals(1, rig.sent.size());
+        rig.pass(0.002);
+        assertEquals(2, rig.sent.size());
+        assertNotEquals(rig.sent.get(0).at(), rig.sent.get(1).at());
+        rig.end(rig.sent.get(1), Outcome.HANDLED);
+        assertEquals(0, rig.calledOff.get(0).index());
+        rig.pass(0.2);
+        assertEquals(2, rig.sent.size());
+    }
+
+    @Test
+    void fiveCopyWinsInARowPassAnUpstreamOverUntilATrial() {
+        rig.ready(2);
+        for (int i = 0; i < 25; i++) {
+            rig.ask("q" + i, Rig.REISSUABLE, 0.6);
+            Rig.Sent first = rig.last();
+            if (first.at().value() == 0) {
+                rig.pass(0.31);
+                rig.end(rig.last(), Outcome.HANDLED);
+                rig.end(first, Outcome.CALLED_OFF);
+            } else {
+                rig.pass(0.05);
+                rig.end(first, Outcome.HANDLED);
+            }
+        }
+        rig.pass(0.01);
+        long before = firstSendsTo(0);
+        for (int i = 0; i < 20; i++) {
+            rig.ask("r" + i, Rig.REISSUABLE, 0.6);
+            rig.end(rig.last(), Outcome.HANDLED);
+        }
+        assertEquals(before, firstSendsTo(0));
+        rig.pass(20);
+        rig.ask("trial", Rig.REISSUABLE, 0.6);
+        assertEquals(new UpstreamId(0), rig.last().at());
+    }
+
+    private long firstSendsTo(int upstream) {
+        return rig.sent.stream().filter(s -> s.index() == 0 && s.at().value() == upstream).count();
+    }
+
+    /** idukki-maps ie64ef7, kw-kalender-wien i6fc5d9: queues at the upstreams that retries and copies kept full. */
+    @Test
+    void aCrowdedFleetGetsLessAndTheRestIsDeniedWithinAShareOfTheTargetTime() {
+        rig.ready(4);
+        for (int round = 0; round < 40; round++) {
+            List<Rig.Sent> mine = new ArrayList<>();
+            int from = rig.sent.size();
+            for (int i = 0; i < 6; i++) {
+                rig.ask("q" + round + "-" + i, Rig.AT_MOST_ONCE, 2);
+            }
+            mine.addAll(rig.sent.subList(from, rig.sent.size()));
+            rig.pass(0.5);
+            mine.forEach(s -> rig.end(s, Outcome.HANDLED));
+        }
+        int out = rig.sent.size();
+        for (int i = 0; i < 10; i++) {
+            rig.ask("late" + i, Rig.AT_MOST_ONCE, 2);
+        }
+        assertTrue(rig.sent.size() - out <= 3, "still fills a crowded fleet");
+        int denied = rig.denied.size();
+        rig.pass(0.2);
+        assertTrue(rig.denied.size() >= denied + 7, "held back what it could not place");
+    }
+
+    /** cartago-controls big-2: an upstream that fails fast cut the limits although nothing was crowded. */
+    @Test
+    void quickErrorsDoNotShrinkWhatMayBeInFlight() {
+        rig.ready(4);
+        for (int i = 0; i < 200; i++) {
+            rig.ask("e" + i, Rig.AT_MOST_ONCE, 2);
+            rig.end(rig.last(), Outcome.ERROR);
+        }
+        int from = rig.sent.size();
+        for (int i = 0; i < 4; i++) {
+            rig.ask("q" + i, Rig.AT_MOST_ONCE, 2);
+        }
+        assertEquals(from + 4, rig.sent.size());
+    }
+
+    /** cartago-controls big-2: a query whose only execution failed fast had most of its budget left. */
+    @Test
+    void theCopyGoesEarlyWhenTheOnlyExecutionFails() {
+        rig.ready(6);
+        rig.ask("a", Rig.REISSUABLE, 2);
+        rig.end(rig.last(), Outcome.ERROR);
+        assertEquals(2, rig.sent.size());
+        QueryId once = rig.ask("b", Rig.AT_MOST_ONCE, 2);
+        rig.end(rig.last(), Outcome.ERROR);
+        assertEquals(List.of(once), rig.writtenOff);
+    }
+
+    /** kw-kalender-wien overload: several sidecars that each send a fair part push a cold upstream over together. */
+    @Test
+    void aColdUpstreamGetsItsRampOfWhatAWarmOneGets() {
+        int cold = 0;
+        int all = 0;
+        for (int sidecar = 0; sidecar < 6; sidecar++) {
+            Rig each = new Rig(sidecar);
+            each.ready(5);
+            each.decide.list(each.now, ListNews.CHANGES,
+                    List.of(Rig.row(5, Listed.Health.READY, each.now)));
+            for (int i = 0; i < 200; i++) {
+                each.ask("q" + i, Rig.AT_MOST_ONCE, 2);
+                each.end(each.last(), Outcome.HANDLED);
+                each.pass(0.01);
+            }
+            cold += (int) each.sent.stream().filter(s -> s.at().value() == 5).count();
+            all += each.sent.size();
+        }
+        double warm = (all - cold) / 5.0;
+        double rampAtTheEnd = 0.2 + 0.8 * 2 / 10;
+        assertTrue(cold > 0 && cold <= warm * rampAtTheEnd + 6, cold + " against " + warm + " at a warm one");
+    }
+
+    @Test
+    void aFailedWatchIsAskedForAgainAfterABackoff() {
+        rig.decide.list(rig.now, ListNews.FAILED, List.of());
+        assertEquals(1, rig.watches);
+        rig.pass(1);
+        assertEquals(2, rig.watches);
+    }
+}
--- /dev/null
+++ b/src/test/java/portrelay/RulesTest.java
@@ -0,0 +1,251 @@
+package portrelay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import portrelay.model.ListNews;
+import portrelay.model.Listed;
+import portrelay.model.Offering;
+import portrelay.model.Outcome;
+import portrelay.model.QueryId;
+import portrelay.model.UpstreamId;
+
+/** A slow, plain model of the four rules, written from the rules alone, beside the module on generated days. */
+class RulesTest {
+
+    private static final double GRACE_TO_ANSWER = 0.02;
+    private static final double DRAIN_GRACE = 0.5;
+    private static final int UPSTREAMS = 9;
+    private static final Outcome[] OUTCOMES = {Outcome.HANDLED, Outcome.ERROR, Outcome.FULL, Outcome.BROKEN,
+            Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.CALLED_OFF, Outcome.TIMED_OUT};
+
+    private static final class Try {
+        final int upstream;
+        final double at;
+        Outcome outcome;
+
+        Try(int upstream, double at) {
+            this.upstream = upstream;
+            this.at = at;
+        }
+
+        boolean provedNeverRan() {
+            return outcome == Outcome.FULL || outcome == Outcome.NO_CONNECTION || outcome == Outcome.NOT_SENT;
+        }
+    }
+
+    private static final class Owed {
+        final int offering;
+        final double cutOffAt;
+        final List<Try> tries = new ArrayList<>();
+        boolean closed;
+
+        Owed(int offering, double cutOffAt) {
+            this.offering = offering;
+            this.cutOffAt = cutOffAt;
+        }
+
+        boolean denialIsHarmless() {
+            return switch (offering) {
+                case Rig.REISSUABLE, Rig.NUMBERED_ANYWHERE -> true;
+                default -> tries.stream().allMatch(Try::provedNeverRan);
+            };
+        }
+
+        boolean furtherIsHarmless(int upstream, double now) {
+            if (tries.stream().allMatch(Try::provedNeverRan) || offering == Rig.REISSUABLE) {
+                return true;
+            }
+            if (offering == Rig.AT_MOST_ONCE) {
+                return false;
+            }
+            Try first = tries.stream().filter(t -> !t.provedNeverRan()).findFirst().orElseThrow();
+            Offering o = Rig.OFFERINGS.get(offering);
+            return now <= first.at + o.window()
+                    && (o.group() == Offering.Group.ALL || upstream / 3 == first.upstream / 3);
+        }
+    }
+
+    /** The module under test, with each of its acts put before the plain model first. */
+    private static final class Watched extends Rig {
+        Map<QueryId, Owed> owed;
+        Map<Integer, Double> toldAt;
+
+        Watched(long seed) {
+            super(seed);
+        }
+
+        void forget(long seed) {
+            owed = new LinkedHashMap<>();
+            toldAt = new HashMap<>();
+            restart(seed);
+        }
+
+        @Override
+        public void send(QueryId query, UpstreamId at) {
+            Owed q = owed.get(query);
+            int upstream = (int) at.value();
+            assertFalse(q.closed, "sent after the final answer");
+            assertTrue(now <= q.cutOffAt, "sent after the cut-off");
+            assertTrue(q.furtherIsHarmless(upstream, now), "may take effect twice");
+            assertTrue(q.tries.size() < PERMITS.executions(), "more executions than allowed");
+            assertTrue(now <= toldAt.getOrDefault(upstream, now) + DRAIN_GRACE, "sent to a draining upstream");
+            q.tries.add(new Try(upstream, now));
+            super.send(query, at);
+        }
+
+        @Override
+        public void deny(QueryId query, double coolDown) {
+            assertTrue(owed.get(query).denialIsHarmless(), "denied though it may have run");
+            close(query);
+        }
+
+        @Override
+        public void writeOff(QueryId query) {
+            assertFalse(owed.get(query).denialIsHarmless(), "written off though a denial was harmless");
+            close(query);
+        }
+
+        private void close(QueryId query) {
+            assertFalse(owed.get(query).closed, "two final answers");
+            owed.get(query).closed = true;
+        }
+
+        void tell(ListNews news, int upstream, Listed.Health health, double since) {
+            if (health == Listed.Health.READY) {
+                toldAt.remove(upstream);
+            } else {
+                toldAt.putIfAbsent(upstream, now);
+            }
+            decide.list(now, news, List.of(Rig.row(upstream, health, since)));
+        }
+
+        void finish(QueryId id, int index, Outcome outcome) {
+            Owed q = owed.get(id);
+            Try t = q.tries.get(index);
+            t.outcome = outcome;
+            boolean wins = outcome == Outcome.HANDLED && !q.closed;
+            boolean ended = q.closed || wins;
+            q.closed = ended;
+            decide.outcome(now, id, index, outcome, now - t.at, ended, null);
+        }
+
+        /** At the cut-off the wire ends what is still out; the answer is due within the grace after that. */
+        void cutOffs() {
+            for (Map.Entry<QueryId, Owed> each : new ArrayList<>(owed.entrySet())) {
+                Owed q = each.getValue();
+                if (now >= q.cutOffAt) {
+                    for (int i = 0; i < q.tries.size(); i++) {
+                        if (q.tries.get(i).outcome == null) {
+                            finish(each.getKey(), i, Outcome.TIMED_OUT);
+                        }
+                    }
+                    assertTrue(q.closed || now <= q.cutOffAt + GRACE_TO_ANSWER, "no final answer in time");
+                }
+            }
+        }
+    }
+
+    @Property(tries = 400, seed = "20261201")
+    void whatTheModuleDoesThePlainModelAllows(
+            @ForAll @Size(min = 40, max = 250) List<@IntRange(min = 0, max = 999_999) Integer> day) {
+        Watched w = new Watched(day.get(0));
+        w.forget(day.get(0));
+        w.ready(UPSTREAMS);
+        int asked = 0;
+        for (int step : day) {
+            int kind = step % 16;
+            int detail = step / 16;
+            if (kind < 5) {
+                int offering = detail % 4;
+                QueryId id = new QueryId("q" + asked++);
+                double budget = 0.1 + detail / 4 % 20 * 0.1;
+                w.owed.put(id, new Owed(offering, w.now + budget));
+                w.ask(id.value(), offering, budget);
+            } else if (kind < 11) {
+                endOne(w, detail);
+            } else if (kind < 13) {
+                for (int i = 0; i < 1 + detail % 60; i++) {
+                    w.pass(0.005);
+                    w.cutOffs();
+                }
+            } else if (kind == 13) {
+                list(w, detail);
+            } else if (kind == 14) {
+                leave(w, detail);
+            } else if (detail % 8 == 0) {
+                w.forget(detail);
+                w.decide.list(w.now, ListNews.REMEMBERED, List.of(Rig.row(detail % UPSTREAMS,
+                        Listed.Health.READY, 0)));
+            } else {
+                w.decide.list(w.now, ListNews.FAILED, List.of());
+            }
+        }
+        for (int i = 0; i < 450; i++) {
+            w.pass(0.005);
+            w.cutOffs();
+        }
+        assertTrue(w.owed.values().stream().allMatch(q -> q.closed), "a query never got its answer");
+        assertTrue(asked == 0 || w.watches > 0);
+    }
+
+    private static void endOne(Watched w, int detail) {
+        List<QueryId> ids = new ArrayList<>();
+        List<Integer> indexes = new ArrayList<>();
+        w.owed.forEach((id, q) -> {
+            for (int i = 0; i < q.tries.size(); i++) {
+                if (q.tries.get(i).outcome == null) {
+                    ids.add(id);
+                    indexes.add(i);
+                }
+            }
+        });
+        if (!ids.isEmpty()) {
+            int at = detail / OUTCOMES.length % ids.size();
+            w.finish(ids.get(at), indexes.get(at), OUTCOMES[detail % OUTCOMES.length]);
+            // The wire never repeats an outcome; a front that does must change nothing.
+            int sends = w.sent.size();
+            w.decide.outcome(w.now, ids.get(at), indexes.get(at), Outcome.ERROR, 0, false, null);
+            assertEquals(sends, w.sent.size());
+        }
+    }
+
+    private static void list(Watched w, int detail) {
+        int upstream = detail / 4 % UPSTREAMS;
+        switch (detail % 4) {
+            case 0 -> w.tell(ListNews.CHANGES, upstream, Listed.Health.DRAINING, 0);
+            case 1 -> w.tell(ListNews.CHANGES, upstream, Listed.Health.GONE, 0);
+            case 2 -> w.tell(ListNews.CHANGES, upstream, Listed.Health.READY, w.now - 1);
+            default -> {
+                for (int i = 0; i < UPSTREAMS; i++) {
+                    w.toldAt.putIfAbsent(i, w.now);
+                }
+                w.tell(ListNews.WHOLE, upstream, Listed.Health.READY, 0);
+            }
+        }
+    }
+
+    private static void leave(Watched w, int detail) {
+        List<QueryId> open = new ArrayList<>();
+        w.owed.forEach((id, q) -> {
+            if (!q.closed) {
+                open.add(id);
+            }
+        });
+        if (!open.isEmpty()) {
+            QueryId id = open.get(detail % open.size());
+            w.owed.get(id).closed = true;
+            w.decide.left(w.now, id);
+        }
+    }
+}
