Full answers cut the limit of their upstream alone

Symptom: 78% denied while executions took 0.1 to 0.3 s. Cause: upstreams turn schedule-build away as full and the limit over all took that for a crowded fleet; told apart from overload by the times of the other offering, which stayed short.

--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -640,7 +640,8 @@
         // An error that comes back quickly tells of the upstream, not of too much in flight.
         boolean late = slow || e.outcome == Outcome.FULL || e.outcome == Outcome.TIMED_OUT;
         adaptLimit(e.at, e, now, handled && spent <= q.offering.targetTime() * PROMPT_SHARE, late);
-        total.ended(now, e.sentAt, late, readyCount);
+        // Nor does one that is full say so of the others: it may turn away what they all would take.
+        total.ended(now, e.sentAt, slow, readyCount);
         samplePace(q, e);
         if (e.trial) {
             e.at.trialOut = false;
