--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -219,6 +219,7 @@
     private static final int PACE_SAMPLES = 16;
     private static final double PACE_AGE = 5;
     private static final double PACE_PRIOR = 3;
+    private static final double FIRST_TOTAL = 3;
     private static final int ROUND = 16;
     private static final double LATE_HIGH = 0.25;
     private static final double LATE_LOW = 0.1;
@@ -491,22 +492,25 @@
      */
     private static final class TotalLimit {
         private final Samples late = new Samples(ROUND);
-        private double size;
+        private double size = FIRST_TOTAL;
+        private boolean starting = true;
         private double changedAt = Double.NEGATIVE_INFINITY;
         private int round;
         private boolean full;
         private int inFlight;
 
-        boolean hasRoom(int ready) {
-            return inFlight < Math.max(size, 1) || size == 0 && inFlight < ready;
+        boolean hasRoom() {
+            return inFlight < size;
         }
 
-        void ended(double now, double sentAt, boolean isLate, int ready) {
-            if (size == 0) {
-                size = ready;
-            }
-            full |= inFlight + 1 >= size;
+        void ended(double now, double sentAt, boolean isLate) {
+            boolean wasFull = inFlight + 1 > size;
+            full |= wasFull;
             inFlight--;
+            // At the start nothing is known: each prompt outcome makes room for one more until a round goes wrong.
+            if (starting && wasFull && !isLate) {
+                size += 1;
+            }
             if (sentAt < changedAt) {
                 return;
             }
@@ -517,6 +521,7 @@
             double share = late.mean(Double.NEGATIVE_INFINITY, 0, 0);
             if (share > LATE_HIGH) {
                 size = Math.max(1, size * TOTAL_CUT_TO);
+                starting = false;
                 changedAt = now;
             } else if (share < LATE_LOW && full) {
                 size += 1;
@@ -550,7 +555,7 @@
     }
 
     private boolean mayTake(Query q, Upstream u) {
-        return u.ready && total.hasRoom(readyCount) && u.inFlight < u.limit && !q.triedAt(u) && maySend(q, u) && cold.admits(u, now);
+        return u.ready && total.hasRoom() && u.inFlight < u.limit && !q.triedAt(u) && maySend(q, u) && cold.admits(u, now);
     }
 
     private Upstream pickAmong(Query q, double mean, boolean passedOverToo) {
@@ -641,7 +646,7 @@
         boolean late = slow || e.outcome == Outcome.FULL || e.outcome == Outcome.TIMED_OUT;
         adaptLimit(e.at, e, now, handled && spent <= q.offering.targetTime() * PROMPT_SHARE, late);
         // Nor does one that is full say so of the others: it may turn away what they all would take.
-        total.ended(now, e.sentAt, slow, readyCount);
+        total.ended(now, e.sentAt, slow);
         samplePace(q, e);
         if (e.trial) {
             e.at.trialOut = false;
