--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -159,6 +159,7 @@
         double seenAt;
         int inFlight;
         int copyWins;
+        double evidence;
         double passedUntil;
         boolean trialOut;
         double coldCredit;
@@ -171,7 +172,7 @@
         }
 
         boolean passedOver() {
-            return copyWins >= COPY_WINS;
+            return copyWins >= COPY_WINS || evidence >= EVIDENCE;
         }
     }
 
@@ -213,6 +214,10 @@
     private static final double LONGEST_THRESHOLD = 1.0;
     private static final int COPY_WINS = 5;
     private static final double PASS_OVER = 5.0;
+    private static final double EVIDENCE = Math.log(1000);
+    private static final double LEAST_BAD = 0.05;
+    private static final double MOST_BAD = 0.5;
+    private static final int BAD_SAMPLES = 64;
     private static final double SETTLING = 3.0;
     private static final double SHORTEST_BACKOFF = 0.5;
     private static final double LONGEST_WAIT_SHARE = 0.3;
@@ -247,6 +252,7 @@
             (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
     private final List<Samples> times = new ArrayList<>();
     private long dueOrder;
+    private final Samples bads = new Samples(BAD_SAMPLES);
     private final TotalLimit total = new TotalLimit();
     private int readyCount;
     private double alarmAt = Double.POSITIVE_INFINITY;
@@ -368,6 +374,7 @@
                 // A restarted process has nothing left of what its predecessor was judged by.
                 u.seenAt = now;
                 u.copyWins = 0;
+                u.evidence = 0;
                 u.coldCredit = chance.nextDouble();
             }
             u.listed = row;
@@ -648,19 +655,47 @@
         // Nor does one that is full say so of the others: it may turn away what they all would take.
         total.ended(now, e.sentAt, slow);
         samplePace(q, e);
+        boolean failed = !handled && !e.outcome.neverRan && e.outcome != Outcome.CALLED_OFF
+                || e.outcome == Outcome.NO_CONNECTION;
+        if (handled || failed) {
+            weigh(e.at, failed);
+        }
         if (e.trial) {
             e.at.trialOut = false;
             e.at.passedUntil = now + PASS_OVER;
+            if (handled) {
+                e.at.evidence = 0;
+            }
         }
-        if (e.outcome == Outcome.HANDLED) {
+        if (handled) {
             if (e == q.primary()) {
                 e.at.copyWins = 0;
             } else if (q.state == State.RACING && q.primary().outcome == null) {
-                countCopyWin(q.primary().at);
+                e = q.primary();
+                e.at.copyWins++;
+                if (e.at.passedOver()) {
+                    e.at.passedUntil = now + PASS_OVER;
+                }
             }
         }
     }
 
+    /**
+     * A sequential test (Wald) on outcomes, against what all our upstreams show together. Guards sidecars of little
+     * traffic, whose win counter is cleared by each answer between two bad ones, and rests an upstream that crawls.
+     */
+    private void weigh(Upstream u, boolean isBad) {
+        double usual = Math.min(MOST_BAD, Math.max(LEAST_BAD, bads.mean(Double.NEGATIVE_INFINITY, 0, 0)));
+        double sick = (9 + usual) / 10;
+        boolean before = u.passedOver();
+        u.evidence += isBad ? Math.log(sick / usual) : Math.log((1 - sick) / (1 - usual));
+        u.evidence = Math.max(0, Math.min(u.evidence, EVIDENCE));
+        bads.add(now, isBad ? 1 : 0);
+        if (!before && u.passedOver()) {
+            u.passedUntil = now + PASS_OVER;
+        }
+    }
+
     /** How long an upstream takes against what the offering takes elsewhere; a loser's time counts as far as it got. */
     private void samplePace(Query q, Execution e) {
         Samples usual = times.get(q.asked.offering().value());
@@ -679,13 +714,6 @@
         return u.paces.mean(now - PACE_AGE, PACE_PRIOR, 1);
     }
 
-    private void countCopyWin(Upstream u) {
-        u.copyWins++;
-        if (u.passedOver()) {
-            u.passedUntil = now + PASS_OVER;
-        }
-    }
-
     // ---- Cold upstreams --------------------------------------------------------------------------------------------
 
     /**
