--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -416,7 +416,9 @@
     }
 
     private Input sendCopy(Query q) {
-        Upstream u = q.copied || q.offering.repeats() != Offering.Repeats.REISSUABLE ? null : pick(q, false);
+        // When the whole fleet is slow a copy finds no faster upstream, it only doubles the load.
+        boolean useless = q.copied || total.fleetIsSlow();
+        Upstream u = useless || q.offering.repeats() != Offering.Repeats.REISSUABLE ? null : pick(q, false);
         if (u == null) {
             return Input.KEPT;
         }
@@ -510,6 +512,10 @@
             return inFlight < size;
         }
 
+        boolean fleetIsSlow() {
+            return late.mean(Double.NEGATIVE_INFINITY, 0, 0) > LATE_HIGH;
+        }
+
         void ended(double now, double sentAt, boolean isLate) {
             boolean wasFull = inFlight + 1 > size;
             full |= wasFull;
