--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -418,7 +418,7 @@
     private Input sendCopy(Query q) {
         // When the whole fleet is slow a copy finds no faster upstream, it only doubles the load.
         boolean useless = q.copied || total.fleetIsSlow();
-        Upstream u = useless || q.offering.repeats() != Offering.Repeats.REISSUABLE ? null : pick(q, false);
+        Upstream u = useless || q.offering.repeats() == Offering.Repeats.AT_MOST_ONCE ? null : pick(q, false);
         if (u == null) {
             return Input.KEPT;
         }
