--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -6,7 +6,6 @@
 // pass between them stand in portrelay.model. A call never waits and nothing here is shared between instances.
 // docs/design.md tells what is kept of the design, what is changed and when each change acts.
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -25,6 +24,7 @@
 import portrelay.model.Permits;
 import portrelay.model.QueryId;
 import portrelay.model.Tenant;
+import portrelay.model.TenantId;
 import portrelay.model.UpstreamId;
 
 public final class Decide {
@@ -230,6 +230,7 @@
     private static final double LATE_LOW = 0.1;
     private static final double TOTAL_CUT_TO = 0.8;
     private static final double PACE_MOST = 4;
+    private static final int TENANT_SAMPLES = 128;
     private static final int TIME_SAMPLES = 64;
     private static final double FIRST_LIMIT = 1.5;
     private static final double CUT_TO = 0.7;
@@ -247,9 +248,12 @@
     private final Map<QueryId, Query> queries = new HashMap<>();
     private final Map<UpstreamId, Upstream> known = new HashMap<>();
     private final List<Upstream> roster = new ArrayList<>();
-    private final ArrayDeque<Query> held = new ArrayDeque<>();
+    private final List<Query> held = new ArrayList<>();
     private final PriorityQueue<Due> dues = new PriorityQueue<>(
             (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
+    private final List<Tenant> tenants;
+    private final boolean creditByWork;
+    private final List<Samples> tenantSent = new ArrayList<>();
     private final List<Samples> times = new ArrayList<>();
     private long dueOrder;
     private final Samples bads = new Samples(BAD_SAMPLES);
@@ -259,12 +263,17 @@
     private double now;
 
     public Decide(Effects out, long seed, List<Offering> offerings, List<Tenant> tenants, Permits permits,
-            ColdRule coldRule, ListRule listRule, boolean sized, boolean warmKeys) {
+            ColdRule coldRule, ListRule listRule, boolean sized, boolean warmKeys, boolean creditByWork) {
         this.out = out;
         this.chance = new SplittableRandom(seed);
         this.offerings = offerings;
         this.permits = permits;
         this.warmKeys = warmKeys;
+        this.creditByWork = creditByWork;
+        this.tenants = tenants;
+        for (int i = 0; i < tenants.size(); i++) {
+            tenantSent.add(new Samples(TENANT_SAMPLES));
+        }
         for (int i = 0; i < offerings.size(); i++) {
             times.add(new Samples(TIME_SAMPLES));
         }
@@ -284,6 +293,9 @@
         now = time;
         Query q = new Query(asked, offerings.get(asked.offering().value()), time);
         queries.put(asked.id(), q);
+        for (int i = 0; i < tenantSent.size() && asked.tenant() != null; i++) {
+            tenantSent.get(i).add(now, asked.tenant().value() == i ? 1 : 0);
+        }
         step(q, Input.ARRIVED);
         forgetIfDone(q);
         armAlarm();
@@ -824,18 +836,38 @@
 
     // ---- Held queries and timers ---------------------------------------------------------------------------------------
 
+    /** What a full fleet can take goes to the query that earns most for its work, not to the oldest. */
     private void placeHeld() {
+        held.removeIf(q -> q.state != State.HELD);
         while (!held.isEmpty()) {
-            Query q = held.peek();
-            if (q.state == State.HELD) {
-                step(q, Input.TURN);
-                if (q.state == State.HELD) {
-                    return;
+            Query best = held.get(0);
+            for (Query q : held) {
+                if (value(q) > value(best)) {
+                    best = q;
                 }
             }
-            held.poll();
-            forgetIfDone(q);
+            step(best, Input.TURN);
+            if (best.state == State.HELD) {
+                return;
+            }
+            held.remove(best);
+            forgetIfDone(best);
+        }
+    }
+
+    /** Credit for the work it usually takes; what goes beyond a tenant's share earns little. */
+    private double value(Query q) {
+        double work = creditByWork ? 1 : times.get(q.asked.offering().value()).mean(Double.NEGATIVE_INFINITY, 1, 0.1);
+        return q.offering.credit() / work * Math.min(1, shareTaken(q.asked.tenant()));
+    }
+
+    /** A tenant's share over the part of our last queries that it sent; over 1 where it keeps within its share. */
+    private double shareTaken(TenantId tenant) {
+        if (tenant == null) {
+            return 1;
         }
+        double part = tenantSent.get(tenant.value()).mean(Double.NEGATIVE_INFINITY, 0, 0);
+        return part == 0 ? 1 : tenants.get(tenant.value()).share() / part;
     }
 
     private void due(double time, Query q, Input input) {
--- a/src/test/java/portrelay/Rig.java
+++ b/src/test/java/portrelay/Rig.java
@@ -57,7 +57,7 @@
         alarms.clear();
         executions.clear();
         decide = new Decide(this, seed, OFFERINGS, List.of(), PERMITS, COLD, new ListRule(true, ASK_WITHIN), true,
-                false);
+                false, false);
         decide.start(now);
     }
 
