Late outcomes of an upstream that is slow beside the others leave the limit over all alone

Cause: two hanging upstreams made the fleet look crowded. Acts while the upstream's pace is twice the usual.

--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -230,6 +230,7 @@
     private static final double LATE_LOW = 0.1;
     private static final double TOTAL_CUT_TO = 0.8;
     private static final double PACE_MOST = 4;
+    private static final double OWN_FAULT = 2;
     private static final int TENANT_SAMPLES = 128;
     private static final int TIME_SAMPLES = 64;
     private static final double FIRST_LIMIT = 1.5;
@@ -528,7 +529,7 @@
             return late.mean(Double.NEGATIVE_INFINITY, 0, 0) > LATE_HIGH;
         }
 
-        void ended(double now, double sentAt, boolean isLate) {
+        void ended(double now, double sentAt, boolean isLate, boolean tellsOfAll) {
             boolean wasFull = inFlight + 1 > size;
             full |= wasFull;
             inFlight--;
@@ -536,7 +537,7 @@
             if (starting && wasFull && !isLate) {
                 size += 1;
             }
-            if (sentAt < changedAt) {
+            if (sentAt < changedAt || isLate && !tellsOfAll) {
                 return;
             }
             late.add(now, isLate ? 1 : 0);
@@ -670,8 +671,8 @@
         // An error that comes back quickly tells of the upstream, not of too much in flight.
         boolean late = slow || e.outcome == Outcome.FULL || e.outcome == Outcome.TIMED_OUT;
         adaptLimit(e.at, e, now, handled && spent <= q.offering.targetTime() * PROMPT_SHARE, late);
-        // Nor does one that is full say so of the others: it may turn away what they all would take.
-        total.ended(now, e.sentAt, slow);
+        // Nor does one that is full, or slow beside the others, say so of the others: it may turn away what they all would take.
+        total.ended(now, e.sentAt, slow, pace(e.at) < OWN_FAULT);
         samplePace(q, e);
         boolean failed = !handled && !e.outcome.neverRan && e.outcome != Outcome.CALLED_OFF
                 || e.outcome == Outcome.NO_CONNECTION;
