--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -220,7 +220,7 @@
     private static final int BAD_SAMPLES = 64;
     private static final double SETTLING = 3.0;
     private static final double SHORTEST_BACKOFF = 0.5;
-    private static final double LONGEST_WAIT_SHARE = 0.3;
+    private static final double LONGEST_WAIT_SHARE = 0.15;
     private static final int PACE_SAMPLES = 16;
     private static final double PACE_AGE = 5;
     private static final double PACE_PRIOR = 3;
@@ -859,9 +859,7 @@
     /** Credit for the work it usually takes; what goes beyond a tenant's share earns little. */
     private double value(Query q) {
         double work = creditByWork ? 1 : times.get(q.asked.offering().value()).mean(Double.NEGATIVE_INFINITY, 1, 0.1);
-        // A client that comes back has waited already: its answer is mostly late, and earns what a late one earns.
-        double onTime = q.asked.again() ? q.offering.lateShare() : 1;
-        return onTime * q.offering.credit() / work * Math.min(1, shareTaken(q.asked.tenant()));
+        return q.offering.credit() / work * Math.min(1, shareTaken(q.asked.tenant()));
     }
 
     /** A tenant's share over the part of our last queries that it sent; over 1 where it keeps within its share. */
