Cold upstreams get the ramp times the root of the overload factor

Cause: an even ramp of the stated share is the slowest a cold upstream may warm; most warm by working, and the rest of the fleet was denied for want of room meanwhile.

--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -278,7 +278,7 @@
         for (int i = 0; i < offerings.size(); i++) {
             times.add(new Samples(TIME_SAMPLES));
         }
-        this.cold = new Cold(coldRule.share(), coldRule.time(), sized);
+        this.cold = new Cold(coldRule.share(), coldRule.time(), coldRule.overloadFactor(), sized);
         this.watch = new ListWatch(listRule.onRequest(), listRule.askWithin());
     }
 
@@ -742,9 +742,12 @@
     private static final class Cold {
         private final double share;
         private final double time;
+        private final double stretch;
         private final boolean sized;
 
-        Cold(double share, double time, boolean sized) {
+        Cold(double share, double time, double overloadFactor, boolean sized) {
+            // Halfway, in ratio, between what it can surely do and what pushes it over: most warm up by working.
+            this.stretch = Math.sqrt(overloadFactor);
             this.share = share;
             this.time = time;
             this.sized = sized;
@@ -790,7 +793,7 @@
                 double f = u.ready ? ramp(u, now) : 1;
                 if (f < 1) {
                     double each = warm > 0 ? f * (sized ? u.listed.scale() / size : 1.0 / warm) : 1.0 / ready;
-                    u.coldCredit = Math.min(2, u.coldCredit + each);
+                    u.coldCredit = Math.min(2, u.coldCredit + each * stretch);
                 }
             }
         }
