--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -541,7 +541,7 @@
                 return;
             }
             late.add(now, isLate ? 1 : 0);
-            if (++round < ROUND) {
+            if (++round < Math.max(ROUND / 2, Math.min(ROUND, size))) {
                 return;
             }
             double share = late.mean(Double.NEGATIVE_INFINITY, 0, 0);
