--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -1,10 +1,10 @@
 package portrelay;
 
-// The decisions of one sidecar, all of them. A front makes one Decide for each instance, hands it the settings,
-// and calls start, list, arrival, outcome, begun, left and alarm in the order in which things happen, each with
-// the time in seconds. Decide answers through portrelay.model.Effects, which the front implements; the types that
-// pass between them stand in portrelay.model. A call never waits and nothing here is shared between instances.
-// docs/design.md tells what is kept of the design, what is changed and when each change acts.
+// The decisions of one sidecar, all of them. A front makes one Decide for each instance, hands it the
+// settings, and calls start, list, arrival, outcome, begun, left and alarm in the order in which things
+// happen, each with the time in seconds. Decide answers through portrelay.model.Effects, which the front
+// implements; the types that pass between them stand in portrelay.model. A call never waits and instances
+// share nothing. docs/design.md tells what is kept of the design, what is changed and when each change acts.
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -29,9 +29,11 @@
 
 public final class Decide {
 
-    // ---- The table -------------------------------------------------------------------------------------------
+    // ---- The table --------------------------------------------------------------------------------------
 
-    /** HELD has nothing out and waits for a place; BARE has nothing out after an execution that did not help. */
+    /**
+     * HELD has nothing out and waits for a place; BARE has nothing out after an execution that did not help.
+     */
     enum State { FRESH, HELD, ALONE, RACING, BARE, CLOSED }
 
     enum Input { ARRIVED, NOWHERE, TURN, WAITED, PLACED, COPY_DUE, KEPT, ENDED, WON, LEFT }
@@ -82,7 +84,7 @@
         }
     }
 
-    // ---- What is held ----------------------------------------------------------------------------------------
+    // ---- What is held -----------------------------------------------------------------------------------
 
     private static final class Execution {
         final int index;
@@ -209,7 +211,7 @@
 
     private record Due(double time, long order, Query query, Input input) { }
 
-    // ---- Settings of the design that are ours to choose ----------------------------------------------------------
+    // ---- Settings of the design that are ours to choose -------------------------------------------------
 
     private static final double LONGEST_THRESHOLD = 1.0;
     private static final int COPY_WINS = 5;
@@ -259,7 +261,6 @@
     private long dueOrder;
     private final Samples bads = new Samples(BAD_SAMPLES);
     private final TotalLimit total = new TotalLimit();
-    private int readyCount;
     private double alarmAt = Double.POSITIVE_INFINITY;
     private double now;
 
@@ -282,7 +283,7 @@
         this.watch = new ListWatch(listRule.onRequest(), listRule.askWithin());
     }
 
-    // ---- Events ----------------------------------------------------------------------------------------------
+    // ---- Events -----------------------------------------------------------------------------------------
 
     public void start(double time) {
         now = time;
@@ -393,15 +394,11 @@
             u.listed = row;
             u.ready = row.health() == Listed.Health.READY;
         }
-        readyCount = 0;
-        for (Upstream u : roster) {
-            readyCount += u.ready ? 1 : 0;
-        }
         placeHeld();
         armAlarm();
     }
 
-    // ---- Effects of the table ----------------------------------------------------------------------------------
+    // ---- Effects of the table ---------------------------------------------------------------------------
 
     private Input sendFirst(Query q) {
         Upstream u = pick(q, true);
@@ -417,7 +414,10 @@
         return null;
     }
 
-    /** A query that no upstream may take now waits a short while: cold upstreams take little, the list is late. */
+    /**
+     * A query that no upstream may take now waits a short while: cold upstreams take little, the list is
+     * late.
+     */
     private Input hold(Query q) {
         if (!q.waiting) {
             q.waiting = true;
@@ -440,7 +440,10 @@
         return null;
     }
 
-    /** Nothing is out any more: the copy goes now, not at its time, and later ones while budget and rules allow. */
+    /**
+     * Nothing is out any more: the copy goes now, not at its time, and later ones while budget and rules
+     * allow.
+     */
     private Input sendFurther(Query q) {
         Upstream u = pick(q, false);
         if (u == null) {
@@ -479,7 +482,7 @@
         return permits.longestCoolDown();
     }
 
-    // ---- The rules on repeats and denials ------------------------------------------------------------------------
+    // ---- The rules on repeats and denials ---------------------------------------------------------------
 
     private static boolean mayDeny(Query q) {
         return switch (q.offering.repeats()) {
@@ -506,11 +509,12 @@
         };
     }
 
-    // ---- The limit over all upstreams ----------------------------------------------------------------------------
+    // ---- The limit over all upstreams -------------------------------------------------------------------
 
     /**
-     * Guards against a fleet that all sidecars overfill together: one or two executions of each at every upstream
-     * are already too many there, and only the sum over our upstreams is fine enough to hold less than that.
+     * Guards against a fleet that all sidecars overfill together: one or two executions of each at every
+     * upstream are already too many there, and only the sum over our upstreams is fine enough to hold less
+     * than that.
      */
     private static final class TotalLimit {
         private final Samples late = new Samples(ROUND);
@@ -533,7 +537,8 @@
             boolean wasFull = inFlight + 1 > size;
             full |= wasFull;
             inFlight--;
-            // At the start nothing is known: each prompt outcome makes room for one more until a round goes wrong.
+            // At the start nothing is known: each prompt outcome makes room for one more until a round goes
+            // wrong.
             if (starting && wasFull && !isLate) {
                 size += 1;
             }
@@ -565,7 +570,7 @@
         };
     }
 
-    // ---- Picking -------------------------------------------------------------------------------------------------
+    // ---- Picking ----------------------------------------------------------------------------------------
 
     private Upstream pick(Query q, boolean first) {
         double mean = meanInFlight();
@@ -581,7 +586,8 @@
     }
 
     private boolean mayTake(Query q, Upstream u) {
-        return u.ready && total.hasRoom() && u.inFlight < u.limit && !q.triedAt(u) && maySend(q, u) && cold.admits(u, now);
+        return u.ready && total.hasRoom() && u.inFlight < u.limit && !q.triedAt(u) && maySend(q, u)
+                && cold.admits(u, now);
     }
 
     private Upstream pickAmong(Query q, double mean, boolean passedOverToo) {
@@ -611,8 +617,9 @@
     }
 
     /**
-     * The idle ones draw lots, the slow with less luck. Where upstreams do a key's later queries at less work, the
-     * lot comes from key and upstream: every sidecar then finds the same ones for a key, with no agreement.
+     * The idle ones draw lots, the slow with less luck. Where upstreams do a key's later queries at less
+     * work, the lot comes from key and upstream: every sidecar then finds the same ones for a key, with no
+     * agreement.
      */
     private double draw(Query q, Upstream u) {
         if (!warmKeys || q.asked.key() == null) {
@@ -646,12 +653,13 @@
         out.send(q.asked.id(), u.id);
     }
 
-    // ---- Health --------------------------------------------------------------------------------------------------
+    // ---- Health -----------------------------------------------------------------------------------------
 
     /**
-     * What we keep in flight at one upstream grows by one for each full round of prompt outcomes and is cut by a
-     * share on a late or failed one. Guards against queues at the upstreams that no answer comes out of in time:
-     * work that can't be placed waits briefly here and is then denied, while the client can still use that.
+     * What we keep in flight at one upstream grows by one for each full round of prompt outcomes and is cut
+     * by a share on a late or failed one. Guards against queues at the upstreams that no answer comes out of
+     * in time: work that can't be placed waits briefly here and is then denied, while the client can still
+     * use that.
      */
     private static void adaptLimit(Upstream u, Execution e, double now, boolean prompt, boolean late) {
         if (prompt) {
@@ -671,7 +679,8 @@
         // An error that comes back quickly tells of the upstream, not of too much in flight.
         boolean late = slow || e.outcome == Outcome.FULL || e.outcome == Outcome.TIMED_OUT;
         adaptLimit(e.at, e, now, handled && spent <= q.offering.targetTime() * PROMPT_SHARE, late);
-        // Nor does one that is full, or slow beside the others, say so of the others: it may turn away what they all would take.
+        // Nor does one that is full, or slow beside the others, say so of the others: it may turn away what
+        // they all would take.
         total.ended(now, e.sentAt, slow, pace(e.at) < OWN_FAULT);
         samplePace(q, e);
         boolean failed = !handled && !e.outcome.neverRan && e.outcome != Outcome.CALLED_OFF
@@ -700,8 +709,9 @@
     }
 
     /**
-     * A sequential test (Wald) on outcomes, against what all our upstreams show together. Guards sidecars of little
-     * traffic, whose win counter is cleared by each answer between two bad ones, and rests an upstream that crawls.
+     * A sequential test (Wald) on outcomes, against what all our upstreams show together. Guards sidecars of
+     * little traffic, whose win counter is cleared by each answer between two bad ones, and rests an upstream
+     * that crawls.
      */
     private void weigh(Upstream u, boolean isBad) {
         double usual = Math.min(MOST_BAD, Math.max(LEAST_BAD, bads.mean(Double.NEGATIVE_INFINITY, 0, 0)));
@@ -715,7 +725,10 @@
         }
     }
 
-    /** How long an upstream takes against what the offering takes elsewhere; a loser's time counts as far as it got. */
+    /**
+     * How long an upstream takes against what the offering takes elsewhere; a loser's time counts as far as
+     * it got.
+     */
     private void samplePace(Query q, Execution e) {
         Samples usual = times.get(q.asked.offering().value());
         double spent = now - e.sentAt;
@@ -733,11 +746,12 @@
         return u.paces.mean(now - PACE_AGE, PACE_PRIOR, 1);
     }
 
-    // ---- Cold upstreams --------------------------------------------------------------------------------------------
+    // ---- Cold upstreams ---------------------------------------------------------------------------------
 
     /**
-     * Guards against all sidecars together pushing over an upstream that has just started: each sends it no more
-     * than a ramp's share of what it sends a like warm one, so the sum keeps to the ramp with no agreement.
+     * Guards against all sidecars together pushing over an upstream that has just started: each sends it no
+     * more than a ramp's share of what it sends a like warm one, so the sum keeps to the ramp with no
+     * agreement.
      */
     private static final class Cold {
         private final double share;
@@ -746,7 +760,8 @@
         private final boolean sized;
 
         Cold(double share, double time, double overloadFactor, boolean sized) {
-            // Halfway, in ratio, between what it can surely do and what pushes it over: most warm up by working.
+            // Halfway, in ratio, between what it can surely do and what pushes it over: most warm up by
+            // working.
             this.stretch = Math.sqrt(overloadFactor);
             this.share = share;
             this.time = time;
@@ -765,7 +780,10 @@
             return u.coldCredit >= 1 || ramp(u, now) >= 1;
         }
 
-        /** Every send to a warm upstream earns each cold one its part of a send; with none warm, every send does. */
+        /**
+         * Every send to a warm upstream earns each cold one its part of a send; with none warm, every send
+         * does.
+         */
         void sent(Upstream to, List<Upstream> roster, double now) {
             int warm = 0;
             double size = 0;
@@ -799,7 +817,7 @@
         }
     }
 
-    // ---- Following the list ------------------------------------------------------------------------------------------
+    // ---- Following the list -----------------------------------------------------------------------------
 
     /** The list is one service for all sidecars: those that failed together must not come back together. */
     private final class ListWatch {
@@ -838,7 +856,7 @@
         }
     }
 
-    // ---- Held queries and timers ---------------------------------------------------------------------------------------
+    // ---- Held queries and timers ------------------------------------------------------------------------
 
     /** What a full fleet can take goes to the query that earns most for its work, not to the oldest. */
     private void placeHeld() {
@@ -861,11 +879,15 @@
 
     /** Credit for the work it usually takes; what goes beyond a tenant's share earns little. */
     private double value(Query q) {
-        double work = creditByWork ? 1 : times.get(q.asked.offering().value()).mean(Double.NEGATIVE_INFINITY, 1, 0.1);
+        Samples usual = times.get(q.asked.offering().value());
+        double work = creditByWork ? 1 : usual.mean(Double.NEGATIVE_INFINITY, 1, 0.1);
         return q.offering.credit() / work * Math.min(1, shareTaken(q.asked.tenant()));
     }
 
-    /** A tenant's share over the part of our last queries that it sent; over 1 where it keeps within its share. */
+    /**
+     * A tenant's share over the part of our last queries that it sent; over 1 where it keeps within its
+     * share.
+     */
     private double shareTaken(TenantId tenant) {
         if (tenant == null) {
             return 1;
--- a/src/test/java/portrelay/FailuresTest.java
+++ b/src/test/java/portrelay/FailuresTest.java
@@ -66,7 +66,7 @@
         return rig.sent.stream().filter(s -> s.index() == 0 && s.at().value() == upstream).count();
     }
 
-    /** idukki-maps ie64ef7, kw-kalender-wien i6fc5d9: queues at the upstreams that retries and copies kept full. */
+    /** idukki-maps ie64ef7, kw-kalender-wien i6fc5d9: queues that retries and copies kept full. */
     @Test
     void aCrowdedFleetGetsLessAndTheRestIsDeniedWithinAShareOfTheTargetTime() {
         rig.ready(4);
@@ -117,7 +117,7 @@
         assertEquals(List.of(once), rig.writtenOff);
     }
 
-    /** kw-kalender-wien overload: several sidecars that each send a fair part push a cold upstream over together. */
+    /** kw-kalender-wien overload: fair parts of several sidecars push a cold upstream over. */
     @Test
     void aColdUpstreamGetsItsRampOfWhatAWarmOneGets() {
         int cold = 0;
