--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -230,7 +230,7 @@
     private static final int ROUND = 16;
     private static final double LATE_HIGH = 0.25;
     private static final double LATE_LOW = 0.15;
-    private static final double TOTAL_CUT_TO = 0.9;
+    private static final double TOTAL_CUT_TO = 0.8;
     private static final double PACE_MOST = 4;
     private static final double OWN_FAULT = 2;
     private static final int TENANT_SAMPLES = 128;
