Ask for room once a pick and value each held query once; drop wrappers and doubled checks

Clean-up without change of behaviour. Readiness was tested in the pick and again in what it calls; the room over all was asked for each upstream; ranking the held queries worked each value out twice, also when there was no room; settle only called callOffRest; sameGroup stood apart from the repeat rules; a comment claimed that the sequential test hears of slowness, which it no longer does.

--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -52,11 +52,11 @@
             new Row(State.ALONE, Input.NOWHERE, State.HELD, Decide::hold),
             new Row(State.ALONE, Input.COPY_DUE, State.RACING, Decide::sendCopy),
             new Row(State.ALONE, Input.ENDED, State.BARE, Decide::sendFurther),
-            new Row(State.ALONE, Input.WON, State.CLOSED, Decide::settle),
+            new Row(State.ALONE, Input.WON, State.CLOSED, Decide::callOffRest),
             new Row(State.ALONE, Input.LEFT, State.CLOSED, Decide::callOffRest),
             new Row(State.RACING, Input.KEPT, State.ALONE, NOTHING),
             new Row(State.RACING, Input.ENDED, State.ALONE, NOTHING),
-            new Row(State.RACING, Input.WON, State.CLOSED, Decide::settle),
+            new Row(State.RACING, Input.WON, State.CLOSED, Decide::callOffRest),
             new Row(State.RACING, Input.LEFT, State.CLOSED, Decide::callOffRest),
             new Row(State.BARE, Input.PLACED, State.ALONE, NOTHING),
             new Row(State.BARE, Input.NOWHERE, State.CLOSED, Decide::giveUp),
@@ -454,11 +454,6 @@
         return Input.PLACED;
     }
 
-    private Input settle(Query q) {
-        callOffRest(q);
-        return null;
-    }
-
     private Input callOffRest(Query q) {
         for (Execution e : q.executions) {
             if (e.outcome == null && e != q.winner && permits.cancel()) {
@@ -509,6 +504,14 @@
         };
     }
 
+    private static boolean sameGroup(Offering.Group group, Listed a, Listed b) {
+        return switch (group) {
+            case ALL -> true;
+            case ZONE -> a.zone().equals(b.zone());
+            case CELL -> a.cell().equals(b.cell());
+        };
+    }
+
     // ---- The limit over all upstreams -------------------------------------------------------------------
 
     /**
@@ -562,21 +565,16 @@
         }
     }
 
-    private static boolean sameGroup(Offering.Group group, Listed a, Listed b) {
-        return switch (group) {
-            case ALL -> true;
-            case ZONE -> a.zone().equals(b.zone());
-            case CELL -> a.cell().equals(b.cell());
-        };
-    }
-
     // ---- Picking ----------------------------------------------------------------------------------------
 
     private Upstream pick(Query q, boolean first) {
+        if (!total.hasRoom()) {
+            return null;
+        }
         double mean = meanInFlight();
         if (first && q.offering.repeats() == Offering.Repeats.REISSUABLE) {
             for (Upstream u : roster) {
-                if (u.ready && u.passedOver() && now >= u.passedUntil && !u.trialOut && mayTake(q, u)) {
+                if (u.passedOver() && now >= u.passedUntil && !u.trialOut && mayTake(q, u)) {
                     return u;
                 }
             }
@@ -586,8 +584,7 @@
     }
 
     private boolean mayTake(Query q, Upstream u) {
-        return u.ready && total.hasRoom() && u.inFlight < u.limit && !q.triedAt(u) && maySend(q, u)
-                && cold.admits(u, now);
+        return u.ready && u.inFlight < u.limit && !q.triedAt(u) && maySend(q, u) && cold.admits(u, now);
     }
 
     private Upstream pickAmong(Query q, double mean, boolean passedOverToo) {
@@ -596,7 +593,7 @@
         double bestDraw = 0;
         boolean idle = false;
         for (Upstream u : roster) {
-            if (!u.ready || u.passedOver() && !passedOverToo || !mayTake(q, u)) {
+            if (u.passedOver() && !passedOverToo || !mayTake(q, u)) {
                 continue;
             }
             double load = u.inFlight + (now < u.seenAt + SETTLING ? mean : 0);
@@ -699,10 +696,10 @@
             if (e == q.primary()) {
                 e.at.copyWins = 0;
             } else if (q.state == State.RACING && q.primary().outcome == null) {
-                e = q.primary();
-                e.at.copyWins++;
-                if (e.at.passedOver()) {
-                    e.at.passedUntil = now + PASS_OVER;
+                Upstream beaten = q.primary().at;
+                beaten.copyWins++;
+                if (beaten.passedOver()) {
+                    beaten.passedUntil = now + PASS_OVER;
                 }
             }
         }
@@ -710,8 +707,7 @@
 
     /**
      * A sequential test (Wald) on outcomes, against what all our upstreams show together. Guards sidecars of
-     * little traffic, whose win counter is cleared by each answer between two bad ones, and rests an upstream
-     * that crawls.
+     * little traffic, whose win counter is cleared by each answer between two bad ones.
      */
     private void weigh(Upstream u, boolean isBad) {
         double usual = Math.min(MOST_BAD, Math.max(LEAST_BAD, bads.mean(Double.NEGATIVE_INFINITY, 0, 0)));
@@ -861,10 +857,13 @@
     /** What a full fleet can take goes to the query that earns most for its work, not to the oldest. */
     private void placeHeld() {
         held.removeIf(q -> q.state != State.HELD);
-        while (!held.isEmpty()) {
-            Query best = held.get(0);
+        while (!held.isEmpty() && total.hasRoom()) {
+            Query best = null;
+            double most = Double.NEGATIVE_INFINITY;
             for (Query q : held) {
-                if (value(q) > value(best)) {
+                double value = value(q);
+                if (value > most) {
+                    most = value;
                     best = q;
                 }
             }
