--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -599,14 +599,14 @@
             double load = u.inFlight + (now < u.seenAt + SETTLING ? mean : 0);
             double pace = pace(u);
             if (load == 0 || load <= 1 && warmKeys) {
-                double draw = Math.log(draw(q, u)) * pace * pace;
+                double draw = Math.log(draw(q, u)) * pace * pace / u.listed.scale();
                 if (!idle || draw > bestDraw) {
                     idle = true;
                     bestDraw = draw;
                     pick = u;
                 }
-            } else if (!idle && load * pace < least) {
-                least = load * pace;
+            } else if (!idle && load * pace / u.listed.scale() < least) {
+                least = load * pace / u.listed.scale();
                 pick = u;
             }
         }
