The limit over all starts at 1 and falls below 1 in flight, held in time

Cause: 765 sidecars that keep one in flight each are 20 at each of 37 upstreams, past what chokes them; the floor of 1 was too high.

--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -226,11 +226,13 @@
     private static final int PACE_SAMPLES = 16;
     private static final double PACE_AGE = 5;
     private static final double PACE_PRIOR = 3;
-    private static final double FIRST_TOTAL = 3;
+    private static final double FIRST_TOTAL = 1;
     private static final int ROUND = 16;
     private static final double LATE_HIGH = 0.25;
     private static final double LATE_LOW = 0.15;
     private static final double TOTAL_CUT_TO = 0.8;
+    private static final double LEAST_TOTAL = 0.05;
+    private static final double SMALL_STEP = 0.07;
     private static final double PACE_MOST = 4;
     private static final double OWN_FAULT = 2;
     private static final int TENANT_SAMPLES = 128;
@@ -260,7 +262,7 @@
     private final List<Samples> times = new ArrayList<>();
     private long dueOrder;
     private final Samples bads = new Samples(BAD_SAMPLES);
-    private final TotalLimit total = new TotalLimit();
+    private final TotalLimit total = new TotalLimit(FIRST_TOTAL);
     private double alarmAt = Double.POSITIVE_INFINITY;
     private double now;
 
@@ -521,15 +523,21 @@
      */
     private static final class TotalLimit {
         private final Samples late = new Samples(ROUND);
-        private double size = FIRST_TOTAL;
+        private double size;
         private boolean starting = true;
         private double changedAt = Double.NEGATIVE_INFINITY;
+        private double freeAt = Double.NEGATIVE_INFINITY;
         private int round;
         private boolean full;
         private int inFlight;
 
-        boolean hasRoom() {
-            return inFlight < size;
+        TotalLimit(double first) {
+            this.size = first;
+        }
+
+        /** Below one in flight the limit is held in time: an execution takes up its room for longer. */
+        boolean hasRoom(double now) {
+            return size >= 1 ? inFlight < size : inFlight == 0 && now >= freeAt;
         }
 
         boolean fleetIsSlow() {
@@ -540,21 +548,35 @@
             boolean wasFull = inFlight + 1 > size;
             full |= wasFull;
             inFlight--;
+            double step = Math.min(1, size);
             // At the start nothing is known: each prompt outcome makes room for one more until a round goes
             // wrong.
             if (starting && wasFull && !isLate) {
-                size += 1;
+                size += step;
+            }
+            if (size < 1) {
+                freeAt = Math.max(freeAt, now + (now - sentAt) * (1 / size - 1));
             }
             if (sentAt < changedAt || isLate && !tellsOfAll) {
                 return;
             }
             late.add(now, isLate ? 1 : 0);
+            if (size <= 1) {
+                // One outcome is a round here: what one sidecar errs by, all of them together do not.
+                if (isLate) {
+                    size = Math.max(LEAST_TOTAL, size * TOTAL_CUT_TO);
+                    starting = false;
+                } else if (wasFull) {
+                    size *= 1 + SMALL_STEP;
+                }
+                return;
+            }
             if (++round < Math.max(ROUND / 2, Math.min(ROUND, size))) {
                 return;
             }
             double share = late.mean(Double.NEGATIVE_INFINITY, 0, 0);
             if (share > LATE_HIGH) {
-                size = Math.max(1, size * TOTAL_CUT_TO);
+                size = size * TOTAL_CUT_TO;
                 starting = false;
                 changedAt = now;
             } else if (share < LATE_LOW && full) {
@@ -568,7 +590,7 @@
     // ---- Picking ----------------------------------------------------------------------------------------
 
     private Upstream pick(Query q, boolean first) {
-        if (!total.hasRoom()) {
+        if (!total.hasRoom(now)) {
             return null;
         }
         double mean = meanInFlight();
@@ -857,7 +879,7 @@
     /** What a full fleet can take goes to the query that earns most for its work, not to the oldest. */
     private void placeHeld() {
         held.removeIf(q -> q.state != State.HELD);
-        while (!held.isEmpty() && total.hasRoom()) {
+        while (!held.isEmpty() && total.hasRoom(now)) {
             Query best = null;
             double most = Double.NEGATIVE_INFINITY;
             for (Query q : held) {
@@ -904,6 +926,9 @@
             dues.poll();
         }
         double next = Math.min(watch.askAt, dues.isEmpty() ? Double.POSITIVE_INFINITY : dues.peek().time);
+        if (!held.isEmpty() && total.inFlight == 0 && total.freeAt > now) {
+            next = Math.min(next, total.freeAt);
+        }
         if (next < alarmAt) {
             alarmAt = next;
             out.alarmAt(next);
