Reported waits count as late and in the pace; pace remembered 15 s, slow ones shunned

Cause: at 1.3 queries a second a sidecar meets an upstream once in half a minute, so a choked one was never told apart within 5 s.

--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -224,15 +224,17 @@
     private static final double SHORTEST_BACKOFF = 0.5;
     private static final double LONGEST_WAIT_SHARE = 0.15;
     private static final int PACE_SAMPLES = 16;
-    private static final double PACE_AGE = 5;
-    private static final double PACE_PRIOR = 3;
+    private static final double PACE_AGE = 15;
+    private static final double PACE_PRIOR = 1;
+    private static final double WAIT_SHARE = 0.25;
     private static final double FIRST_TOTAL = 1;
     private static final int ROUND = 16;
     private static final double LATE_HIGH = 0.25;
     private static final double LATE_LOW = 0.15;
     private static final double TOTAL_CUT_TO = 0.8;
-    private static final double LEAST_TOTAL = 0.05;
-    private static final double SMALL_STEP = 0.07;
+    private static final double LEAST_TOTAL = 0.1;
+    private static final double SMALL_CUT_TO = 0.5;
+    private static final double SMALL_STEP = 0.06;
     private static final double PACE_MOST = 4;
     private static final double OWN_FAULT = 2;
     private static final int TENANT_SAMPLES = 128;
@@ -315,7 +317,7 @@
         Execution e = q.executions.get(execution);
         e.outcome = outcome;
         e.at.inFlight--;
-        judge(q, e);
+        judge(q, e, reportedWait(report));
         if (ended && q.state != State.CLOSED) {
             q.winner = e;
             step(q, outcome == Outcome.HANDLED ? Input.WON : Input.LEFT);
@@ -385,7 +387,7 @@
                 u.seenAt = news == ListNews.REMEMBERED ? Double.NEGATIVE_INFINITY : now;
                 u.coldCredit = chance.nextDouble();
                 known.put(row.id(), u);
-                roster.add(u);
+                roster.add(chance.nextInt(roster.size() + 1), u);
             } else if (row.onlineSince() > u.listed.onlineSince()) {
                 // A restarted process has nothing left of what its predecessor was judged by.
                 u.seenAt = now;
@@ -557,17 +559,17 @@
             if (size < 1) {
                 freeAt = Math.max(freeAt, now + (now - sentAt) * (1 / size - 1));
             }
-            if (sentAt < changedAt || isLate && !tellsOfAll) {
+            if (sentAt < changedAt || isLate && !tellsOfAll && size > 1) {
                 return;
             }
             late.add(now, isLate ? 1 : 0);
             if (size <= 1) {
                 // One outcome is a round here: what one sidecar errs by, all of them together do not.
                 if (isLate) {
-                    size = Math.max(LEAST_TOTAL, size * TOTAL_CUT_TO);
+                    size = Math.max(LEAST_TOTAL, size * SMALL_CUT_TO);
                     starting = false;
                 } else if (wasFull) {
-                    size *= 1 + SMALL_STEP;
+                    size += SMALL_STEP;
                 }
                 return;
             }
@@ -601,25 +603,30 @@
                 }
             }
         }
-        Upstream u = pickAmong(q, mean, false);
-        return u != null ? u : pickAmong(q, mean, true);
+        for (double worst : new double[] {OWN_FAULT, PACE_MOST + 1}) {
+            Upstream u = pickAmong(q, mean, worst, false);
+            if (u != null) {
+                return u;
+            }
+        }
+        return pickAmong(q, mean, PACE_MOST + 1, true);
     }
 
     private boolean mayTake(Query q, Upstream u) {
         return u.ready && u.inFlight < u.limit && !q.triedAt(u) && maySend(q, u) && cold.admits(u, now);
     }
 
-    private Upstream pickAmong(Query q, double mean, boolean passedOverToo) {
+    private Upstream pickAmong(Query q, double mean, double worstPace, boolean passedOverToo) {
         Upstream pick = null;
         double least = Double.POSITIVE_INFINITY;
         double bestDraw = 0;
         boolean idle = false;
         for (Upstream u : roster) {
-            if (u.passedOver() && !passedOverToo || !mayTake(q, u)) {
+            double pace = pace(u);
+            if (u.passedOver() && !passedOverToo || pace >= worstPace || !mayTake(q, u)) {
                 continue;
             }
             double load = u.inFlight + (now < u.seenAt + SETTLING ? mean : 0);
-            double pace = pace(u);
             if (load == 0 || load <= 1 && warmKeys) {
                 double draw = Math.log(draw(q, u)) * pace * pace / u.listed.scale();
                 if (!idle || draw > bestDraw) {
@@ -691,7 +698,12 @@
         }
     }
 
-    private void judge(Query q, Execution e) {
+    /** Little's law on what the upstream said of its queue: how long one that comes now has to wait. */
+    private static double reportedWait(LoadReport report) {
+        return report == null ? Double.NaN : report.waiting() / Math.max(1, report.handledRate());
+    }
+
+    private void judge(Query q, Execution e, double reportedWait) {
         double spent = now - e.sentAt;
         boolean handled = e.outcome == Outcome.HANDLED;
         boolean slow = spent > q.offering.targetTime() * LATE_SHARE;
@@ -700,8 +712,9 @@
         adaptLimit(e.at, e, now, handled && spent <= q.offering.targetTime() * PROMPT_SHARE, late);
         // Nor does one that is full, or slow beside the others, say so of the others: it may turn away what
         // they all would take.
-        total.ended(now, e.sentAt, slow, pace(e.at) < OWN_FAULT);
-        samplePace(q, e);
+        total.ended(now, e.sentAt, slow || reportedWait > q.offering.targetTime() * WAIT_SHARE,
+                pace(e.at) < OWN_FAULT);
+        samplePace(q, e, reportedWait);
         boolean failed = !handled && !e.outcome.neverRan && e.outcome != Outcome.CALLED_OFF
                 || e.outcome == Outcome.NO_CONNECTION;
         if (handled || failed) {
@@ -747,7 +760,7 @@
      * How long an upstream takes against what the offering takes elsewhere; a loser's time counts as far as
      * it got.
      */
-    private void samplePace(Query q, Execution e) {
+    private void samplePace(Query q, Execution e, double reportedWait) {
         Samples usual = times.get(q.asked.offering().value());
         double spent = now - e.sentAt;
         double mean = usual.mean(Double.NEGATIVE_INFINITY, 0, spent);
@@ -756,7 +769,8 @@
             usual.add(now, spent);
         }
         if (mean > 0 && (handled || !e.outcome.neverRan && spent > mean)) {
-            e.at.paces.add(now, Math.min(spent / mean, PACE_MOST));
+            double ratio = Math.max(spent / mean, Double.isNaN(reportedWait) ? 0 : 1 + reportedWait / mean);
+            e.at.paces.add(now, Math.min(ratio, PACE_MOST));
         }
     }
 
