--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -226,8 +226,9 @@
     private static final int PACE_SAMPLES = 16;
     private static final double PACE_AGE = 15;
     private static final double PACE_PRIOR = 1;
-    private static final double WAIT_SHARE = 0.25;
-    private static final double FIRST_TOTAL = 1;
+    private static final double WAIT_SHARE = 0.12;
+    private static final double FIRST_TOTAL = 3;
+    private static final double FIRST_EACH = 2.5;
     private static final int ROUND = 16;
     private static final double LATE_HIGH = 0.25;
     private static final double LATE_LOW = 0.15;
@@ -251,6 +252,7 @@
     private final boolean warmKeys;
     private final Cold cold;
     private final ListWatch watch;
+    private final int sidecars;
 
     private final Map<QueryId, Query> queries = new HashMap<>();
     private final Map<UpstreamId, Upstream> known = new HashMap<>();
@@ -264,12 +266,12 @@
     private final List<Samples> times = new ArrayList<>();
     private long dueOrder;
     private final Samples bads = new Samples(BAD_SAMPLES);
-    private final TotalLimit total = new TotalLimit(FIRST_TOTAL);
+    private final TotalLimit total = new TotalLimit();
     private double alarmAt = Double.POSITIVE_INFINITY;
     private double now;
 
     public Decide(Effects out, long seed, List<Offering> offerings, List<Tenant> tenants, Permits permits,
-            ColdRule coldRule, ListRule listRule, boolean sized, boolean warmKeys, boolean creditByWork) {
+            ColdRule coldRule, ListRule listRule, int sidecars, boolean sized, boolean warmKeys, boolean creditByWork) {
         this.out = out;
         this.chance = new SplittableRandom(seed);
         this.offerings = offerings;
@@ -284,6 +286,7 @@
             times.add(new Samples(TIME_SAMPLES));
         }
         this.cold = new Cold(coldRule.share(), coldRule.time(), coldRule.overloadFactor(), sized);
+        this.sidecars = Math.max(1, sidecars);
         this.watch = new ListWatch(listRule.onRequest(), listRule.askWithin());
     }
 
@@ -398,6 +401,9 @@
             u.listed = row;
             u.ready = row.health() == Listed.Health.READY;
         }
+        if (news == ListNews.REMEMBERED) {
+            total.start((double) roster.stream().filter(u -> u.ready).count() / sidecars);
+        }
         placeHeld();
         armAlarm();
     }
@@ -525,7 +531,7 @@
      */
     private static final class TotalLimit {
         private final Samples late = new Samples(ROUND);
-        private double size;
+        private double size = FIRST_TOTAL;
         private boolean starting = true;
         private double changedAt = Double.NEGATIVE_INFINITY;
         private double freeAt = Double.NEGATIVE_INFINITY;
@@ -533,8 +539,9 @@
         private boolean full;
         private int inFlight;
 
-        TotalLimit(double first) {
-            this.size = first;
+        /** All sidecars may start in one moment: what each begins with is its part of what all may send. */
+        void start(double share) {
+            size = Math.max(LEAST_TOTAL, Math.min(FIRST_TOTAL, FIRST_EACH * share));
         }
 
         /** Below one in flight the limit is held in time: an execution takes up its room for longer. */
@@ -706,7 +713,7 @@
     private void judge(Query q, Execution e, double reportedWait) {
         double spent = now - e.sentAt;
         boolean handled = e.outcome == Outcome.HANDLED;
-        boolean slow = spent > q.offering.targetTime() * LATE_SHARE;
+        boolean slow = spent > q.offering.targetTime() * (Double.isNaN(reportedWait) ? LATE_SHARE : 0.8);
         // An error that comes back quickly tells of the upstream, not of too much in flight.
         boolean late = slow || e.outcome == Outcome.FULL || e.outcome == Outcome.TIMED_OUT;
         adaptLimit(e.at, e, now, handled && spent <= q.offering.targetTime() * PROMPT_SHARE, late);
--- a/src/main/java/portrelay/drill/BootInfo.java
+++ b/src/main/java/portrelay/drill/BootInfo.java
@@ -55,7 +55,8 @@
         ListRule list = new ListRule("on_request".equals(root.get("discovery")), time(rules, "ask-within-us"));
         boolean warmKeys = root.get("family-info") instanceof Map<?, ?> info && flag(info, "warm-keys");
         boolean sized = !"silent".equals(root.get("weights"));
-        return new Decide(effects, seed, offered, shares, permits, cold, list, sized, warmKeys,
+        int sidecars = (int) number(root, "siblings", 1);
+        return new Decide(effects, seed, offered, shares, permits, cold, list, sidecars, sized, warmKeys,
                 "work".equals(root.get("value-by")));
     }
 
--- a/src/test/java/portrelay/Rig.java
+++ b/src/test/java/portrelay/Rig.java
@@ -56,7 +56,7 @@
     final void restart(long seed) {
         alarms.clear();
         executions.clear();
-        decide = new Decide(this, seed, OFFERINGS, List.of(), PERMITS, COLD, new ListRule(true, ASK_WITHIN), true,
+        decide = new Decide(this, seed, OFFERINGS, List.of(), PERMITS, COLD, new ListRule(true, ASK_WITHIN), 1, true,
                 false, false);
         decide.start(now);
     }
