Pace remembered for three visits of a sidecar; reported waits count only below 1 in flight

Cause: remembering 15 s everywhere kept busy sidecars of the small sites away from upstreams long well again; waits told late by reports made them retreat.

--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -195,6 +195,12 @@
             count++;
         }
 
+        /** Mean time between the last samples up to now; 0 while there are none. */
+        double spacing(double now) {
+            int kept = Math.min(count, values.length);
+            return kept == 0 ? 0 : (now - times[(count - kept) % values.length]) / kept;
+        }
+
         /** Mean of what came after the time, as if prior samples of the given value had come before. */
         double mean(double after, double prior, double value) {
             double sum = prior * value;
@@ -224,9 +230,12 @@
     private static final double SHORTEST_BACKOFF = 0.5;
     private static final double LONGEST_WAIT_SHARE = 0.15;
     private static final int PACE_SAMPLES = 16;
-    private static final double PACE_AGE = 15;
+    private static final double PACE_AGE = 5;
+    private static final double PACE_AGE_MOST = 15;
+    private static final double PACE_VISITS = 3;
     private static final double PACE_PRIOR = 1;
     private static final double WAIT_SHARE = 0.12;
+    private static final int RATE_SAMPLES = 16;
     private static final double FIRST_TOTAL = 3;
     private static final double FIRST_EACH = 2.5;
     private static final int ROUND = 16;
@@ -265,6 +274,8 @@
     private final List<Samples> tenantSent = new ArrayList<>();
     private final List<Samples> times = new ArrayList<>();
     private long dueOrder;
+    private final Samples arrivals = new Samples(RATE_SAMPLES);
+    private double paceAge = PACE_AGE;
     private final Samples bads = new Samples(BAD_SAMPLES);
     private final TotalLimit total = new TotalLimit();
     private double alarmAt = Double.POSITIVE_INFINITY;
@@ -302,6 +313,9 @@
         now = time;
         Query q = new Query(asked, offerings.get(asked.offering().value()), time);
         queries.put(asked.id(), q);
+        // A quiet sidecar meets an upstream once in a long while and has to remember it until then.
+        paceAge = Math.max(PACE_AGE, Math.min(PACE_AGE_MOST, PACE_VISITS * roster.size() * arrivals.spacing(now)));
+        arrivals.add(now, 1);
         for (int i = 0; i < tenantSent.size() && asked.tenant() != null; i++) {
             tenantSent.get(i).add(now, asked.tenant().value() == i ? 1 : 0);
         }
@@ -553,7 +567,7 @@
             return late.mean(Double.NEGATIVE_INFINITY, 0, 0) > LATE_HIGH;
         }
 
-        void ended(double now, double sentAt, boolean isLate, boolean tellsOfAll) {
+        void ended(double now, double sentAt, boolean isLate, boolean waits, boolean tellsOfAll) {
             boolean wasFull = inFlight + 1 > size;
             full |= wasFull;
             inFlight--;
@@ -572,7 +586,7 @@
             late.add(now, isLate ? 1 : 0);
             if (size <= 1) {
                 // One outcome is a round here: what one sidecar errs by, all of them together do not.
-                if (isLate) {
+                if (waits) {
                     size = Math.max(LEAST_TOTAL, size * SMALL_CUT_TO);
                     starting = false;
                 } else if (wasFull) {
@@ -713,14 +727,15 @@
     private void judge(Query q, Execution e, double reportedWait) {
         double spent = now - e.sentAt;
         boolean handled = e.outcome == Outcome.HANDLED;
-        boolean slow = spent > q.offering.targetTime() * (Double.isNaN(reportedWait) ? LATE_SHARE : 0.8);
+        boolean slow = spent > q.offering.targetTime() * LATE_SHARE;
         // An error that comes back quickly tells of the upstream, not of too much in flight.
         boolean late = slow || e.outcome == Outcome.FULL || e.outcome == Outcome.TIMED_OUT;
         adaptLimit(e.at, e, now, handled && spent <= q.offering.targetTime() * PROMPT_SHARE, late);
         // Nor does one that is full, or slow beside the others, say so of the others: it may turn away what
         // they all would take.
-        total.ended(now, e.sentAt, slow || reportedWait > q.offering.targetTime() * WAIT_SHARE,
-                pace(e.at) < OWN_FAULT);
+        total.ended(now, e.sentAt, slow, total.size > 1 ? slow
+                : Double.isNaN(reportedWait) ? slow : spent > 0.8 * q.offering.targetTime()
+                || reportedWait > q.offering.targetTime() * WAIT_SHARE, pace(e.at) < OWN_FAULT);
         samplePace(q, e, reportedWait);
         boolean failed = !handled && !e.outcome.neverRan && e.outcome != Outcome.CALLED_OFF
                 || e.outcome == Outcome.NO_CONNECTION;
@@ -776,13 +791,13 @@
             usual.add(now, spent);
         }
         if (mean > 0 && (handled || !e.outcome.neverRan && spent > mean)) {
-            double ratio = Math.max(spent / mean, Double.isNaN(reportedWait) ? 0 : 1 + reportedWait / mean);
+            double ratio = spent / mean;
             e.at.paces.add(now, Math.min(ratio, PACE_MOST));
         }
     }
 
     private double pace(Upstream u) {
-        return u.paces.mean(now - PACE_AGE, PACE_PRIOR, 1);
+        return u.paces.mean(now - paceAge, PACE_PRIOR, 1);
     }
 
     // ---- Cold upstreams ---------------------------------------------------------------------------------
