--- a/src/main/java/portrelay/drill/Drill.java
+++ b/src/main/java/portrelay/drill/Drill.java
@@ -118,7 +118,8 @@
             }
             case "message" -> {
                 in.whole("who");
-                in.text("raw");
+                String text = in.text("raw");
+                decide(id, () -> at.decide().heard(now, text));
             }
             case "down" -> instances.remove(id);
             default -> throw in.bad("a known event, not " + name);
