--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -168,8 +168,6 @@
         double limit = FIRST_LIMIT;
         double cutAt = Double.NEGATIVE_INFINITY;
         final Samples paces = new Samples(PACE_SAMPLES);
-        final Samples heard = new Samples(TOLD_BY);
-        double toldAt = Double.NEGATIVE_INFINITY;
 
         Upstream(UpstreamId id) {
             this.id = id;
@@ -203,16 +201,6 @@
             return kept == 0 ? 0 : (now - times[(count - kept) % values.length]) / kept;
         }
 
-        /** The least of the newest samples, 0 if fewer than asked for came after the time. */
-        double least(int newest, double after) {
-            double least = count < newest ? 0 : Double.POSITIVE_INFINITY;
-            for (int i = 1; i <= newest && least > 0; i++) {
-                int at = (count - i) % values.length;
-                least = times[at] < after ? 0 : Math.min(least, values[at]);
-            }
-            return least;
-        }
-
         /** Mean of what came after the time, as if prior samples of the given value had come before. */
         double mean(double after, double prior, double value) {
             double sum = prior * value;
@@ -248,8 +236,6 @@
     private static final double PACE_PRIOR = 1;
     private static final double WAIT_SHARE = 0.12;
     private static final int RATE_SAMPLES = 16;
-    private static final double BELIEVED_FOR = 3;
-    private static final int TOLD_BY = 2;
     private static final double FIRST_TOTAL = 3;
     private static final double FIRST_EACH = 2.5;
     private static final int ROUND = 16;
@@ -660,8 +646,7 @@
         boolean idle = false;
         for (Upstream u : roster) {
             double pace = pace(u);
-            if (u.passedOver() && !passedOverToo || (pace >= worstPace || worstPace == OWN_FAULT && toldSlow(u))
-                    || !mayTake(q, u)) {
+            if (u.passedOver() && !passedOverToo || pace >= worstPace || !mayTake(q, u)) {
                 continue;
             }
             double load = u.inFlight + (now < u.seenAt + SETTLING ? mean : 0);
@@ -810,7 +795,6 @@
         if (mean > 0 && (handled || !e.outcome.neverRan && spent > mean)) {
             double ratio = spent / mean;
             e.at.paces.add(now, Math.min(ratio, PACE_MOST));
-            tellOfSlow(e.at);
         }
     }
 
@@ -818,38 +802,6 @@
         return u.paces.mean(now - paceAge, PACE_PRIOR, 1);
     }
 
-    // ---- What sidecars tell each other ------------------------------------------------------------------
-
-    /**
-     * Guards against an upstream that each sidecar meets too rarely to know as slow. Two slow executions in a
-     * row are told to all; what two sidecars told lately is believed for a short while, so that a choked
-     * upstream rests and is tried again soon.
-     */
-    private void tellOfSlow(Upstream u) {
-        if (false && permits.peers() && u.paces.least(2, now - paceAge) >= OWN_FAULT && now >= u.toldAt + BELIEVED_FOR) {
-            u.toldAt = now;
-            u.heard.add(now, 1);
-            out.tellPeers(Long.toString(u.id.value(), Character.MAX_RADIX));
-        }
-    }
-
-    public void heard(double time, String text) {
-        now = time;
-        Upstream u;
-        try {
-            u = known.get(new UpstreamId(Long.parseLong(text, Character.MAX_RADIX)));
-        } catch (NumberFormatException e) {
-            return;
-        }
-        if (u != null) {
-            u.heard.add(now, 1);
-        }
-    }
-
-    private boolean toldSlow(Upstream u) {
-        return u.heard.least(TOLD_BY, now - BELIEVED_FOR) > 0;
-    }
-
     // ---- Cold upstreams ---------------------------------------------------------------------------------
 
     /**
--- a/src/main/java/portrelay/drill/BootInfo.java
+++ b/src/main/java/portrelay/drill/BootInfo.java
@@ -48,7 +48,7 @@
         Map<?, ?> allowed = section("allowed");
         Map<?, ?> rules = section("invariants");
         Permits permits = new Permits((int) number(allowed, "max-attempts", 1), flag(allowed, "cancel"),
-                flag(allowed, "parallel-tries"), flag(allowed, "probes"), flag(allowed, "peers"),
+                flag(allowed, "parallel-tries"), flag(allowed, "probes"),
                 flag(allowed, "retry-after") ? time(allowed, "max-retry-after-us") : 0);
         ColdRule cold = new ColdRule(number(rules, "cold-share", 1), time(rules, "cold-us"),
                 number(rules, "overload-factor", 1), time(rules, "tip-after-us"));
--- a/src/main/java/portrelay/drill/Drill.java
+++ b/src/main/java/portrelay/drill/Drill.java
@@ -118,8 +118,7 @@
             }
             case "message" -> {
                 in.whole("who");
-                String text = in.text("raw");
-                decide(id, () -> at.decide().heard(now, text));
+                in.text("raw");
             }
             case "down" -> instances.remove(id);
             default -> throw in.bad("a known event, not " + name);
--- a/src/main/java/portrelay/drill/Replies.java
+++ b/src/main/java/portrelay/drill/Replies.java
@@ -15,7 +15,6 @@
 final class Replies {
 
     private static final SerializedString SEND = new SerializedString("hand-off");
-    private static final SerializedString NOTIFY = new SerializedString("notify");
     private static final SerializedString CALL_OFF = new SerializedString("call-off");
     private static final SerializedString ALARM = new SerializedString("set-timer");
 
@@ -119,14 +118,6 @@
             action(new SerializedString("stream-changes"), () -> json.writeBoolean(true));
         }
 
-        @Override
-        public void tellPeers(String text) {
-            action(NOTIFY, () -> {
-                json.writeString("all");
-                json.writeString(text);
-            });
-        }
-
         @Override
         public void note(String text) {
             action(new SerializedString("debug"), () -> json.writeString(text));
--- a/src/main/java/portrelay/model/Effects.java
+++ b/src/main/java/portrelay/model/Effects.java
@@ -24,8 +24,5 @@
     /** Asks the list for changes from now on. */
     void watchList();
 
-    /** Tells all other sidecars; may come late or not at all, and costs by its bytes. */
-    void tellPeers(String text);
-
     void note(String text);
 }
--- a/src/test/java/portrelay/Rig.java
+++ b/src/test/java/portrelay/Rig.java
@@ -30,7 +30,7 @@
     static final int NUMBERED_ANYWHERE = 3;
     static final double ASK_WITHIN = 10;
     static final ColdRule COLD = new ColdRule(0.2, 10, 3, 1);
-    static final Permits PERMITS = new Permits(4, true, true, true, true, 2);
+    static final Permits PERMITS = new Permits(4, true, true, true, 2);
     static final List<Offering> OFFERINGS = List.of(
             offering(REISSUABLE, Offering.Repeats.REISSUABLE, Offering.Group.ALL),
             offering(NUMBERED, Offering.Repeats.NUMBERED, Offering.Group.CELL),
@@ -45,7 +45,6 @@
     final List<Sent> calledOff = new ArrayList<>();
     final List<Double> alarms = new ArrayList<>();
     final Map<QueryId, Integer> executions = new LinkedHashMap<>();
-    final List<String> told = new ArrayList<>();
     int watches;
     double now = 100;
     Decide decide;
@@ -141,11 +140,6 @@
         watches++;
     }
 
-    @Override
-    public void tellPeers(String text) {
-        told.add(text);
-    }
-
     @Override
     public void note(String text) {
     }
