--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -558,7 +558,6 @@
         void start(double share) {
             size = Math.max(LEAST_TOTAL, Math.min(FIRST_TOTAL, FIRST_EACH * share));
             unit = Math.min(1, share);
-            starting = share >= 1;
         }
 
         /** Below one in flight the limit is held in time: an execution takes up its room for longer. */
@@ -577,7 +576,7 @@
             // At the start nothing is known: each prompt outcome makes room for one more until a round goes
             // wrong.
             if (starting && wasFull && !isLate) {
-                size += 1;
+                size += unit >= 1 ? 1 : unit / 3;
             }
             if (size < 1) {
                 freeAt = Math.max(freeAt, now + (now - sentAt) * (1 / size - 1));
