--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -743,6 +743,12 @@
         if (handled || failed) {
             weigh(e.at, failed);
         }
+        if (e.outcome == Outcome.NO_CONNECTION) {
+            // Nobody gets through there now, or all its connections are taken: others must not be tried out
+            // on it.
+            e.at.evidence = EVIDENCE;
+            e.at.passedUntil = now + PASS_OVER;
+        }
         if (e.trial) {
             e.at.trialOut = false;
             e.at.passedUntil = now + PASS_OVER;
