--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -252,7 +252,7 @@
     private static final double FIRST_LIMIT = 1.5;
     private static final double CUT_TO = 0.7;
     private static final double PROMPT_SHARE = 0.35;
-    private static final double LATE_SHARE = 0.5;
+    private static final double LATE_SHARE = 0.45;
 
     private final Effects out;
     private final SplittableRandom chance;
