--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -569,7 +569,8 @@
             return late.mean(Double.NEGATIVE_INFINITY, 0, 0) > LATE_HIGH;
         }
 
-        void ended(double now, double sentAt, boolean isLate, boolean waits, boolean tellsOfAll) {
+        void ended(double now, double sentAt, double promptWithin, boolean isLate, boolean waits,
+                boolean tellsOfAll) {
             boolean wasFull = inFlight + 1 > size;
             full |= wasFull;
             inFlight--;
@@ -579,7 +580,8 @@
                 size += unit >= 1 ? 1 : unit / 3;
             }
             if (size < 1) {
-                freeAt = Math.max(freeAt, now + (now - sentAt) * (1 / size - 1));
+                // One that took very long must not close the sidecar for many times that.
+                freeAt = Math.max(freeAt, now + Math.min(now - sentAt, promptWithin) * (1 / size - 1));
             }
             if (sentAt < changedAt || isLate && !tellsOfAll && size > 1) {
                 return;
@@ -734,7 +736,7 @@
         adaptLimit(e.at, e, now, handled && spent <= q.offering.targetTime() * PROMPT_SHARE, late);
         // Nor does one that is full, or slow beside the others, say so of the others: it may turn away what
         // they all would take.
-        total.ended(now, e.sentAt, slow, total.size > 1 ? slow
+        total.ended(now, e.sentAt, q.offering.targetTime() * LATE_SHARE, slow, total.size > 1 ? slow
                 : Double.isNaN(reportedWait) ? slow : spent > 0.8 * q.offering.targetTime()
                 || reportedWait > q.offering.targetTime() * WAIT_SHARE, pace(e.at) < OWN_FAULT);
         samplePace(q, e, reportedWait);
