--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -242,6 +242,8 @@
     private static final double LATE_HIGH = 0.25;
     private static final double LATE_LOW = 0.15;
     private static final double TOTAL_CUT_TO = 0.8;
+    private static final int FEW = 4;
+    private static final double FEW_LATE = 0.5;
     private static final double LEAST_TOTAL = 0.1;
     private static final double SMALL_CUT_TO = 0.5;
     private static final double SMALL_STEP = 0.06;
@@ -546,6 +548,7 @@
     private static final class TotalLimit {
         private final Samples late = new Samples(ROUND);
         private double size = FIRST_TOTAL;
+        private final Samples few = new Samples(FEW);
         private double unit = 1;
         private boolean starting = true;
         private double changedAt = Double.NEGATIVE_INFINITY;
@@ -589,10 +592,11 @@
             late.add(now, isLate ? 1 : 0);
             if (size <= 1) {
                 // One outcome is a round here: what one sidecar errs by, all of them together do not.
-                if (waits) {
+                few.add(now, waits ? 1 : 0);
+                if (waits && few.mean(Double.NEGATIVE_INFINITY, 0, 0) >= FEW_LATE) {
                     size = Math.max(LEAST_TOTAL, size * SMALL_CUT_TO);
                     starting = false;
-                } else if (wasFull) {
+                } else if (!waits && wasFull) {
                     size += SMALL_STEP;
                 }
                 return;
