--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -246,7 +246,7 @@
     private static final double FEW_LATE = 0.5;
     private static final double LEAST_TOTAL = 0.1;
     private static final double SMALL_CUT_TO = 0.5;
-    private static final double SMALL_STEP = 0.06;
+    private static final double SMALL_STEP = 0.12;
     private static final double PACE_MOST = 4;
     private static final double OWN_FAULT = 2;
     private static final int TENANT_SAMPLES = 128;
