--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -113,6 +113,7 @@
         final List<Execution> executions = new ArrayList<>(2);
         State state = State.FRESH;
         boolean copied;
+        int keyLot;
         boolean waiting;
         Execution winner;
 
@@ -201,6 +202,15 @@
             return kept == 0 ? 0 : (now - times[(count - kept) % values.length]) / kept;
         }
 
+        /** How large a part of the samples had this value; one of them proves nothing yet. */
+        double share(double value) {
+            int same = -1;
+            for (int i = 0; i < Math.min(count, values.length); i++) {
+                same += values[i] == value ? 1 : 0;
+            }
+            return Math.max(0, same) / (double) values.length;
+        }
+
         /** Mean of what came after the time, as if prior samples of the given value had come before. */
         double mean(double after, double prior, double value) {
             double sum = prior * value;
@@ -242,6 +252,7 @@
     private static final double LATE_HIGH = 0.25;
     private static final double LATE_LOW = 0.15;
     private static final double TOTAL_CUT_TO = 0.8;
+    private static final int KEY_SAMPLES = 128;
     private static final int FEW = 4;
     private static final double FEW_LATE = 0.5;
     private static final double LEAST_TOTAL = 0.1;
@@ -278,6 +289,7 @@
     private long dueOrder;
     private final Samples arrivals = new Samples(RATE_SAMPLES);
     private double paceAge = PACE_AGE;
+    private final Samples keys = new Samples(KEY_SAMPLES);
     private final Samples bads = new Samples(BAD_SAMPLES);
     private final TotalLimit total = new TotalLimit();
     private double alarmAt = Double.POSITIVE_INFINITY;
@@ -321,6 +333,7 @@
         for (int i = 0; i < tenantSent.size() && asked.tenant() != null; i++) {
             tenantSent.get(i).add(now, asked.tenant().value() == i ? 1 : 0);
         }
+        q.keyLot = keyLot(asked);
         step(q, Input.ARRIVED);
         forgetIfDone(q);
         armAlarm();
@@ -679,12 +692,26 @@
         if (!warmKeys || q.asked.key() == null) {
             return chance.nextDouble();
         }
-        long x = q.asked.key().hashCode() * 0x9E3779B97F4A7C15L ^ u.id.value() * 0xC2B2AE3D27D4EB4FL;
+        long x = q.asked.key().hashCode() * 0x9E3779B97F4A7C15L ^ u.id.value() * 0xC2B2AE3D27D4EB4FL
+                ^ q.keyLot * 0x165667B19E3779F9L;
         x = (x ^ x >>> 30) * 0xBF58476D1CE4E5B9L;
         x = (x ^ x >>> 27) * 0x94D049BB133111EBL;
         return ((x ^ x >>> 31) >>> 11) * 0x1.0p-53 + 0x1.0p-54;
     }
 
+    /**
+     * Guards the upstream of a key that many ask for: such a key draws among as many upstreams as its part of
+     * our queries would fill, counted in whole upstreams.
+     */
+    private int keyLot(Asked asked) {
+        if (!warmKeys || asked.key() == null) {
+            return 0;
+        }
+        double part = keys.share(asked.key().hashCode());
+        keys.add(now, asked.key().hashCode());
+        return chance.nextInt(1 + (int) Math.round(part * roster.size()));
+    }
+
     private double meanInFlight() {
         double sum = 0;
         int count = 0;
