The limit over all falls to one an upstream over all sidecars, no lower

Cause: with all upstreams 2 to 3 times slower everything is late, and the sidecars shed far below what even slow upstreams do.

--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -255,7 +255,6 @@
     private static final int KEY_SAMPLES = 128;
     private static final int FEW = 4;
     private static final double FEW_LATE = 0.5;
-    private static final double LEAST_TOTAL = 0.1;
     private static final double SMALL_CUT_TO = 0.5;
     private static final double SMALL_STEP = 0.12;
     private static final double PACE_MOST = 4;
@@ -572,8 +571,8 @@
 
         /** All sidecars may start in one moment: what each begins with is its part of what all may send. */
         void start(double share) {
-            size = Math.max(LEAST_TOTAL, Math.min(FIRST_TOTAL, FIRST_EACH * share));
             unit = Math.min(1, share);
+            size = Math.min(FIRST_TOTAL, FIRST_EACH * share);
         }
 
         /** Below one in flight the limit is held in time: an execution takes up its room for longer. */
@@ -607,7 +606,7 @@
                 // One outcome is a round here: what one sidecar errs by, all of them together do not.
                 few.add(now, waits ? 1 : 0);
                 if (waits && few.mean(Double.NEGATIVE_INFINITY, 0, 0) >= FEW_LATE) {
-                    size = Math.max(LEAST_TOTAL, size * SMALL_CUT_TO);
+                    size = Math.max(unit, size * SMALL_CUT_TO);
                     starting = false;
                 } else if (!waits && wasFull) {
                     size += SMALL_STEP;
