--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -606,7 +606,7 @@
                 // One outcome is a round here: what one sidecar errs by, all of them together do not.
                 few.add(now, waits ? 1 : 0);
                 if (waits && few.mean(Double.NEGATIVE_INFINITY, 0, 0) >= FEW_LATE) {
-                    size = Math.max(unit, size * SMALL_CUT_TO);
+                    size = Math.max(Math.min(1, 2 * unit), size * SMALL_CUT_TO);
                     starting = false;
                 } else if (!waits && wasFull) {
                     size += SMALL_STEP;
