--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -562,6 +562,7 @@
         private double size = FIRST_TOTAL;
         private final Samples few = new Samples(FEW);
         private double unit = 1;
+        private double least = 1;
         private boolean starting = true;
         private double changedAt = Double.NEGATIVE_INFINITY;
         private double freeAt = Double.NEGATIVE_INFINITY;
@@ -573,6 +574,7 @@
         void start(double share) {
             unit = Math.min(1, share);
             size = Math.min(FIRST_TOTAL, FIRST_EACH * share);
+            least = Math.min(1, size);
         }
 
         /** Below one in flight the limit is held in time: an execution takes up its room for longer. */
@@ -606,7 +608,7 @@
                 // One outcome is a round here: what one sidecar errs by, all of them together do not.
                 few.add(now, waits ? 1 : 0);
                 if (waits && few.mean(Double.NEGATIVE_INFINITY, 0, 0) >= FEW_LATE) {
-                    size = Math.max(Math.min(1, 2 * unit), size * SMALL_CUT_TO);
+                    size = Math.max(least, size * SMALL_CUT_TO);
                     starting = false;
                 } else if (!waits && wasFull) {
                     size += SMALL_STEP;
