--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -258,7 +258,6 @@
     private static final double SMALL_CUT_TO = 0.5;
     private static final double SMALL_STEP = 0.12;
     private static final double PACE_MOST = 4;
-    private static final double SAME_PACE = 1.5;
     private static final double OWN_FAULT = 2;
     private static final int TENANT_SAMPLES = 128;
     private static final int TIME_SAMPLES = 64;
@@ -671,9 +670,7 @@
             }
             double load = u.inFlight + (now < u.seenAt + SETTLING ? mean : 0);
             if (load == 0 || load <= 1 && warmKeys) {
-                // Small differences in pace are each sidecar's own: they must not part what a key has in common.
-                double slower = warmKeys && pace < SAME_PACE ? 1 : pace;
-                double draw = Math.log(draw(q, u)) * slower * slower / u.listed.scale();
+                double draw = Math.log(draw(q, u)) * pace * pace * pace / u.listed.scale();
                 if (!idle || draw > bestDraw) {
                     idle = true;
                     bestDraw = draw;
