--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -670,7 +670,7 @@
             }
             double load = u.inFlight + (now < u.seenAt + SETTLING ? mean : 0);
             if (load == 0 || load <= 1 && warmKeys) {
-                double draw = Math.log(draw(q, u)) * pace * pace * pace / u.listed.scale();
+                double draw = Math.log(draw(q, u)) * pace * pace / u.listed.scale();
                 if (!idle || draw > bestDraw) {
                     idle = true;
                     bestDraw = draw;
