--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -857,7 +857,7 @@
         Cold(double share, double time, double overloadFactor, boolean sized) {
             // Halfway, in ratio, between what it can surely do and what pushes it over: most warm up by
             // working.
-            this.stretch = Math.pow(overloadFactor, 0.75);
+            this.stretch = Math.sqrt(overloadFactor);
             this.share = share;
             this.time = time;
             this.sized = sized;
