--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -23,6 +23,7 @@
 import portrelay.model.Outcome;
 import portrelay.model.Permits;
 import portrelay.model.QueryId;
+import portrelay.model.ShapeId;
 import portrelay.model.Tenant;
 import portrelay.model.TenantId;
 import portrelay.model.UpstreamId;
@@ -276,6 +277,7 @@
     private final int sidecars;
 
     private final Map<QueryId, Query> queries = new HashMap<>();
+    private final Map<ShapeId, Samples> shapePaces = new HashMap<>();
     private final Map<UpstreamId, Upstream> known = new HashMap<>();
     private final List<Upstream> roster = new ArrayList<>();
     private final List<Query> held = new ArrayList<>();
@@ -834,11 +836,22 @@
         if (mean > 0 && (handled || !e.outcome.neverRan && spent > mean)) {
             double ratio = spent / mean;
             e.at.paces.add(now, Math.min(ratio, PACE_MOST));
+            shapePaces.computeIfAbsent(e.at.listed.shape(), k -> new Samples(PACE_SAMPLES))
+                    .add(now, Math.min(ratio, PACE_MOST));
         }
     }
 
+    /**
+     * What we know of an upstream that we have not met lately: how its shape does. Guards quiet sidecars, which
+     * meet each upstream rarely, where one kind of machine is crowded or sick as a whole.
+     */
+    private double shapePace(ShapeId shape) {
+        Samples seen = shapePaces.get(shape);
+        return seen == null || paceAge == PACE_AGE ? 1 : Math.max(1, seen.mean(now - PACE_AGE, PACE_PRIOR, 1));
+    }
+
     private double pace(Upstream u) {
-        return u.paces.mean(now - paceAge, PACE_PRIOR, 1);
+        return u.paces.mean(now - paceAge, PACE_PRIOR, shapePace(u.listed.shape()));
     }
 
     // ---- Cold upstreams ---------------------------------------------------------------------------------
