--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -239,7 +239,7 @@
     private static final int BAD_SAMPLES = 64;
     private static final double SETTLING = 3.0;
     private static final double SHORTEST_BACKOFF = 0.5;
-    private static final double LONGEST_WAIT_SHARE = 0.07;
+    private static final double LONGEST_WAIT_SHARE = 0.11;
     private static final int PACE_SAMPLES = 16;
     private static final double PACE_AGE = 5;
     private static final double PACE_AGE_MOST = 15;
