Cheap checks before the pace in a pick, target time read once in a judgement; same behaviour

From reading the change once more: the pace was worked out for upstreams that may not be taken anyway, the weighed load twice, the target time four times, and a comment had come to stand over the wrong line.

--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -675,8 +675,11 @@
         double bestDraw = 0;
         boolean idle = false;
         for (Upstream u : roster) {
+            if (u.passedOver() && !passedOverToo || !mayTake(q, u)) {
+                continue;
+            }
             double pace = pace(u);
-            if (u.passedOver() && !passedOverToo || pace >= worstPace || !mayTake(q, u)) {
+            if (pace >= worstPace) {
                 continue;
             }
             double load = u.inFlight + (now < u.seenAt + SETTLING ? mean : 0);
@@ -687,9 +690,12 @@
                     bestDraw = draw;
                     pick = u;
                 }
-            } else if (!idle && load * pace / u.listed.scale() < least) {
-                least = load * pace / u.listed.scale();
-                pick = u;
+            } else if (!idle) {
+                double weighed = load * pace / u.listed.scale();
+                if (weighed < least) {
+                    least = weighed;
+                    pick = u;
+                }
             }
         }
         return pick;
@@ -773,15 +779,16 @@
     private void judge(Query q, Execution e, double reportedWait) {
         double spent = now - e.sentAt;
         boolean handled = e.outcome == Outcome.HANDLED;
-        boolean slow = spent > q.offering.targetTime() * LATE_SHARE;
+        double target = q.offering.targetTime();
+        boolean slow = spent > target * LATE_SHARE;
         // An error that comes back quickly tells of the upstream, not of too much in flight.
         boolean late = slow || e.outcome == Outcome.FULL || e.outcome == Outcome.TIMED_OUT;
-        adaptLimit(e.at, e, now, handled && spent <= q.offering.targetTime() * PROMPT_SHARE, late);
+        adaptLimit(e.at, e, now, handled && spent <= target * PROMPT_SHARE, late);
+        boolean crowded = Double.isNaN(reportedWait) ? slow
+                : spent > target * LATEST_SHARE || reportedWait > target * WAIT_SHARE;
         // Nor does one that is full, or slow beside the others, say so of the others: it may turn away what
         // they all would take.
-        boolean crowded = Double.isNaN(reportedWait) ? slow : spent > q.offering.targetTime() * LATEST_SHARE
-                || reportedWait > q.offering.targetTime() * WAIT_SHARE;
-        total.ended(now, e.sentAt, q.offering.targetTime() * LATE_SHARE, slow, crowded, pace(e.at) < OWN_FAULT);
+        total.ended(now, e.sentAt, target * LATE_SHARE, slow, crowded, pace(e.at) < OWN_FAULT);
         samplePace(q, e);
         boolean failed = !handled && !e.outcome.neverRan && e.outcome != Outcome.CALLED_OFF
                 || e.outcome == Outcome.NO_CONNECTION;
