--- /dev/null
+++ b/src/main/java/portrelay/cli/Command.java
@@ -0,0 +1,6 @@
+package portrelay.cli;
+
+/** A sub-command; returns the exit code. */
+interface Command {
+    int run();
+}
--- /dev/null
+++ b/src/main/java/portrelay/cli/DrillCommand.java
@@ -0,0 +1,26 @@
+package portrelay.cli;
+
+import com.beust.jcommander.Parameters;
+import java.io.FileDescriptor;
+import java.io.FileInputStream;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import portrelay.drill.BadWire;
+import portrelay.drill.Drill;
+
+@Parameters(commandDescription = "read the bench's wire on standard input, write decisions on standard output")
+final class DrillCommand implements Command {
+
+    @Override
+    public int run() {
+        try (var in = new FileInputStream(FileDescriptor.in); var out = new FileOutputStream(FileDescriptor.out)) {
+            new Drill(in, out).run();
+            return 0;
+        } catch (BadWire e) {
+            System.err.println("portrelay drill: " + e.getMessage());
+        } catch (IOException e) {
+            System.err.println("portrelay drill: input or output failed: " + e.getMessage());
+        }
+        return 1;
+    }
+}
--- a/src/main/java/portrelay/cli/Main.java
+++ b/src/main/java/portrelay/cli/Main.java
@@ -1,36 +1,30 @@
 package portrelay.cli;
 
-import java.io.FileDescriptor;
-import java.io.FileInputStream;
-import java.io.FileOutputStream;
-import java.io.IOException;
-import portrelay.drill.BadWire;
-import portrelay.drill.Drill;
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import java.util.Map;
 
 public final class Main {
 
-    private static final String USAGE = """
-            usage: portrelay <command>
-
-              drill    read the bench's wire on standard input, write decisions on standard output
-            """;
-
     private Main() {
     }
 
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.print(USAGE);
-            System.exit(2);
+        Map<String, Command> commands = Map.of("drill", new DrillCommand(), "serve", new ServeCommand(),
+                "version", new VersionCommand());
+        JCommander cli = JCommander.newBuilder().programName("portrelay").build();
+        commands.forEach(cli::addCommand);
+        try {
+            cli.parse(args);
+        } catch (ParameterException e) {
+            System.err.println("portrelay: " + e.getMessage());
         }
-        try (var in = new FileInputStream(FileDescriptor.in); var out = new FileOutputStream(FileDescriptor.out)) {
-            new Drill(in, out).run();
-        } catch (BadWire e) {
-            System.err.println("portrelay drill: " + e.getMessage());
-            System.exit(1);
-        } catch (IOException e) {
-            System.err.println("portrelay drill: input or output failed: " + e.getMessage());
-            System.exit(1);
+        Command command = cli.getParsedCommand() == null ? null : commands.get(cli.getParsedCommand());
+        if (command == null) {
+            StringBuilder usage = new StringBuilder();
+            cli.getUsageFormatter().usage(usage);
+            System.err.println(usage);
         }
+        System.exit(command == null ? 2 : command.run());
     }
 }
--- a/src/main/java/portrelay/drill/Drill.java
+++ b/src/main/java/portrelay/drill/Drill.java
@@ -20,6 +20,9 @@
 import portrelay.model.TenantId;
 import portrelay.model.UpstreamId;
 import portrelay.model.ZoneId;
+import portrelay.settings.BadSetting;
+import portrelay.settings.Fields;
+import portrelay.settings.Settings;
 
 /** Drives many instances of the decisions on the bench's wire: one batch in, one reply out. */
 public final class Drill {
@@ -28,7 +31,7 @@
     private record InstanceId(long value) {
     }
 
-    private record Instance(Decide decide, Map<String, OfferingId> offerings, Map<String, TenantId> tenants) {
+    private record Instance(Decide decide, Settings settings) {
     }
 
     /** One decision to make; kept apart from reading so that only the module's own faults become bail-outs. */
@@ -139,9 +142,14 @@
 
     private void start(InstanceId id) throws IOException, BadWire {
         long seed = in.whole("init-seed");
-        BootInfo info = new BootInfo(in.tree(), in.line());
-        Decide decide = info.start(replies.forInstance(id.value()), seed);
-        instances.put(id, new Instance(decide, info.offerings, info.tenants));
+        Settings settings;
+        try {
+            settings = new Settings(Fields.of(in.tree(), "boot-info"));
+        } catch (BadSetting e) {
+            throw new BadWire(in.line(), e);
+        }
+        Decide decide = settings.start(replies.forInstance(id.value()), seed);
+        instances.put(id, new Instance(decide, settings));
         decide(id, () -> decide.start(now));
     }
 
@@ -192,12 +200,12 @@
 
     private void arrival(InstanceId id, Instance at) throws IOException, BadWire {
         QueryId query = new QueryId(in.text("request-id"));
-        OfferingId offering = at.offerings().get(in.text("priority"));
+        OfferingId offering = at.settings().offering(in.text("priority"));
         if (offering == null) {
             throw in.bad("priority as one of the classes in boot-info");
         }
         String tenantName = in.textOrNull("tenant");
-        TenantId tenant = tenantName == null ? null : at.tenants().get(tenantName);
+        TenantId tenant = tenantName == null ? null : at.settings().tenant(tenantName);
         String key = in.textOrNull("target-key");
         double cutOffAt = Clock.seconds(in.whole("due-us"));
         long work = in.wholeOr("predicted-us", 0);
--- a/src/main/java/portrelay/drill/Reader.java
+++ b/src/main/java/portrelay/drill/Reader.java
@@ -6,10 +6,7 @@
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.io.InputStream;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
+import portrelay.settings.Tree;
 
 /** Reads the wire's values one by one and says in plain words where one is not what it should be. */
 final class Reader {
@@ -133,41 +130,13 @@
         return token == JsonToken.VALUE_TRUE;
     }
 
-    /** Any value as maps, lists, strings, numbers and booleans; used once an instance, for its settings. */
+    /** Any value as a tree; used once an instance, for its settings. */
     Object tree() throws IOException, BadWire {
-        return treeHere(next());
-    }
-
-    private Object treeHere(JsonToken token) throws IOException, BadWire {
-        if (token == null) {
-            throw bad("a value before the end of input");
-        }
-        switch (token) {
-            case START_OBJECT: {
-                Map<String, Object> map = new LinkedHashMap<>();
-                while (next() == JsonToken.FIELD_NAME) {
-                    String name = json.currentName();
-                    map.put(name, tree());
-                }
-                return map;
-            }
-            case START_ARRAY: {
-                List<Object> list = new ArrayList<>();
-                for (JsonToken item = next(); item != JsonToken.END_ARRAY; item = next()) {
-                    list.add(treeHere(item));
-                }
-                return list;
-            }
-            case VALUE_STRING:
-                return json.getText();
-            case VALUE_TRUE:
-                return Boolean.TRUE;
-            case VALUE_FALSE:
-                return Boolean.FALSE;
-            case VALUE_NULL:
-                return null;
-            default:
-                return json.getDoubleValue();
+        JsonToken token = next();
+        try {
+            return Tree.read(json, token);
+        } catch (JsonProcessingException e) {
+            throw bad("well-formed JSON, but " + e.getOriginalMessage());
         }
     }
 
--- /dev/null
+++ b/src/main/java/portrelay/net/Addresses.java
@@ -0,0 +1,44 @@
+package portrelay.net;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Numeric addresses with a port. A name is never looked up: that would block the loop, and there is no DNS. */
+final class Addresses {
+
+    private static final Pattern V4 = Pattern.compile("(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3}):(\\d{1,5})");
+    private static final Pattern V6 = Pattern.compile("\\[([0-9a-fA-F:.]*:[0-9a-fA-F:.]*)\\]:(\\d{1,5})");
+
+    private Addresses() {
+    }
+
+    /** Null where the text is no such address. */
+    static InetSocketAddress parse(String text) {
+        Matcher v4 = V4.matcher(text);
+        Matcher v6 = V6.matcher(text);
+        try {
+            if (v4.matches()) {
+                byte[] address = new byte[4];
+                for (int i = 0; i < 4; i++) {
+                    int part = Integer.parseInt(v4.group(i + 1));
+                    if (part > 255) {
+                        return null;
+                    }
+                    address[i] = (byte) part;
+                }
+                return at(InetAddress.getByAddress(address), v4.group(5));
+            }
+            return v6.matches() ? at(InetAddress.getByName(v6.group(1)), v6.group(2)) : null;
+        } catch (UnknownHostException e) {
+            return null;
+        }
+    }
+
+    private static InetSocketAddress at(InetAddress address, String port) {
+        int number = Integer.parseInt(port);
+        return number > 65535 ? null : new InetSocketAddress(address, number);
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/net/Clock.java
@@ -0,0 +1,21 @@
+package portrelay.net;
+
+/**
+ * Seconds since the Unix epoch as they stood at the start, counted on by the monotonic clock. Anchored once: a
+ * wall clock that is set later must not move cut-offs, and one start of an upstream must always be read as the
+ * same time, else it looks like another start.
+ */
+final class Clock {
+
+    private final double startedAt = System.currentTimeMillis() / 1e3;
+    private final long nanos = System.nanoTime();
+
+    double now() {
+        return startedAt + (System.nanoTime() - nanos) / 1e9;
+    }
+
+    /** Unix time on this clock; 0 stays 0, which means long ago. */
+    static double fromUnixMillis(double millis) {
+        return millis / 1e3;
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/net/Config.java
@@ -0,0 +1,48 @@
+package portrelay.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import portrelay.settings.BadSetting;
+import portrelay.settings.Fields;
+import portrelay.settings.Settings;
+import portrelay.settings.Tree;
+
+/** What a sidecar is told at its start. Known is null where it never had a list. */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        Fields known, Settings settings) {
+
+    private static final int SOCKETS = 1024;
+
+    public static Config parse(byte[] json) throws BadSetting {
+        Object tree;
+        try {
+            tree = Tree.parse(json);
+        } catch (IOException e) {
+            throw new BadSetting("the whole", "well-formed JSON, but " + e.getMessage().lines().findFirst().orElse(""));
+        }
+        Fields root = Fields.of(tree, "");
+        int sockets = root.has(Names.LIMITS) ? (int) root.section(Names.LIMITS).number(Names.SOCKETS, SOCKETS) : SOCKETS;
+        Fields known = root.has(Names.KNOWN) ? root.section(Names.KNOWN) : null;
+        if (known != null) {
+            ListPage.read(known, new ListPage.Numbering());
+        }
+        return new Config(root.text(Names.NAME), address(root, Names.LISTEN), address(root, Names.DISCOVERY),
+                seed(root), sockets, known, new Settings(root.section(Names.SETTINGS)));
+    }
+
+    private static InetSocketAddress address(Fields root, String name) throws BadSetting {
+        InetSocketAddress address = Addresses.parse(root.text(name));
+        if (address == null) {
+            throw root.bad(name, "a numeric address and a port");
+        }
+        return address;
+    }
+
+    private static long seed(Fields root) throws BadSetting {
+        try {
+            return Long.parseUnsignedLong(root.text(Names.SEED), 16);
+        } catch (NumberFormatException e) {
+            throw root.bad(Names.SEED, "up to 16 hexadecimal digits");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/net/Dialer.java
@@ -0,0 +1,166 @@
+package portrelay.net;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.http.HttpClientProvider;
+import io.undertow.connector.ByteBufferPool;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.net.URI;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.xnio.ChannelListener;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/** Opens connections and owns their number: each is taken here and given back here, at one place. */
+final class Dialer {
+
+    private static final URI UNUSED = URI.create("http://127.0.0.1:1");
+    private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
+
+    private final Loop loop;
+    private final ByteBufferPool buffers;
+    private final int most;
+    private final HttpClientProvider client = new HttpClientProvider();
+    private final Opening opening;
+    private int open;
+
+    Dialer(Loop loop, ByteBufferPool buffers, int most) {
+        this.loop = loop;
+        this.buffers = buffers;
+        this.most = most;
+        this.opening = new Opening(loop.thread());
+    }
+
+    int open() {
+        return open;
+    }
+
+    /** Exactly one of the two is called, later, unless the dial is given up before. */
+    Dial dial(InetSocketAddress to, double within, Consumer<Link> opened, Runnable failed) {
+        return new Dial(to, within, opened, failed);
+    }
+
+    final class Dial implements ClientCallback<ClientConnection> {
+
+        private final Consumer<Link> opened;
+        private final Runnable failed;
+        private IoFuture<StreamConnection> dialing;
+        private XnioExecutor.Key timeOut;
+        private boolean over;
+
+        private Dial(InetSocketAddress to, double within, Consumer<Link> opened, Runnable failed) {
+            this.opened = opened;
+            this.failed = failed;
+            if (open >= most) {
+                over = true;
+                loop.execute(failed);
+                return;
+            }
+            open++;
+            if (within > 0) {
+                timeOut = loop.after(within, () -> failed(null));
+            }
+            opening.to = to;
+            client.connect(this, null, UNUSED, opening, null, buffers, OPTIONS);
+            dialing = opening.dialing;
+            if (over) {
+                dialing.cancel();
+            }
+        }
+
+        /** Neither callback comes after this. */
+        void giveUp() {
+            if (end()) {
+                giveBack();
+            }
+        }
+
+        @Override
+        public void completed(ClientConnection connection) {
+            if (!end()) {
+                IoUtils.safeClose(connection);
+                return;
+            }
+            connection.addCloseListener(c -> giveBack());
+            opened.accept(new Link(connection, opening.sink));
+        }
+
+        @Override
+        public void failed(IOException cause) {
+            if (end()) {
+                giveBack();
+                loop.execute(failed);
+            }
+        }
+
+        private boolean end() {
+            if (over) {
+                return false;
+            }
+            over = true;
+            if (timeOut != null) {
+                timeOut.remove();
+            }
+            if (dialing != null) {
+                dialing.cancel();
+            }
+            return true;
+        }
+
+        private void giveBack() {
+            open--;
+        }
+    }
+
+    /**
+     * Stands between Undertow's client and the I/O thread at the moment of the dial. The client keeps to itself
+     * what it dials: a dial that has to be given up would hold its descriptor until the kernel's time-out, two
+     * minutes, and what the socket took could not be counted.
+     */
+    private static final class Opening extends XnioIoThread {
+
+        private final XnioIoThread real;
+        private InetSocketAddress to;
+        private IoFuture<StreamConnection> dialing;
+        private CountedSink sink;
+
+        Opening(XnioIoThread real) {
+            super(real.getWorker(), real.getNumber());
+            this.real = real;
+        }
+
+        @Override
+        public IoFuture<StreamConnection> openStreamConnection(SocketAddress unused,
+                ChannelListener<? super StreamConnection> listener, OptionMap options) {
+            dialing = real.openStreamConnection(to, connection -> {
+                sink = new CountedSink(connection.getSinkChannel().getConduit());
+                connection.getSinkChannel().setConduit(sink);
+                listener.handleEvent(connection);
+            }, options);
+            return dialing;
+        }
+
+        @Override
+        public void execute(Runnable command) {
+            real.execute(command);
+        }
+
+        @Override
+        public Key executeAfter(Runnable command, long time, TimeUnit unit) {
+            return real.executeAfter(command, time, unit);
+        }
+
+        @Override
+        public Key executeAtInterval(Runnable command, long time, TimeUnit unit) {
+            return real.executeAtInterval(command, time, unit);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/net/Front.java
@@ -0,0 +1,222 @@
+package portrelay.net;
+
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+import portrelay.model.Asked;
+import portrelay.model.QueryId;
+
+/** The application's side: takes queries in, hands them to the module, gives its answers back. */
+final class Front implements HttpHandler {
+
+    private final Loop loop;
+    private final QueryReader reader;
+    private final ModuleActor module;
+    private final AcceptingChannel<StreamConnection> door;
+    private boolean ready;
+    private boolean closing;
+    private int busy;
+
+    Front(Loop loop, XnioWorker worker, ByteBufferPool buffers, InetSocketAddress listen, int mostClients,
+            QueryReader reader, ModuleActor module) throws IOException {
+        this.loop = loop;
+        this.reader = reader;
+        this.module = module;
+        HttpOpenListener http = new HttpOpenListener(buffers, OptionMap.builder()
+                .set(UndertowOptions.DECODE_URL, false)
+                .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .set(UndertowOptions.MAX_ENTITY_SIZE, (long) QueryReader.LONGEST_BODY)
+                .set(UndertowOptions.MAX_HEADER_SIZE, 32 * 1024).getMap());
+        http.setRootHandler(this);
+        this.door = worker.createStreamConnectionServer(listen, ChannelListeners.openListenerAdapter(http),
+                OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
+                        .set(Options.BACKLOG, 1024).set(Options.CONNECTION_HIGH_WATER, mostClients)
+                        .set(Options.CONNECTION_LOW_WATER, mostClients - 1).getMap());
+    }
+
+    void open() {
+        door.resumeAccepts();
+    }
+
+    void ready(boolean now) {
+        ready = now;
+    }
+
+    /** No new connections from here on, and none is kept after its answer. */
+    void close() {
+        closing = true;
+        IoUtils.safeClose(door);
+    }
+
+    /** Exchanges begun and not answered to the last byte. */
+    int busy() {
+        return busy;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        busy++;
+        exchange.addExchangeCompleteListener((done, next) -> {
+            busy--;
+            next.proceed();
+        });
+        if (closing) {
+            exchange.setPersistent(false);
+        }
+        if (exchange.getRequestURI().equals(Names.READY) && !exchange.getRequestHeaders().contains(Names.OFFERING)) {
+            exchange.setStatusCode(ready ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+            exchange.endExchange();
+            return;
+        }
+        try {
+            reader.checkLength(exchange);
+        } catch (BadQuery e) {
+            exchange.setPersistent(false);
+            turnAway(exchange, e);
+            return;
+        }
+        exchange.getRequestReceiver().setMaxBufferSize(QueryReader.LONGEST_BODY);
+        exchange.getRequestReceiver().receiveFullBytes(this::whole, (broken, cause) -> {
+            broken.setPersistent(false);
+            turnAway(broken, new BadQuery(StatusCodes.REQUEST_ENTITY_TOO_LARGE, "body too long or broken off"));
+        });
+    }
+
+    private void whole(HttpServerExchange exchange, byte[] body) {
+        try {
+            Asked asked = reader.read(exchange, loop.now());
+            if (module.knows(asked.id())) {
+                throw new BadQuery(StatusCodes.CONFLICT, "a query of this id is open");
+            }
+            Client client = new Client(exchange, asked.id());
+            String query = exchange.getQueryString();
+            String target = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
+            Incoming incoming = new Incoming(asked, exchange.getRequestMethod(), target,
+                    exchange.getRequestHeaders(), body, client);
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+                client.watch();
+                module.arrived(incoming);
+            });
+        } catch (BadQuery e) {
+            turnAway(exchange, e);
+        }
+    }
+
+    private static void turnAway(HttpServerExchange exchange, BadQuery why) {
+        exchange.setStatusCode(why.status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
+        exchange.getResponseSender().send(why.getMessage() + "\n");
+    }
+
+    /** One client that waits for its answer; notices when it no longer does. */
+    private final class Client implements Incoming.Reply {
+
+        private final HttpServerExchange exchange;
+        private final HttpServerConnection connection;
+        private final QueryId id;
+        private boolean over;
+
+        Client(HttpServerExchange exchange, QueryId id) {
+            this.exchange = exchange;
+            this.connection = (HttpServerConnection) exchange.getConnection();
+            this.id = id;
+        }
+
+        /** Undertow does not read while a query is at work, so it would not see the client go. */
+        void watch() {
+            ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
+            source.setConduit(connection.getOriginalSourceConduit());
+            source.setReadListener(this::readable);
+            source.resumeReads();
+        }
+
+        private void readable(ConduitStreamSourceChannel source) {
+            if (over) {
+                source.suspendReads();
+                return;
+            }
+            PooledByteBuffer some = connection.getByteBufferPool().allocate();
+            int count;
+            try {
+                count = source.read(some.getBuffer());
+            } catch (IOException e) {
+                count = -1;
+            }
+            if (count > 0) {
+                // The client's next query, sent ahead: it waits for its turn.
+                some.getBuffer().flip();
+                source.suspendReads();
+                connection.ungetRequestBytes(some);
+                return;
+            }
+            some.close();
+            if (count < 0) {
+                over = true;
+                module.left(id);
+                busy--;
+                IoUtils.safeClose(connection);
+            }
+        }
+
+        @Override
+        public void handled(Result answer) {
+            if (begin(StatusCodes.OK)) {
+                HeaderMap headers = answer.headers();
+                if (headers.contains(Headers.CONTENT_TYPE)) {
+                    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, headers.getFirst(Headers.CONTENT_TYPE));
+                }
+                exchange.getResponseSender().send(ByteBuffer.wrap(answer.body()));
+            }
+        }
+
+        @Override
+        public void denied(double coolDown) {
+            if (begin(StatusCodes.TOO_MANY_REQUESTS)) {
+                if (coolDown > 0) {
+                    exchange.getResponseHeaders().put(Headers.RETRY_AFTER,
+                            Double.toString(Math.ceil(coolDown * 1e3) / 1e3));
+                }
+                exchange.endExchange();
+            }
+        }
+
+        @Override
+        public void writtenOff() {
+            if (begin(StatusCodes.BAD_GATEWAY)) {
+                exchange.endExchange();
+            }
+        }
+
+        private boolean begin(int status) {
+            if (over) {
+                return false;
+            }
+            over = true;
+            if (closing) {
+                exchange.setPersistent(false);
+            }
+            exchange.setStatusCode(status);
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/net/Incoming.java
@@ -0,0 +1,20 @@
+package portrelay.net;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import portrelay.model.Asked;
+
+/** A query as it came: what the decisions need of it, and the bytes that go on unchanged. */
+record Incoming(Asked asked, HttpString method, String target, HeaderMap headers, byte[] body, Reply reply) {
+
+    /** The client's side of a query. One of these is called, once. */
+    interface Reply {
+
+        void handled(Result answer);
+
+        /** No advice where coolDown is 0. */
+        void denied(double coolDown);
+
+        void writtenOff();
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/net/Link.java
@@ -0,0 +1,192 @@
+package portrelay.net;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Protocols;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/** One open connection. It carries one call at a time and buffers its answer whole. */
+final class Link {
+
+    private final ClientConnection connection;
+    private final CountedSink sink;
+    private Exchange current;
+
+    Link(ClientConnection connection, CountedSink sink) {
+        this.connection = connection;
+        this.sink = sink;
+        connection.addCloseListener(c -> {
+            if (current != null) {
+                current.broken();
+            }
+        });
+    }
+
+    boolean usable() {
+        return connection.isOpen() && current == null;
+    }
+
+    /** Whether the last byte of the call under way has left us; in doubt, it has. */
+    boolean written() {
+        return current != null && current.written();
+    }
+
+    void onClosed(Runnable then) {
+        connection.addCloseListener(c -> then.run());
+    }
+
+    /** An answer of more than the limit counts as no answer. Done is called once, inside the loop. */
+    void call(Call call, int limit, Consumer<Result> done) {
+        current = new Exchange(call, limit, done);
+        ClientRequest head = new ClientRequest().setMethod(call.method()).setPath(call.target())
+                .setProtocol(Protocols.HTTP_1_1);
+        HeaderMap headers = head.getRequestHeaders();
+        for (var header : call.headers()) {
+            headers.putAll(header.getHeaderName(), header);
+        }
+        connection.sendRequest(head, current);
+    }
+
+    void close() {
+        current = null;
+        IoUtils.safeClose(connection);
+    }
+
+    private final class Exchange implements ClientCallback<ClientExchange> {
+
+        private final Call call;
+        private final int limit;
+        private final Consumer<Result> done;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final long bytesBefore = sink.bytes();
+        private final ByteBuffer unwritten;
+        private ClientResponse head;
+
+        Exchange(Call call, int limit, Consumer<Result> done) {
+            this.call = call;
+            this.limit = limit;
+            this.done = done;
+            this.unwritten = ByteBuffer.wrap(call.body());
+        }
+
+        boolean written() {
+            return call.body().length == 0 ? sink.bytes() > bytesBefore : !unwritten.hasRemaining();
+        }
+
+        @Override
+        public void completed(ClientExchange exchange) {
+            exchange.setResponseListener(new ClientCallback<>() {
+                @Override
+                public void completed(ClientExchange answered) {
+                    head = answered.getResponse();
+                    if (tooLong(head) || !framed(head)) {
+                        broken();
+                    } else {
+                        read(answered.getResponseChannel());
+                    }
+                }
+
+                @Override
+                public void failed(IOException cause) {
+                    broken();
+                }
+            });
+            if (unwritten.hasRemaining()) {
+                write(exchange.getRequestChannel());
+            }
+        }
+
+        @Override
+        public void failed(IOException cause) {
+            broken();
+        }
+
+        private boolean tooLong(ClientResponse answer) {
+            String length = answer.getResponseHeaders().getFirst(Headers.CONTENT_LENGTH);
+            return length != null && Long.parseLong(length) > limit;
+        }
+
+        /** An answer that only the connection's end delimits can't be told from half of one. */
+        private boolean framed(ClientResponse answer) {
+            HeaderMap headers = answer.getResponseHeaders();
+            return headers.contains(Headers.CONTENT_LENGTH) || headers.contains(Headers.TRANSFER_ENCODING)
+                    || answer.getResponseCode() != 200;
+        }
+
+        private void write(StreamSinkChannel to) {
+            try {
+                while (unwritten.hasRemaining()) {
+                    if (to.write(unwritten) == 0) {
+                        to.getWriteSetter().set(this::write);
+                        to.resumeWrites();
+                        return;
+                    }
+                }
+                to.shutdownWrites();
+                if (to.flush()) {
+                    to.suspendWrites();
+                } else {
+                    to.getWriteSetter().set(this::write);
+                    to.resumeWrites();
+                }
+            } catch (IOException e) {
+                broken();
+            }
+        }
+
+        private void read(StreamSourceChannel from) {
+            ByteBuffer some = ByteBuffer.allocate(8192);
+            try {
+                for (int count = from.read(some); count != 0; count = from.read(some)) {
+                    if (count < 0) {
+                        whole();
+                        return;
+                    }
+                    body.write(some.array(), 0, count);
+                    some.clear();
+                    if (body.size() > limit) {
+                        broken();
+                        return;
+                    }
+                }
+                from.getReadSetter().set(this::read);
+                from.resumeReads();
+            } catch (IOException e) {
+                broken();
+            }
+        }
+
+        private void whole() {
+            if (current != this) {
+                return;
+            }
+            boolean early = !written();
+            current = null;
+            if (early) {
+                IoUtils.safeClose(connection);
+            }
+            done.accept(new Result(head.getResponseCode(), head.getResponseHeaders(), body.toByteArray(), true));
+        }
+
+        private void broken() {
+            if (current != this) {
+                return;
+            }
+            boolean written = written();
+            current = null;
+            IoUtils.safeClose(connection);
+            done.accept(Result.broken(written));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/net/ListActor.java
@@ -0,0 +1,169 @@
+package portrelay.net;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import org.xnio.XnioExecutor;
+import portrelay.model.ListNews;
+import portrelay.model.Listed;
+import portrelay.model.UpstreamId;
+import portrelay.settings.BadSetting;
+import portrelay.settings.Fields;
+import portrelay.settings.Tree;
+
+/** Follows the list: owns the connection to discovery and the upstreams' actors. Keeps one watch going. */
+final class ListActor implements ModuleActor.Watch {
+
+    private static final int LONGEST_LIST = 4 * 1024 * 1024;
+    private static final double DIAL_WITHIN = 1;
+    private static final double WAIT = 20;
+    /** On top of the wait: discovery works through its calls in turn. */
+    private static final double PATIENCE = 3;
+
+    private final Loop loop;
+    private final Log log;
+    private final Mailbox mailbox;
+    private final Dialer dialer;
+    private final InetSocketAddress discovery;
+    private final String host;
+    private final ModuleActor module;
+    private final Function<InetSocketAddress, UpstreamActor> actors;
+    private final ListPage.Numbering numbering = new ListPage.Numbering();
+    private final Map<UpstreamId, UpstreamActor> upstreams = new HashMap<>();
+    private long version = -1;
+    private boolean watching;
+    private boolean failing;
+    private Link link;
+    private Dialer.Dial dial;
+    private XnioExecutor.Key patience;
+
+    ListActor(Loop loop, Log log, Dialer dialer, InetSocketAddress discovery, ModuleActor module,
+            Function<InetSocketAddress, UpstreamActor> actors) {
+        this.loop = loop;
+        this.log = log;
+        this.mailbox = new Mailbox(loop, log);
+        this.dialer = dialer;
+        this.discovery = discovery;
+        this.host = discovery.getAddress().getHostAddress() + ":" + discovery.getPort();
+        this.module = module;
+        this.actors = actors;
+    }
+
+    /** The list as this sidecar last had it. */
+    void remembered(Fields known) throws BadSetting {
+        tell(ListPage.read(known, numbering), ListNews.REMEMBERED);
+    }
+
+    @Override
+    public void watch() {
+        mailbox.post(() -> {
+            if (!watching) {
+                watching = true;
+                call();
+            }
+        });
+    }
+
+    private void call() {
+        patience = loop.after(WAIT + PATIENCE, () -> mailbox.post(this::failed));
+        if (link != null && link.usable()) {
+            ask(link);
+            return;
+        }
+        dial = dialer.dial(discovery, DIAL_WITHIN, opened -> mailbox.post(() -> {
+            dial = null;
+            link = opened;
+            ask(opened);
+        }), () -> mailbox.post(this::failed));
+    }
+
+    private void ask(Link to) {
+        if (!watching) {
+            return;
+        }
+        HeaderMap headers = new HeaderMap();
+        headers.put(Headers.HOST, host);
+        String target = version < 0 ? Names.LIST : Names.LIST + "?" + Names.AFTER + "=" + version + "&"
+                + Names.WAIT_MS + "=" + (long) (WAIT * 1e3);
+        to.call(new Call(Methods.GET, target, headers, Call.NO_BODY), LONGEST_LIST,
+                result -> mailbox.post(() -> answered(to, result)));
+    }
+
+    private void answered(Link from, Result result) {
+        if (from != link || !watching) {
+            return;
+        }
+        if (result.status() != 200) {
+            failed();
+            return;
+        }
+        patience.remove();
+        try {
+            ListPage page = ListPage.read(Fields.of(Tree.parse(result.body()), ""), numbering);
+            tell(page, page.whole() ? ListNews.WHOLE : ListNews.CHANGES);
+        } catch (IOException | BadSetting e) {
+            log.warn("discovery sent no list: " + e.getMessage().lines().findFirst().orElse(""));
+            failed();
+            return;
+        }
+        if (failing) {
+            failing = false;
+            log.info("discovery answers again");
+        }
+        call();
+    }
+
+    private void failed() {
+        if (!watching) {
+            return;
+        }
+        watching = false;
+        patience.remove();
+        if (dial != null) {
+            dial.giveUp();
+            dial = null;
+        }
+        if (link != null) {
+            link.close();
+            link = null;
+        }
+        if (!failing) {
+            failing = true;
+            log.warn("discovery does not answer");
+        }
+        module.list(ListNews.FAILED, List.of(), Map.of());
+    }
+
+    private void tell(ListPage page, ListNews news) {
+        version = page.version();
+        List<Listed> rows = new ArrayList<>();
+        Map<UpstreamId, UpstreamActor> added = new HashMap<>();
+        for (ListPage.Row row : page.rows()) {
+            UpstreamId id = row.listed().id();
+            UpstreamActor known = upstreams.get(id);
+            if (row.address() == null) {
+                if (known != null) {
+                    known.close();
+                    rows.add(row.listed());
+                }
+                continue;
+            }
+            if (known == null) {
+                known = actors.apply(row.address());
+                upstreams.put(id, known);
+                added.put(id, known);
+            } else {
+                known.at(row.address());
+            }
+            rows.add(row.listed());
+        }
+        module.list(news, rows, added);
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/net/Log.java
@@ -0,0 +1,40 @@
+package portrelay.net;
+
+import java.io.PrintStream;
+import java.time.Instant;
+
+/**
+ * One line for each thing that on-call staff would want to know of; never one for a query, which would cost more
+ * than the query does.
+ */
+public final class Log {
+
+    private final PrintStream out;
+    private final String name;
+
+    public Log(PrintStream out, String name) {
+        this.out = out;
+        this.name = name;
+    }
+
+    public void info(String text) {
+        line("info", text);
+    }
+
+    public void warn(String text) {
+        line("warn", text);
+    }
+
+    /** A fault of our own: the place in the code is worth its lines. */
+    public void fault(String text, Throwable cause) {
+        line("fault", text + ": " + cause);
+        StackTraceElement[] trace = cause.getStackTrace();
+        for (int i = 0; i < Math.min(12, trace.length); i++) {
+            line("fault", "  at " + trace[i]);
+        }
+    }
+
+    private void line(String level, String text) {
+        out.println(Instant.now() + " " + name + " " + level + " " + text);
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/net/ModuleActor.java
@@ -0,0 +1,211 @@
+package portrelay.net;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.xnio.XnioExecutor;
+import portrelay.Decide;
+import portrelay.model.Effects;
+import portrelay.model.ListNews;
+import portrelay.model.Listed;
+import portrelay.model.Outcome;
+import portrelay.model.QueryId;
+import portrelay.model.UpstreamId;
+import portrelay.settings.Settings;
+
+/** Drives the decisions: owns the module, its alarms and the queries that are open. Decides nothing itself. */
+final class ModuleActor implements Effects, UpstreamActor.Listener {
+
+    /** The upstream's list, as far as the module needs it. */
+    interface Watch {
+        void watch();
+    }
+
+    private static final class Open {
+        private final Incoming incoming;
+        private final List<UpstreamActor> sentTo = new ArrayList<>(2);
+        private int out;
+        private boolean answered;
+        private XnioExecutor.Key cutOff;
+
+        Open(Incoming incoming) {
+            this.incoming = incoming;
+        }
+    }
+
+    private final Loop loop;
+    private final Mailbox mailbox;
+    private final Log log;
+    private final Decide decide;
+    private final Map<QueryId, Open> open = new HashMap<>();
+    private final Map<UpstreamId, UpstreamActor> upstreams = new HashMap<>();
+    private Watch watch;
+    private int unanswered;
+
+    ModuleActor(Loop loop, Log log, Settings settings, long seed) {
+        this.loop = loop;
+        this.log = log;
+        this.mailbox = new Mailbox(loop, log);
+        this.decide = settings.start(this, seed);
+    }
+
+    void start(Watch watch) {
+        this.watch = watch;
+        mailbox.post(() -> decide.start(loop.now()));
+    }
+
+    void arrived(Incoming incoming) {
+        unanswered++;
+        mailbox.post(() -> arrivedNow(incoming));
+    }
+
+    void left(QueryId id) {
+        mailbox.post(() -> leftNow(id));
+    }
+
+    @Override
+    public void ended(ExecutionId execution, Outcome outcome, Result answer) {
+        mailbox.post(() -> endedNow(execution, outcome, answer));
+    }
+
+    void list(ListNews news, List<Listed> rows, Map<UpstreamId, UpstreamActor> added) {
+        mailbox.post(() -> {
+            upstreams.putAll(added);
+            decide.list(loop.now(), news, rows);
+        });
+    }
+
+    /** Queries taken and not answered yet. */
+    int unanswered() {
+        return unanswered;
+    }
+
+    boolean knows(QueryId id) {
+        return open.containsKey(id);
+    }
+
+    private void arrivedNow(Incoming incoming) {
+        QueryId id = incoming.asked().id();
+        Open q = new Open(incoming);
+        open.put(id, q);
+        double now = loop.now();
+        q.cutOff = loop.after(incoming.asked().cutOffAt() - now, () -> mailbox.post(() -> cutOff(id, q)));
+        decide.arrival(now, incoming.asked());
+    }
+
+    /** Nothing is waited for any longer; the module hears of it as time-outs and answers. */
+    private void cutOff(QueryId id, Open q) {
+        if (q.answered) {
+            return;
+        }
+        if (q.out == 0) {
+            // The module owes an answer and has nothing left to hear of: the client gets one all the same.
+            log.warn("a query was still open at its cut-off with nothing out");
+            decide.left(loop.now(), id);
+            writeOff(id);
+            return;
+        }
+        for (int i = 0; i < q.sentTo.size(); i++) {
+            q.sentTo.get(i).stop(new ExecutionId(id, i), Outcome.TIMED_OUT);
+        }
+    }
+
+    private void leftNow(QueryId id) {
+        Open q = open.get(id);
+        if (q != null && !q.answered) {
+            answer(id, q);
+            decide.left(loop.now(), id);
+        }
+    }
+
+    private void endedNow(ExecutionId execution, Outcome outcome, Result answer) {
+        QueryId id = execution.query();
+        Open q = open.get(id);
+        q.out--;
+        boolean ended = q.answered;
+        if (outcome == Outcome.HANDLED && !ended) {
+            ended = true;
+            answer(id, q);
+            q.incoming.reply().handled(answer);
+        }
+        forgetIfDone(id, q);
+        decide.outcome(loop.now(), id, execution.index(), outcome, 0, ended, null);
+    }
+
+    private void answer(QueryId id, Open q) {
+        q.answered = true;
+        unanswered--;
+        q.cutOff.remove();
+        forgetIfDone(id, q);
+    }
+
+    private void forgetIfDone(QueryId id, Open q) {
+        if (q.answered && q.out == 0) {
+            open.remove(id);
+        }
+    }
+
+    // ---- What the module does ---------------------------------------------------------------------------
+
+    @Override
+    public void send(QueryId query, UpstreamId upstream) {
+        Open q = open.get(query);
+        UpstreamActor to = upstreams.get(upstream);
+        ExecutionId id = new ExecutionId(query, q.sentTo.size());
+        q.sentTo.add(to);
+        q.out++;
+        to.send(id, q.incoming);
+    }
+
+    @Override
+    public void callOff(QueryId query, int execution) {
+        Open q = open.get(query);
+        if (q != null) {
+            q.sentTo.get(execution).stop(new ExecutionId(query, execution), Outcome.CALLED_OFF);
+        }
+    }
+
+    @Override
+    public void deny(QueryId query, double coolDown) {
+        Open q = open.get(query);
+        if (q != null && !q.answered) {
+            answer(query, q);
+            q.incoming.reply().denied(coolDown);
+        }
+    }
+
+    @Override
+    public void writeOff(QueryId query) {
+        Open q = open.get(query);
+        if (q != null && !q.answered) {
+            answer(query, q);
+            q.incoming.reply().writtenOff();
+        }
+    }
+
+    @Override
+    public void alarmAt(double time) {
+        loop.after(time - loop.now(), () -> mailbox.post(() -> alarm(time)));
+    }
+
+    /** Never early: the module has forgotten an alarm that comes before its time. */
+    private void alarm(double time) {
+        double now = loop.now();
+        if (now < time) {
+            alarmAt(time);
+        } else {
+            decide.alarm(now);
+        }
+    }
+
+    @Override
+    public void watchList() {
+        watch.watch();
+    }
+
+    @Override
+    public void note(String text) {
+        log.info(text);
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/net/QueryReader.java
@@ -0,0 +1,107 @@
+package portrelay.net;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
+import portrelay.model.Asked;
+import portrelay.model.Offering;
+import portrelay.model.OfferingId;
+import portrelay.model.QueryId;
+import portrelay.model.TenantId;
+import portrelay.settings.Settings;
+
+/** Takes out of a query the few fields that the decisions need; all else goes on as the bytes that came. */
+final class QueryReader {
+
+    static final int LONGEST_BODY = 64 * 1024;
+    private static final int LONGEST_ID = 256;
+
+    private final Settings settings;
+
+    QueryReader(Settings settings) {
+        this.settings = settings;
+    }
+
+    /** Refuses by the header alone what is too long to take in. */
+    void checkLength(HttpServerExchange exchange) throws BadQuery {
+        String length = exchange.getRequestHeaders().getFirst(Headers.CONTENT_LENGTH);
+        if (length != null && !length.matches("\\d{1,9}")) {
+            throw new BadQuery(StatusCodes.BAD_REQUEST, "Content-Length");
+        }
+        if (length != null && Integer.parseInt(length) > LONGEST_BODY) {
+            throw new BadQuery(StatusCodes.REQUEST_ENTITY_TOO_LARGE, "body over " + LONGEST_BODY + " bytes");
+        }
+    }
+
+    Asked read(HttpServerExchange exchange, double now) throws BadQuery {
+        HeaderMap headers = exchange.getRequestHeaders();
+        String id = one(headers, Names.QUERY_ID);
+        if (id == null || id.isEmpty() || id.length() > LONGEST_ID) {
+            throw missing(Names.QUERY_ID);
+        }
+        String word = one(headers, Names.OFFERING);
+        OfferingId offering = word == null ? null : settings.offering(word);
+        if (offering == null || !word.equals(firstPart(exchange.getRequestURI()))) {
+            throw new BadQuery(StatusCodes.NOT_FOUND, Names.OFFERING + " or the path names no offering");
+        }
+        checkMethod(settings.offering(offering), exchange.getRequestMethod(), headers);
+        String tenantName = one(headers, Names.TENANT);
+        TenantId tenant = tenantName == null ? null : settings.tenant(tenantName);
+        if (settings.hasTenants() && tenant == null) {
+            throw missing(Names.TENANT);
+        }
+        String left = one(headers, Names.TIME_LEFT_MS);
+        if (left == null || !left.matches("\\d{1,9}") || left.matches("0+")) {
+            throw missing(Names.TIME_LEFT_MS);
+        }
+        boolean again = Names.TRUE.equals(one(headers, Names.AGAIN));
+        String key = settings.warmKeys() ? key(exchange.getQueryString()) : null;
+        return new Asked(new QueryId(id), offering, tenant, key, now + Integer.parseInt(left) / 1e3, Double.NaN,
+                again);
+    }
+
+    private static void checkMethod(Offering offering, HttpString method, HeaderMap headers) throws BadQuery {
+        boolean reissuable = offering.repeats() == Offering.Repeats.REISSUABLE;
+        if (!method.equals(reissuable ? Methods.GET : Methods.POST)) {
+            throw new BadQuery(StatusCodes.METHOD_NOT_ALLOWED, "the offering takes another method");
+        }
+        boolean numbered = offering.repeats() == Offering.Repeats.NUMBERED;
+        if (numbered && one(headers, Names.NUMBER) == null) {
+            throw missing(Names.NUMBER);
+        }
+    }
+
+    private static BadQuery missing(HttpString header) {
+        return new BadQuery(StatusCodes.BAD_REQUEST, header + " is missing or not understood");
+    }
+
+    /** A header that stands twice says nothing sure. */
+    private static String one(HeaderMap headers, HttpString name) throws BadQuery {
+        HeaderValues values = headers.get(name);
+        if (values == null) {
+            return null;
+        }
+        if (values.size() > 1) {
+            throw new BadQuery(StatusCodes.BAD_REQUEST, name + " stands more than once");
+        }
+        return values.getFirst();
+    }
+
+    private static String firstPart(String path) {
+        int end = path.indexOf('/', 1);
+        return path.isEmpty() ? "" : path.substring(1, end < 0 ? path.length() : end);
+    }
+
+    private static String key(String rawQuery) {
+        for (String each : rawQuery.split("&")) {
+            if (each.startsWith(Names.KEY + "=")) {
+                return each.substring(Names.KEY.length() + 1);
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/net/Sidecar.java
@@ -0,0 +1,123 @@
+package portrelay.net;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import portrelay.model.Offering;
+import portrelay.settings.BadSetting;
+
+/** One sidecar: the decisions, its sockets and the one thread that runs them all. */
+public final class Sidecar implements AutoCloseable {
+
+    private static final int BUFFER_SIZE = 16 * 1024;
+    /** Descriptors of the JVM itself and of discovery; the others are halved between clients and upstreams. */
+    private static final int OWN_SOCKETS = 64;
+    /** Of the time after which an upstream closes an idle connection; the rest is for what is on its way. */
+    private static final double IDLE_SHARE = 0.5;
+    private static final double DEFAULT_IDLE = 10;
+    private static final double ACCEPT_ON = 0.55;
+    private static final double LEAST_DRAIN = 0.7;
+
+    private final Log log;
+    private final XnioWorker worker;
+    private final Loop loop;
+    private final ModuleActor module;
+    private final Front front;
+    private final double longestCutOff;
+    private final CountDownLatch ended = new CountDownLatch(1);
+
+    private Sidecar(Config config, PrintStream logTo) throws IOException, BadSetting {
+        log = new Log(logTo, config.name());
+        worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.THREAD_DAEMON, true).set(Options.WORKER_NAME, "portrelay").getMap());
+        loop = new Loop(worker.getIoThread(), new Clock());
+        var buffers = new DefaultByteBufferPool(true, BUFFER_SIZE, 256, 0);
+        var settings = config.settings();
+        int half = Math.max(1, (config.sockets() - OWN_SOCKETS) / 2);
+        Dialer toUpstreams = new Dialer(loop, buffers, half);
+        Dialer toDiscovery = new Dialer(loop, buffers, 2);
+        module = new ModuleActor(loop, log, settings, config.seed());
+        double idle = IDLE_SHARE * (settings.connectionIdle() > 0 ? settings.connectionIdle() : DEFAULT_IDLE);
+        ListActor list = new ListActor(loop, log, toDiscovery, config.discovery(), module,
+                address -> new UpstreamActor(loop, log, toUpstreams, module, settings.dialWithin(), idle, address));
+        front = new Front(loop, worker, buffers, config.listen(), half, new QueryReader(settings), module);
+        longestCutOff = settings.offerings().stream().mapToDouble(Offering::cutOff).max().orElse(0);
+        onLoop(() -> {
+            if (config.known() != null) {
+                list.remembered(config.known());
+            }
+            module.start(list);
+            front.open();
+            front.ready(true);
+            return null;
+        });
+        log.info("ready at " + config.listen());
+    }
+
+    /** Returns when the sidecar serves. */
+    public static Sidecar start(Config config, PrintStream logTo) throws IOException, BadSetting {
+        return new Sidecar(config, logTo);
+    }
+
+    /**
+     * Goes on as before for half a second, for the connections still on their way, then takes no new ones, answers
+     * all that it has taken and ends. Returns when it has, or when no client can still wait for an answer.
+     */
+    public void drain() {
+        try {
+            loop.execute(() -> {
+                log.info("draining");
+                front.ready(false);
+                loop.after(ACCEPT_ON, front::close);
+                loop.after(LEAST_DRAIN, this::endWhenAnswered);
+            });
+            ended.await((long) ((LEAST_DRAIN + longestCutOff) * 1e3), TimeUnit.MILLISECONDS);
+            log.info("ended");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void endWhenAnswered() {
+        if (front.busy() <= 0 && module.unanswered() == 0) {
+            ended.countDown();
+        } else {
+            loop.after(0.01, this::endWhenAnswered);
+        }
+    }
+
+    @Override
+    public void close() {
+        loop.execute(front::close);
+        worker.shutdownNow();
+    }
+
+    private interface Step {
+        Void run() throws BadSetting;
+    }
+
+    private void onLoop(Step step) throws IOException, BadSetting {
+        FutureTask<Void> task = new FutureTask<>(step::run);
+        loop.execute(task);
+        try {
+            task.get();
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof BadSetting bad) {
+                throw bad;
+            }
+            throw new IOException(e.getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/net/UpstreamActor.java
@@ -0,0 +1,192 @@
+package portrelay.net;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import portrelay.model.Outcome;
+
+/** One upstream: owns every connection to it, and ends each execution there exactly once. */
+final class UpstreamActor {
+
+    private static final int LONGEST_ANSWER = 64 * 1024;
+
+    /** What an upstream tells when its executions end. */
+    interface Listener {
+        void ended(ExecutionId execution, Outcome outcome, Result answer);
+    }
+
+    private static final class Running {
+        private final Incoming query;
+        private Dialer.Dial dial;
+        private Link link;
+
+        Running(Incoming query) {
+            this.query = query;
+        }
+    }
+
+    private record Idle(Link link, double since) { }
+
+    private final Loop loop;
+    private final Mailbox mailbox;
+    private final Dialer dialer;
+    private final Listener listener;
+    private final double dialWithin;
+    private final double idleMost;
+    private final Map<ExecutionId, Running> running = new HashMap<>();
+    private final Deque<Idle> idle = new ArrayDeque<>();
+    private InetSocketAddress address;
+    private boolean sweeping;
+
+    UpstreamActor(Loop loop, Log log, Dialer dialer, Listener listener, double dialWithin, double idleMost,
+            InetSocketAddress address) {
+        this.loop = loop;
+        this.mailbox = new Mailbox(loop, log);
+        this.dialer = dialer;
+        this.listener = listener;
+        this.dialWithin = dialWithin;
+        this.idleMost = idleMost;
+        this.address = address;
+    }
+
+    void send(ExecutionId id, Incoming query) {
+        mailbox.post(() -> sendNow(id, query));
+    }
+
+    /** Stops waiting; the execution ends as the outcome says, unless it has ended. */
+    void stop(ExecutionId id, Outcome as) {
+        mailbox.post(() -> stopNow(id, as));
+    }
+
+    void at(InetSocketAddress now) {
+        mailbox.post(() -> {
+            if (!address.equals(now)) {
+                address = now;
+                closeIdle();
+            }
+        });
+    }
+
+    void close() {
+        mailbox.post(this::closeIdle);
+    }
+
+    private void sendNow(ExecutionId id, Incoming query) {
+        Running one = new Running(query);
+        running.put(id, one);
+        for (Idle newest = idle.pollFirst(); newest != null; newest = idle.pollFirst()) {
+            if (newest.link.usable()) {
+                write(id, one, newest.link);
+                return;
+            }
+        }
+        one.dial = dialer.dial(address, dialWithin, link -> mailbox.post(() -> opened(id, one, link)),
+                () -> mailbox.post(() -> end(id, one, Outcome.NO_CONNECTION, null)));
+    }
+
+    private void opened(ExecutionId id, Running one, Link link) {
+        link.onClosed(() -> idle.removeIf(each -> each.link == link));
+        one.dial = null;
+        if (running.get(id) == one && link.usable()) {
+            write(id, one, link);
+        } else if (link.usable()) {
+            rest(link);
+        } else {
+            end(id, one, Outcome.NO_CONNECTION, null);
+        }
+    }
+
+    private void write(ExecutionId id, Running one, Link link) {
+        one.link = link;
+        Incoming query = one.query;
+        HeaderMap headers = new HeaderMap();
+        headers.putAll(Headers.HOST, query.headers().get(Headers.HOST));
+        for (var name : new io.undertow.util.HttpString[] {Names.QUERY_ID, Names.NUMBER}) {
+            if (query.headers().contains(name)) {
+                headers.putAll(name, query.headers().get(name));
+            }
+        }
+        long left = (long) Math.max(1, (query.asked().cutOffAt() - loop.now()) * 1e3);
+        headers.put(Names.TIME_LEFT_MS, left);
+        if (query.method().equals(io.undertow.util.Methods.POST)) {
+            headers.put(Headers.CONTENT_LENGTH, query.body().length);
+        }
+        link.call(new Call(query.method(), query.target(), headers, query.body()), LONGEST_ANSWER,
+                result -> mailbox.post(() -> answered(id, one, result)));
+    }
+
+    private void answered(ExecutionId id, Running one, Result result) {
+        if (running.get(id) != one) {
+            return;
+        }
+        if (one.link.usable()) {
+            rest(one.link);
+        }
+        end(id, one, outcome(result), result);
+    }
+
+    /** The protocol's table of what comes back. */
+    private static Outcome outcome(Result result) {
+        return switch (result.status()) {
+            case 0 -> result.written() ? Outcome.BROKEN : Outcome.NO_CONNECTION;
+            case 200 -> Outcome.HANDLED;
+            case 503, 504 -> Names.TRUE.equals(result.headers().getFirst(Names.NEVER_RAN)) ? Outcome.FULL
+                    : Outcome.ERROR;
+            default -> Outcome.ERROR;
+        };
+    }
+
+    private void stopNow(ExecutionId id, Outcome as) {
+        Running one = running.get(id);
+        if (one == null) {
+            return;
+        }
+        boolean written = one.link != null && one.link.written();
+        if (one.dial != null) {
+            one.dial.giveUp();
+        }
+        if (one.link != null) {
+            one.link.close();
+        }
+        end(id, one, as == Outcome.TIMED_OUT && !written ? Outcome.NO_CONNECTION : as, null);
+    }
+
+    private void end(ExecutionId id, Running one, Outcome outcome, Result answer) {
+        if (running.remove(id, one)) {
+            listener.ended(id, outcome, answer);
+        }
+    }
+
+    // ---- Idle connections -------------------------------------------------------------------------------
+
+    private void rest(Link link) {
+        idle.addFirst(new Idle(link, loop.now()));
+        sweepLater();
+    }
+
+    private void sweepLater() {
+        if (!sweeping && !idle.isEmpty() && idleMost > 0) {
+            sweeping = true;
+            loop.after(idleMost / 4, () -> mailbox.post(this::sweep));
+        }
+    }
+
+    /** Well before the upstream would: a query that crosses its close counts as one that may have run. */
+    private void sweep() {
+        sweeping = false;
+        while (!idle.isEmpty() && idle.peekLast().since + idleMost <= loop.now()) {
+            idle.pollLast().link.close();
+        }
+        sweepLater();
+    }
+
+    private void closeIdle() {
+        while (!idle.isEmpty()) {
+            idle.pollLast().link.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/settings/Fields.java
@@ -0,0 +1,82 @@
+package portrelay.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** The fields of one JSON object, each checked as it is taken; knows its own place for what it complains of. */
+public final class Fields {
+
+    private final Map<?, ?> map;
+    private final String place;
+
+    private Fields(Map<?, ?> map, String place) {
+        this.map = map;
+        this.place = place;
+    }
+
+    /** The object itself; place is how a complaint names it, empty at the top. */
+    public static Fields of(Object tree, String place) throws BadSetting {
+        if (tree instanceof Map<?, ?> map) {
+            return new Fields(map, place);
+        }
+        throw new BadSetting(place.isEmpty() ? "the whole" : place, "an object");
+    }
+
+    public boolean has(String name) {
+        return map.get(name) != null;
+    }
+
+    public BadSetting bad(String name, String expected) {
+        return new BadSetting(path(name), expected);
+    }
+
+    public Fields section(String name) throws BadSetting {
+        return of(map.get(name), path(name));
+    }
+
+    public List<Fields> rows(String name) throws BadSetting {
+        List<Fields> rows = new ArrayList<>();
+        Object value = map.get(name);
+        if (value == null) {
+            return rows;
+        }
+        if (!(value instanceof List<?> list)) {
+            throw bad(name, "an array");
+        }
+        for (Object each : list) {
+            rows.add(of(each, path(name) + "[" + rows.size() + "]"));
+        }
+        return rows;
+    }
+
+    public String text(String name) throws BadSetting {
+        if (map.get(name) instanceof String text) {
+            return text;
+        }
+        throw bad(name, "a string");
+    }
+
+    public String text(String name, String absent) throws BadSetting {
+        return has(name) ? text(name) : absent;
+    }
+
+    public double number(String name) throws BadSetting {
+        if (map.get(name) instanceof Double number) {
+            return number;
+        }
+        throw bad(name, "a number");
+    }
+
+    public double number(String name, double absent) throws BadSetting {
+        return has(name) ? number(name) : absent;
+    }
+
+    public boolean flag(String name) {
+        return Boolean.TRUE.equals(map.get(name));
+    }
+
+    private String path(String name) {
+        return place.isEmpty() ? name : place + "." + name;
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/settings/Settings.java
@@ -0,0 +1,125 @@
+package portrelay.settings;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import portrelay.Decide;
+import portrelay.model.ColdRule;
+import portrelay.model.Effects;
+import portrelay.model.ListRule;
+import portrelay.model.Offering;
+import portrelay.model.OfferingId;
+import portrelay.model.Permits;
+import portrelay.model.Tenant;
+import portrelay.model.TenantId;
+
+/** An instance's settings as the operators word them, and the small records that the decisions take. */
+public final class Settings {
+
+    private final Map<String, OfferingId> offeringIds = new HashMap<>();
+    private final Map<String, TenantId> tenantIds = new HashMap<>();
+    private final List<Offering> offerings = new ArrayList<>();
+    private final List<Tenant> tenants = new ArrayList<>();
+    private final Permits permits;
+    private final ColdRule cold;
+    private final ListRule list;
+    private final int sidecars;
+    private final boolean sized;
+    private final boolean warmKeys;
+    private final boolean creditByWork;
+    private final double dialWithin;
+    private final double connectionIdle;
+
+    public Settings(Fields root) throws BadSetting {
+        for (Fields each : root.rows("classes")) {
+            OfferingId id = new OfferingId(offerings.size());
+            offeringIds.put(each.text("name"), id);
+            offerings.add(new Offering(id, repeats(each), group(each), time(each, "aim-us"),
+                    time(each, "hard-limit-us"), time(each, "dedup-window-us"), each.number("worth", 1),
+                    each.number("late-worth", 0), each.flag("streaming")));
+        }
+        for (Fields each : root.rows("tenants")) {
+            TenantId id = new TenantId(tenants.size());
+            tenantIds.put(each.text("name"), id);
+            tenants.add(new Tenant(id, each.number("share", 0), each.number("quota-per-s", 0)));
+        }
+        Fields allowed = root.section("allowed");
+        Fields rules = root.section("invariants");
+        permits = new Permits((int) allowed.number("max-attempts", 1), allowed.flag("cancel"),
+                allowed.flag("parallel-tries"), allowed.flag("probes"),
+                allowed.flag("retry-after") ? time(allowed, "max-retry-after-us") : 0);
+        dialWithin = time(allowed, "dial-timeout-us");
+        connectionIdle = time(allowed, "conn-idle-us");
+        cold = new ColdRule(rules.number("cold-share", 1), time(rules, "cold-us"),
+                rules.number("overload-factor", 1), time(rules, "tip-after-us"));
+        list = new ListRule("on_request".equals(root.text("discovery", "")), time(rules, "ask-within-us"));
+        warmKeys = root.has("family-info") && root.section("family-info").flag("warm-keys");
+        sized = !"silent".equals(root.text("weights", ""));
+        sidecars = (int) root.number("siblings", 1);
+        creditByWork = "work".equals(root.text("value-by", ""));
+    }
+
+    public Decide start(Effects effects, long seed) {
+        return new Decide(effects, seed, offerings, tenants, permits, cold, list, sidecars, sized, warmKeys,
+                creditByWork);
+    }
+
+    /** Null where the settings name no such offering. */
+    public OfferingId offering(String name) {
+        return offeringIds.get(name);
+    }
+
+    public Offering offering(OfferingId id) {
+        return offerings.get(id.value());
+    }
+
+    public List<Offering> offerings() {
+        return List.copyOf(offerings);
+    }
+
+    /** Null where the settings name no such tenant. */
+    public TenantId tenant(String name) {
+        return tenantIds.get(name);
+    }
+
+    public boolean hasTenants() {
+        return !tenants.isEmpty();
+    }
+
+    public boolean warmKeys() {
+        return warmKeys;
+    }
+
+    /** 0 where the settings set none. */
+    public double dialWithin() {
+        return dialWithin;
+    }
+
+    /** 0 where the settings set none. */
+    public double connectionIdle() {
+        return connectionIdle;
+    }
+
+    private static Offering.Repeats repeats(Fields each) throws BadSetting {
+        return switch (each.text("effect")) {
+            case "read_like" -> Offering.Repeats.REISSUABLE;
+            case "idempotency_key" -> Offering.Repeats.NUMBERED;
+            case "non_idempotent" -> Offering.Repeats.AT_MOST_ONCE;
+            default -> throw each.bad("effect", "read_like, idempotency_key or non_idempotent");
+        };
+    }
+
+    private static Offering.Group group(Fields each) throws BadSetting {
+        return switch (each.text("group")) {
+            case "all" -> Offering.Group.ALL;
+            case "zone" -> Offering.Group.ZONE;
+            case "cell" -> Offering.Group.CELL;
+            default -> throw each.bad("group", "all, zone or cell");
+        };
+    }
+
+    private static double time(Fields map, String name) throws BadSetting {
+        return map.number(name, 0) / 1e6;
+    }
+}
