--- /dev/null
+++ b/src/main/java/portrelay/cli/CheckCommand.java
@@ -0,0 +1,17 @@
+package portrelay.cli;
+
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import portrelay.net.Config;
+import portrelay.net.Sidecar;
+
+@Parameters(commandDescription = "read a configuration and try it out in memory, on no socket")
+final class CheckCommand extends ConfigCommand {
+
+    @Override
+    int run(Config config) throws IOException {
+        boolean well = Sidecar.check(config);
+        System.out.println(well ? "the configuration is well-formed and serves" : "no query was handled with it");
+        return well ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/portrelay/cli/ConfigCommand.java
@@ -0,0 +1,51 @@
+package portrelay.cli;
+
+import com.beust.jcommander.Parameter;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.Logger;
+import portrelay.net.Config;
+import portrelay.settings.BadSetting;
+
+/** A command that takes a sidecar's configuration; a bad one ends it with code 2 and one line. */
+abstract class ConfigCommand implements Command {
+
+    private static final int BAD_CONFIGURATION = 2;
+
+    @Parameter(names = "--config", description = "a sidecar's configuration, a JSON file")
+    private String config = System.getenv("LB_CONFIG");
+
+    abstract int run(Config config) throws IOException, BadSetting, InterruptedException;
+
+    @Override
+    public final int run() {
+        LogManager.getLogManager().reset();
+        Logger.getLogger("").setLevel(Level.OFF);
+        if (config == null) {
+            return bad("LB_CONFIG: expected a file's name, or --config FILE");
+        }
+        byte[] json;
+        try {
+            json = Files.readAllBytes(Path.of(config));
+        } catch (IOException e) {
+            return bad("LB_CONFIG: expected a file that can be read, not " + config);
+        }
+        try {
+            return run(Config.parse(json));
+        } catch (BadSetting e) {
+            return bad(e.getMessage());
+        } catch (IOException e) {
+            return bad("listen: expected an address to listen at: " + e.getMessage());
+        } catch (InterruptedException e) {
+            return 0;
+        }
+    }
+
+    private static int bad(String why) {
+        System.err.println("portrelay: " + why);
+        return BAD_CONFIGURATION;
+    }
+}
--- a/src/main/java/portrelay/cli/Main.java
+++ b/src/main/java/portrelay/cli/Main.java
@@ -11,7 +11,7 @@
 
     public static void main(String[] args) {
         Map<String, Command> commands = Map.of("drill", new DrillCommand(), "serve", new ServeCommand(),
-                "version", new VersionCommand());
+                "check", new CheckCommand(), "version", new VersionCommand());
         JCommander cli = JCommander.newBuilder().programName("portrelay").build();
         commands.forEach(cli::addCommand);
         try {
--- a/src/main/java/portrelay/net/Dialer.java
+++ b/src/main/java/portrelay/net/Dialer.java
@@ -25,6 +25,12 @@
     private static final URI UNUSED = URI.create("http://127.0.0.1:1");
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
+    /** How a socket is opened; the warm-up has another way than the network. */
+    interface Opener {
+        IoFuture<StreamConnection> open(InetSocketAddress to, ChannelListener<? super StreamConnection> opened,
+                OptionMap options);
+    }
+
     private final Loop loop;
     private final ByteBufferPool buffers;
     private final int most;
@@ -33,10 +39,14 @@
     private int open;
 
     Dialer(Loop loop, ByteBufferPool buffers, int most) {
+        this(loop, buffers, most, (to, opened, options) -> loop.thread().openStreamConnection(to, opened, options));
+    }
+
+    Dialer(Loop loop, ByteBufferPool buffers, int most, Opener opener) {
         this.loop = loop;
         this.buffers = buffers;
         this.most = most;
-        this.opening = new Opening(loop.thread());
+        this.opening = new Opening(loop.thread(), opener);
     }
 
     int open() {
@@ -128,20 +138,22 @@
     private static final class Opening extends XnioIoThread {
 
         private final XnioIoThread real;
+        private final Opener opener;
         private InetSocketAddress to;
         private IoFuture<StreamConnection> dialing;
         private StreamConnection socket;
         private CountedSink sink;
 
-        Opening(XnioIoThread real) {
+        Opening(XnioIoThread real, Opener opener) {
             super(real.getWorker(), real.getNumber());
             this.real = real;
+            this.opener = opener;
         }
 
         @Override
         public IoFuture<StreamConnection> openStreamConnection(SocketAddress unused,
                 ChannelListener<? super StreamConnection> listener, OptionMap options) {
-            dialing = real.openStreamConnection(to, connection -> {
+            dialing = opener.open(to, connection -> {
                 socket = connection;
                 sink = new CountedSink(connection.getSinkChannel().getConduit());
                 connection.getSinkChannel().setConduit(sink);
--- a/src/main/java/portrelay/net/Front.java
+++ b/src/main/java/portrelay/net/Front.java
@@ -31,23 +31,27 @@
     private final Loop loop;
     private final QueryReader reader;
     private final ModuleActor module;
-    private final AcceptingChannel<StreamConnection> door;
+    private final HttpOpenListener http;
+    private AcceptingChannel<StreamConnection> door;
     private boolean ready;
     private boolean closing;
     private int busy;
 
-    Front(Loop loop, XnioWorker worker, ByteBufferPool buffers, InetSocketAddress listen, int mostClients,
-            QueryReader reader, ModuleActor module) throws IOException {
+    Front(Loop loop, ByteBufferPool buffers, QueryReader reader, ModuleActor module) {
         this.loop = loop;
         this.reader = reader;
         this.module = module;
-        HttpOpenListener http = new HttpOpenListener(buffers, OptionMap.builder()
+        http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .set(UndertowOptions.MAX_HEADER_SIZE, 32 * 1024).getMap());
         http.setRootHandler(new HttpContinueReadHandler(this));
-        this.door = worker.createStreamConnectionServer(listen, ChannelListeners.openListenerAdapter(http),
+    }
+
+    /** Takes up to so many connections at this address; more wait at the door. */
+    void listen(XnioWorker worker, InetSocketAddress at, int mostClients) throws IOException {
+        door = worker.createStreamConnectionServer(at, ChannelListeners.openListenerAdapter(http),
                 OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
                         .set(Options.BACKLOG, 1024).set(Options.CONNECTION_HIGH_WATER, mostClients)
                         .set(Options.CONNECTION_LOW_WATER, Math.max(1, mostClients - 1)).getMap());
@@ -61,6 +65,10 @@
         door.resumeAccepts();
     }
 
+    void accept(StreamConnection client) {
+        http.handleEvent(client);
+    }
+
     void ready(boolean now) {
         ready = now;
     }
--- a/src/main/java/portrelay/net/Sidecar.java
+++ b/src/main/java/portrelay/net/Sidecar.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
@@ -19,6 +20,7 @@
 public final class Sidecar implements AutoCloseable {
 
     private static final int BUFFER_SIZE = 16 * 1024;
+    private static final int BUFFERS = 256;
     /** Descriptors of the JVM itself and of discovery; the others are halved between clients and upstreams. */
     private static final int OWN_SOCKETS = 64;
     private static final double OWN_SHARE = 0.25;
@@ -34,15 +36,14 @@
     private final ModuleActor module;
     private final Front front;
     private final double longestCutOff;
+    private final CountDownLatch ready = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
 
     private Sidecar(Config config, PrintStream logTo) throws IOException, BadSetting {
         log = new Log(logTo, config.name());
-        worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.THREAD_DAEMON, true).set(Options.WORKER_NAME, "portrelay").getMap());
+        worker = worker();
         loop = new Loop(worker.getIoThread(), new Clock());
-        var buffers = new DefaultByteBufferPool(true, BUFFER_SIZE, 256, 0);
+        var buffers = buffers();
         var settings = config.settings();
         int half = Math.max(1, (config.sockets() - (int) Math.min(OWN_SOCKETS, OWN_SHARE * config.sockets())) / 2);
         Dialer toUpstreams = new Dialer(loop, buffers, half);
@@ -51,7 +52,8 @@
         double idle = IDLE_SHARE * (settings.connectionIdle() > 0 ? settings.connectionIdle() : DEFAULT_IDLE);
         ListActor list = new ListActor(loop, log, toDiscovery, config.discovery(), module,
                 address -> new UpstreamActor(loop, log, toUpstreams, module, settings.dialWithin(), idle, address));
-        front = new Front(loop, worker, buffers, config.listen(), half, new QueryReader(settings), module);
+        front = new Front(loop, buffers, new QueryReader(settings), module);
+        front.listen(worker, config.listen(), half);
         longestCutOff = settings.offerings().stream().mapToDouble(Offering::cutOff).max().orElse(0);
         onLoop(() -> {
             if (config.known() != null) {
@@ -59,15 +61,48 @@
             }
             module.start(list);
             front.open();
-            front.ready(true);
+            new Warmup(loop, buffers, config).run(this::ready);
             return null;
         });
+    }
+
+    /** Plays the warm-up alone, on no socket: false where the configuration does not get through it. */
+    public static boolean check(Config config) throws IOException {
+        XnioWorker worker = worker();
+        Loop loop = new Loop(worker.getIoThread(), new Clock());
+        CompletableFuture<Integer> answered = new CompletableFuture<>();
+        Warmup warmup = new Warmup(loop, buffers(), config);
+        loop.execute(() -> warmup.run(() -> answered.complete(warmup.answered())));
+        boolean well = answered.join() > 0;
+        worker.shutdownNow();
+        return well;
+    }
+
+    private static XnioWorker worker() throws IOException {
+        return Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.THREAD_DAEMON, true).set(Options.WORKER_NAME, "portrelay").getMap());
+    }
+
+    private static DefaultByteBufferPool buffers() {
+        return new DefaultByteBufferPool(true, BUFFER_SIZE, BUFFERS, 0);
+    }
+
+    private void ready() {
+        front.ready(true);
         log.info("ready at " + address());
+        ready.countDown();
     }
 
     /** Returns when the sidecar serves. */
     public static Sidecar start(Config config, PrintStream logTo) throws IOException, BadSetting {
-        return new Sidecar(config, logTo);
+        Sidecar sidecar = new Sidecar(config, logTo);
+        try {
+            sidecar.ready.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return sidecar;
     }
 
     /** Where it listens; tells the port where the configuration left that open with 0. */
--- /dev/null
+++ b/src/main/java/portrelay/net/Warmup.java
@@ -0,0 +1,184 @@
+package portrelay.net;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelPipe;
+import org.xnio.FailedIoFuture;
+import org.xnio.FinishedIoFuture;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+import portrelay.model.GroupId;
+import portrelay.model.ListNews;
+import portrelay.model.Listed;
+import portrelay.model.Offering;
+import portrelay.model.ShapeId;
+import portrelay.model.UpstreamId;
+import portrelay.model.ZoneId;
+import portrelay.settings.Settings;
+
+/**
+ * Plays queries through a second set of actors, over pipes inside the process, before the first client comes: a
+ * JVM that loads and compiles its code under the first seconds' load makes them late on one core.
+ */
+final class Warmup {
+
+    private static final int QUERIES = 600;
+    private static final int CLIENTS = 4;
+    private static final int UPSTREAMS = 3;
+    private static final double LONGEST = 1.0;
+    private static final byte[] BODY = new byte[256];
+    private static final InetSocketAddress NOWHERE = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+
+    private final Loop loop;
+    private final Settings settings;
+    private final String tenant;
+    private final Front front;
+    private final ModuleActor module;
+    private final Dialer toUpstreams;
+    private final Dialer toFront;
+    private final UpstreamActor.Listener listener;
+    private final List<UpstreamActor> upstreams = new ArrayList<>();
+    private final List<Link> clients = new ArrayList<>();
+    private final List<Offering> offerings;
+    private Runnable then;
+    private int asked;
+    private int done;
+    private int answered;
+
+    Warmup(Loop loop, ByteBufferPool buffers, Config config) {
+        this.loop = loop;
+        this.settings = config.settings();
+        this.tenant = settings.anyTenant();
+        this.offerings = settings.offerings();
+        Log quiet = new Log(new PrintStream(OutputStream.nullOutputStream()), config.name());
+        module = new ModuleActor(loop, quiet, settings, config.seed());
+        listener = module;
+        front = new Front(loop, buffers, new QueryReader(settings), module);
+        HttpOpenListener upstream = new HttpOpenListener(buffers);
+        upstream.setRootHandler(Warmup::answer);
+        toUpstreams = new Dialer(loop, buffers, 1000, pipeTo(upstream::handleEvent));
+        toFront = new Dialer(loop, buffers, 1000, pipeTo(front::accept));
+        for (int i = 0; i < UPSTREAMS; i++) {
+            upstreams.add(new UpstreamActor(loop, quiet, toUpstreams, listener, 0, 0, NOWHERE));
+        }
+    }
+
+    /** Calls then when it is done or has taken long enough. */
+    void run(Runnable then) {
+        this.then = then;
+        if (offerings.isEmpty()) {
+            then.run();
+            return;
+        }
+        List<Listed> rows = new ArrayList<>();
+        Map<UpstreamId, UpstreamActor> added = new HashMap<>();
+        for (UpstreamActor each : upstreams) {
+            Listed row = new Listed(new UpstreamId(rows.size()), Listed.Health.READY, 0, 1, new GroupId(0),
+                    new ZoneId(0), new ShapeId(0));
+            rows.add(row);
+            added.put(row.id(), each);
+        }
+        module.start(() -> { });
+        module.list(ListNews.WHOLE, rows, added);
+        for (int i = 0; i < CLIENTS; i++) {
+            toFront.dial(NOWHERE, 0, client -> {
+                clients.add(client);
+                ask(client);
+            }, this::end);
+        }
+        loop.after(LONGEST, this::end);
+    }
+
+    /** How many queries were handled. */
+    int answered() {
+        return answered;
+    }
+
+    private void ask(Link client) {
+        if (then == null || asked >= QUERIES) {
+            return;
+        }
+        Offering offering = offerings.get(asked % offerings.size());
+        boolean reissuable = offering.repeats() == Offering.Repeats.REISSUABLE;
+        String name = settings.name(offering.id());
+        HeaderMap headers = new HeaderMap();
+        headers.put(Headers.HOST, "warm.up");
+        headers.put(Names.QUERY_ID, "warm-up-" + asked++);
+        headers.put(Names.OFFERING, name);
+        headers.put(Names.TIME_LEFT_MS, 1000);
+        if (tenant != null) {
+            headers.put(Names.TENANT, tenant);
+        }
+        if (offering.repeats() == Offering.Repeats.NUMBERED) {
+            headers.put(Names.NUMBER, "warm-up-" + asked);
+        }
+        if (!reissuable) {
+            headers.put(Headers.CONTENT_LENGTH, BODY.length);
+        }
+        client.call(new Call(reissuable ? Methods.GET : Methods.POST, "/" + name + "/warm-up?n=" + asked, headers,
+                reissuable ? Call.NO_BODY : BODY), QueryReader.LONGEST_BODY, result -> loop.execute(() -> {
+                    done++;
+                    answered += result.status() == StatusCodes.OK ? 1 : 0;
+                    if (done >= QUERIES) {
+                        end();
+                    } else {
+                        ask(client);
+                    }
+                }));
+    }
+
+    private void end() {
+        if (then == null) {
+            return;
+        }
+        Runnable next = then;
+        then = null;
+        clients.forEach(Link::close);
+        upstreams.forEach(UpstreamActor::close);
+        next.run();
+    }
+
+    private static void answer(HttpServerExchange exchange) {
+        exchange.getRequestReceiver().receiveFullBytes(
+                (whole, body) -> whole.getResponseSender().send(ByteBuffer.wrap(BODY)));
+    }
+
+    private interface Server {
+        void serve(StreamConnection connection);
+    }
+
+    private Dialer.Opener pipeTo(Server server) {
+        return new Dialer.Opener() {
+            @Override
+            public IoFuture<StreamConnection> open(InetSocketAddress unused,
+                    ChannelListener<? super StreamConnection> opened, OptionMap options) {
+                try {
+                    ChannelPipe<StreamConnection, StreamConnection> pipe =
+                            loop.thread().createFullDuplexPipeConnection();
+                    server.serve(pipe.getLeftSide());
+                    loop.execute(() -> opened.handleEvent(pipe.getRightSide()));
+                    return new FinishedIoFuture<>(pipe.getRightSide());
+                } catch (IOException e) {
+                    return new FailedIoFuture<>(e);
+                }
+            }
+        };
+    }
+}
--- a/src/main/java/portrelay/settings/Settings.java
+++ b/src/main/java/portrelay/settings/Settings.java
@@ -78,6 +78,19 @@
         return List.copyOf(offerings);
     }
 
+    public String name(OfferingId id) {
+        return nameOf(offeringIds, id);
+    }
+
+    /** The name of the first tenant, null where there is none. */
+    public String anyTenant() {
+        return tenants.isEmpty() ? null : nameOf(tenantIds, tenants.get(0).id());
+    }
+
+    private static <T> String nameOf(Map<String, T> ids, T id) {
+        return ids.entrySet().stream().filter(each -> each.getValue().equals(id)).findFirst().orElseThrow().getKey();
+    }
+
     /** Null where the settings name no such tenant. */
     public TenantId tenant(String name) {
         return tenantIds.get(name);
--- a/src/test/java/portrelay/NetTest.java
+++ b/src/test/java/portrelay/NetTest.java
@@ -327,8 +327,8 @@
                 "{\"seq\":\"9\",\"hosts\":[]}", "{\"hosts\":7}");
         for (String each : bad) {
             try (Town town = new Town(answer("200 OK", "u"))) {
-                town.discovery.script = answer("200 OK", each);
                 town.discovery.next();
+                answer("200 OK", each).play(null, town.discovery.accepted.get(0));
                 assertTrue(town.discovery.next().first().contains("index=7"), each);
                 assertEquals(200, town.ask(Town.read("a", 900)).status());
             }
