--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -32,9 +32,7 @@
 
     // ---- The table --------------------------------------------------------------------------------------
 
-    /**
-     * HELD has nothing out and waits for a place; BARE has nothing out after an execution that did not help.
-     */
+    /** HELD has nothing out and waits for a place; BARE has nothing out after one that did not help. */
     enum State { FRESH, HELD, ALONE, RACING, BARE, CLOSED }
 
     enum Input { ARRIVED, NOWHERE, TURN, WAITED, PLACED, COPY_DUE, KEPT, ENDED, WON, LEFT }
@@ -124,35 +122,16 @@
             this.arrivedAt = arrivedAt;
         }
 
-        Execution primary() {
-            return executions.get(0);
-        }
-
         Execution firstThatMayHaveRun() {
-            for (Execution e : executions) {
-                if (e.mayHaveRun()) {
-                    return e;
-                }
-            }
-            return null;
+            return executions.stream().filter(Execution::mayHaveRun).findFirst().orElse(null);
         }
 
         boolean anyOut() {
-            for (Execution e : executions) {
-                if (e.outcome == null) {
-                    return true;
-                }
-            }
-            return false;
+            return executions.stream().anyMatch(e -> e.outcome == null);
         }
 
         boolean triedAt(Upstream u) {
-            for (Execution e : executions) {
-                if (e.at == u) {
-                    return true;
-                }
-            }
-            return false;
+            return executions.stream().anyMatch(e -> e.at == u);
         }
     }
 
@@ -309,12 +288,8 @@
         this.warmKeys = warmKeys;
         this.creditByWork = creditByWork;
         this.tenants = tenants;
-        for (int i = 0; i < tenants.size(); i++) {
-            tenantSent.add(new Samples(TENANT_SAMPLES));
-        }
-        for (int i = 0; i < offerings.size(); i++) {
-            times.add(new Samples(TIME_SAMPLES));
-        }
+        tenants.forEach(each -> tenantSent.add(new Samples(TENANT_SAMPLES)));
+        offerings.forEach(each -> times.add(new Samples(TIME_SAMPLES)));
         this.cold = new Cold(coldRule.share(), coldRule.time(), coldRule.overloadFactor(), sized);
         this.sidecars = Math.max(1, sidecars);
         this.watch = new ListWatch(listRule.onRequest(), listRule.askWithin());
@@ -398,7 +373,9 @@
             step(due.query, due.input);
             forgetIfDone(due.query);
         }
-        watch.askIfDue();
+        if (now >= watch.askAt) {
+            watch.ask();
+        }
         placeHeld();
         armAlarm();
     }
@@ -414,9 +391,7 @@
             watch.answered();
         }
         if (news != ListNews.CHANGES) {
-            for (Upstream u : roster) {
-                u.ready = false;
-            }
+            roster.forEach(u -> u.ready = false);
         }
         for (Listed row : rows) {
             Upstream u = known.get(row.id());
@@ -459,10 +434,7 @@
         return null;
     }
 
-    /**
-     * A query that no upstream may take now waits a short while: cold upstreams take little, the list is
-     * late.
-     */
+    /** A query that no upstream may take now waits a while: cold ones take little, the list is late. */
     private Input hold(Query q) {
         if (!q.waiting) {
             q.waiting = true;
@@ -487,10 +459,7 @@
         return null;
     }
 
-    /**
-     * Nothing is out any more: the copy goes now, not at its time, and later ones while budget and rules
-     * allow.
-     */
+    /** Nothing is out any more: the copy goes now, and later ones while budget and rules allow. */
     private Input sendFurther(Query q) {
         Upstream u = pick(q, false);
         if (u == null) {
@@ -513,17 +482,13 @@
     /** Answered at once: a client that is told early can still be served elsewhere or come back later. */
     private Input giveUp(Query q) {
         if (mayDeny(q)) {
-            out.deny(q.asked.id(), coolDown());
+            out.deny(q.asked.id(), permits.longestCoolDown());
         } else {
             out.writeOff(q.asked.id());
         }
         return null;
     }
 
-    private double coolDown() {
-        return permits.longestCoolDown();
-    }
-
     // ---- The rules on repeats and denials ---------------------------------------------------------------
 
     private static boolean mayDeny(Query q) {
@@ -562,9 +527,8 @@
     // ---- The limit over all upstreams -------------------------------------------------------------------
 
     /**
-     * Guards against a fleet that all sidecars overfill together: one or two executions of each at every
-     * upstream are already too many there, and only the sum over our upstreams is fine enough to hold less
-     * than that.
+     * Guards against a fleet that all sidecars overfill together: one or two executions of each at every upstream
+     * are already too many there, and only the sum over our upstreams is fine enough to hold less.
      */
     private static final class TotalLimit {
         private final Samples late = new Samples(ROUND);
@@ -731,15 +695,7 @@
     }
 
     private double meanInFlight() {
-        double sum = 0;
-        int count = 0;
-        for (Upstream u : roster) {
-            if (u.ready) {
-                sum += u.inFlight;
-                count++;
-            }
-        }
-        return count == 0 ? 0 : sum / count;
+        return roster.stream().filter(u -> u.ready).mapToInt(u -> u.inFlight).average().orElse(0);
     }
 
     private void send(Query q, Upstream u) {
@@ -755,10 +711,9 @@
     // ---- Health -----------------------------------------------------------------------------------------
 
     /**
-     * What we keep in flight at one upstream grows by one for each full round of prompt outcomes and is cut
-     * by a share on a late or failed one. Guards against queues at the upstreams that no answer comes out of
-     * in time: work that can't be placed waits briefly here and is then denied, while the client can still
-     * use that.
+     * What we keep in flight at one upstream grows by one for each full round of prompt outcomes and is cut by
+     * a share on a late or failed one. Guards against queues that no answer comes out of in time: what can't be
+     * placed waits briefly here and is then denied, while the client can still use that.
      */
     private static void adaptLimit(Upstream u, Execution e, double now, boolean prompt, boolean late) {
         if (prompt) {
@@ -809,10 +764,11 @@
             }
         }
         if (handled) {
-            if (e == q.primary()) {
+            Execution primary = q.executions.get(0);
+            if (e == primary) {
                 e.at.copyWins = 0;
-            } else if (q.state == State.RACING && q.primary().outcome == null) {
-                Upstream beaten = q.primary().at;
+            } else if (q.state == State.RACING && primary.outcome == null) {
+                Upstream beaten = primary.at;
                 beaten.copyWins++;
                 if (beaten.passedOver()) {
                     beaten.passedUntil = now + PASS_OVER;
@@ -837,10 +793,7 @@
         }
     }
 
-    /**
-     * How long an upstream takes against what the offering takes elsewhere; a loser's time counts as far as
-     * it got.
-     */
+    /** How long an upstream takes against others; a loser's time counts as far as it got. */
     private void samplePace(Query q, Execution e) {
         Samples usual = times.get(q.asked.offering().value());
         double spent = now - e.sentAt;
@@ -872,9 +825,8 @@
     // ---- Cold upstreams ---------------------------------------------------------------------------------
 
     /**
-     * Guards against all sidecars together pushing over an upstream that has just started: each sends it no
-     * more than a ramp's share of what it sends a like warm one, so the sum keeps to the ramp with no
-     * agreement.
+     * Guards against all sidecars together pushing over an upstream that has just started: each sends it no more
+     * than a ramp's share of what it sends a like warm one, so the sum keeps to the ramp with no agreement.
      */
     private static final class Cold {
         private final double share;
@@ -903,10 +855,7 @@
             return u.coldCredit >= 1 || ramp(u, now) >= 1;
         }
 
-        /**
-         * Every send to a warm upstream earns each cold one its part of a send; with none warm, every send
-         * does.
-         */
+        /** Every send to a warm upstream, or any where none is, earns each cold one its part of a send. */
         void sent(Upstream to, List<Upstream> roster, double now) {
             int warm = 0;
             double size = 0;
@@ -961,12 +910,6 @@
             }
         }
 
-        void askIfDue() {
-            if (now >= askAt) {
-                ask();
-            }
-        }
-
         void failed() {
             double backoff = Math.min(longestBackoff, SHORTEST_BACKOFF * (1 << Math.min(failures, 8)));
             failures++;
@@ -985,14 +928,9 @@
     private void placeHeld() {
         held.removeIf(q -> q.state != State.HELD);
         while (!held.isEmpty() && total.hasRoom(now)) {
-            Query best = null;
-            double most = Double.NEGATIVE_INFINITY;
+            Query best = held.get(0);
             for (Query q : held) {
-                double value = value(q);
-                if (value > most) {
-                    most = value;
-                    best = q;
-                }
+                best = value(q) > value(best) ? q : best;
             }
             step(best, Input.TURN);
             if (best.state == State.HELD) {
@@ -1010,10 +948,7 @@
         return q.offering.credit() / work * Math.min(1, shareTaken(q.asked.tenant()));
     }
 
-    /**
-     * A tenant's share over the part of our last queries that it sent; over 1 where it keeps within its
-     * share.
-     */
+    /** A tenant's share over the part of our last queries that it sent; over 1 where it keeps within it. */
     private double shareTaken(TenantId tenant) {
         if (tenant == null) {
             return 1;
