--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -527,8 +527,8 @@
     // ---- The limit over all upstreams -------------------------------------------------------------------
 
     /**
-     * Guards against a fleet that all sidecars overfill together: one or two executions of each at every upstream
-     * are already too many there, and only the sum over our upstreams is fine enough to hold less.
+     * Guards against a fleet that all sidecars overfill together: one or two executions of each at every
+     * upstream are already too many there, and only the sum over our upstreams is fine enough to hold less.
      */
     private static final class TotalLimit {
         private final Samples late = new Samples(ROUND);
@@ -711,9 +711,9 @@
     // ---- Health -----------------------------------------------------------------------------------------
 
     /**
-     * What we keep in flight at one upstream grows by one for each full round of prompt outcomes and is cut by
-     * a share on a late or failed one. Guards against queues that no answer comes out of in time: what can't be
-     * placed waits briefly here and is then denied, while the client can still use that.
+     * What we keep in flight at one upstream grows by one for each full round of prompt outcomes and is cut
+     * by a share on a late or failed one. Guards against queues that no answer comes out of in time: what
+     * can't be placed waits briefly here and is then denied, while the client can still use that.
      */
     private static void adaptLimit(Upstream u, Execution e, double now, boolean prompt, boolean late) {
         if (prompt) {
@@ -825,8 +825,9 @@
     // ---- Cold upstreams ---------------------------------------------------------------------------------
 
     /**
-     * Guards against all sidecars together pushing over an upstream that has just started: each sends it no more
-     * than a ramp's share of what it sends a like warm one, so the sum keeps to the ramp with no agreement.
+     * Guards against all sidecars together pushing over an upstream that has just started: each sends it no
+     * more than a ramp's share of what it sends a like warm one, so the sum keeps to the ramp with no
+     * agreement.
      */
     private static final class Cold {
         private final double share;
--- a/src/main/java/portrelay/cli/CheckCommand.java
+++ b/src/main/java/portrelay/cli/CheckCommand.java
@@ -11,7 +11,7 @@
     @Override
     int run(Config config) throws IOException {
         boolean well = Sidecar.check(config);
-        System.out.println(well ? "the configuration is well-formed and serves" : "no query was handled with it");
+        System.out.println(well ? "the configuration serves" : "no query was handled with it");
         return well ? 0 : 1;
     }
 }
--- a/src/main/java/portrelay/cli/DrillCommand.java
+++ b/src/main/java/portrelay/cli/DrillCommand.java
@@ -8,12 +8,13 @@
 import portrelay.drill.BadWire;
 import portrelay.drill.Drill;
 
-@Parameters(commandDescription = "read the bench's wire on standard input, write decisions on standard output")
+@Parameters(commandDescription = "read the bench's wire on standard input, write decisions on output")
 final class DrillCommand implements Command {
 
     @Override
     public int run() {
-        try (var in = new FileInputStream(FileDescriptor.in); var out = new FileOutputStream(FileDescriptor.out)) {
+        try (var in = new FileInputStream(FileDescriptor.in);
+                var out = new FileOutputStream(FileDescriptor.out)) {
             new Drill(in, out).run();
             return 0;
         } catch (BadWire e) {
--- a/src/main/java/portrelay/drill/Drill.java
+++ b/src/main/java/portrelay/drill/Drill.java
@@ -34,7 +34,9 @@
     private record Instance(Decide decide, Settings settings) {
     }
 
-    /** One decision to make; kept apart from reading so that only the module's own faults become bail-outs. */
+    /**
+     * One decision to make; kept apart from reading so that only the module's own faults become bail-outs.
+     */
     private interface Step {
         void decide();
     }
@@ -128,8 +130,8 @@
         }
     }
 
-    private static final List<String> EVENTS = List.of("arrival", "closed-attempt", "alarm", "sync", "expired",
-            "accepted", "check-result", "message", "down", "new-instance");
+    private static final List<String> EVENTS = List.of("arrival", "closed-attempt", "alarm", "sync",
+            "expired", "accepted", "check-result", "message", "down", "new-instance");
 
     private void decide(InstanceId id, Step step) throws IOException {
         try {
--- a/src/main/java/portrelay/net/Config.java
+++ b/src/main/java/portrelay/net/Config.java
@@ -8,8 +8,8 @@
 import portrelay.settings.Tree;
 
 /** What a sidecar is told at its start. Known is null where it never had a list. */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        Fields known, Settings settings) {
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+        int sockets, Fields known, Settings settings) {
 
     private static final int SOCKETS = 1024;
 
@@ -18,16 +18,18 @@
         try {
             tree = Tree.parse(json);
         } catch (IOException e) {
-            throw new BadSetting("the whole", "well-formed JSON, but " + e.getMessage().lines().findFirst().orElse(""));
+            String why = e.getMessage().lines().findFirst().orElse("");
+            throw new BadSetting("the whole", "well-formed JSON, but " + why);
         }
         Fields root = Fields.of(tree, "");
-        int sockets = root.has(Names.LIMITS) ? (int) root.section(Names.LIMITS).number(Names.SOCKETS, SOCKETS) : SOCKETS;
+        double sockets =
+                root.has(Names.LIMITS) ? root.section(Names.LIMITS).number(Names.SOCKETS, SOCKETS) : SOCKETS;
         Fields known = root.has(Names.KNOWN) ? root.section(Names.KNOWN) : null;
         if (known != null) {
             ListPage.read(known, new ListPage.Numbering());
         }
         return new Config(root.text(Names.NAME), address(root, Names.LISTEN), address(root, Names.DISCOVERY),
-                seed(root), sockets, known, new Settings(root.section(Names.SETTINGS)));
+                seed(root), (int) sockets, known, new Settings(root.section(Names.SETTINGS)));
     }
 
     private static InetSocketAddress address(Fields root, String name) throws BadSetting {
--- a/src/main/java/portrelay/net/Dialer.java
+++ b/src/main/java/portrelay/net/Dialer.java
@@ -27,8 +27,8 @@
 
     /** How a socket is opened; the warm-up has another way than the network. */
     interface Opener {
-        IoFuture<StreamConnection> open(InetSocketAddress to, ChannelListener<? super StreamConnection> opened,
-                OptionMap options);
+        IoFuture<StreamConnection> open(InetSocketAddress to,
+                ChannelListener<? super StreamConnection> opened, OptionMap options);
     }
 
     private final Loop loop;
@@ -39,7 +39,7 @@
     private int open;
 
     Dialer(Loop loop, ByteBufferPool buffers, int most) {
-        this(loop, buffers, most, (to, opened, options) -> loop.thread().openStreamConnection(to, opened, options));
+        this(loop, buffers, most, loop.thread()::openStreamConnection);
     }
 
     Dialer(Loop loop, ByteBufferPool buffers, int most, Opener opener) {
@@ -131,9 +131,9 @@
     }
 
     /**
-     * Stands between Undertow's client and the I/O thread at the moment of the dial. The client keeps to itself
-     * what it dials: a dial that has to be given up would hold its descriptor until the kernel's time-out, two
-     * minutes, and what the socket took could not be counted.
+     * Stands between Undertow's client and the I/O thread at the moment of the dial. The client keeps to
+     * itself what it dials: a dial that has to be given up would hold its descriptor until the kernel's time-
+     * out, two minutes, and what the socket took could not be counted.
      */
     private static final class Opening extends XnioIoThread {
 
--- a/src/main/java/portrelay/net/Front.java
+++ b/src/main/java/portrelay/net/Front.java
@@ -94,7 +94,8 @@
         if (closing) {
             exchange.setPersistent(false);
         }
-        if (exchange.getRequestURI().equals(Names.READY) && !exchange.getRequestHeaders().contains(Names.OFFERING)) {
+        boolean query = exchange.getRequestHeaders().contains(Names.OFFERING);
+        if (!query && exchange.getRequestURI().equals(Names.READY)) {
             exchange.setStatusCode(ready ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
             exchange.endExchange();
             return;
@@ -109,7 +110,7 @@
         exchange.getRequestReceiver().setMaxBufferSize(QueryReader.LONGEST_BODY);
         exchange.getRequestReceiver().receiveFullBytes(this::whole, (broken, cause) -> {
             broken.setPersistent(false);
-            turnAway(broken, new BadQuery(StatusCodes.REQUEST_ENTITY_TOO_LARGE, "body too long or broken off"));
+            turnAway(broken, new BadQuery(StatusCodes.REQUEST_ENTITY_TOO_LARGE, "body too long or broken"));
         });
     }
 
--- a/src/main/java/portrelay/net/Link.java
+++ b/src/main/java/portrelay/net/Link.java
@@ -62,8 +62,8 @@
     }
 
     /**
-     * The socket itself: closed the clean way it would wait for the other end to close too, and one that hangs
-     * never does.
+     * The socket itself: closed the clean way it would wait for the other end to close too, and one that
+     * hangs never does.
      */
     void close() {
         current = null;
@@ -182,8 +182,8 @@
         }
 
         /**
-         * The client closes a connection that is not to be kept as it reads the answer's last bytes, before we
-         * have them: that answer is whole.
+         * The client closes a connection that is not to be kept as it reads the answer's last bytes, before
+         * we have them: that answer is whole.
          */
         private void closed() {
             if (!reading) {
@@ -200,7 +200,8 @@
             if (early) {
                 close();
             }
-            done.accept(new Result(head.getResponseCode(), head.getResponseHeaders(), body.toByteArray(), true));
+            done.accept(
+                    new Result(head.getResponseCode(), head.getResponseHeaders(), body.toByteArray(), true));
         }
 
         private void broken() {
--- a/src/main/java/portrelay/net/ListPage.java
+++ b/src/main/java/portrelay/net/ListPage.java
@@ -23,9 +23,17 @@
     static final class Numbering {
         private final Map<String, ZoneId> zones = new HashMap<>();
         private final Map<String, ShapeId> shapes = new HashMap<>();
+
+        private ZoneId zone(String name) {
+            return zones.computeIfAbsent(name, n -> new ZoneId(zones.size()));
+        }
+
+        private ShapeId shape(String name) {
+            return shapes.computeIfAbsent(name, n -> new ShapeId(shapes.size()));
+        }
     }
 
-    static ListPage read(Fields page, Numbering names) throws BadSetting {
+    static ListPage read(Fields page, Numbering numbering) throws BadSetting {
         List<Row> rows = new ArrayList<>();
         for (Fields each : page.rows(Names.ROWS)) {
             Listed.Health health = health(each);
@@ -39,14 +47,15 @@
             Listed listed = new Listed(id(each.text(Names.HOST)), health,
                     Clock.fromUnixMillis(each.number(Names.BORN_MS, 0)), each.number(Names.SCALE, 1),
                     new GroupId((long) each.number(Names.CELL, 0)),
-                    names.zones.computeIfAbsent(each.text(Names.ZONE, ""), n -> new ZoneId(names.zones.size())),
-                    names.shapes.computeIfAbsent(each.text(Names.SHAPE, ""), n -> new ShapeId(names.shapes.size())));
+                    numbering.zone(each.text(Names.ZONE, "")), numbering.shape(each.text(Names.SHAPE, "")));
             rows.add(new Row(listed, address));
         }
         return new ListPage((long) page.number(Names.VERSION), page.flag(Names.WHOLE), rows);
     }
 
-    /** From the host's name alone (FNV-1a), so that all sidecars and all lives of one know it by the same id. */
+    /**
+     * From the host's name alone (FNV-1a), so that all sidecars and all lives of one know it by the same id.
+     */
     private static UpstreamId id(String host) {
         long hash = 0xcbf29ce484222325L;
         for (int i = 0; i < host.length(); i++) {
--- a/src/main/java/portrelay/net/ModuleActor.java
+++ b/src/main/java/portrelay/net/ModuleActor.java
@@ -14,7 +14,9 @@
 import portrelay.model.UpstreamId;
 import portrelay.settings.Settings;
 
-/** Drives the decisions: owns the module, its alarms and the queries that are open. Decides nothing itself. */
+/**
+ * Drives the decisions: owns the module, its alarms and the queries that are open. Decides nothing itself.
+ */
 final class ModuleActor implements Effects, UpstreamActor.Listener {
 
     /** The upstream's list, as far as the module needs it. */
--- a/src/main/java/portrelay/net/Passing.java
+++ b/src/main/java/portrelay/net/Passing.java
@@ -7,7 +7,9 @@
 import java.util.Locale;
 import java.util.Set;
 
-/** Which headers go on: all but those that speak of one connection only, and of the framing, which is ours. */
+/**
+ * Which headers go on: all but those that speak of one connection only, and of the framing, which is ours.
+ */
 final class Passing {
 
     private static final Set<HttpString> ONE_CONNECTION = Set.of(Headers.CONNECTION, Headers.KEEP_ALIVE,
--- a/src/main/java/portrelay/net/QueryReader.java
+++ b/src/main/java/portrelay/net/QueryReader.java
@@ -63,8 +63,8 @@
         }
         boolean again = Names.TRUE.equals(one(headers, Names.AGAIN));
         String key = settings.warmKeys() ? key(exchange.getQueryString()) : null;
-        return new Asked(new QueryId(id), offering, tenant, key, now + Math.max(Integer.parseInt(left) / 1e3 - WAY_BACK, LEAST), Double.NaN,
-                again);
+        double wait = Math.max(Integer.parseInt(left) / 1e3 - WAY_BACK, LEAST);
+        return new Asked(new QueryId(id), offering, tenant, key, now + wait, Double.NaN, again);
     }
 
     private static void checkMethod(Offering offering, HttpString method, HeaderMap headers) throws BadQuery {
--- a/src/main/java/portrelay/net/Sidecar.java
+++ b/src/main/java/portrelay/net/Sidecar.java
@@ -21,7 +21,9 @@
 
     private static final int BUFFER_SIZE = 16 * 1024;
     private static final int BUFFERS = 256;
-    /** Descriptors of the JVM itself and of discovery; the others are halved between clients and upstreams. */
+    /**
+     * Descriptors of the JVM itself and of discovery; the others are halved between clients and upstreams.
+     */
     private static final int OWN_SOCKETS = 64;
     private static final double OWN_SHARE = 0.25;
     /** Of the time after which an upstream closes an idle connection; the rest is for what is on its way. */
@@ -45,13 +47,14 @@
         loop = new Loop(worker.getIoThread(), new Clock());
         var buffers = buffers();
         var settings = config.settings();
-        int half = Math.max(1, (config.sockets() - (int) Math.min(OWN_SOCKETS, OWN_SHARE * config.sockets())) / 2);
+        int own = (int) Math.min(OWN_SOCKETS, OWN_SHARE * config.sockets());
+        int half = Math.max(1, (config.sockets() - own) / 2);
         Dialer toUpstreams = new Dialer(loop, buffers, half);
         Dialer toDiscovery = new Dialer(loop, buffers, 2);
         module = new ModuleActor(loop, log, settings, config.seed());
         double idle = IDLE_SHARE * (settings.connectionIdle() > 0 ? settings.connectionIdle() : DEFAULT_IDLE);
         ListActor list = new ListActor(loop, log, toDiscovery, config.discovery(), module,
-                address -> new UpstreamActor(loop, log, toUpstreams, module, settings.dialWithin(), idle, address));
+                at -> new UpstreamActor(loop, log, toUpstreams, module, settings.dialWithin(), idle, at));
         front = new Front(loop, buffers, new QueryReader(settings), module);
         front.listen(worker, config.listen(), half);
         longestCutOff = settings.offerings().stream().mapToDouble(Offering::cutOff).max().orElse(0);
@@ -111,8 +114,9 @@
     }
 
     /**
-     * Goes on as before for half a second, for the connections still on their way, then takes no new ones, answers
-     * all that it has taken and ends. Returns when it has, or when no client can still wait for an answer.
+     * Goes on as before for half a second, for the connections still on their way, then takes no new ones,
+     * answers all that it has taken and ends. Returns when it has, or when no client can still wait for an
+     * answer.
      */
     public void drain() {
         try {
--- a/src/main/java/portrelay/net/Warmup.java
+++ b/src/main/java/portrelay/net/Warmup.java
@@ -34,8 +34,8 @@
 import portrelay.settings.Settings;
 
 /**
- * Plays queries through a second set of actors, over pipes inside the process, before the first client comes: a
- * JVM that loads and compiles its code under the first seconds' load makes them late on one core.
+ * Plays queries through a second set of actors, over pipes inside the process, before the first client comes:
+ * a JVM that loads and compiles its code under the first seconds' load makes them late on one core.
  */
 final class Warmup {
 
@@ -44,7 +44,8 @@
     private static final int UPSTREAMS = 3;
     private static final double LONGEST = 0.5;
     private static final byte[] BODY = new byte[256];
-    private static final InetSocketAddress NOWHERE = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+    private static final InetSocketAddress NOWHERE =
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
 
     private final Loop loop;
     private final Settings settings;
@@ -132,16 +133,17 @@
         if (!reissuable) {
             headers.put(Headers.CONTENT_LENGTH, BODY.length);
         }
-        client.call(new Call(reissuable ? Methods.GET : Methods.POST, "/" + name + "/warm-up?n=" + asked, headers,
-                reissuable ? Call.NO_BODY : BODY), QueryReader.LONGEST_BODY, result -> loop.execute(() -> {
-                    done++;
-                    answered += result.status() == StatusCodes.OK ? 1 : 0;
-                    if (done >= QUERIES) {
-                        end();
-                    } else {
-                        ask(client);
-                    }
-                }));
+        Call call = new Call(reissuable ? Methods.GET : Methods.POST, "/" + name + "/warm-up?n=" + asked,
+                headers, reissuable ? Call.NO_BODY : BODY);
+        client.call(call, QueryReader.LONGEST_BODY, result -> loop.execute(() -> {
+            done++;
+            answered += result.status() == StatusCodes.OK ? 1 : 0;
+            if (done >= QUERIES) {
+                end();
+            } else {
+                ask(client);
+            }
+        }));
     }
 
     private void end() {
--- a/src/main/java/portrelay/settings/Settings.java
+++ b/src/main/java/portrelay/settings/Settings.java
@@ -88,7 +88,7 @@
     }
 
     private static <T> String nameOf(Map<String, T> ids, T id) {
-        return ids.entrySet().stream().filter(each -> each.getValue().equals(id)).findFirst().orElseThrow().getKey();
+        return ids.keySet().stream().filter(each -> ids.get(each).equals(id)).findFirst().orElseThrow();
     }
 
     /** Null where the settings name no such tenant. */
--- a/src/main/java/portrelay/settings/Tree.java
+++ b/src/main/java/portrelay/settings/Tree.java
@@ -43,8 +43,8 @@
             }
             case START_ARRAY: {
                 List<Object> list = new ArrayList<>();
-                for (JsonToken item = json.nextToken(); item != JsonToken.END_ARRAY; item = json.nextToken()) {
-                    list.add(read(json, item));
+                while (json.nextToken() != JsonToken.END_ARRAY) {
+                    list.add(read(json, json.currentToken()));
                 }
                 return list;
             }
--- a/src/test/java/portrelay/NetTest.java
+++ b/src/test/java/portrelay/NetTest.java
@@ -26,7 +26,9 @@
 import portrelay.net.Config;
 import portrelay.settings.BadSetting;
 
-/** The real sidecar between toy servers on loopback: the protocol's table, its edges, and each failure found. */
+/**
+ * The real sidecar between toy servers on loopback: the protocol's table, its edges, and each failure found.
+ */
 @Timeout(20)
 class NetTest {
 
@@ -38,8 +40,8 @@
             String line = "POST /save/a%2Fb//c;d=1/../%7e?x=%20y&&z=+&?";
             String body = "\u0000\u00ff\r\n\r\nGET";
             Message got = town.ask(Town.head(line, "id-1", "save", 900)
-                    + "Idempotency-Key: K/=~\r\nX-Other: o\r\nConnection: X-Hop\r\nX-Hop: h\r\nContent-Length: "
-                    + body.length() + "\r\n\r\n" + body);
+                    + "Idempotency-Key: K/=~\r\nX-Other: o\r\nConnection: X-Hop\r\nX-Hop: h\r\n"
+                    + "Content-Length: " + body.length() + "\r\n\r\n" + body);
             Message sent = town.upstreams.get(0).next();
             assertEquals(line + " HTTP/1.1", sent.first());
             assertArrayEquals(body.getBytes(ISO_8859_1), sent.body());
@@ -62,7 +64,8 @@
         try (Town town = new Town(answer("200 OK", ""))) {
             Socket client = town.connect();
             assertEquals(0, Town.ask(client, Town.read("a", 900)).body().length);
-            town.upstreams.get(0).script = (m, on) -> on.getOutputStream().write(chunked.getBytes(ISO_8859_1));
+            town.upstreams.get(0).script =
+                    (m, on) -> on.getOutputStream().write(chunked.getBytes(ISO_8859_1));
             assertEquals("abc", new String(Town.ask(client, Town.read("b", 900)).body(), ISO_8859_1));
             town.upstreams.get(0).script = answer("200 OK", longest);
             assertEquals(65536, Town.ask(client, Town.read("c", 900)).body().length);
@@ -93,7 +96,8 @@
         List<Script> doubts = List.of(RESET, answer("500 No", ""), answer("503 No", ""), answer("404 No", ""),
                 raw("garbage\r\n\r\n"), raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"),
                 raw("HTTP/1.1 200 OK\r\n\r\nwhere does it end"), answer("200 OK", "x".repeat(65537)),
-                raw("HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n"), raw("HTTP/1.1 200 OK\r\nContent-Length: z\r\n\r\n"),
+                raw("HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n"),
+                raw("HTTP/1.1 200 OK\r\nContent-Length: z\r\n\r\n"),
                 raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"), raw(""));
         for (Script doubt : doubts) {
             try (Town town = new Town(doubt, doubt)) {
@@ -152,7 +156,8 @@
             }
             // One connection is all there is: the second query finds none and provably never ran.
             first.close();
-            assertNotNull(town.upstreams.get(town.upstreams.get(0).seen.isEmpty() ? 1 : 0).ended.poll(5, TimeUnit.SECONDS));
+            int at = town.upstreams.get(0).seen.isEmpty() ? 1 : 0;
+            assertNotNull(town.upstreams.get(at).ended.poll(5, TimeUnit.SECONDS));
             for (Toy each : town.upstreams) {
                 each.script = answer("200 OK", "u");
             }
@@ -300,7 +305,8 @@
             String target = town.discovery.next().first();
             assertTrue(target.startsWith("GET /discovery/hosts?index=7&wait="), target);
             town.discovery.script = SILENT;
-            answer("200 OK", "{\"seq\":9,\"whole\":false,\"hosts\":[" + Town.host("s-0", moved.address(), "SERVING") + "]}")
+            String row = Town.host("s-0", moved.address(), "SERVING");
+            answer("200 OK", "{\"seq\":9,\"whole\":false,\"hosts\":[" + row + "]}")
                     .play(null, town.discovery.accepted.get(0));
             assertTrue(town.discovery.next().first().startsWith("GET /discovery/hosts?index=9&wait="));
             assertEquals("new", new String(town.ask(Town.read("b", 900)).body(), ISO_8859_1));
@@ -323,7 +329,8 @@
 
     @Test
     void badBytesFromDiscoveryKeepTheOldListAndAreAskedAgain() throws Exception {
-        List<String> bad = List.of("[]", "{", "{\"seq\":9,\"hosts\":[{\"host\":\"x\",\"health\":\"SERVING\",\"dial\":\"name:80\"}]}",
+        List<String> bad = List.of("[]", "{",
+                "{\"seq\":9,\"hosts\":[{\"host\":\"x\",\"health\":\"SERVING\",\"dial\":\"name:80\"}]}",
                 "{\"seq\":\"9\",\"hosts\":[]}", "{\"hosts\":7}");
         for (String each : bad) {
             try (Town town = new Town(answer("200 OK", "u"))) {
--- a/src/test/java/portrelay/Rig.java
+++ b/src/test/java/portrelay/Rig.java
@@ -123,7 +123,8 @@
     }
 
     void end(Sent s, Outcome outcome, LoadReport report) {
-        decide.outcome(now, s.query(), s.index(), outcome, now - s.time(), outcome == Outcome.HANDLED, report);
+        boolean ended = outcome == Outcome.HANDLED;
+        decide.outcome(now, s.query(), s.index(), outcome, now - s.time(), ended, report);
     }
 
     Sent last() {
@@ -134,7 +135,7 @@
     void pass(double seconds) {
         double until = now + seconds;
         while (true) {
-            double next = alarms.stream().mapToDouble(Double::doubleValue).min().orElse(Double.POSITIVE_INFINITY);
+            double next = alarms.stream().mapToDouble(each -> each).min().orElse(Double.POSITIVE_INFINITY);
             if (next > until) {
                 break;
             }
@@ -202,9 +203,11 @@
             Map<String, String> headers = new LinkedHashMap<>();
             for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
                 int colon = line.indexOf(':');
-                headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
+                String name = line.substring(0, colon).toLowerCase(Locale.ROOT);
+                headers.put(name, line.substring(colon + 1).trim());
             }
-            return new Message(first, headers, in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0"))));
+            int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+            return new Message(first, headers, in.readNBytes(length));
         }
 
         private static String line(InputStream in) throws IOException {
@@ -286,7 +289,8 @@
 
         private void serve(Socket one) {
             try {
-                for (Message m = Message.read(one.getInputStream()); m != null; m = Message.read(one.getInputStream())) {
+                InputStream in = one.getInputStream();
+                for (Message m = Message.read(in); m != null; m = Message.read(in)) {
                     seen.add(m);
                     script.play(m, one);
                 }
@@ -324,8 +328,9 @@
                 upstreams.add(new Toy(script));
                 known.append(known.length() == 0 ? "" : ",").append(host(upstreams.size() - 1, "SERVING"));
             }
-            String json = config(discovery.address(), "{\"seq\":7,\"whole\":true,\"hosts\":[" + known + "]}", sockets);
-            sidecar = Sidecar.start(Config.parse(json.getBytes(UTF_8)), new PrintStream(OutputStream.nullOutputStream()));
+            String list = "{\"seq\":7,\"whole\":true,\"hosts\":[" + known + "]}";
+            Config config = Config.parse(config(discovery.address(), list, sockets).getBytes(UTF_8));
+            sidecar = Sidecar.start(config, new PrintStream(OutputStream.nullOutputStream()));
         }
 
         String host(int upstream, String health) {
@@ -340,18 +345,19 @@
 
         static String config(String discovery, String known, int sockets) {
             return "{\"name\":\"t\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery
-                    + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + known
-                    + ",\"settings\":{\"discovery\":\"on_request\",\"siblings\":1,\"tenants\":[{\"name\":\"acme\",\"share\":1}],"
-                    + "\"classes\":[" + offering("read", "read_like") + "," + offering("save", "idempotency_key") + ","
-                    + offering("issue", "non_idempotent") + "],\"allowed\":{\"max-attempts\":4,\"cancel\":true,"
+                    + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":"
+                    + known + ",\"settings\":{\"discovery\":\"on_request\",\"siblings\":1,"
+                    + "\"tenants\":[{\"name\":\"acme\",\"share\":1}],"
+                    + "\"classes\":[" + offering("read", "read_like") + ","
+                    + offering("save", "idempotency_key") + "," + offering("issue", "non_idempotent") + "],\"allowed\":{\"max-attempts\":4,\"cancel\":true,"
                     + "\"parallel-tries\":true,\"retry-after\":true,\"max-retry-after-us\":250000,"
                     + "\"dial-timeout-us\":150000,\"conn-idle-us\":1000000},"
                     + "\"invariants\":{\"ask-within-us\":2000000,\"cold-share\":0.3,\"cold-us\":1000000}}}";
         }
 
         private static String offering(String name, String effect) {
-            return "{\"name\":\"" + name + "\",\"effect\":\"" + effect + "\",\"group\":\"cell\",\"aim-us\":600000,"
-                    + "\"hard-limit-us\":1000000,\"dedup-window-us\":900000}";
+            return "{\"name\":\"" + name + "\",\"effect\":\"" + effect + "\",\"group\":\"cell\","
+                    + "\"aim-us\":600000,\"hard-limit-us\":1000000,\"dedup-window-us\":900000}";
         }
 
         static String head(String line, String id, String offering, int leftMs) {
--- a/src/test/java/portrelay/RulesTest.java
+++ b/src/test/java/portrelay/RulesTest.java
@@ -20,7 +20,9 @@
 import portrelay.model.QueryId;
 import portrelay.model.UpstreamId;
 
-/** A slow, plain model of the four rules, written from the rules alone, beside the module on generated days. */
+/**
+ * A slow, plain model of the four rules, written from the rules alone, beside the module on generated days.
+ */
 class RulesTest {
 
     private static final double GRACE_TO_ANSWER = 0.02;
