--- a/src/main/java/portrelay/drill/Drill.java
+++ b/src/main/java/portrelay/drill/Drill.java
@@ -150,7 +150,7 @@
         } catch (BadSetting e) {
             throw new BadWire(in.line(), e);
         }
-        Decide decide = settings.start(replies.forInstance(id.value()), seed);
+        Decide decide = settings.start(replies.forInstance(id.value()), seed, settings.listMustBeAsked());
         instances.put(id, new Instance(decide, settings));
         decide(id, () -> decide.start(now));
     }
--- a/src/main/java/portrelay/net/Front.java
+++ b/src/main/java/portrelay/net/Front.java
@@ -79,6 +79,11 @@
         IoUtils.safeClose(door);
     }
 
+    /** Ends what is still connected, so that nothing more is read that would stay unanswered. */
+    void closeClients() {
+        http.closeConnections();
+    }
+
     /** Exchanges begun and not answered to the last byte. */
     int busy() {
         return busy;
--- a/src/main/java/portrelay/net/ModuleActor.java
+++ b/src/main/java/portrelay/net/ModuleActor.java
@@ -49,7 +49,7 @@
         this.loop = loop;
         this.log = log;
         this.mailbox = new Mailbox(loop, log);
-        this.decide = settings.start(this, seed);
+        this.decide = settings.start(this, seed, true);
     }
 
     void start(Watch watch) {
@@ -90,7 +90,11 @@
     private void arrivedNow(Incoming incoming) {
         QueryId id = incoming.asked().id();
         Open q = new Open(incoming);
-        open.put(id, q);
+        if (open.putIfAbsent(id, q) != null) {
+            unanswered--;
+            incoming.reply().writtenOff();
+            return;
+        }
         double now = loop.now();
         q.cutOff = loop.after(incoming.asked().cutOffAt() - now, () -> mailbox.post(() -> cutOff(id, q)));
         decide.arrival(now, incoming.asked());
@@ -132,7 +136,15 @@
             q.incoming.reply().handled(answer);
         }
         forgetIfDone(id, q);
-        decide.outcome(loop.now(), id, execution.index(), outcome, 0, ended, null);
+        double now = loop.now();
+        try {
+            decide.outcome(now, id, execution.index(), outcome, 0, ended, null);
+        } finally {
+            // Whatever befell the module: at the cut-off the client has its answer.
+            if (q.out == 0 && now >= q.incoming.asked().cutOffAt()) {
+                writeOff(id);
+            }
+        }
     }
 
     private void answer(QueryId id, Open q) {
--- a/src/main/java/portrelay/net/Sidecar.java
+++ b/src/main/java/portrelay/net/Sidecar.java
@@ -135,7 +135,8 @@
 
     private void endWhenAnswered() {
         if (front.busy() <= 0 && module.unanswered() == 0) {
-            ended.countDown();
+            front.closeClients();
+            loop.execute(ended::countDown);
         } else {
             loop.after(0.01, this::endWhenAnswered);
         }
--- a/src/main/java/portrelay/settings/Settings.java
+++ b/src/main/java/portrelay/settings/Settings.java
@@ -23,7 +23,8 @@
     private final List<Tenant> tenants = new ArrayList<>();
     private final Permits permits;
     private final ColdRule cold;
-    private final ListRule list;
+    private final boolean listMustBeAsked;
+    private final double askWithin;
     private final int sidecars;
     private final boolean sized;
     private final boolean warmKeys;
@@ -53,18 +54,25 @@
         connectionIdle = time(allowed, "conn-idle-us");
         cold = new ColdRule(rules.number("cold-share", 1), time(rules, "cold-us"),
                 rules.number("overload-factor", 1), time(rules, "tip-after-us"));
-        list = new ListRule("on_request".equals(root.text("discovery", "")), time(rules, "ask-within-us"));
+        listMustBeAsked = "on_request".equals(root.text("discovery", ""));
+        askWithin = time(rules, "ask-within-us");
         warmKeys = root.has("family-info") && root.section("family-info").flag("warm-keys");
         sized = !"silent".equals(root.text("weights", ""));
         sidecars = (int) root.number("siblings", 1);
         creditByWork = "work".equals(root.text("value-by", ""));
     }
 
-    public Decide start(Effects effects, long seed) {
+    /** The platform's real discovery must always be asked, whatever the settings say of the simulated one. */
+    public Decide start(Effects effects, long seed, boolean askList) {
+        ListRule list = new ListRule(askList, askWithin);
         return new Decide(effects, seed, offerings, tenants, permits, cold, list, sidecars, sized, warmKeys,
                 creditByWork);
     }
 
+    public boolean listMustBeAsked() {
+        return listMustBeAsked;
+    }
+
     /** Null where the settings name no such offering. */
     public OfferingId offering(String name) {
         return offeringIds.get(name);
