--- a/src/main/java/portrelay/net/Front.java
+++ b/src/main/java/portrelay/net/Front.java
@@ -161,6 +161,10 @@
 
         /** Undertow does not read while a query is at work, so it would not see the client go. */
         void watch() {
+            if (connection.getExtraBytes() != null) {
+                // It sent its next query ahead, so it is still there; those bytes have to be read first.
+                return;
+            }
             ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
             source.setConduit(connection.getOriginalSourceConduit());
             source.setReadListener(this::readable);
--- a/src/test/java/portrelay/NetTest.java
+++ b/src/test/java/portrelay/NetTest.java
@@ -148,13 +148,24 @@
 
     @Test
     void pastTheLimitOnDescriptorsThereIsNoConnectionAndNoCrash() throws Exception {
+        // One connection to upstreams in all, and it rests at the one that was asked first.
+        try (Town town = new Town(4, answer("200 OK", "u"), answer("200 OK", "u"))) {
+            Socket client = town.connect();
+            for (int i = 0; i < 8; i++) {
+                assertEquals(200, Town.ask(client, Town.issue("q" + i, 900)).status());
+            }
+            assertEquals(1, town.upstreams.stream().mapToInt(each -> each.accepted.size()).sum());
+        }
+    }
+
+    @Test
+    void aCalledOffConnectionIsGivenBackThoughTheOtherEndKeepsItOpen() throws Exception {
         try (Town town = new Town(4, SILENT, SILENT)) {
             Socket first = town.connect();
             first.getOutputStream().write(Town.issue("a", 900).getBytes(ISO_8859_1));
             while (town.sent() == 0) {
                 Thread.onSpinWait();
             }
-            // One connection is all there is: the second query finds none and provably never ran.
             first.close();
             int at = town.upstreams.get(0).seen.isEmpty() ? 1 : 0;
             assertNotNull(town.upstreams.get(at).ended.poll(5, TimeUnit.SECONDS));
@@ -219,12 +230,17 @@
             assertEquals(200, Message.read(client.getInputStream()).status());
             assertEquals(200, Message.read(client.getInputStream()).status());
             assertEquals(2, town.sent());
+            client.getOutputStream().write((Town.issue("c", 900) + Town.issue("d", 900)).getBytes(ISO_8859_1));
+            assertEquals(200, Message.read(client.getInputStream()).status());
+            assertEquals(200, Message.read(client.getInputStream()).status());
+            assertEquals(4, town.sent());
         }
     }
 
     @Test
     void drainingTakesNewConnectionsForAWhileThenAnswersAllAndEnds() throws Exception {
         try (Town town = new Town((message, on) -> { })) {
+            town.connect();
             Socket open = town.connect();
             Toy upstream = town.upstreams.get(0);
             open.getOutputStream().write(Town.issue("a", 2000).getBytes(ISO_8859_1));
@@ -249,7 +265,9 @@
             Message late = Message.read(open.getInputStream());
             assertEquals(200, late.status());
             assertEquals("close", late.header("Connection"));
+            Socket idle = town.clients.get(0);
             drain.join();
+            assertEquals(-1, idle.getInputStream().read(), "a client is left connected");
         }
     }
 
