--- a/src/main/java/portrelay/net/Warmup.java
+++ b/src/main/java/portrelay/net/Warmup.java
@@ -40,7 +40,7 @@
 final class Warmup {
 
     private static final int QUERIES = 300;
-    private static final int CLIENTS = 4;
+    private static final int CLIENTS = 2;
     private static final int UPSTREAMS = 3;
     private static final double LONGEST = 0.5;
     private static final byte[] BODY = new byte[256];
