--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -320,7 +320,7 @@
         armAlarm();
     }
 
-    public void outcome(double time, QueryId id, int execution, Outcome outcome, double spent, boolean ended,
+    public void outcome(double time, QueryId id, int execution, Outcome outcome, boolean ended,
             LoadReport report) {
         now = time;
         Query q = queries.get(id);
--- a/src/main/java/portrelay/drill/Drill.java
+++ b/src/main/java/portrelay/drill/Drill.java
@@ -222,10 +222,10 @@
         int execution = (int) in.whole("try");
         in.whole("upstream");
         Outcome outcome = outcome(in.whole("code"));
-        double spent = Clock.seconds(in.whole("spent-us"));
+        in.whole("spent-us");
         boolean ended = in.bool("ended");
         LoadReport report = report();
-        decide(id, () -> at.decide().outcome(now, query, execution, outcome, spent, ended, report));
+        decide(id, () -> at.decide().outcome(now, query, execution, outcome, ended, report));
     }
 
     private Outcome outcome(long code) throws BadWire {
--- a/src/main/java/portrelay/net/Front.java
+++ b/src/main/java/portrelay/net/Front.java
@@ -3,6 +3,7 @@
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
+import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
@@ -115,7 +116,9 @@
         exchange.getRequestReceiver().setMaxBufferSize(QueryReader.LONGEST_BODY);
         exchange.getRequestReceiver().receiveFullBytes(this::whole, (broken, cause) -> {
             broken.setPersistent(false);
-            turnAway(broken, new BadQuery(StatusCodes.REQUEST_ENTITY_TOO_LARGE, "body too long or broken"));
+            boolean tooLong = cause instanceof Receiver.RequestToLargeException;
+            turnAway(broken, tooLong ? QueryReader.tooLong()
+                    : new BadQuery(StatusCodes.BAD_REQUEST, "the body breaks off"));
         });
     }
 
--- a/src/main/java/portrelay/net/ListActor.java
+++ b/src/main/java/portrelay/net/ListActor.java
@@ -141,6 +141,10 @@
         module.list(ListNews.FAILED, List.of(), Map.of());
     }
 
+    private static long count(List<Listed> rows, Listed.Health health) {
+        return rows.stream().filter(each -> each.health() == health).count();
+    }
+
     private void tell(ListPage page, ListNews news) {
         version = page.version();
         List<Listed> rows = new ArrayList<>();
@@ -164,6 +168,11 @@
             }
             rows.add(row.listed());
         }
+        if (!rows.isEmpty()) {
+            log.info("list " + version + ", " + news + ": " + count(rows, Listed.Health.READY) + " ready, "
+                    + count(rows, Listed.Health.DRAINING) + " draining, "
+                    + count(rows, Listed.Health.GONE) + " gone");
+        }
         module.list(news, rows, added);
     }
 }
--- a/src/main/java/portrelay/net/ModuleActor.java
+++ b/src/main/java/portrelay/net/ModuleActor.java
@@ -141,7 +141,7 @@
         forgetIfDone(id, q);
         double now = loop.now();
         try {
-            decide.outcome(now, id, execution.index(), outcome, 0, ended, null);
+            decide.outcome(now, id, execution.index(), outcome, ended, null);
         } finally {
             // Whatever befell the module: at the cut-off the client has its answer.
             if (q.out == 0 && now >= q.incoming.asked().cutOffAt()) {
--- a/src/main/java/portrelay/net/QueryReader.java
+++ b/src/main/java/portrelay/net/QueryReader.java
@@ -29,17 +29,21 @@
         this.settings = settings;
     }
 
-    /** Refuses by the header alone what is too long to take in. */
+    /** By the header alone, before any of a body is taken in that is too long. */
     void checkLength(HttpServerExchange exchange) throws BadQuery {
         String length = exchange.getRequestHeaders().getFirst(Headers.CONTENT_LENGTH);
         if (length != null && !length.matches("\\d{1,9}")) {
             throw new BadQuery(StatusCodes.BAD_REQUEST, "Content-Length");
         }
         if (length != null && Integer.parseInt(length) > LONGEST_BODY) {
-            throw new BadQuery(StatusCodes.REQUEST_ENTITY_TOO_LARGE, "body over " + LONGEST_BODY + " bytes");
+            throw tooLong();
         }
     }
 
+    static BadQuery tooLong() {
+        return new BadQuery(StatusCodes.REQUEST_ENTITY_TOO_LARGE, "body over " + LONGEST_BODY + " bytes");
+    }
+
     Asked read(HttpServerExchange exchange, double now) throws BadQuery {
         HeaderMap headers = exchange.getRequestHeaders();
         String id = one(headers, Names.QUERY_ID);
--- a/src/main/java/portrelay/net/Warmup.java
+++ b/src/main/java/portrelay/net/Warmup.java
@@ -42,6 +42,7 @@
     private static final int QUERIES = 1000;
     private static final int CLIENTS = 2;
     private static final int UPSTREAMS = 3;
+    private static final int CONNECTIONS = 100;
     private static final double LONGEST = 1.5;
     private static final byte[] BODY = new byte[256];
     private static final InetSocketAddress NOWHERE =
@@ -52,9 +53,7 @@
     private final String tenant;
     private final Front front;
     private final ModuleActor module;
-    private final Dialer toUpstreams;
     private final Dialer toFront;
-    private final UpstreamActor.Listener listener;
     private final List<UpstreamActor> upstreams = new ArrayList<>();
     private final List<Link> clients = new ArrayList<>();
     private final List<Offering> offerings;
@@ -70,14 +69,13 @@
         this.offerings = settings.offerings();
         Log quiet = new Log(new PrintStream(OutputStream.nullOutputStream()), config.name());
         module = new ModuleActor(loop, quiet, settings, config.seed());
-        listener = module;
         front = new Front(loop, buffers, new QueryReader(settings), module);
         HttpOpenListener upstream = new HttpOpenListener(buffers);
         upstream.setRootHandler(Warmup::answer);
-        toUpstreams = new Dialer(loop, buffers, 1000, pipeTo(upstream::handleEvent));
-        toFront = new Dialer(loop, buffers, 1000, pipeTo(front::accept));
+        Dialer toUpstreams = new Dialer(loop, buffers, CONNECTIONS, pipeTo(upstream::handleEvent));
+        toFront = new Dialer(loop, buffers, CONNECTIONS, pipeTo(front::accept));
         for (int i = 0; i < UPSTREAMS; i++) {
-            upstreams.add(new UpstreamActor(loop, quiet, toUpstreams, listener, 0, 0, NOWHERE));
+            upstreams.add(new UpstreamActor(loop, quiet, toUpstreams, module, 0, 0, NOWHERE));
         }
     }
 
--- a/src/test/java/portrelay/NetTest.java
+++ b/src/test/java/portrelay/NetTest.java
@@ -24,6 +24,7 @@
 import portrelay.Rig.Town;
 import portrelay.Rig.Toy;
 import portrelay.net.Config;
+import portrelay.net.Sidecar;
 import portrelay.settings.BadSetting;
 
 /**
@@ -234,7 +235,8 @@
             assertEquals(200, Message.read(client.getInputStream()).status());
             assertEquals(200, Message.read(client.getInputStream()).status());
             assertEquals(2, town.sent());
-            client.getOutputStream().write((Town.issue("c", 900) + Town.issue("d", 900)).getBytes(ISO_8859_1));
+            String two = Town.issue("c", 900) + Town.issue("d", 900);
+            client.getOutputStream().write(two.getBytes(ISO_8859_1));
             assertEquals(200, Message.read(client.getInputStream()).status());
             assertEquals(200, Message.read(client.getInputStream()).status());
             assertEquals(4, town.sent());
@@ -369,7 +371,7 @@
     @Test
     void aBadConfigurationIsNamedByItsField() throws Exception {
         String good = Town.config("127.0.0.1:1", "{\"seq\":1,\"hosts\":[]}", 1024);
-        assertNotNull(Config.parse(good.getBytes(ISO_8859_1)));
+        assertTrue(Sidecar.check(Config.parse(good.getBytes(ISO_8859_1))));
         assertNamed("listen", good.replace("127.0.0.1:0", "localhost:0"));
         assertNamed("discovery", good.replace("127.0.0.1:1", "127.0.0.256:1"));
         assertNamed("seed", good.replace("8c1f30d27a5be964", "xyz"));
--- a/src/test/java/portrelay/Rig.java
+++ b/src/test/java/portrelay/Rig.java
@@ -124,7 +124,7 @@
 
     void end(Sent s, Outcome outcome, LoadReport report) {
         boolean ended = outcome == Outcome.HANDLED;
-        decide.outcome(now, s.query(), s.index(), outcome, now - s.time(), ended, report);
+        decide.outcome(now, s.query(), s.index(), outcome, ended, report);
     }
 
     Sent last() {
@@ -349,7 +349,8 @@
                     + known + ",\"settings\":{\"discovery\":\"on_request\",\"siblings\":1,"
                     + "\"tenants\":[{\"name\":\"acme\",\"share\":1}],"
                     + "\"classes\":[" + offering("read", "read_like") + ","
-                    + offering("save", "idempotency_key") + "," + offering("issue", "non_idempotent") + "],\"allowed\":{\"max-attempts\":4,\"cancel\":true,"
+                    + offering("save", "idempotency_key") + "," + offering("issue", "non_idempotent")
+                    + "],\"allowed\":{\"max-attempts\":4,\"cancel\":true,"
                     + "\"parallel-tries\":true,\"retry-after\":true,\"max-retry-after-us\":250000,"
                     + "\"dial-timeout-us\":150000,\"conn-idle-us\":1000000},"
                     + "\"invariants\":{\"ask-within-us\":2000000,\"cold-share\":0.3,\"cold-us\":1000000}}}";
--- a/src/test/java/portrelay/RulesTest.java
+++ b/src/test/java/portrelay/RulesTest.java
@@ -101,7 +101,8 @@
             assertTrue(now <= q.cutOffAt, "sent after the cut-off");
             assertTrue(q.furtherIsHarmless(upstream, now), "may take effect twice");
             assertTrue(q.tries.size() < PERMITS.executions(), "more executions than allowed");
-            assertTrue(now <= toldAt.getOrDefault(upstream, now) + DRAIN_GRACE, "sent to a draining upstream");
+            double told = toldAt.getOrDefault(upstream, now);
+            assertTrue(now <= told + DRAIN_GRACE, "sent to a draining upstream");
             q.tries.add(new Try(upstream, now));
             super.send(query, at);
         }
@@ -139,7 +140,7 @@
             boolean wins = outcome == Outcome.HANDLED && !q.closed;
             boolean ended = q.closed || wins;
             q.closed = ended;
-            decide.outcome(now, id, index, outcome, now - t.at, ended, null);
+            decide.outcome(now, id, index, outcome, ended, null);
         }
 
         /** At the cut-off the wire ends what is still out; the answer is due within the grace after that. */
@@ -217,7 +218,7 @@
             w.finish(ids.get(at), indexes.get(at), OUTCOMES[detail % OUTCOMES.length]);
             // The wire never repeats an outcome; a front that does must change nothing.
             int sends = w.sent.size();
-            w.decide.outcome(w.now, ids.get(at), indexes.get(at), Outcome.ERROR, 0, false, null);
+            w.decide.outcome(w.now, ids.get(at), indexes.get(at), Outcome.ERROR, false, null);
             assertEquals(sends, w.sent.size());
         }
     }
