--- a/src/main/java/portrelay/cli/ConfigCommand.java
+++ b/src/main/java/portrelay/cli/ConfigCommand.java
@@ -16,7 +16,7 @@
     private static final int BAD_CONFIGURATION = 2;
 
     @Parameter(names = "--config", description = "a sidecar's configuration, a JSON file")
-    private String config = System.getenv("LB_CONFIG");
+    private String config = System.getenv(Config.FILE);
 
     abstract int run(Config config) throws IOException, BadSetting, InterruptedException;
 
@@ -25,13 +25,13 @@
         LogManager.getLogManager().reset();
         Logger.getLogger("").setLevel(Level.OFF);
         if (config == null) {
-            return bad("LB_CONFIG: expected a file's name, or --config FILE");
+            return bad(Config.FILE + ": expected a file's name, or --config FILE");
         }
         byte[] json;
         try {
             json = Files.readAllBytes(Path.of(config));
         } catch (IOException e) {
-            return bad("LB_CONFIG: expected a file that can be read, not " + config);
+            return bad(Config.FILE + ": expected a file that can be read, not " + config);
         }
         try {
             return run(Config.parse(json));
--- a/src/main/java/portrelay/net/Config.java
+++ b/src/main/java/portrelay/net/Config.java
@@ -11,6 +11,9 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         int sockets, Fields known, Settings settings) {
 
+    /** The environment variable that names the file. */
+    public static final String FILE = Names.CONFIG_FILE;
+
     private static final int SOCKETS = 1024;
 
     public static Config parse(byte[] json) throws BadSetting {
--- a/src/main/java/portrelay/net/Names.java
+++ b/src/main/java/portrelay/net/Names.java
@@ -16,6 +16,7 @@
     static final HttpString AGAIN = new HttpString("X-Second-Try");
     static final HttpString NUMBER = new HttpString("Idempotency-Key");
     static final String KEY = "sid";
+    static final HttpString PROXY_CONNECTION = new HttpString("Proxy-Connection");
 
     // What comes back.
     static final HttpString NEVER_RAN = new HttpString("X-Never-Ran");
--- a/src/main/java/portrelay/net/Passing.java
+++ b/src/main/java/portrelay/net/Passing.java
@@ -15,7 +15,7 @@
     private static final Set<HttpString> ONE_CONNECTION = Set.of(Headers.CONNECTION, Headers.KEEP_ALIVE,
             Headers.PROXY_AUTHENTICATE, Headers.PROXY_AUTHORIZATION, Headers.TE, Headers.TRAILER,
             Headers.TRANSFER_ENCODING, Headers.UPGRADE, Headers.CONTENT_LENGTH, Headers.EXPECT,
-            new HttpString("Proxy-Connection"));
+            Names.PROXY_CONNECTION);
 
     private Passing() {
     }
