--- a/src/main/java/portrelay/net/ModuleActor.java
+++ b/src/main/java/portrelay/net/ModuleActor.java
@@ -19,7 +19,7 @@
  */
 final class ModuleActor implements Effects, UpstreamActor.Listener {
 
-    /** The upstream's list, as far as the module needs it. */
+    /** The list of upstreams, as far as the module asks for it. */
     interface Watch {
         void watch();
     }
