An execution whose answer crosses its time-out may have run: it counted as never connected

From reading the change once more: Link.written() said no once a call had ended. A time-out that reached the upstream's mailbox just before the answer then ended the execution as NO_CONNECTION, and an at-most-once query that had run would have been denied. In doubt it has run now.

--- a/src/main/java/portrelay/net/Link.java
+++ b/src/main/java/portrelay/net/Link.java
@@ -40,9 +40,9 @@
         return connection.isOpen() && current == null;
     }
 
-    /** Whether the last byte of the call under way has left us; in doubt, it has. */
+    /** Whether the last byte of the last call has left us; in doubt, as when it has ended, it has. */
     boolean written() {
-        return current != null && current.written();
+        return current == null || current.written();
     }
 
     void onClosed(Runnable then) {
--- /dev/null
+++ b/src/test/java/portrelay/net/LinkTest.java
@@ -0,0 +1,48 @@
+package portrelay.net;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+class LinkTest {
+
+    /** A stop may cross the answer in the mailbox: what has run must not pass for what never left us. */
+    @Test
+    void aCallThatHasEndedCountsAsWritten() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        try (ServerSocket door = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Loop loop = new Loop(worker.getIoThread(), new Clock());
+            Dialer dialer = new Dialer(loop, new DefaultByteBufferPool(true, 16384), 1);
+            CompletableFuture<Boolean> written = new CompletableFuture<>();
+            HeaderMap headers = new HeaderMap();
+            headers.put(Headers.HOST, "u");
+            loop.execute(() -> dialer.dial((InetSocketAddress) door.getLocalSocketAddress(), 5,
+                    link -> link.call(new Call(Methods.GET, "/", headers, Call.NO_BODY), 9,
+                            result -> written.complete(link.written())),
+                    () -> written.completeExceptionally(new AssertionError("no connection"))));
+            try (Socket upstream = door.accept()) {
+                upstream.getInputStream().read();
+                String answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                upstream.getOutputStream().write(answer.getBytes(ISO_8859_1));
+                assertTrue(written.get(5, TimeUnit.SECONDS));
+            }
+        } finally {
+            worker.shutdownNow();
+        }
+    }
+}
