Net code after a reading: no header copied twice, no pattern compiled for each query, Undertow's own byte count

Behaviour as before. CountedSink did what Undertow's BytesSentStreamSinkConduit does; the count of unanswered queries was contained in that of busy exchanges; the limit of 64 KiB stood in two places; the mailbox's second scheduling and Dialer.open were dead.

--- a/src/main/java/portrelay/net/Call.java
+++ b/src/main/java/portrelay/net/Call.java
@@ -1,10 +1,24 @@
 package portrelay.net;
 
+import io.undertow.client.ClientRequest;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
+import io.undertow.util.Protocols;
 
-/** What is written to an upstream or to discovery. Target is the raw path and query. */
-record Call(HttpString method, String target, HeaderMap headers, byte[] body) {
+/** What is written to an upstream or to discovery. */
+record Call(ClientRequest head, byte[] body) {
 
     static final byte[] NO_BODY = new byte[0];
+    /** The protocol's limit, for queries and answers. */
+    static final int LONGEST_BODY = 64 * 1024;
+
+    /** Target is the raw path and query. */
+    static Call of(HttpString method, String target, byte[] body) {
+        return new Call(new ClientRequest().setMethod(method).setPath(target).setProtocol(Protocols.HTTP_1_1),
+                body);
+    }
+
+    HeaderMap headers() {
+        return head.getRequestHeaders();
+    }
 }
--- a/src/main/java/portrelay/net/Dialer.java
+++ b/src/main/java/portrelay/net/Dialer.java
@@ -3,12 +3,14 @@
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.http.HttpClientProvider;
+import io.undertow.conduits.BytesSentStreamSinkConduit;
 import io.undertow.connector.ByteBufferPool;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.URI;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
@@ -49,10 +51,6 @@
         this.opening = new Opening(loop.thread(), opener);
     }
 
-    int open() {
-        return open;
-    }
-
     /** Exactly one of the two is called, later, unless the dial is given up before. */
     Dial dial(InetSocketAddress to, double within, Consumer<Link> opened, Runnable failed) {
         return new Dial(to, within, opened, failed);
@@ -100,7 +98,7 @@
                 return;
             }
             connection.addCloseListener(c -> giveBack());
-            opened.accept(new Link(connection, opening.socket, opening.sink));
+            opened.accept(new Link(connection, opening.socket, opening.sent));
         }
 
         @Override
@@ -142,7 +140,7 @@
         private InetSocketAddress to;
         private IoFuture<StreamConnection> dialing;
         private StreamConnection socket;
-        private CountedSink sink;
+        private AtomicLong sent;
 
         Opening(XnioIoThread real, Opener opener) {
             super(real.getWorker(), real.getNumber());
@@ -155,8 +153,9 @@
                 ChannelListener<? super StreamConnection> listener, OptionMap options) {
             dialing = opener.open(to, connection -> {
                 socket = connection;
-                sink = new CountedSink(connection.getSinkChannel().getConduit());
-                connection.getSinkChannel().setConduit(sink);
+                sent = new AtomicLong();
+                connection.getSinkChannel().setConduit(new BytesSentStreamSinkConduit(
+                        connection.getSinkChannel().getConduit(), sent::addAndGet));
                 listener.handleEvent(connection);
             }, options);
             return dialing;
--- a/src/main/java/portrelay/net/Front.java
+++ b/src/main/java/portrelay/net/Front.java
@@ -113,7 +113,7 @@
             turnAway(exchange, e);
             return;
         }
-        exchange.getRequestReceiver().setMaxBufferSize(QueryReader.LONGEST_BODY);
+        exchange.getRequestReceiver().setMaxBufferSize(Call.LONGEST_BODY);
         exchange.getRequestReceiver().receiveFullBytes(this::whole, (broken, cause) -> {
             broken.setPersistent(false);
             boolean tooLong = cause instanceof Receiver.RequestToLargeException;
--- a/src/main/java/portrelay/net/Link.java
+++ b/src/main/java/portrelay/net/Link.java
@@ -3,14 +3,13 @@
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
-import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
-import io.undertow.util.Protocols;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
@@ -22,13 +21,13 @@
 
     private final ClientConnection connection;
     private final StreamConnection socket;
-    private final CountedSink sink;
+    private final AtomicLong sent;
     private Exchange current;
 
-    Link(ClientConnection connection, StreamConnection socket, CountedSink sink) {
+    Link(ClientConnection connection, StreamConnection socket, AtomicLong sent) {
         this.connection = connection;
         this.socket = socket;
-        this.sink = sink;
+        this.sent = sent;
         connection.addCloseListener(c -> {
             if (current != null) {
                 current.closed();
@@ -52,13 +51,7 @@
     /** An answer of more than the limit counts as no answer. Done is called once, inside the loop. */
     void call(Call call, int limit, Consumer<Result> done) {
         current = new Exchange(call, limit, done);
-        ClientRequest head = new ClientRequest().setMethod(call.method()).setPath(call.target())
-                .setProtocol(Protocols.HTTP_1_1);
-        HeaderMap headers = head.getRequestHeaders();
-        for (var header : call.headers()) {
-            headers.putAll(header.getHeaderName(), header);
-        }
-        connection.sendRequest(head, current);
+        connection.sendRequest(call.head(), current);
     }
 
     /**
@@ -76,7 +69,7 @@
         private final int limit;
         private final Consumer<Result> done;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private final long bytesBefore = sink.bytes();
+        private final long sentBefore = sent.get();
         private final ByteBuffer unwritten;
         private ClientResponse head;
         private boolean reading;
@@ -89,7 +82,7 @@
         }
 
         boolean written() {
-            return call.body().length == 0 ? sink.bytes() > bytesBefore : !unwritten.hasRemaining();
+            return call.body().length == 0 ? sent.get() > sentBefore : !unwritten.hasRemaining();
         }
 
         @Override
--- a/src/main/java/portrelay/net/ListActor.java
+++ b/src/main/java/portrelay/net/ListActor.java
@@ -1,6 +1,5 @@
 package portrelay.net;
 
-import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import java.io.IOException;
@@ -88,12 +87,11 @@
         if (!watching) {
             return;
         }
-        HeaderMap headers = new HeaderMap();
-        headers.put(Headers.HOST, host);
         String target = version < 0 ? Names.LIST : Names.LIST + "?" + Names.AFTER + "=" + version + "&"
                 + Names.WAIT_MS + "=" + (long) (WAIT * 1e3);
-        to.call(new Call(Methods.GET, target, headers, Call.NO_BODY), LONGEST_LIST,
-                result -> mailbox.post(() -> answered(to, result)));
+        Call call = Call.of(Methods.GET, target, Call.NO_BODY);
+        call.headers().put(Headers.HOST, host);
+        to.call(call, LONGEST_LIST, result -> mailbox.post(() -> answered(to, result)));
     }
 
     private void answered(Link from, Result result) {
--- a/src/main/java/portrelay/net/Mailbox.java
+++ b/src/main/java/portrelay/net/Mailbox.java
@@ -37,9 +37,5 @@
                 log.fault("a message failed", e);
             }
         }
-        if (!messages.isEmpty() && !due) {
-            due = true;
-            loop.execute(this::work);
-        }
     }
 }
--- a/src/main/java/portrelay/net/ModuleActor.java
+++ b/src/main/java/portrelay/net/ModuleActor.java
@@ -43,7 +43,6 @@
     private final Map<QueryId, Open> open = new HashMap<>();
     private final Map<UpstreamId, UpstreamActor> upstreams = new HashMap<>();
     private Watch watch;
-    private int unanswered;
 
     ModuleActor(Loop loop, Log log, Settings settings, long seed) {
         this.loop = loop;
@@ -58,7 +57,6 @@
     }
 
     void arrived(Incoming incoming) {
-        unanswered++;
         mailbox.post(() -> arrivedNow(incoming));
     }
 
@@ -78,11 +76,6 @@
         });
     }
 
-    /** Queries taken and not answered yet. */
-    int unanswered() {
-        return unanswered;
-    }
-
     boolean knows(QueryId id) {
         return open.containsKey(id);
     }
@@ -91,7 +84,6 @@
         QueryId id = incoming.asked().id();
         Open q = new Open(incoming);
         if (open.putIfAbsent(id, q) != null) {
-            unanswered--;
             incoming.reply().writtenOff();
             return;
         }
@@ -152,7 +144,6 @@
 
     private void answer(QueryId id, Open q) {
         q.answered = true;
-        unanswered--;
         q.cutOff.remove();
         forgetIfDone(id, q);
     }
--- a/src/main/java/portrelay/net/QueryReader.java
+++ b/src/main/java/portrelay/net/QueryReader.java
@@ -7,6 +7,7 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
+import java.util.regex.Pattern;
 import portrelay.model.Asked;
 import portrelay.model.Offering;
 import portrelay.model.OfferingId;
@@ -17,8 +18,8 @@
 /** Takes out of a query the few fields that the decisions need; all else goes on as the bytes that came. */
 final class QueryReader {
 
-    static final int LONGEST_BODY = 64 * 1024;
     private static final int LONGEST_ID = 256;
+    private static final Pattern DIGITS = Pattern.compile("\\d{1,9}");
     /** The client counted from before the query reached us, and the answer has to reach it in time. */
     private static final double WAY_BACK = 0.005;
     private static final double LEAST = 0.001;
@@ -32,16 +33,21 @@
     /** By the header alone, before any of a body is taken in that is too long. */
     void checkLength(HttpServerExchange exchange) throws BadQuery {
         String length = exchange.getRequestHeaders().getFirst(Headers.CONTENT_LENGTH);
-        if (length != null && !length.matches("\\d{1,9}")) {
+        if (length == null) {
+            return;
+        }
+        int bytes = whole(length);
+        if (bytes < 0) {
             throw new BadQuery(StatusCodes.BAD_REQUEST, "Content-Length");
         }
-        if (length != null && Integer.parseInt(length) > LONGEST_BODY) {
+        if (bytes > Call.LONGEST_BODY) {
             throw tooLong();
         }
     }
 
     static BadQuery tooLong() {
-        return new BadQuery(StatusCodes.REQUEST_ENTITY_TOO_LARGE, "body over " + LONGEST_BODY + " bytes");
+        String why = "body over " + Call.LONGEST_BODY + " bytes";
+        return new BadQuery(StatusCodes.REQUEST_ENTITY_TOO_LARGE, why);
     }
 
     Asked read(HttpServerExchange exchange, double now) throws BadQuery {
@@ -61,13 +67,14 @@
         if (settings.hasTenants() && tenant == null) {
             throw missing(Names.TENANT);
         }
-        String left = one(headers, Names.TIME_LEFT_MS);
-        if (left == null || !left.matches("\\d{1,9}") || left.matches("0+")) {
+        String leftText = one(headers, Names.TIME_LEFT_MS);
+        int left = leftText == null ? -1 : whole(leftText);
+        if (left <= 0) {
             throw missing(Names.TIME_LEFT_MS);
         }
         boolean again = Names.TRUE.equals(one(headers, Names.AGAIN));
         String key = settings.warmKeys() ? key(exchange.getQueryString()) : null;
-        double wait = Math.max(Integer.parseInt(left) / 1e3 - WAY_BACK, LEAST);
+        double wait = Math.max(left / 1e3 - WAY_BACK, LEAST);
         return new Asked(new QueryId(id), offering, tenant, key, now + wait, Double.NaN, again);
     }
 
@@ -98,6 +105,11 @@
         return values.getFirst();
     }
 
+    /** The number that up to nine digits say, -1 where the text is anything else. */
+    private static int whole(String text) {
+        return DIGITS.matcher(text).matches() ? Integer.parseInt(text) : -1;
+    }
+
     private static String firstPart(String path) {
         int end = path.indexOf('/', 1);
         return path.isEmpty() ? "" : path.substring(1, end < 0 ? path.length() : end);
--- a/src/main/java/portrelay/net/Sidecar.java
+++ b/src/main/java/portrelay/net/Sidecar.java
@@ -35,7 +35,6 @@
     private final Log log;
     private final XnioWorker worker;
     private final Loop loop;
-    private final ModuleActor module;
     private final Front front;
     private final double longestCutOff;
     private final CountDownLatch ready = new CountDownLatch(1);
@@ -51,7 +50,7 @@
         int half = Math.max(1, (config.sockets() - own) / 2);
         Dialer toUpstreams = new Dialer(loop, buffers, half);
         Dialer toDiscovery = new Dialer(loop, buffers, 2);
-        module = new ModuleActor(loop, log, settings, config.seed());
+        ModuleActor module = new ModuleActor(loop, log, settings, config.seed());
         double idle = IDLE_SHARE * (settings.connectionIdle() > 0 ? settings.connectionIdle() : DEFAULT_IDLE);
         ListActor list = new ListActor(loop, log, toDiscovery, config.discovery(), module,
                 at -> new UpstreamActor(loop, log, toUpstreams, module, settings.dialWithin(), idle, at));
@@ -134,7 +133,7 @@
     }
 
     private void endWhenAnswered() {
-        if (front.busy() <= 0 && module.unanswered() == 0) {
+        if (front.busy() == 0) {
             front.closeClients();
             loop.execute(ended::countDown);
         } else {
--- a/src/main/java/portrelay/net/UpstreamActor.java
+++ b/src/main/java/portrelay/net/UpstreamActor.java
@@ -13,8 +13,6 @@
 /** One upstream: owns every connection to it, and ends each execution there exactly once. */
 final class UpstreamActor {
 
-    private static final int LONGEST_ANSWER = 64 * 1024;
-
     /** What an upstream tells when its executions end. */
     interface Listener {
         void ended(ExecutionId execution, Outcome outcome, Result answer);
@@ -104,15 +102,15 @@
     private void write(ExecutionId id, Running one, Link link) {
         one.link = link;
         Incoming query = one.query;
-        HeaderMap headers = new HeaderMap();
+        Call call = Call.of(query.method(), query.target(), query.body());
+        HeaderMap headers = call.headers();
         Passing.copy(query.headers(), headers);
         long left = (long) Math.max(1, (query.asked().cutOffAt() - loop.now()) * 1e3);
         headers.put(Names.TIME_LEFT_MS, left);
         if (query.method().equals(Methods.POST)) {
             headers.put(Headers.CONTENT_LENGTH, query.body().length);
         }
-        link.call(new Call(query.method(), query.target(), headers, query.body()), LONGEST_ANSWER,
-                result -> mailbox.post(() -> answered(id, one, result)));
+        link.call(call, Call.LONGEST_BODY, result -> mailbox.post(() -> answered(id, one, result)));
     }
 
     private void answered(ExecutionId id, Running one, Result result) {
--- a/src/main/java/portrelay/net/Warmup.java
+++ b/src/main/java/portrelay/net/Warmup.java
@@ -117,9 +117,11 @@
         Offering offering = offerings.get(asked % offerings.size());
         boolean reissuable = offering.repeats() == Offering.Repeats.REISSUABLE;
         String name = settings.name(offering.id());
-        HeaderMap headers = new HeaderMap();
+        Call call = Call.of(reissuable ? Methods.GET : Methods.POST, "/" + name + "/warm-up?n=" + ++asked,
+                reissuable ? Call.NO_BODY : BODY);
+        HeaderMap headers = call.headers();
         headers.put(Headers.HOST, "warm.up");
-        headers.put(Names.QUERY_ID, "warm-up-" + asked++);
+        headers.put(Names.QUERY_ID, "warm-up-" + asked);
         headers.put(Names.OFFERING, name);
         headers.put(Names.TIME_LEFT_MS, 1000);
         if (tenant != null) {
@@ -131,9 +133,7 @@
         if (!reissuable) {
             headers.put(Headers.CONTENT_LENGTH, BODY.length);
         }
-        Call call = new Call(reissuable ? Methods.GET : Methods.POST, "/" + name + "/warm-up?n=" + asked,
-                headers, reissuable ? Call.NO_BODY : BODY);
-        client.call(call, QueryReader.LONGEST_BODY, result -> loop.execute(() -> {
+        client.call(call, Call.LONGEST_BODY, result -> loop.execute(() -> {
             done++;
             answered += result.status() == StatusCodes.OK ? 1 : 0;
             if (done >= QUERIES) {
--- a/src/test/java/portrelay/net/LinkTest.java
+++ b/src/test/java/portrelay/net/LinkTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.undertow.server.DefaultByteBufferPool;
-import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import java.net.InetAddress;
@@ -29,11 +28,10 @@
             Loop loop = new Loop(worker.getIoThread(), new Clock());
             Dialer dialer = new Dialer(loop, new DefaultByteBufferPool(true, 16384), 1);
             CompletableFuture<Boolean> written = new CompletableFuture<>();
-            HeaderMap headers = new HeaderMap();
-            headers.put(Headers.HOST, "u");
+            Call call = Call.of(Methods.GET, "/", Call.NO_BODY);
+            call.headers().put(Headers.HOST, "u");
             loop.execute(() -> dialer.dial((InetSocketAddress) door.getLocalSocketAddress(), 5,
-                    link -> link.call(new Call(Methods.GET, "/", headers, Call.NO_BODY), 9,
-                            result -> written.complete(link.written())),
+                    link -> link.call(call, 9, result -> written.complete(link.written())),
                     () -> written.completeExceptionally(new AssertionError("no connection"))));
             try (Socket upstream = door.accept()) {
                 upstream.getInputStream().read();
