Silent and endless clients are closed, ambiguous framing is refused, SIGHUP moves the watch

Reload: exit 129, SIGHUP had no handler.

Checked and ruled out: upstreams (no errors, 52 connections at once), CPU (0.5 of a core only while compiling), memory (flat at 65 MB).

Changed: Undertow's NO_REQUEST_TIMEOUT and REQUEST_PARSE_TIMEOUT for rests and heads; Clients closes bodies that do not end and answers that are not read, and under pressure connections that never spoke. Content-Length with Transfer-Encoding, or either twice, is 400 and a close; what is turned away before its end is not drained. SIGHUP reads LB_CONFIG again and ListActor.move starts a new watch there with the whole list; callbacks of a call that was given up are told by its number. A call that may not wait has 1.5 s of patience, not 21.5.

--- a/src/main/java/portrelay/cli/ConfigCommand.java
+++ b/src/main/java/portrelay/cli/ConfigCommand.java
@@ -27,14 +27,8 @@
         if (config == null) {
             return bad(Config.FILE + ": expected a file's name, or --config FILE");
         }
-        byte[] json;
         try {
-            json = Files.readAllBytes(Path.of(config));
-        } catch (IOException e) {
-            return bad(Config.FILE + ": expected a file that can be read, not " + config);
-        }
-        try {
-            return run(Config.parse(json));
+            return run(read());
         } catch (BadSetting e) {
             return bad(e.getMessage());
         } catch (IOException e) {
@@ -44,6 +38,15 @@
         }
     }
 
+    /** The file as it is now. */
+    final Config read() throws BadSetting {
+        try {
+            return Config.parse(Files.readAllBytes(Path.of(config)));
+        } catch (IOException e) {
+            throw new BadSetting(Config.FILE, "a file that can be read, not " + config);
+        }
+    }
+
     private static int bad(String why) {
         System.err.println("portrelay: " + why);
         return BAD_CONFIGURATION;
--- a/src/main/java/portrelay/net/Addresses.java
+++ b/src/main/java/portrelay/net/Addresses.java
@@ -40,6 +40,12 @@
         }
     }
 
+    /** As a Host header has it. */
+    static String text(InetSocketAddress address) {
+        String host = address.getAddress().getHostAddress();
+        return (host.indexOf(':') < 0 ? host : "[" + host + "]") + ":" + address.getPort();
+    }
+
     private static InetSocketAddress at(InetAddress address, String port) {
         int number = Integer.parseInt(port);
         return number > 65535 ? null : new InetSocketAddress(address, number);
--- a/src/main/java/portrelay/net/Front.java
+++ b/src/main/java/portrelay/net/Front.java
@@ -3,7 +3,9 @@
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
+import io.undertow.io.IoCallback;
 import io.undertow.io.Receiver;
+import io.undertow.io.Sender;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
@@ -29,30 +31,40 @@
 /** The application's side: takes queries in, hands them to the module, gives its answers back. */
 final class Front implements HttpHandler {
 
+    private static final double HEAD_WITHIN = 2.5;
+
     private final Loop loop;
     private final QueryReader reader;
     private final ModuleActor module;
     private final HttpOpenListener http;
     private AcceptingChannel<StreamConnection> door;
     private boolean ready;
+    private final Clients clients;
     private boolean closing;
-    private int busy;
 
     Front(Loop loop, ByteBufferPool buffers, QueryReader reader, ModuleActor module) {
         this.loop = loop;
         this.reader = reader;
         this.module = module;
+        clients = new Clients(loop);
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-                .set(UndertowOptions.MAX_HEADER_SIZE, 32 * 1024).getMap());
+                .set(UndertowOptions.MAX_HEADER_SIZE, 32 * 1024)
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, millis(HEAD_WITHIN))
+                .set(UndertowOptions.NO_REQUEST_TIMEOUT, millis(Clients.QUIET_MOST)).getMap());
         http.setRootHandler(new HttpContinueReadHandler(this));
     }
 
+    private static int millis(double seconds) {
+        return (int) Math.round(seconds * 1e3);
+    }
+
     /** Takes up to so many connections at this address; more wait at the door. */
     void listen(XnioWorker worker, InetSocketAddress at, int mostClients) throws IOException {
-        door = worker.createStreamConnectionServer(at, ChannelListeners.openListenerAdapter(http),
+        clients.room(mostClients);
+        door = worker.createStreamConnectionServer(at, ChannelListeners.openListenerAdapter(this::accept),
                 OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
                         .set(Options.BACKLOG, 1024).set(Options.CONNECTION_HIGH_WATER, mostClients)
                         .set(Options.CONNECTION_LOW_WATER, Math.max(1, mostClients - 1)).getMap());
@@ -67,6 +79,7 @@
     }
 
     void accept(StreamConnection client) {
+        clients.opened(client);
         http.handleEvent(client);
     }
 
@@ -87,14 +100,14 @@
 
     /** Exchanges begun and not answered to the last byte. */
     int busy() {
-        return busy;
+        return clients.busy();
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        busy++;
+        clients.at(connection(exchange), Clients.Phase.READING);
         exchange.addExchangeCompleteListener((done, next) -> {
-            busy--;
+            clients.at(connection(done), Clients.Phase.QUIET);
             next.proceed();
         });
         if (closing) {
@@ -107,17 +120,15 @@
             return;
         }
         try {
-            reader.checkLength(exchange);
+            reader.checkFraming(exchange);
         } catch (BadQuery e) {
-            exchange.setPersistent(false);
-            turnAway(exchange, e);
+            turnAwayAndClose(exchange, e);
             return;
         }
         exchange.getRequestReceiver().setMaxBufferSize(Call.LONGEST_BODY);
         exchange.getRequestReceiver().receiveFullBytes(this::whole, (broken, cause) -> {
-            broken.setPersistent(false);
             boolean tooLong = cause instanceof Receiver.RequestToLargeException;
-            turnAway(broken, tooLong ? QueryReader.tooLong()
+            turnAwayAndClose(broken, tooLong ? QueryReader.tooLong()
                     : new BadQuery(StatusCodes.BAD_REQUEST, "the body breaks off"));
         });
     }
@@ -133,6 +144,7 @@
             String target = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
             Incoming incoming = new Incoming(asked, exchange.getRequestMethod(), target,
                     exchange.getRequestHeaders(), body, client);
+            clients.at(client.connection, Clients.Phase.ASKED);
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
                 client.watch();
                 module.arrived(incoming);
@@ -142,12 +154,44 @@
         }
     }
 
-    private static void turnAway(HttpServerExchange exchange, BadQuery why) {
+    private static HttpServerConnection connection(HttpServerExchange exchange) {
+        return (HttpServerConnection) exchange.getConnection();
+    }
+
+    private void turnAway(HttpServerExchange exchange, BadQuery why) {
+        turnAway(exchange, why, IoCallback.END_EXCHANGE);
+    }
+
+    /**
+     * Where a query ends is not known or not worth reading on to: what follows on the connection must neither
+     * be taken for a query nor be read to its end, which can be far.
+     */
+    private void turnAwayAndClose(HttpServerExchange exchange, BadQuery why) {
+        exchange.setPersistent(false);
+        turnAway(exchange, why, CLOSE);
+    }
+
+    private void turnAway(HttpServerExchange exchange, BadQuery why, IoCallback then) {
+        clients.at(connection(exchange), Clients.Phase.ANSWERING);
         exchange.setStatusCode(why.status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
-        exchange.getResponseSender().send(why.getMessage() + "\n");
+        String text = why.getMessage() + "\n";
+        exchange.setResponseContentLength(text.length());
+        exchange.getResponseSender().send(text, then);
     }
 
+    private static final IoCallback CLOSE = new IoCallback() {
+        @Override
+        public void onComplete(HttpServerExchange exchange, Sender sender) {
+            IoUtils.safeClose(exchange.getConnection());
+        }
+
+        @Override
+        public void onException(HttpServerExchange exchange, Sender sender, IOException cause) {
+            IoUtils.safeClose(exchange.getConnection());
+        }
+    };
+
     /** One client that waits for its answer; notices when it no longer does. */
     private final class Client implements Incoming.Reply {
 
@@ -232,6 +276,7 @@
                 return false;
             }
             over = true;
+            clients.at(connection, Clients.Phase.ANSWERING);
             if (closing) {
                 exchange.setPersistent(false);
             }
--- a/src/main/java/portrelay/net/ListActor.java
+++ b/src/main/java/portrelay/net/ListActor.java
@@ -21,6 +21,7 @@
 final class ListActor implements ModuleActor.Watch {
 
     private static final int LONGEST_LIST = 4 * 1024 * 1024;
+    private static final long NO_VERSION = -1;
     private static final double DIAL_WITHIN = 1;
     private static final double WAIT = 20;
     /** On top of the wait; what a silent watch kept from us counts as told 2 s after it. */
@@ -30,13 +31,13 @@
     private final Log log;
     private final Mailbox mailbox;
     private final Dialer dialer;
-    private final InetSocketAddress discovery;
-    private final String host;
+    private InetSocketAddress discovery;
     private final ModuleActor module;
     private final Function<InetSocketAddress, UpstreamActor> actors;
     private final ListPage.Numbering numbering = new ListPage.Numbering();
     private final Map<UpstreamId, UpstreamActor> upstreams = new HashMap<>();
-    private long version = -1;
+    private long version = NO_VERSION;
+    private int calls;
     private boolean watching;
     private boolean failing;
     private Link link;
@@ -50,7 +51,6 @@
         this.mailbox = new Mailbox(loop, log);
         this.dialer = dialer;
         this.discovery = discovery;
-        this.host = discovery.getAddress().getHostAddress() + ":" + discovery.getPort();
         this.module = module;
         this.actors = actors;
     }
@@ -70,27 +70,46 @@
         });
     }
 
+    /**
+     * Another discovery from here on, and at once. Its versions need not go on where the other's were, so the
+     * whole list comes first.
+     */
+    void move(InetSocketAddress to) {
+        mailbox.post(() -> {
+            log.info("discovery is at " + Addresses.text(to) + " from now on");
+            discovery = to;
+            version = NO_VERSION;
+            hangUp();
+            watching = true;
+            call();
+        });
+    }
+
     private void call() {
-        patience = loop.after(WAIT + PATIENCE, () -> mailbox.post(this::failed));
+        int mine = ++calls;
+        // What a call has to tell that may not wait is due at once, so there is less to be patient for.
+        double wait = version == NO_VERSION ? 0 : WAIT;
+        patience = loop.after(wait + PATIENCE, () -> mailbox.post(() -> failed(mine)));
         if (link != null && link.usable()) {
             ask(link);
             return;
         }
         dial = dialer.dial(discovery, DIAL_WITHIN, opened -> mailbox.post(() -> {
+            if (mine != calls || !watching) {
+                opened.close();
+                return;
+            }
             dial = null;
             link = opened;
             ask(opened);
-        }), () -> mailbox.post(this::failed));
+        }), () -> mailbox.post(() -> failed(mine)));
     }
 
     private void ask(Link to) {
-        if (!watching) {
-            return;
-        }
-        String target = version < 0 ? Names.LIST : Names.LIST + "?" + Names.AFTER + "=" + version + "&"
+        String target = version == NO_VERSION ? Names.LIST : Names.LIST + "?" + Names.AFTER + "=" + version + "&"
                 + Names.WAIT_MS + "=" + (long) (WAIT * 1e3);
         Call call = Call.of(Methods.GET, target, Call.NO_BODY);
-        call.headers().put(Headers.HOST, host);
+        call.headers().put(Headers.HOST, Addresses.text(discovery));
         to.call(call, LONGEST_LIST, result -> mailbox.post(() -> answered(to, result)));
     }
 
@@ -99,7 +118,7 @@
             return;
         }
         if (result.status() != 200) {
-            failed();
+            failed(calls);
             return;
         }
         patience.remove();
@@ -108,7 +127,7 @@
             tell(page, page.whole() ? ListNews.WHOLE : ListNews.CHANGES);
         } catch (IOException | BadSetting e) {
             log.warn("discovery sent no list: " + e.getMessage().lines().findFirst().orElse(""));
-            failed();
+            failed(calls);
             return;
         }
         if (failing) {
@@ -118,12 +137,10 @@
         call();
     }
 
-    private void failed() {
-        if (!watching) {
-            return;
+    private void hangUp() {
+        if (patience != null) {
+            patience.remove();
         }
-        watching = false;
-        patience.remove();
         if (dial != null) {
             dial.giveUp();
             dial = null;
@@ -132,6 +149,15 @@
             link.close();
             link = null;
         }
+    }
+
+    /** Says of which call: one that was given up may still have this on its way. */
+    private void failed(int call) {
+        if (!watching || call != calls) {
+            return;
+        }
+        watching = false;
+        hangUp();
         if (!failing) {
             failing = true;
             log.warn("discovery does not answer");
--- a/src/main/java/portrelay/net/QueryReader.java
+++ b/src/main/java/portrelay/net/QueryReader.java
@@ -30,9 +30,17 @@
         this.settings = settings;
     }
 
-    /** By the header alone, before any of a body is taken in that is too long. */
-    void checkLength(HttpServerExchange exchange) throws BadQuery {
-        String length = exchange.getRequestHeaders().getFirst(Headers.CONTENT_LENGTH);
+    /**
+     * By the header alone, before any of a body is taken in that is too long, or whose end the next in the
+     * row could see elsewhere: that would hide a second query in it.
+     */
+    void checkFraming(HttpServerExchange exchange) throws BadQuery {
+        HeaderMap headers = exchange.getRequestHeaders();
+        String length = one(headers, Headers.CONTENT_LENGTH);
+        String coding = one(headers, Headers.TRANSFER_ENCODING);
+        if (coding != null && (length != null || !coding.equalsIgnoreCase("chunked"))) {
+            throw new BadQuery(StatusCodes.BAD_REQUEST, Headers.TRANSFER_ENCODING.toString());
+        }
         if (length == null) {
             return;
         }
--- a/src/main/java/portrelay/net/Sidecar.java
+++ b/src/main/java/portrelay/net/Sidecar.java
@@ -36,6 +36,7 @@
     private final XnioWorker worker;
     private final Loop loop;
     private final Front front;
+    private final ListActor list;
     private final double longestCutOff;
     private final CountDownLatch ready = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -52,7 +53,7 @@
         Dialer toDiscovery = new Dialer(loop, buffers, 2);
         ModuleActor module = new ModuleActor(loop, log, settings, config.seed());
         double idle = IDLE_SHARE * (settings.connectionIdle() > 0 ? settings.connectionIdle() : DEFAULT_IDLE);
-        ListActor list = new ListActor(loop, log, toDiscovery, config.discovery(), module,
+        list = new ListActor(loop, log, toDiscovery, config.discovery(), module,
                 at -> new UpstreamActor(loop, log, toUpstreams, module, settings.dialWithin(), idle, at));
         front = new Front(loop, buffers, new QueryReader(settings), module);
         front.listen(worker, config.listen(), half);
@@ -107,6 +108,14 @@
         return sidecar;
     }
 
+    /**
+     * Takes over what may change under way from a configuration that replaces the one it was started with:
+     * where discovery is.
+     */
+    public void reload(Config config) {
+        list.move(config.discovery());
+    }
+
     /** Where it listens; tells the port where the configuration left that open with 0. */
     public InetSocketAddress address() {
         return front.address();
--- a/src/test/java/portrelay/NetTest.java
+++ b/src/test/java/portrelay/NetTest.java
@@ -13,8 +13,13 @@
 import static portrelay.Rig.answer;
 import static portrelay.Rig.raw;
 
+import java.io.BufferedReader;
 import java.net.ConnectException;
 import java.net.Socket;
+import java.net.SocketException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -286,6 +291,86 @@
         }
     }
 
+    // ---- Clients that take up room ----------------------------------------------------------------------
+
+    @Test
+    void silentConnectionsNeitherStayNorShutOthersOut() throws Exception {
+        try (Town town = new Town(64, answer("200 OK", "u"))) {
+            long start = System.nanoTime();
+            List<Socket> silent = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                silent.add(town.connect());
+            }
+            assertEquals(200, town.ask(Town.read("a", 900)).status());
+            assertTrue(System.nanoTime() - start < 1.5e9, "shut out for " + (System.nanoTime() - start) / 1e9);
+            for (Socket each : silent) {
+                assertEquals(-1, each.getInputStream().read());
+            }
+            assertTrue(System.nanoTime() - start < 3e9, "held for " + (System.nanoTime() - start) / 1e9);
+        }
+    }
+
+    @Test
+    void headsAndBodiesThatDoNotEndAreEndedWithinThreeSeconds() throws Exception {
+        String head = Town.head("POST /issue/x", "id", "issue", 500);
+        List<String> endless = List.of("GET /read/x HT", head, head + "Content-Length: 9\r\n\r\nhalf",
+                head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", "");
+        try (Town town = new Town(answer("200 OK", "u"))) {
+            long start = System.nanoTime();
+            List<Socket> clients = new ArrayList<>();
+            for (String each : endless) {
+                clients.add(town.connect());
+                clients.get(clients.size() - 1).getOutputStream().write(each.getBytes(ISO_8859_1));
+            }
+            for (Socket each : clients) {
+                Message got = Message.read(each.getInputStream());
+                assertTrue(got == null || got.status() >= 400, "got " + got);
+            }
+            assertTrue(System.nanoTime() - start < 3e9, "took " + (System.nanoTime() - start) / 1e9);
+            assertEquals(0, town.sent());
+        }
+    }
+
+    @Test
+    void aQueryThatHidesAnotherOrGoesOnTooLongEndsItsConnection() throws Exception {
+        String hidden = Town.read("hidden", 900);
+        String head = Town.head("POST /issue/x", "id", "issue", 500);
+        List<String> bad = List.of(
+                head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+                head + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nhi" + hidden,
+                head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+                head + "Transfer-Encoding: identity, chunked\r\n\r\n0\r\n\r\n" + hidden,
+                head + "Content-Length: -2\r\n\r\n" + hidden,
+                head + "Content-Length: 60000000\r\n\r\n" + hidden);
+        try (Town town = new Town(answer("200 OK", "u"))) {
+            for (String each : bad) {
+                Socket client = town.connect();
+                long start = System.nanoTime();
+                int status = Town.ask(client, each).status();
+                assertTrue(status >= 400 && status < 500 && status != 429, status + " to " + each);
+                try {
+                    assertEquals(-1, client.getInputStream().read(), "open after " + each);
+                } catch (SocketException e) {
+                    // Reset: closed as well.
+                }
+                assertTrue(System.nanoTime() - start < 1e9, "slow at " + each);
+            }
+            assertEquals(0, town.sent());
+        }
+    }
+
+    @Test
+    void anIdThatIsOpenIsTurnedAwayAndTheOpenOneIsAnswered() throws Exception {
+        try (Town town = new Town(SILENT)) {
+            Socket first = town.connect();
+            first.getOutputStream().write(Town.issue("a", 900).getBytes(ISO_8859_1));
+            town.upstreams.get(0).next();
+            assertEquals(409, town.ask(Town.issue("a", 900)).status());
+            answer("200 OK", "u").play(null, town.upstreams.get(0).accepted.get(0));
+            assertEquals(200, Message.read(first.getInputStream()).status());
+        }
+    }
+
     // ---- Connections to upstreams -----------------------------------------------------------------------
 
     @Test
@@ -366,6 +451,57 @@
         }
     }
 
+    @Test
+    void aNewConfigurationMovesTheWatchAtOnceAndEveryTime() throws Exception {
+        String list = "{\"seq\":3,\"whole\":true,\"hosts\":[]}";
+        try (Town town = new Town(answer("200 OK", "u")); Toy second = new Toy(SILENT)) {
+            assertTrue(town.discovery.next().first().contains("index=7"));
+            town.reload(second.address());
+            assertEquals("GET /discovery/hosts HTTP/1.1", second.next().first());
+            assertNotNull(town.discovery.ended.poll(1, TimeUnit.SECONDS), "the old link stays");
+            assertEquals(200, town.ask(Town.read("a", 900)).status());
+            answer("200 OK", list).play(null, second.accepted.get(0));
+            assertTrue(second.next().first().contains("index=3"));
+            assertEquals(429, town.ask(Town.read("b", 900)).status());
+            town.reload(town.discovery.address());
+            assertEquals("GET /discovery/hosts HTTP/1.1", town.discovery.next().first());
+            assertNotNull(second.ended.poll(1, TimeUnit.SECONDS), "the second link stays");
+        }
+    }
+
+    @Test
+    void aHangUpSignalReadsTheFileAgainAndABadOneChangesNothing() throws Exception {
+        Path file = Files.createTempFile("portrelay", ".json");
+        try (Toy first = new Toy(SILENT); Toy second = new Toy(SILENT)) {
+            String none = "{\"seq\":1,\"hosts\":[]}";
+            Files.writeString(file, Town.config(first.address(), none, 1024));
+            Process serve = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-cp", System.getProperty("java.class.path"), "portrelay.cli.Main", "serve", "--config",
+                    file.toString()).redirectErrorStream(true).start();
+            try (var log = serve.inputReader()) {
+                awaitLine(log, "ready");
+                Files.writeString(file, "{");
+                new ProcessBuilder("kill", "-HUP", "" + serve.pid()).start().waitFor();
+                awaitLine(log, "the old configuration stays");
+                Files.writeString(file, Town.config(second.address(), none, 1024));
+                new ProcessBuilder("kill", "-HUP", "" + serve.pid()).start().waitFor();
+                assertEquals("GET /discovery/hosts HTTP/1.1", second.next().first());
+                assertTrue(serve.isAlive());
+            } finally {
+                serve.destroy();
+                assertTrue(serve.waitFor(10, TimeUnit.SECONDS));
+            }
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    private static void awaitLine(BufferedReader log, String part) throws Exception {
+        for (String line = log.readLine(); !line.contains(part); line = log.readLine()) {
+            assertFalse(line.contains("fault"), line);
+        }
+    }
+
     // ---- Configuration ----------------------------------------------------------------------------------
 
     @Test
--- a/src/test/java/portrelay/Rig.java
+++ b/src/test/java/portrelay/Rig.java
@@ -391,6 +391,12 @@
             return ask(connect(), bytes);
         }
 
+        /** As after SIGHUP, with discovery at another address. */
+        void reload(String discovery) throws Exception {
+            String none = "{\"seq\":1,\"hosts\":[]}";
+            sidecar.reload(Config.parse(config(discovery, none, 1024).getBytes(UTF_8)));
+        }
+
         /** How many queries all upstreams were sent. */
         int sent() {
             return upstreams.stream().mapToInt(each -> each.seen.size()).sum();
