--- /dev/null
+++ b/src/main/java/portrelay/net/AnswerGuard.java
@@ -0,0 +1,114 @@
+package portrelay.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Stands between a connection's bytes and Undertow's client, which sees one sound answer for each call: no
+ * answers ahead of it, nothing behind it. What is not sound fails as a read, at once.
+ */
+final class AnswerGuard extends AbstractStreamSourceConduit<StreamSourceConduit> {
+
+    private static final int SIZE = 8 * 1024;
+
+    private final ByteBuffer raw = ByteBuffer.allocate(SIZE).limit(0);
+    private ByteBuffer head = ByteBuffer.allocate(1024);
+    /** Sound and not yet handed on; a view of one of the two above. */
+    private ByteBuffer ready = ByteBuffer.allocate(0);
+    private Framing framing;
+
+    AnswerGuard(StreamSourceConduit next) {
+        super(next);
+    }
+
+    void expect() {
+        framing = Framing.ofAnswer();
+        head.clear();
+    }
+
+    /** Whether the answer has come to its own end and not only to the connection's. */
+    boolean whole() {
+        return framing.ended() || framing.untilClose();
+    }
+
+    /** Whether nothing has come that is not part of the answer. */
+    boolean clean() {
+        return framing.ended() && !raw.hasRemaining() && !ready.hasRemaining();
+    }
+
+    @Override
+    public int read(ByteBuffer to) throws IOException {
+        while (!ready.hasRemaining()) {
+            if (framing == null || framing.ended()) {
+                // At rest: whatever comes now belongs to no call.
+                return next.read(to);
+            }
+            if (!raw.hasRemaining()) {
+                int count = next.read(raw.clear());
+                raw.flip();
+                if (count <= 0) {
+                    return count;
+                }
+            }
+            follow();
+        }
+        int count = Math.min(to.remaining(), ready.remaining());
+        to.put(ready.slice().limit(count));
+        ready.position(ready.position() + count);
+        return count;
+    }
+
+    @Override
+    public long read(ByteBuffer[] to, int offset, int count) throws IOException {
+        for (int i = offset; i < offset + count; i++) {
+            if (to[i].hasRemaining()) {
+                return read(to[i]);
+            }
+        }
+        return 0;
+    }
+
+    private void follow() throws IOException {
+        boolean inHead = framing.inHead();
+        int from = raw.position();
+        framing.follow(raw);
+        if (framing.broken()) {
+            throw new IOException("no answer that makes sense");
+        }
+        ByteBuffer sound = raw.slice(from, raw.position() - from);
+        if (!inHead) {
+            ready = sound;
+            return;
+        }
+        if (head.remaining() < sound.remaining()) {
+            head = ByteBuffer.allocate(2 * head.capacity() + sound.remaining()).put(head.flip());
+        }
+        head.put(sound);
+        if (framing.interim()) {
+            head.clear();
+        } else if (!framing.inHead()) {
+            ready = readable(head.flip());
+        }
+    }
+
+    /** The head without headers that hold what no text does: Undertow would give up the answer for them. */
+    private static ByteBuffer readable(ByteBuffer head) {
+        ByteBuffer kept = ByteBuffer.allocate(head.remaining());
+        int from = 0;
+        boolean text = true;
+        while (head.hasRemaining()) {
+            byte b = head.get();
+            text &= b >= ' ' && b != 127 || b == '\t' || b == '\r' || b == '\n';
+            if (b == '\n') {
+                if (text || from == 0) {
+                    kept.put(head.slice(from, head.position() - from));
+                }
+                from = head.position();
+                text = true;
+            }
+        }
+        return kept.flip();
+    }
+}
--- a/src/main/java/portrelay/net/Clients.java
+++ b/src/main/java/portrelay/net/Clients.java
@@ -68,10 +68,14 @@
         lines.put(socket, line);
     }
 
-    /** Connections with a query begun and not answered to the last byte. */
-    int busy() {
-        return (int) lines.entrySet().stream()
-                .filter(each -> each.getKey().isOpen() && each.getValue().phase != Phase.QUIET).count();
+    int count() {
+        lines.keySet().removeIf(socket -> !socket.isOpen());
+        return lines.size();
+    }
+
+    void closeQuiet() {
+        lines.entrySet().stream().filter(each -> each.getValue().phase == Phase.QUIET).map(Map.Entry::getKey)
+                .toList().forEach(IoUtils::safeClose);
     }
 
     private void sweepLater() {
@@ -83,8 +87,7 @@
 
     private void sweep() {
         sweeping = false;
-        lines.keySet().removeIf(socket -> !socket.isOpen());
-        int over = lines.size() - crowded;
+        int over = count() - crowded;
         List<StreamConnection> ending = new ArrayList<>();
         for (Map.Entry<StreamConnection, Line> each : lines.entrySet()) {
             Line line = each.getValue();
--- a/src/main/java/portrelay/net/Dialer.java
+++ b/src/main/java/portrelay/net/Dialer.java
@@ -98,7 +98,7 @@
                 return;
             }
             connection.addCloseListener(c -> giveBack());
-            opened.accept(new Link(connection, opening.socket, opening.sent));
+            opened.accept(new Link(connection, opening.socket, opening.sent, opening.guard));
         }
 
         @Override
@@ -141,6 +141,7 @@
         private IoFuture<StreamConnection> dialing;
         private StreamConnection socket;
         private AtomicLong sent;
+        private AnswerGuard guard;
 
         Opening(XnioIoThread real, Opener opener) {
             super(real.getWorker(), real.getNumber());
@@ -154,6 +155,8 @@
             dialing = opener.open(to, connection -> {
                 socket = connection;
                 sent = new AtomicLong();
+                guard = new AnswerGuard(connection.getSourceChannel().getConduit());
+                connection.getSourceChannel().setConduit(guard);
                 connection.getSinkChannel().setConduit(new BytesSentStreamSinkConduit(
                         connection.getSinkChannel().getConduit(), sent::addAndGet));
                 listener.handleEvent(connection);
--- /dev/null
+++ b/src/main/java/portrelay/net/Framing.java
@@ -0,0 +1,221 @@
+package portrelay.net;
+
+import java.nio.ByteBuffer;
+import java.util.Locale;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Follows messages in the bytes as they come and tells where one ends or stops making sense. The library is
+ * lax there: it takes a chunk of size "zz" for the last one, an interim answer for the final one, and reads a
+ * head without end to the end of memory.
+ */
+final class Framing {
+
+    private enum Part { FIRST_LINE, HEADERS, BODY, SIZE, CHUNK, AFTER_CHUNK, TRAILERS, END, OPAQUE, BROKEN }
+
+    private static final int LONGEST_HEAD = 32 * 1024;
+    private static final int LONGEST_SIZE_LINE = 256;
+    private static final String START = "HTTP/1.";
+    private static final Pattern STATUS = Pattern.compile("HTTP/1\\.[01] ([1-5]\\d\\d)( .*)?");
+    private static final Pattern HEADER = Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]+):(.*)");
+    private static final Pattern SIZE = Pattern.compile("([0-9a-fA-F]{1,7})[ \t]*(;.*)?");
+    private static final Pattern LENGTH = Pattern.compile("\\d{1,9}");
+
+    private final boolean answers;
+    private final StringBuilder line = new StringBuilder();
+    private Part part = Part.FIRST_LINE;
+    private int head;
+    private long left;
+    private int status;
+    private String length;
+    private String coding;
+    private boolean unclear;
+
+    private Framing(boolean answers) {
+        this.answers = answers;
+    }
+
+    /** One query after another; what is unclear in a head is left to whoever reads that. */
+    static Framing ofQueries() {
+        return new Framing(false);
+    }
+
+    /** One answer, and nothing behind it. */
+    static Framing ofAnswer() {
+        return new Framing(true);
+    }
+
+    boolean broken() {
+        return part == Part.BROKEN;
+    }
+
+    boolean ended() {
+        return part == Part.END;
+    }
+
+    /** Only the connection's end can end it. */
+    boolean untilClose() {
+        return part == Part.OPAQUE;
+    }
+
+    /** Inside the head of a message, or before it. */
+    boolean inHead() {
+        return part == Part.FIRST_LINE || part == Part.HEADERS;
+    }
+
+    /** Whether the head that has just ended is only an answer ahead of the answer; starts on the next one. */
+    boolean interim() {
+        if (status / 100 != 1 || inHead() || broken()) {
+            return false;
+        }
+        int soFar = head;
+        start();
+        head = soFar;
+        return true;
+    }
+
+    /**
+     * Moves over the bytes that are sound, to the end of a head, of an answer or of the buffer. Stands before
+     * the line that breaks the message.
+     */
+    void follow(ByteBuffer bytes) {
+        boolean wasInHead = inHead();
+        while (bytes.hasRemaining() && part != Part.BROKEN) {
+            switch (part) {
+                case OPAQUE -> bytes.position(bytes.limit());
+                case BODY, CHUNK -> skip(bytes);
+                case END -> {
+                    if (answers) {
+                        return;
+                    }
+                    start();
+                }
+                default -> readLine(bytes);
+            }
+            if (wasInHead && !inHead()) {
+                return;
+            }
+        }
+    }
+
+    private void start() {
+        part = Part.FIRST_LINE;
+        head = 0;
+        status = 0;
+        length = null;
+        coding = null;
+        unclear = false;
+    }
+
+    private void skip(ByteBuffer bytes) {
+        int count = (int) Math.min(left, bytes.remaining());
+        bytes.position(bytes.position() + count);
+        left -= count;
+        if (left == 0) {
+            part = part == Part.BODY ? Part.END : Part.AFTER_CHUNK;
+        }
+    }
+
+    private void readLine(ByteBuffer bytes) {
+        int from = bytes.position();
+        while (bytes.hasRemaining()) {
+            char c = (char) (bytes.get() & 0xff);
+            line.append(c);
+            int most = part == Part.SIZE || part == Part.AFTER_CHUNK ? LONGEST_SIZE_LINE : LONGEST_HEAD;
+            if (line.length() > most || ++head > LONGEST_HEAD && most == LONGEST_HEAD || !startsWell()) {
+                part = Part.BROKEN;
+            } else if (c == '\n') {
+                boolean whole = line.length() > 1 && line.charAt(line.length() - 2) == '\r';
+                String text = line.substring(0, line.length() - (whole ? 2 : 1));
+                line.setLength(0);
+                part = whole || !answers && inHead() ? next(text) : Part.BROKEN;
+            } else {
+                continue;
+            }
+            if (part == Part.BROKEN) {
+                bytes.position(from);
+            }
+            return;
+        }
+    }
+
+    /** Noise need not have a line's end in it. */
+    private boolean startsWell() {
+        int last = line.length() - 1;
+        return !answers || part != Part.FIRST_LINE || last >= START.length()
+                || line.charAt(last) == START.charAt(last);
+    }
+
+    private Part next(String text) {
+        return switch (part) {
+            case FIRST_LINE -> firstLine(text);
+            case HEADERS -> text.isEmpty() ? body() : header(text);
+            case SIZE -> size(text);
+            case AFTER_CHUNK -> text.isEmpty() ? Part.SIZE : Part.BROKEN;
+            default -> text.isEmpty() ? Part.END : Part.TRAILERS;
+        };
+    }
+
+    private Part firstLine(String text) {
+        if (!answers) {
+            return text.isEmpty() ? Part.FIRST_LINE : Part.HEADERS;
+        }
+        Matcher well = STATUS.matcher(text);
+        if (!well.matches()) {
+            return Part.BROKEN;
+        }
+        status = Integer.parseInt(well.group(1));
+        return Part.HEADERS;
+    }
+
+    private Part header(String text) {
+        Matcher well = HEADER.matcher(text);
+        if (!well.matches()) {
+            unclear = true;
+            return answers ? Part.BROKEN : Part.HEADERS;
+        }
+        String value = well.group(2).trim();
+        switch (well.group(1).toLowerCase(Locale.ROOT)) {
+            case "content-length" -> {
+                unclear |= length != null || !LENGTH.matcher(value).matches();
+                length = value;
+            }
+            case "transfer-encoding" -> {
+                unclear |= coding != null || !value.equalsIgnoreCase("chunked");
+                coding = value;
+            }
+            default -> { }
+        }
+        return Part.HEADERS;
+    }
+
+    private Part body() {
+        if (unclear || length != null && coding != null) {
+            return answers ? Part.BROKEN : Part.OPAQUE;
+        }
+        if (status / 100 == 1) {
+            // An upgrade that nobody asked for is no answer.
+            return status == 101 ? Part.BROKEN : Part.END;
+        }
+        if (coding != null) {
+            return Part.SIZE;
+        }
+        if (length != null) {
+            left = Long.parseLong(length);
+            return left == 0 || status == 204 || status == 304 ? Part.END : Part.BODY;
+        }
+        // An answer that only the connection's end delimits can't be told from half of one.
+        return !answers || status == 204 || status == 304 ? Part.END
+                : status == 200 ? Part.BROKEN : Part.OPAQUE;
+    }
+
+    private Part size(String text) {
+        Matcher well = SIZE.matcher(text);
+        if (!well.matches()) {
+            return Part.BROKEN;
+        }
+        left = Integer.parseInt(well.group(1), 16);
+        return left == 0 ? Part.TRAILERS : Part.CHUNK;
+    }
+}
--- a/src/main/java/portrelay/net/Front.java
+++ b/src/main/java/portrelay/net/Front.java
@@ -41,6 +41,7 @@
     private boolean ready;
     private final Clients clients;
     private boolean closing;
+    private double answerBy = Double.POSITIVE_INFINITY;
 
     Front(Loop loop, ByteBufferPool buffers, QueryReader reader, ModuleActor module) {
         this.loop = loop;
@@ -80,6 +81,7 @@
 
     void accept(StreamConnection client) {
         clients.opened(client);
+        client.getSourceChannel().setConduit(new QueryGuard(client.getSourceChannel().getConduit()));
         http.handleEvent(client);
     }
 
@@ -87,20 +89,26 @@
         ready = now;
     }
 
-    /** No new connections from here on, and none is kept after its answer. */
-    void close() {
-        closing = true;
+    /** No query that is taken from here on waits for longer than to this time. */
+    void answerAllBy(double time) {
+        answerBy = time;
+    }
+
+    /** No new connections from here on. */
+    void closeDoor() {
         IoUtils.safeClose(door);
     }
 
-    /** Ends what is still connected, so that nothing more is read that would stay unanswered. */
-    void closeClients() {
-        http.closeConnections();
+    /** No new queries either: quiet connections end now, the others with their answer. */
+    void close() {
+        closing = true;
+        closeDoor();
+        clients.closeQuiet();
     }
 
-    /** Exchanges begun and not answered to the last byte. */
-    int busy() {
-        return clients.busy();
+    /** How many are connected. */
+    int clients() {
+        return clients.count();
     }
 
     @Override
@@ -135,7 +143,7 @@
 
     private void whole(HttpServerExchange exchange, byte[] body) {
         try {
-            Asked asked = reader.read(exchange, loop.now());
+            Asked asked = reader.read(exchange, loop.now(), answerBy);
             if (module.knows(asked.id())) {
                 throw new BadQuery(StatusCodes.CONFLICT, "a query of this id is open");
             }
--- a/src/main/java/portrelay/net/Link.java
+++ b/src/main/java/portrelay/net/Link.java
@@ -22,12 +22,14 @@
     private final ClientConnection connection;
     private final StreamConnection socket;
     private final AtomicLong sent;
+    private final AnswerGuard guard;
     private Exchange current;
 
-    Link(ClientConnection connection, StreamConnection socket, AtomicLong sent) {
+    Link(ClientConnection connection, StreamConnection socket, AtomicLong sent, AnswerGuard guard) {
         this.connection = connection;
         this.socket = socket;
         this.sent = sent;
+        this.guard = guard;
         connection.addCloseListener(c -> {
             if (current != null) {
                 current.closed();
@@ -39,6 +41,22 @@
         return connection.isOpen() && current == null;
     }
 
+    /** Usable, and nothing has come while it rested: that would be taken for the next call's answer. */
+    boolean rested() {
+        if (!usable()) {
+            return false;
+        }
+        try {
+            if (socket.getSourceChannel().read(ByteBuffer.allocate(1)) == 0) {
+                return true;
+            }
+        } catch (IOException e) {
+            // Ended, as by bytes that nobody asked for.
+        }
+        close();
+        return false;
+    }
+
     /** Whether the last byte of the last call has left us; in doubt, as when it has ended, it has. */
     boolean written() {
         return current == null || current.written();
@@ -50,8 +68,10 @@
 
     /** An answer of more than the limit counts as no answer. Done is called once, inside the loop. */
     void call(Call call, int limit, Consumer<Result> done) {
-        current = new Exchange(call, limit, done);
-        connection.sendRequest(call.head(), current);
+        Exchange exchange = new Exchange(call, limit, done);
+        current = exchange;
+        guard.expect();
+        exchange.guarded(() -> connection.sendRequest(call.head(), exchange));
     }
 
     /**
@@ -90,12 +110,14 @@
             exchange.setResponseListener(new ClientCallback<>() {
                 @Override
                 public void completed(ClientExchange answered) {
-                    head = answered.getResponse();
-                    if (tooLong(head) || !framed(head)) {
-                        broken();
-                    } else {
-                        read(answered.getResponseChannel());
-                    }
+                    guarded(() -> {
+                        head = answered.getResponse();
+                        if (tooLong(head)) {
+                            broken();
+                        } else {
+                            read(answered.getResponseChannel());
+                        }
+                    });
                 }
 
                 @Override
@@ -113,16 +135,18 @@
             broken();
         }
 
-        private boolean tooLong(ClientResponse answer) {
-            String length = answer.getResponseHeaders().getFirst(Headers.CONTENT_LENGTH);
-            return length != null && Long.parseLong(length) > limit;
+        /** Whatever the library meets in an answer, the call ends, and once. */
+        private void guarded(Runnable step) {
+            try {
+                step.run();
+            } catch (RuntimeException e) {
+                broken();
+            }
         }
 
-        /** An answer that only the connection's end delimits can't be told from half of one. */
-        private boolean framed(ClientResponse answer) {
-            HeaderMap headers = answer.getResponseHeaders();
-            return headers.contains(Headers.CONTENT_LENGTH) || headers.contains(Headers.TRANSFER_ENCODING)
-                    || answer.getResponseCode() != 200;
+        private boolean tooLong(ClientResponse answer) {
+            String length = answer.getResponseHeaders().getFirst(Headers.CONTENT_LENGTH);
+            return length != null && Long.parseLong(length.trim()) > limit;
         }
 
         private void write(StreamSinkChannel to) {
@@ -188,9 +212,14 @@
             if (current != this) {
                 return;
             }
-            boolean early = !written();
+            if (!guard.whole()) {
+                broken();
+                return;
+            }
+            // An answer that comes before its call is written, or brings more than itself, ends the link.
+            boolean spent = !written() || !guard.clean();
             current = null;
-            if (early) {
+            if (spent) {
                 close();
             }
             done.accept(
--- /dev/null
+++ b/src/main/java/portrelay/net/QueryGuard.java
@@ -0,0 +1,48 @@
+package portrelay.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.StreamSourceConduit;
+
+/** Lets through what a client sends up to where it stops making sense; from there on reading it fails. */
+final class QueryGuard extends AbstractStreamSourceConduit<StreamSourceConduit> {
+
+    private final Framing framing = Framing.ofQueries();
+
+    QueryGuard(StreamSourceConduit next) {
+        super(next);
+    }
+
+    @Override
+    public int read(ByteBuffer to) throws IOException {
+        if (framing.broken()) {
+            throw new IOException("broken framing");
+        }
+        int from = to.position();
+        int count = next.read(to);
+        if (count <= 0) {
+            return count;
+        }
+        ByteBuffer bytes = to.duplicate();
+        bytes.flip().position(from);
+        while (bytes.hasRemaining() && !framing.broken()) {
+            framing.follow(bytes);
+        }
+        to.position(bytes.position());
+        if (bytes.position() == from) {
+            throw new IOException("broken framing");
+        }
+        return bytes.position() - from;
+    }
+
+    @Override
+    public long read(ByteBuffer[] to, int offset, int count) throws IOException {
+        for (int i = offset; i < offset + count; i++) {
+            if (to[i].hasRemaining()) {
+                return read(to[i]);
+            }
+        }
+        return 0;
+    }
+}
--- a/src/main/java/portrelay/net/QueryReader.java
+++ b/src/main/java/portrelay/net/QueryReader.java
@@ -58,7 +58,7 @@
         return new BadQuery(StatusCodes.REQUEST_ENTITY_TOO_LARGE, why);
     }
 
-    Asked read(HttpServerExchange exchange, double now) throws BadQuery {
+    Asked read(HttpServerExchange exchange, double now, double answerBy) throws BadQuery {
         HeaderMap headers = exchange.getRequestHeaders();
         String id = one(headers, Names.QUERY_ID);
         if (id == null || id.isEmpty() || id.length() > LONGEST_ID) {
@@ -82,7 +82,7 @@
         }
         boolean again = Names.TRUE.equals(one(headers, Names.AGAIN));
         String key = settings.warmKeys() ? key(exchange.getQueryString()) : null;
-        double wait = Math.max(left / 1e3 - WAY_BACK, LEAST);
+        double wait = Math.max(Math.min(left / 1e3 - WAY_BACK, answerBy - now), LEAST);
         return new Asked(new QueryId(id), offering, tenant, key, now + wait, Double.NaN, again);
     }
 
--- a/src/main/java/portrelay/net/Sidecar.java
+++ b/src/main/java/portrelay/net/Sidecar.java
@@ -30,7 +30,11 @@
     private static final double IDLE_SHARE = 0.5;
     private static final double DEFAULT_IDLE = 10;
     private static final double ACCEPT_ON = 0.55;
+    /** SIGKILL comes no sooner than this and the longest cut-off after SIGTERM. */
     private static final double LEAST_DRAIN = 0.7;
+    private static final double OWN_END = 0.1;
+    /** What is left of a drain when no more is taken. */
+    private static final double LAST_ANSWERS = 0.4;
 
     private final Log log;
     private final XnioWorker worker;
@@ -122,17 +126,20 @@
     }
 
     /**
-     * Goes on as before for half a second, for the connections still on their way, then takes no new ones,
-     * answers all that it has taken and ends. Returns when it has, or when no client can still wait for an
-     * answer.
+     * Goes on as before for the connections that are open and, for half a second, for those still on their way;
+     * clients have nobody else while they stay. Ends when they have gone, or when what is taken later could
+     * no longer be answered before the sidecar may be killed.
      */
     public void drain() {
         try {
             loop.execute(() -> {
                 log.info("draining");
                 front.ready(false);
-                loop.after(ACCEPT_ON, front::close);
-                loop.after(LEAST_DRAIN, this::endWhenAnswered);
+                double all = LEAST_DRAIN + longestCutOff - OWN_END;
+                front.answerAllBy(loop.now() + all);
+                loop.after(ACCEPT_ON, front::closeDoor);
+                loop.after(all - LAST_ANSWERS, front::close);
+                loop.after(LEAST_DRAIN, this::endWhenLeft);
             });
             ended.await((long) ((LEAST_DRAIN + longestCutOff) * 1e3), TimeUnit.MILLISECONDS);
             log.info("ended");
@@ -141,12 +148,11 @@
         }
     }
 
-    private void endWhenAnswered() {
-        if (front.busy() == 0) {
-            front.closeClients();
-            loop.execute(ended::countDown);
+    private void endWhenLeft() {
+        if (front.clients() == 0) {
+            ended.countDown();
         } else {
-            loop.after(0.01, this::endWhenAnswered);
+            loop.after(0.01, this::endWhenLeft);
         }
     }
 
--- a/src/main/java/portrelay/net/UpstreamActor.java
+++ b/src/main/java/portrelay/net/UpstreamActor.java
@@ -78,7 +78,7 @@
         Running one = new Running(query);
         running.put(id, one);
         for (Idle newest = idle.pollFirst(); newest != null; newest = idle.pollFirst()) {
-            if (newest.link.usable()) {
+            if (newest.link.rested()) {
                 write(id, one, newest.link);
                 return;
             }
