What the list no longer has is forgotten everywhere; an idle connection makes way for a dial

Seen by reading: ListActor.upstreams, ModuleActor.upstreams, Decide.known and roster and ListPage.Numbering kept every upstream that was ever listed, and a whole list that lacks a host left its connections open; past Dialer.most every dial failed though idle links stood elsewhere.

--- a/src/main/java/portrelay/Decide.java
+++ b/src/main/java/portrelay/Decide.java
@@ -139,6 +139,7 @@
         final UpstreamId id;
         Listed listed;
         boolean ready;
+        boolean gone;
         double seenAt;
         int inFlight;
         int copyWins;
@@ -331,6 +332,7 @@
         e.outcome = outcome;
         e.at.inFlight--;
         judge(q, e, reportedWait(report));
+        forgetGone();
         if (ended && q.state != State.CLOSED) {
             q.winner = e;
             step(q, outcome == Outcome.HANDLED ? Input.WON : Input.LEFT);
@@ -391,6 +393,7 @@
             watch.answered();
         }
         if (news != ListNews.CHANGES) {
+            roster.forEach(u -> u.gone = true);
             roster.forEach(u -> u.ready = false);
         }
         for (Listed row : rows) {
@@ -410,7 +413,9 @@
             }
             u.listed = row;
             u.ready = row.health() == Listed.Health.READY;
+            u.gone = row.health() == Listed.Health.GONE;
         }
+        forgetGone();
         if (!total.told) {
             total.start((double) roster.stream().filter(u -> u.ready).count() / sidecars);
         }
@@ -418,6 +423,14 @@
         armAlarm();
     }
 
+    /** Guards against growth where ids are ever new: what the list no longer has and nothing is out at. */
+    private void forgetGone() {
+        if (roster.removeIf(u -> u.gone && u.inFlight == 0)) {
+            known.values().retainAll(roster);
+            shapePaces.keySet().retainAll(roster.stream().map(u -> u.listed.shape()).toList());
+        }
+    }
+
     // ---- Effects of the table ---------------------------------------------------------------------------
 
     private Input sendFirst(Query q) {
--- a/src/main/java/portrelay/net/Clients.java
+++ b/src/main/java/portrelay/net/Clients.java
@@ -20,7 +20,7 @@
     /** A connection with no open query may be closed after two seconds; one that never spoke, at any time. */
     static final double QUIET_MOST = 2.1;
     private static final double NEVER_SPOKE_MOST = 0.2;
-    private static final double BODY_WITHIN = 2.5;
+    private static final double BODY_WITHIN = 2;
     private static final double ANSWER_WITHIN = 2.5;
     private static final double EVERY = 0.05;
     /** Of the room for clients; past it the quiet ones make way, else they shut out those who would ask. */
--- a/src/main/java/portrelay/net/Config.java
+++ b/src/main/java/portrelay/net/Config.java
@@ -29,7 +29,7 @@
                 root.has(Names.LIMITS) ? root.section(Names.LIMITS).number(Names.SOCKETS, SOCKETS) : SOCKETS;
         Fields known = root.has(Names.KNOWN) ? root.section(Names.KNOWN) : null;
         if (known != null) {
-            ListPage.read(known, new ListPage.Numbering());
+            ListPage.read(known);
         }
         return new Config(root.text(Names.NAME), address(root, Names.LISTEN), address(root, Names.DISCOVERY),
                 seed(root), (int) sockets, known, new Settings(root.section(Names.SETTINGS)));
--- a/src/main/java/portrelay/net/Dialer.java
+++ b/src/main/java/portrelay/net/Dialer.java
@@ -9,6 +9,8 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.URI;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -38,6 +40,8 @@
     private final int most;
     private final HttpClientProvider client = new HttpClientProvider();
     private final Opening opening;
+    /** Idle connections, the longest idle first. */
+    private final Set<Link> resting = new LinkedHashSet<>();
     private int open;
 
     Dialer(Loop loop, ByteBufferPool buffers, int most) {
@@ -56,6 +60,26 @@
         return new Dial(to, within, opened, failed);
     }
 
+    /** From here on the connection may be closed where another one needs its room. */
+    void rests(Link link) {
+        resting.add(link);
+    }
+
+    void taken(Link link) {
+        resting.remove(link);
+    }
+
+    /** Descriptors are for all upstreams: one that is used up at one of them must not keep us from others. */
+    private boolean makeRoom() {
+        if (resting.isEmpty()) {
+            return false;
+        }
+        Link eldest = resting.iterator().next();
+        resting.remove(eldest);
+        eldest.close();
+        return true;
+    }
+
     final class Dial implements ClientCallback<ClientConnection> {
 
         private final Consumer<Link> opened;
@@ -67,7 +91,7 @@
         private Dial(InetSocketAddress to, double within, Consumer<Link> opened, Runnable failed) {
             this.opened = opened;
             this.failed = failed;
-            if (open >= most) {
+            if (open >= most && !makeRoom()) {
                 over = true;
                 loop.execute(failed);
                 return;
@@ -97,8 +121,12 @@
                 IoUtils.safeClose(opening.socket);
                 return;
             }
-            connection.addCloseListener(c -> giveBack());
-            opened.accept(new Link(connection, opening.socket, opening.sent, opening.guard));
+            Link link = new Link(connection, opening.socket, opening.sent, opening.guard);
+            link.onClosed(() -> {
+                resting.remove(link);
+                giveBack();
+            });
+            opened.accept(link);
         }
 
         @Override
--- a/src/main/java/portrelay/net/Front.java
+++ b/src/main/java/portrelay/net/Front.java
@@ -31,7 +31,7 @@
 /** The application's side: takes queries in, hands them to the module, gives its answers back. */
 final class Front implements HttpHandler {
 
-    private static final double HEAD_WITHIN = 2.5;
+    private static final double HEAD_WITHIN = 2;
 
     private final Loop loop;
     private final QueryReader reader;
@@ -143,7 +143,7 @@
 
     private void whole(HttpServerExchange exchange, byte[] body) {
         try {
-            Asked asked = reader.read(exchange, loop.now(), answerBy);
+            Asked asked = reader.read(exchange, body.length, loop.now(), answerBy);
             if (module.knows(asked.id())) {
                 throw new BadQuery(StatusCodes.CONFLICT, "a query of this id is open");
             }
--- a/src/main/java/portrelay/net/ListActor.java
+++ b/src/main/java/portrelay/net/ListActor.java
@@ -6,8 +6,10 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
 import org.xnio.XnioExecutor;
 import portrelay.model.ListNews;
@@ -34,7 +36,6 @@
     private InetSocketAddress discovery;
     private final ModuleActor module;
     private final Function<InetSocketAddress, UpstreamActor> actors;
-    private final ListPage.Numbering numbering = new ListPage.Numbering();
     private final Map<UpstreamId, UpstreamActor> upstreams = new HashMap<>();
     private long version = NO_VERSION;
     private int calls;
@@ -57,7 +58,7 @@
 
     /** The list as this sidecar last had it. */
     void remembered(Fields known) throws BadSetting {
-        tell(ListPage.read(known, numbering), ListNews.REMEMBERED);
+        tell(ListPage.read(known), ListNews.REMEMBERED);
     }
 
     @Override
@@ -123,7 +124,7 @@
         }
         patience.remove();
         try {
-            ListPage page = ListPage.read(Fields.of(Tree.parse(result.body()), ""), numbering);
+            ListPage page = ListPage.read(Fields.of(Tree.parse(result.body()), ""));
             tell(page, page.whole() ? ListNews.WHOLE : ListNews.CHANGES);
         } catch (IOException | BadSetting e) {
             log.warn("discovery sent no list: " + e.getMessage().lines().findFirst().orElse(""));
@@ -162,7 +163,7 @@
             failing = true;
             log.warn("discovery does not answer");
         }
-        module.list(ListNews.FAILED, List.of(), Map.of());
+        module.list(ListNews.FAILED, List.of(), Map.of(), Set.of());
     }
 
     private static long count(List<Listed> rows, Listed.Health health) {
@@ -173,16 +174,19 @@
         version = page.version();
         List<Listed> rows = new ArrayList<>();
         Map<UpstreamId, UpstreamActor> added = new HashMap<>();
+        // A whole list says of those that it does not have that they are gone.
+        Set<UpstreamId> gone = news == ListNews.CHANGES ? new HashSet<>() : new HashSet<>(upstreams.keySet());
         for (ListPage.Row row : page.rows()) {
             UpstreamId id = row.listed().id();
             UpstreamActor known = upstreams.get(id);
             if (row.address() == null) {
                 if (known != null) {
-                    known.close();
+                    gone.add(id);
                     rows.add(row.listed());
                 }
                 continue;
             }
+            gone.remove(id);
             if (known == null) {
                 known = actors.apply(row.address());
                 upstreams.put(id, known);
@@ -197,6 +201,9 @@
                     + count(rows, Listed.Health.DRAINING) + " draining, "
                     + count(rows, Listed.Health.GONE) + " gone");
         }
-        module.list(news, rows, added);
+        for (UpstreamId id : gone) {
+            upstreams.remove(id).close();
+        }
+        module.list(news, rows, added, gone);
     }
 }
--- a/src/main/java/portrelay/net/ModuleActor.java
+++ b/src/main/java/portrelay/net/ModuleActor.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.xnio.XnioExecutor;
 import portrelay.Decide;
 import portrelay.model.Effects;
@@ -69,9 +70,11 @@
         mailbox.post(() -> endedNow(execution, outcome, answer));
     }
 
-    void list(ListNews news, List<Listed> rows, Map<UpstreamId, UpstreamActor> added) {
+    /** Nothing is sent to those that are gone; what is out there has its own way to their actors. */
+    void list(ListNews news, List<Listed> rows, Map<UpstreamId, UpstreamActor> added, Set<UpstreamId> gone) {
         mailbox.post(() -> {
             upstreams.putAll(added);
+            upstreams.keySet().removeAll(gone);
             decide.list(loop.now(), news, rows);
         });
     }
--- a/src/main/java/portrelay/net/QueryReader.java
+++ b/src/main/java/portrelay/net/QueryReader.java
@@ -58,7 +58,7 @@
         return new BadQuery(StatusCodes.REQUEST_ENTITY_TOO_LARGE, why);
     }
 
-    Asked read(HttpServerExchange exchange, double now, double answerBy) throws BadQuery {
+    Asked read(HttpServerExchange exchange, int body, double now, double answerBy) throws BadQuery {
         HeaderMap headers = exchange.getRequestHeaders();
         String id = one(headers, Names.QUERY_ID);
         if (id == null || id.isEmpty() || id.length() > LONGEST_ID) {
@@ -69,7 +69,7 @@
         if (offering == null || !word.equals(firstPart(exchange.getRequestURI()))) {
             throw new BadQuery(StatusCodes.NOT_FOUND, Names.OFFERING + " or the path names no offering");
         }
-        checkMethod(settings.offering(offering), exchange.getRequestMethod(), headers);
+        checkMethod(settings.offering(offering), exchange.getRequestMethod(), headers, body);
         String tenantName = one(headers, Names.TENANT);
         TenantId tenant = tenantName == null ? null : settings.tenant(tenantName);
         if (settings.hasTenants() && tenant == null) {
@@ -82,15 +82,22 @@
         }
         boolean again = Names.TRUE.equals(one(headers, Names.AGAIN));
         String key = settings.warmKeys() ? key(exchange.getQueryString()) : null;
-        double wait = Math.max(Math.min(left / 1e3 - WAY_BACK, answerBy - now), LEAST);
+        // Nobody waits for longer than the offering's cut-off, whatever a broken client says.
+        double cutOff = settings.offering(offering).cutOff();
+        double most = Math.min(cutOff > 0 ? cutOff : Double.POSITIVE_INFINITY, answerBy - now);
+        double wait = Math.max(Math.min(left / 1e3 - WAY_BACK, most), LEAST);
         return new Asked(new QueryId(id), offering, tenant, key, now + wait, Double.NaN, again);
     }
 
-    private static void checkMethod(Offering offering, HttpString method, HeaderMap headers) throws BadQuery {
+    private static void checkMethod(Offering offering, HttpString method, HeaderMap headers, int body)
+            throws BadQuery {
         boolean reissuable = offering.repeats() == Offering.Repeats.REISSUABLE;
         if (!method.equals(reissuable ? Methods.GET : Methods.POST)) {
             throw new BadQuery(StatusCodes.METHOD_NOT_ALLOWED, "the offering takes another method");
         }
+        if (reissuable && body > 0) {
+            throw new BadQuery(StatusCodes.BAD_REQUEST, "the offering takes no body");
+        }
         boolean numbered = offering.repeats() == Offering.Repeats.NUMBERED;
         if (numbered && one(headers, Names.NUMBER) == null) {
             throw missing(Names.NUMBER);
--- a/src/main/java/portrelay/net/UpstreamActor.java
+++ b/src/main/java/portrelay/net/UpstreamActor.java
@@ -20,11 +20,13 @@
 
     private static final class Running {
         private final Incoming query;
+        private final InetSocketAddress to;
         private Dialer.Dial dial;
         private Link link;
 
-        Running(Incoming query) {
+        Running(Incoming query, InetSocketAddress to) {
             this.query = query;
+            this.to = to;
         }
     }
 
@@ -63,21 +65,26 @@
 
     void at(InetSocketAddress now) {
         mailbox.post(() -> {
-            if (!address.equals(now)) {
+            if (!now.equals(address)) {
                 address = now;
                 closeIdle();
             }
         });
     }
 
+    /** It is gone: what is out there may end as it does, nothing is kept. */
     void close() {
-        mailbox.post(this::closeIdle);
+        mailbox.post(() -> {
+            address = null;
+            closeIdle();
+        });
     }
 
     private void sendNow(ExecutionId id, Incoming query) {
-        Running one = new Running(query);
+        Running one = new Running(query, address);
         running.put(id, one);
         for (Idle newest = idle.pollFirst(); newest != null; newest = idle.pollFirst()) {
+            dialer.taken(newest.link);
             if (newest.link.rested()) {
                 write(id, one, newest.link);
                 return;
@@ -93,7 +100,7 @@
         if (running.get(id) == one && link.usable()) {
             write(id, one, link);
         } else if (link.usable()) {
-            rest(link);
+            rest(one, link);
         } else {
             end(id, one, Outcome.NO_CONNECTION, null);
         }
@@ -118,7 +125,7 @@
             return;
         }
         if (one.link.usable()) {
-            rest(one.link);
+            rest(one, one.link);
         }
         end(id, one, outcome(result), result);
     }
@@ -157,7 +164,12 @@
 
     // ---- Idle connections -------------------------------------------------------------------------------
 
-    private void rest(Link link) {
+    private void rest(Running from, Link link) {
+        if (!from.to.equals(address)) {
+            link.close();
+            return;
+        }
+        dialer.rests(link);
         idle.addFirst(new Idle(link, loop.now()));
         sweepLater();
     }
--- a/src/main/java/portrelay/net/Warmup.java
+++ b/src/main/java/portrelay/net/Warmup.java
@@ -17,6 +17,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelPipe;
 import org.xnio.FailedIoFuture;
@@ -95,7 +96,7 @@
             added.put(row.id(), each);
         }
         module.start(() -> { });
-        module.list(ListNews.WHOLE, rows, added);
+        module.list(ListNews.WHOLE, rows, added, Set.of());
         for (int i = 0; i < CLIENTS; i++) {
             toFront.dial(NOWHERE, 0, client -> {
                 clients.add(client);
--- a/src/test/java/portrelay/FailuresTest.java
+++ b/src/test/java/portrelay/FailuresTest.java
@@ -63,6 +63,29 @@
         assertEquals(new UpstreamId(0), rig.last().at());
     }
 
+    /** A day of ever new upstreams: the tables grew by each that had ever been listed. */
+    @Test
+    void whatTheListNoLongerHasIsForgottenOnceNothingIsOutThere() {
+        rig.ready(2);
+        for (int i = 0; i < 30; i++) {
+            rig.ask("q" + i, Rig.AT_MOST_ONCE, 2);
+            if (rig.last().at().value() == 0) {
+                rig.end(rig.last(), Outcome.NO_CONNECTION);
+            }
+            rig.end(rig.last(), Outcome.HANDLED);
+        }
+        assertEquals(1, firstSendsTo(0));
+        rig.decide.list(rig.now, ListNews.WHOLE, List.of(Rig.row(1, Listed.Health.READY, 0)));
+        rig.ready(2);
+        rig.pass(3.5);
+        long before = firstSendsTo(0);
+        for (int i = 0; i < 20; i++) {
+            rig.ask("r" + i, Rig.REISSUABLE, 0.6);
+            rig.end(rig.last(), Outcome.HANDLED);
+        }
+        assertTrue(firstSendsTo(0) > before, "judged by what its predecessor did");
+    }
+
     private long firstSendsTo(int upstream) {
         return rig.sent.stream().filter(s -> s.index() == 0 && s.at().value() == upstream).count();
     }
