--- a/src/main/java/portrelay/net/AnswerGuard.java
+++ b/src/main/java/portrelay/net/AnswerGuard.java
@@ -11,7 +11,7 @@
  */
 final class AnswerGuard extends AbstractStreamSourceConduit<StreamSourceConduit> {
 
-    private static final int SIZE = 8 * 1024;
+    private static final int SIZE = 16 * 1024;
 
     private final ByteBuffer raw = ByteBuffer.allocate(SIZE).limit(0);
     private ByteBuffer head = ByteBuffer.allocate(1024);
--- a/src/main/java/portrelay/net/Call.java
+++ b/src/main/java/portrelay/net/Call.java
@@ -9,8 +9,10 @@
 record Call(ClientRequest head, byte[] body) {
 
     static final byte[] NO_BODY = new byte[0];
-    /** The protocol's limit, for queries and answers. */
+    /** The protocol's limit, which clients keep. */
     static final int LONGEST_BODY = 64 * 1024;
+    /** Upstreams were seen to answer soundly with six times the protocol's limit. */
+    static final int LONGEST_ANSWER = 1024 * 1024;
 
     /** Target is the raw path and query. */
     static Call of(HttpString method, String target, byte[] body) {
--- a/src/main/java/portrelay/net/Link.java
+++ b/src/main/java/portrelay/net/Link.java
@@ -171,7 +171,7 @@
         }
 
         private void read(StreamSourceChannel from) {
-            ByteBuffer some = ByteBuffer.allocate(8192);
+            ByteBuffer some = ByteBuffer.allocate(16 * 1024);
             reading = true;
             try {
                 for (int count = from.read(some); count != 0; count = from.read(some)) {
--- a/src/main/java/portrelay/net/UpstreamActor.java
+++ b/src/main/java/portrelay/net/UpstreamActor.java
@@ -117,7 +117,7 @@
         if (query.method().equals(Methods.POST)) {
             headers.put(Headers.CONTENT_LENGTH, query.body().length);
         }
-        link.call(call, Call.LONGEST_BODY, result -> mailbox.post(() -> answered(id, one, result)));
+        link.call(call, Call.LONGEST_ANSWER, result -> mailbox.post(() -> answered(id, one, result)));
     }
 
     private void answered(ExecutionId id, Running one, Result result) {
