One Guard for the read into several buffers, one cast to Undertow's server connection

QueryGuard and AnswerGuard had the same read(ByteBuffer[]), and Front.Client repeated the cast that Front.connection makes.

--- a/src/main/java/portrelay/net/AnswerGuard.java
+++ b/src/main/java/portrelay/net/AnswerGuard.java
@@ -2,14 +2,13 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * Stands between a connection's bytes and Undertow's client, which sees one sound answer for each call: no
  * answers ahead of it, nothing behind it. What is not sound fails as a read, at once.
  */
-final class AnswerGuard extends AbstractStreamSourceConduit<StreamSourceConduit> {
+final class AnswerGuard extends Guard {
 
     private static final int SIZE = 16 * 1024;
 
@@ -60,16 +59,6 @@
         return count;
     }
 
-    @Override
-    public long read(ByteBuffer[] to, int offset, int count) throws IOException {
-        for (int i = offset; i < offset + count; i++) {
-            if (to[i].hasRemaining()) {
-                return read(to[i]);
-            }
-        }
-        return 0;
-    }
-
     private void follow() throws IOException {
         boolean inHead = framing.inHead();
         int from = raw.position();
--- a/src/main/java/portrelay/net/Front.java
+++ b/src/main/java/portrelay/net/Front.java
@@ -210,7 +210,7 @@
 
         Client(HttpServerExchange exchange, QueryId id) {
             this.exchange = exchange;
-            this.connection = (HttpServerConnection) exchange.getConnection();
+            this.connection = connection(exchange);
             this.id = id;
         }
 
--- a/src/main/java/portrelay/net/QueryGuard.java
+++ b/src/main/java/portrelay/net/QueryGuard.java
@@ -2,11 +2,10 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
 /** Lets through what a client sends up to where it stops making sense; from there on reading it fails. */
-final class QueryGuard extends AbstractStreamSourceConduit<StreamSourceConduit> {
+final class QueryGuard extends Guard {
 
     private final Framing framing = Framing.ofQueries();
 
@@ -35,14 +34,4 @@
         }
         return bytes.position() - from;
     }
-
-    @Override
-    public long read(ByteBuffer[] to, int offset, int count) throws IOException {
-        for (int i = offset; i < offset + count; i++) {
-            if (to[i].hasRemaining()) {
-                return read(to[i]);
-            }
-        }
-        return 0;
-    }
 }
