Three Maven modules: core, daemon and kit; the policy a package of nine files

Need: the project grows by subsystems; what decides must stay free of I/O, and the kit's libraries must never get into the daemon's jar.

Change: files moved with git mv into core (policy, model, settings), daemon (net, drill, json, cli) and kit (its commands beside the daemon's). Tree, which reads JSON, went to the daemon, so that core knows the JDK alone. An ArchUnit test holds the borders.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 # One sidecar with the example's configuration; start the toy first, in another shell.
 run: build
-	java -jar target/portrelay.jar serve --config examples/config.json
+	java -jar daemon/target/portrelay.jar serve --config examples/config.json
 
 toy:
 	java examples/ToyServer.java
--- /dev/null
+++ b/core/src/main/java/portrelay/policy/Cold.java
@@ -0,0 +1,67 @@
+package portrelay.policy;
+
+import java.util.List;
+
+/**
+ * Guards against all sidecars together pushing over an upstream that has just started: each sends it no
+ * more than a ramp's share of what it sends a like warm one, so the sum keeps to the ramp.
+ */
+final class Cold {
+    private final double share;
+    private final double time;
+    private final double stretch;
+    private final boolean sized;
+
+    Cold(double share, double time, double overloadFactor, boolean sized) {
+        // Halfway, in ratio, between what it can surely do and what pushes it over.
+        this.stretch = Math.sqrt(overloadFactor);
+        this.share = share;
+        this.time = time;
+        this.sized = sized;
+    }
+
+    double ramp(Upstream u, double now) {
+        double since = u.listed.onlineSince();
+        if (since <= 0 || now >= since + time || time <= 0) {
+            return 1;
+        }
+        return share + (1 - share) * Math.max(0, now - since) / time;
+    }
+
+    boolean admits(Upstream u, double now) {
+        return u.coldCredit >= 1 || ramp(u, now) >= 1;
+    }
+
+    /** Every send to a warm upstream, or any where none is, earns each cold one its part of a send. */
+    void sent(Upstream to, List<Upstream> roster, double now) {
+        int warm = 0;
+        double size = 0;
+        int ready = 0;
+        for (Upstream u : roster) {
+            if (u.ready) {
+                ready++;
+                if (ramp(u, now) >= 1) {
+                    warm++;
+                    size += u.listed.scale();
+                }
+            }
+        }
+        if (warm == ready) {
+            return;
+        }
+        boolean toWarm = ramp(to, now) >= 1;
+        if (!toWarm) {
+            to.coldCredit -= 1;
+        }
+        if (!toWarm && warm > 0) {
+            return;
+        }
+        for (Upstream u : roster) {
+            double f = u.ready ? ramp(u, now) : 1;
+            if (f < 1) {
+                double each = warm > 0 ? f * (sized ? u.listed.scale() / size : 1.0 / warm) : 1.0 / ready;
+                u.coldCredit = Math.min(2, u.coldCredit + each * stretch);
+            }
+        }
+    }
+}
--- a/src/main/java/portrelay/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -1,13 +1,12 @@
-package portrelay;
+package portrelay.policy;
 
-// The decisions of one sidecar, all of them. A front makes one Decide for each instance, hands it the
+// The decisions of one sidecar: the table and its events here, the rest in the files beside. A front makes one Decide for each instance, hands it the
 // settings, and calls start, list, arrival, outcome, begun, left and alarm in the order in which things
 // happen, each with the time in seconds. Decide answers through portrelay.model.Effects, which the front
 // implements; the types that pass between them stand in portrelay.model. A call never waits and instances
 // share nothing. docs/design.md tells what is kept of the design, what is changed and when each change acts.
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,7 +23,6 @@
 import portrelay.model.Outcome;
 import portrelay.model.Permits;
 import portrelay.model.QueryId;
-import portrelay.model.ShapeId;
 import portrelay.model.Tenant;
 import portrelay.model.TenantId;
 import portrelay.model.UpstreamId;
@@ -86,175 +84,17 @@
 
     // ---- What is held -----------------------------------------------------------------------------------
 
-    private static final class Execution {
-        final int index;
-        final Upstream at;
-        final double sentAt;
-        final boolean trial;
-        Outcome outcome;
-
-        Execution(int index, Upstream at, double sentAt, boolean trial) {
-            this.index = index;
-            this.at = at;
-            this.sentAt = sentAt;
-            this.trial = trial;
-        }
-
-        /** Out and unknown counts as run: only an outcome can prove the contrary. */
-        boolean mayHaveRun() {
-            return outcome == null || !outcome.neverRan;
-        }
-    }
-
-    private static final class Query {
-        final Asked asked;
-        final Offering offering;
-        final double arrivedAt;
-        final List<Execution> executions = new ArrayList<>(2);
-        State state = State.FRESH;
-        boolean copied;
-        int keyLot;
-        boolean waiting;
-        Execution winner;
-
-        Query(Asked asked, Offering offering, double arrivedAt) {
-            this.asked = asked;
-            this.offering = offering;
-            this.arrivedAt = arrivedAt;
-        }
-
-        Execution firstThatMayHaveRun() {
-            return executions.stream().filter(Execution::mayHaveRun).findFirst().orElse(null);
-        }
-
-        boolean anyOut() {
-            return executions.stream().anyMatch(e -> e.outcome == null);
-        }
-
-        boolean triedAt(Upstream u) {
-            return executions.stream().anyMatch(e -> e.at == u);
-        }
-    }
-
-    private static final class Upstream {
-        final UpstreamId id;
-        Listed listed;
-        boolean ready;
-        boolean gone;
-        double seenAt;
-        int inFlight;
-        int copyWins;
-        double evidence;
-        double passedUntil;
-        boolean trialOut;
-        double coldCredit;
-        double limit = FIRST_LIMIT;
-        double cutAt = Double.NEGATIVE_INFINITY;
-        final Samples paces = new Samples(PACE_SAMPLES);
-        final Samples prompt = new Samples(FEW);
-
-        Upstream(UpstreamId id) {
-            this.id = id;
-        }
-
-        boolean passedOver() {
-            return copyWins >= COPY_WINS || evidence >= EVIDENCE;
-        }
-    }
-
-    /** The last few samples of one thing measured, with their times. */
-    private static final class Samples {
-        private final double[] values;
-        private final double[] times;
-        private int count;
-
-        Samples(int most) {
-            values = new double[most];
-            times = new double[most];
-        }
-
-        void add(double time, double value) {
-            values[count % values.length] = value;
-            times[count % values.length] = time;
-            count++;
-        }
-
-        /** Mean time between the last samples up to now; 0 while there are none. */
-        double spacing(double now) {
-            int kept = Math.min(count, values.length);
-            return kept == 0 ? 0 : (now - times[(count - kept) % values.length]) / kept;
-        }
-
-        boolean allAbove(double value) {
-            return count >= values.length && Arrays.stream(values).allMatch(each -> each > value);
-        }
-
-        /** How large a part of the samples had this value; one of them proves nothing yet. */
-        double share(double value) {
-            int same = -1;
-            for (int i = 0; i < Math.min(count, values.length); i++) {
-                same += values[i] == value ? 1 : 0;
-            }
-            return Math.max(0, same) / (double) values.length;
-        }
-
-        /** Mean of what came after the time, as if prior samples of the given value had come before. */
-        double mean(double after, double prior, double value) {
-            double sum = prior * value;
-            double weight = prior;
-            for (int i = 0; i < Math.min(count, values.length); i++) {
-                if (times[i] >= after) {
-                    sum += values[i];
-                    weight++;
-                }
-            }
-            return weight == 0 ? value : sum / weight;
-        }
-    }
-
     private record Due(double time, long order, Query query, Input input) { }
 
     // ---- Settings of the design that are ours to choose -------------------------------------------------
 
     private static final double LONGEST_THRESHOLD = 1.0;
-    private static final int COPY_WINS = 5;
-    private static final double PASS_OVER = 5.0;
-    private static final double EVIDENCE = Math.log(1000);
-    private static final double LEAST_BAD = 0.05;
-    private static final double MOST_BAD = 0.2;
-    private static final int BAD_SAMPLES = 64;
     private static final double SETTLING = 3.0;
-    private static final double SHORTEST_BACKOFF = 0.5;
     private static final double LONGEST_WAIT_SHARE = 0.11;
     private static final double QUIET_WAIT_SHARE = 0.15;
-    private static final int PACE_SAMPLES = 16;
-    private static final double PACE_AGE = 5;
-    private static final double PACE_AGE_MOST = 15;
-    private static final double PACE_VISITS = 3;
-    private static final double PACE_PRIOR = 1;
-    private static final double WAIT_SHARE = 0.12;
     private static final int RATE_SAMPLES = 16;
-    private static final double FIRST_TOTAL = 3;
-    private static final double FIRST_EACH = 2.5;
-    private static final double START_PART = 3;
-    private static final int ROUND = 16;
-    private static final double LATE_HIGH = 0.25;
-    private static final double LATE_LOW = 0.15;
-    private static final double TOTAL_CUT_TO = 0.8;
     private static final int KEY_SAMPLES = 128;
-    private static final int FEW = 4;
-    private static final double FEW_LATE = 0.5;
-    private static final double SMALL_CUT_TO = 0.5;
-    private static final double SMALL_STEP = 0.12;
-    private static final double PACE_MOST = 4;
-    private static final double OWN_FAULT = 2;
     private static final int TENANT_SAMPLES = 128;
-    private static final int TIME_SAMPLES = 64;
-    private static final double FIRST_LIMIT = 1.5;
-    private static final double CUT_TO = 0.7;
-    private static final double PROMPT_SHARE = 0.35;
-    private static final double LATE_SHARE = 0.45;
-    private static final double LATEST_SHARE = 0.8;
 
     private final Effects out;
     private final SplittableRandom chance;
@@ -266,7 +106,6 @@
     private final int sidecars;
 
     private final Map<QueryId, Query> queries = new HashMap<>();
-    private final Map<ShapeId, Samples> shapePaces = new HashMap<>();
     private final Map<UpstreamId, Upstream> known = new HashMap<>();
     private final List<Upstream> roster = new ArrayList<>();
     private final List<Query> held = new ArrayList<>();
@@ -275,12 +114,10 @@
     private final List<Tenant> tenants;
     private final boolean creditByWork;
     private final List<Samples> tenantSent = new ArrayList<>();
-    private final List<Samples> times = new ArrayList<>();
     private long dueOrder;
     private final Samples arrivals = new Samples(RATE_SAMPLES);
-    private double paceAge = PACE_AGE;
     private final Samples keys = new Samples(KEY_SAMPLES);
-    private final Samples bads = new Samples(BAD_SAMPLES);
+    private final Health health;
     private final TotalLimit total = new TotalLimit();
     private double alarmAt = Double.POSITIVE_INFINITY;
     private double now;
@@ -296,10 +133,10 @@
         this.creditByWork = creditByWork;
         this.tenants = tenants;
         tenants.forEach(each -> tenantSent.add(new Samples(TENANT_SAMPLES)));
-        offerings.forEach(each -> times.add(new Samples(TIME_SAMPLES)));
+        this.health = new Health(offerings.size());
         this.cold = new Cold(coldRule.share(), coldRule.time(), coldRule.overloadFactor(), sized);
         this.sidecars = Math.max(1, sidecars);
-        this.watch = new ListWatch(listRule.onRequest(), listRule.askWithin());
+        this.watch = new ListWatch(out, chance, listRule.onRequest(), listRule.askWithin());
     }
 
     // ---- Events -----------------------------------------------------------------------------------------
@@ -314,9 +151,7 @@
         now = time;
         Query q = new Query(asked, offerings.get(asked.offering().value()), time);
         queries.put(asked.id(), q);
-        // A quiet sidecar meets an upstream once in a long while and has to remember it until then.
-        double visit = roster.size() * arrivals.spacing(now);
-        paceAge = Math.max(PACE_AGE, Math.min(PACE_AGE_MOST, PACE_VISITS * visit));
+        health.visitsEach(roster.size() * arrivals.spacing(now));
         arrivals.add(now, 1);
         for (int i = 0; i < tenantSent.size() && asked.tenant() != null; i++) {
             tenantSent.get(i).add(now, asked.tenant().value() == i ? 1 : 0);
@@ -337,7 +172,7 @@
         Execution e = q.executions.get(execution);
         e.outcome = outcome;
         e.at.inFlight--;
-        judge(q, e, reportedWait(report));
+        health.judge(now, q, e, Health.reportedWait(report), total);
         forgetGone();
         if (ended && q.state != State.CLOSED) {
             q.winner = e;
@@ -391,7 +226,7 @@
     public void list(double time, ListNews news, List<Listed> rows) {
         now = time;
         if (news == ListNews.FAILED) {
-            watch.failed();
+            watch.failed(now);
             armAlarm();
             return;
         }
@@ -432,7 +267,7 @@
     private void forgetGone() {
         if (roster.removeIf(u -> u.gone && u.inFlight == 0)) {
             known.values().retainAll(roster);
-            shapePaces.keySet().retainAll(roster.stream().map(u -> u.listed.shape()).toList());
+            health.forgetAllBut(roster.stream().map(u -> u.listed.shape()).toList());
         }
     }
 
@@ -542,90 +377,6 @@
         };
     }
 
-    // ---- The limit over all upstreams -------------------------------------------------------------------
-
-    /**
-     * Guards against a fleet that all sidecars overfill together: one or two executions of each at every
-     * upstream are already too many there, and only the sum over our upstreams is fine enough to hold less.
-     */
-    private static final class TotalLimit {
-        private final Samples late = new Samples(ROUND);
-        private double size = FIRST_TOTAL;
-        private final Samples few = new Samples(FEW);
-        private double unit = 1;
-        private double least = 1;
-        private boolean told;
-        private boolean starting = true;
-        private double changedAt = Double.NEGATIVE_INFINITY;
-        private double freeAt = Double.NEGATIVE_INFINITY;
-        private int round;
-        private boolean full;
-        private int inFlight;
-
-        /** All sidecars may start in one moment: what each begins with is its part of what all may send. */
-        void start(double share) {
-            if (share == 0) {
-                return;
-            }
-            told = true;
-            unit = Math.min(1, share);
-            size = Math.min(FIRST_TOTAL, FIRST_EACH * share);
-            least = Math.min(1, size);
-        }
-
-        /** Below one in flight the limit is held in time: an execution takes up its room for longer. */
-        boolean hasRoom(double now) {
-            return size >= 1 ? inFlight < size : inFlight == 0 && now >= freeAt;
-        }
-
-        boolean fleetIsSlow() {
-            return late.mean(Double.NEGATIVE_INFINITY, 0, 0) > LATE_HIGH;
-        }
-
-        void ended(double now, double sentAt, double promptWithin, boolean isLate, boolean crowded,
-                boolean tellsOfAll) {
-            boolean wasFull = inFlight + 1 > size;
-            full |= wasFull;
-            inFlight--;
-            // At the start nothing is known: each prompt outcome makes room until a round goes wrong.
-            if (starting && wasFull && !isLate) {
-                size += unit >= 1 ? 1 : unit / START_PART;
-            }
-            if (size < 1) {
-                // One that took very long must not close the sidecar for many times that.
-                freeAt = Math.max(freeAt, now + Math.min(now - sentAt, promptWithin) * (1 / size - 1));
-            }
-            if (sentAt < changedAt || isLate && !tellsOfAll && size > 1) {
-                return;
-            }
-            late.add(now, isLate ? 1 : 0);
-            if (size <= 1) {
-                // One outcome is a round here: what one sidecar errs by, all of them together do not.
-                few.add(now, crowded ? 1 : 0);
-                if (crowded && few.mean(Double.NEGATIVE_INFINITY, 0, 0) >= FEW_LATE) {
-                    size = Math.max(least, size * SMALL_CUT_TO);
-                    starting = false;
-                } else if (!crowded && wasFull) {
-                    size += SMALL_STEP;
-                }
-                return;
-            }
-            if (++round < Math.max(ROUND / 2, Math.min(ROUND, size))) {
-                return;
-            }
-            double share = late.mean(Double.NEGATIVE_INFINITY, 0, 0);
-            if (share > LATE_HIGH) {
-                size = Math.max(least, size * TOTAL_CUT_TO);
-                starting = false;
-                changedAt = now;
-            } else if (share < LATE_LOW && full) {
-                size += unit;
-            }
-            round = 0;
-            full = false;
-        }
-    }
-
     // ---- Picking ----------------------------------------------------------------------------------------
 
     private Upstream pick(Query q, boolean first) {
@@ -641,7 +392,7 @@
             }
         }
         // Shunned while there are others: a choked upstream has to rest before it works as usual again.
-        Upstream u = pickAmong(q, mean, OWN_FAULT, false);
+        Upstream u = pickAmong(q, mean, Health.OWN_FAULT, false);
         u = u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, false);
         return u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, true);
     }
@@ -659,7 +410,7 @@
             if (u.passedOver() && !passedOverToo || !mayTake(q, u)) {
                 continue;
             }
-            double pace = pace(u);
+            double pace = health.pace(u, now);
             if (pace >= worstPace) {
                 continue;
             }
@@ -723,221 +474,6 @@
         out.send(q.asked.id(), u.id);
     }
 
-    // ---- Health -----------------------------------------------------------------------------------------
-
-    /**
-     * What we keep in flight at one upstream grows by one for each full round of prompt outcomes and is cut
-     * by a share on a late or failed one. Guards against queues that no answer comes out of in time: what
-     * can't be placed waits briefly here and is then denied, while the client can still use that.
-     */
-    private static void adaptLimit(Upstream u, Execution e, double now, boolean prompt, boolean late) {
-        if (prompt) {
-            if (u.inFlight + 1 >= u.limit / 2) {
-                u.limit += 1 / u.limit;
-            }
-        } else if (late && e.sentAt >= u.cutAt) {
-            u.limit = Math.max(1, u.limit * CUT_TO);
-            u.cutAt = now;
-        }
-    }
-
-    /** Little's law on what the upstream said of its queue. */
-    private static double reportedWait(LoadReport report) {
-        return report == null ? Double.NaN : report.waiting() / Math.max(1, report.handledRate());
-    }
-
-    private void judge(Query q, Execution e, double reportedWait) {
-        double spent = now - e.sentAt;
-        boolean handled = e.outcome == Outcome.HANDLED;
-        double target = q.offering.targetTime();
-        // One that many sent after it have overtaken promptly is lost and in no queue: no less would help it.
-        boolean lost = !handled && e.at.prompt.allAbove(e.sentAt);
-        boolean slow = spent > target * LATE_SHARE && !lost;
-        // An error that comes back quickly tells of the upstream, not of too much in flight.
-        boolean late = slow || e.outcome == Outcome.FULL || e.outcome == Outcome.TIMED_OUT && !lost;
-        if (handled && !slow) {
-            e.at.prompt.add(now, e.sentAt);
-        }
-        adaptLimit(e.at, e, now, handled && spent <= target * PROMPT_SHARE, late);
-        boolean crowded = Double.isNaN(reportedWait) ? slow
-                : spent > target * LATEST_SHARE || reportedWait > target * WAIT_SHARE;
-        total.ended(now, e.sentAt, target * LATE_SHARE, slow, crowded, pace(e.at) < OWN_FAULT);
-        samplePace(q, e);
-        boolean failed = !handled && !e.outcome.neverRan && e.outcome != Outcome.CALLED_OFF
-                || e.outcome == Outcome.NO_CONNECTION;
-        if (handled || failed) {
-            weigh(e.at, failed);
-        }
-        if (e.outcome == Outcome.NO_CONNECTION) {
-            // Nobody gets through there now, or all its connections are taken.
-            e.at.evidence = EVIDENCE;
-            e.at.passedUntil = now + PASS_OVER;
-        }
-        if (e.trial) {
-            e.at.trialOut = false;
-            e.at.passedUntil = now + PASS_OVER;
-            if (handled) {
-                e.at.evidence = 0;
-            }
-        }
-        if (handled) {
-            Execution primary = q.executions.get(0);
-            if (e == primary) {
-                e.at.copyWins = 0;
-            } else if (q.state == State.RACING && primary.outcome == null) {
-                Upstream beaten = primary.at;
-                beaten.copyWins++;
-                if (beaten.passedOver()) {
-                    beaten.passedUntil = now + PASS_OVER;
-                }
-            }
-        }
-    }
-
-    /**
-     * A sequential test (Wald) on outcomes, against what all our upstreams show together. Guards sidecars of
-     * little traffic, whose win counter is cleared by each answer between two bad ones.
-     */
-    private void weigh(Upstream u, boolean isBad) {
-        double usual = Math.min(MOST_BAD, Math.max(LEAST_BAD, bads.mean(Double.NEGATIVE_INFINITY, 0, 0)));
-        double sick = (9 + usual) / 10;
-        boolean before = u.passedOver();
-        u.evidence += isBad ? Math.log(sick / usual) : Math.log((1 - sick) / (1 - usual));
-        u.evidence = Math.max(0, Math.min(u.evidence, EVIDENCE));
-        bads.add(now, isBad ? 1 : 0);
-        if (!before && u.passedOver()) {
-            u.passedUntil = now + PASS_OVER;
-        }
-    }
-
-    /** How long an upstream takes against others; a loser's time counts as far as it got. */
-    private void samplePace(Query q, Execution e) {
-        Samples usual = times.get(q.asked.offering().value());
-        double spent = now - e.sentAt;
-        double mean = usual.mean(Double.NEGATIVE_INFINITY, 0, spent);
-        boolean handled = e.outcome == Outcome.HANDLED;
-        if (handled) {
-            usual.add(now, spent);
-        }
-        if (mean > 0 && (handled || !e.outcome.neverRan && spent > mean)) {
-            double ratio = Math.min(spent / mean, PACE_MOST);
-            e.at.paces.add(now, ratio);
-            shapePaces.computeIfAbsent(e.at.listed.shape(), k -> new Samples(PACE_SAMPLES)).add(now, ratio);
-        }
-    }
-
-    /**
-     * What we know of an upstream that we have not met lately: how its shape does. Guards quiet sidecars,
-     * which meet each upstream rarely, where one kind of machine is crowded or sick as a whole.
-     */
-    private double shapePace(ShapeId shape) {
-        Samples seen = paceAge == PACE_AGE ? null : shapePaces.get(shape);
-        return seen == null ? 1 : Math.max(1, seen.mean(now - PACE_AGE, PACE_PRIOR, 1));
-    }
-
-    private double pace(Upstream u) {
-        return u.paces.mean(now - paceAge, PACE_PRIOR, shapePace(u.listed.shape()));
-    }
-
-    // ---- Cold upstreams ---------------------------------------------------------------------------------
-
-    /**
-     * Guards against all sidecars together pushing over an upstream that has just started: each sends it no
-     * more than a ramp's share of what it sends a like warm one, so the sum keeps to the ramp.
-     */
-    private static final class Cold {
-        private final double share;
-        private final double time;
-        private final double stretch;
-        private final boolean sized;
-
-        Cold(double share, double time, double overloadFactor, boolean sized) {
-            // Halfway, in ratio, between what it can surely do and what pushes it over.
-            this.stretch = Math.sqrt(overloadFactor);
-            this.share = share;
-            this.time = time;
-            this.sized = sized;
-        }
-
-        double ramp(Upstream u, double now) {
-            double since = u.listed.onlineSince();
-            if (since <= 0 || now >= since + time || time <= 0) {
-                return 1;
-            }
-            return share + (1 - share) * Math.max(0, now - since) / time;
-        }
-
-        boolean admits(Upstream u, double now) {
-            return u.coldCredit >= 1 || ramp(u, now) >= 1;
-        }
-
-        /** Every send to a warm upstream, or any where none is, earns each cold one its part of a send. */
-        void sent(Upstream to, List<Upstream> roster, double now) {
-            int warm = 0;
-            double size = 0;
-            int ready = 0;
-            for (Upstream u : roster) {
-                if (u.ready) {
-                    ready++;
-                    if (ramp(u, now) >= 1) {
-                        warm++;
-                        size += u.listed.scale();
-                    }
-                }
-            }
-            if (warm == ready) {
-                return;
-            }
-            boolean toWarm = ramp(to, now) >= 1;
-            if (!toWarm) {
-                to.coldCredit -= 1;
-            }
-            if (!toWarm && warm > 0) {
-                return;
-            }
-            for (Upstream u : roster) {
-                double f = u.ready ? ramp(u, now) : 1;
-                if (f < 1) {
-                    double each = warm > 0 ? f * (sized ? u.listed.scale() / size : 1.0 / warm) : 1.0 / ready;
-                    u.coldCredit = Math.min(2, u.coldCredit + each * stretch);
-                }
-            }
-        }
-    }
-
-    // ---- Following the list -----------------------------------------------------------------------------
-
-    /** The list is one service for all sidecars: those that failed together must not come back together. */
-    private final class ListWatch {
-        private final boolean onRequest;
-        private final double longestBackoff;
-        private double askAt = Double.POSITIVE_INFINITY;
-        private int failures;
-
-        ListWatch(boolean onRequest, double askWithin) {
-            this.onRequest = onRequest;
-            this.longestBackoff = Math.max(SHORTEST_BACKOFF, askWithin / 4);
-        }
-
-        void ask() {
-            if (onRequest) {
-                askAt = Double.POSITIVE_INFINITY;
-                out.watchList();
-            }
-        }
-
-        void failed() {
-            double backoff = Math.min(longestBackoff, SHORTEST_BACKOFF * (1 << Math.min(failures, 8)));
-            failures++;
-            askAt = now + backoff * (0.5 + chance.nextDouble() / 2);
-        }
-
-        void answered() {
-            failures = 0;
-            askAt = Double.POSITIVE_INFINITY;
-        }
-    }
-
     // ---- Held queries and timers ------------------------------------------------------------------------
 
     /** What a full fleet can take goes to the query that earns most for its work, not to the oldest. */
@@ -959,8 +495,7 @@
 
     /** Credit for the work it usually takes; what goes beyond a tenant's share earns little. */
     private double value(Query q) {
-        Samples usual = times.get(q.asked.offering().value());
-        double work = creditByWork ? 1 : usual.mean(Double.NEGATIVE_INFINITY, 1, 0.1);
+        double work = creditByWork ? 1 : health.usualTime(q.offering, 0.1);
         return q.offering.credit() / work * Math.min(1, shareTaken(q.asked.tenant()));
     }
 
--- /dev/null
+++ b/core/src/main/java/portrelay/policy/Health.java
@@ -0,0 +1,174 @@
+package portrelay.policy;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import portrelay.model.LoadReport;
+import portrelay.model.Offering;
+import portrelay.model.Outcome;
+import portrelay.model.ShapeId;
+
+/**
+ * What outcomes tell of upstreams: the limit of each, the win counter, the sequential test and the pace.
+ */
+final class Health {
+
+    private static final double PASS_OVER = 5.0;
+    private static final double LEAST_BAD = 0.05;
+    private static final double MOST_BAD = 0.2;
+    private static final int BAD_SAMPLES = 64;
+    private static final double PACE_AGE = 5;
+    private static final double PACE_AGE_MOST = 15;
+    private static final double PACE_VISITS = 3;
+    private static final double PACE_PRIOR = 1;
+    private static final double WAIT_SHARE = 0.12;
+    private static final double PACE_MOST = 4;
+    static final double OWN_FAULT = 2;
+    private static final int TIME_SAMPLES = 64;
+    private static final double CUT_TO = 0.7;
+    private static final double PROMPT_SHARE = 0.35;
+    private static final double LATE_SHARE = 0.45;
+    private static final double LATEST_SHARE = 0.8;
+
+    private final Map<ShapeId, Samples> shapePaces = new HashMap<>();
+    private final List<Samples> times = new ArrayList<>();
+    private final Samples bads = new Samples(BAD_SAMPLES);
+    private double paceAge = PACE_AGE;
+
+    Health(int offerings) {
+        for (int i = 0; i < offerings; i++) {
+            times.add(new Samples(TIME_SAMPLES));
+        }
+    }
+
+    /** A quiet sidecar meets an upstream once in a long while and has to remember it until then. */
+    void visitsEach(double seconds) {
+        paceAge = Math.max(PACE_AGE, Math.min(PACE_AGE_MOST, PACE_VISITS * seconds));
+    }
+
+    /** Guards against growth where shapes are ever new. */
+    void forgetAllBut(Collection<ShapeId> shapes) {
+        shapePaces.keySet().retainAll(shapes);
+    }
+
+    /** Seconds that a handled query of the offering takes; the prior counts as one sample. */
+    double usualTime(Offering offering, double prior) {
+        return times.get(offering.id().value()).mean(Double.NEGATIVE_INFINITY, 1, prior);
+    }
+
+    /**
+     * What we keep in flight at one upstream grows by one for each full round of prompt outcomes and is cut
+     * by a share on a late or failed one. Guards against queues that no answer comes out of in time: what
+     * can't be placed waits briefly here and is then denied, while the client can still use that.
+     */
+    private static void adaptLimit(Upstream u, Execution e, double now, boolean prompt, boolean late) {
+        if (prompt) {
+            if (u.inFlight + 1 >= u.limit / 2) {
+                u.limit += 1 / u.limit;
+            }
+        } else if (late && e.sentAt >= u.cutAt) {
+            u.limit = Math.max(1, u.limit * CUT_TO);
+            u.cutAt = now;
+        }
+    }
+
+    /** Little's law on what the upstream said of its queue. */
+    static double reportedWait(LoadReport report) {
+        return report == null ? Double.NaN : report.waiting() / Math.max(1, report.handledRate());
+    }
+
+    void judge(double now, Query q, Execution e, double reportedWait, TotalLimit total) {
+        double spent = now - e.sentAt;
+        boolean handled = e.outcome == Outcome.HANDLED;
+        double target = q.offering.targetTime();
+        // One that many sent after it have overtaken promptly is lost and in no queue: no less would help it.
+        boolean lost = !handled && e.at.prompt.allAbove(e.sentAt);
+        boolean slow = spent > target * LATE_SHARE && !lost;
+        // An error that comes back quickly tells of the upstream, not of too much in flight.
+        boolean late = slow || e.outcome == Outcome.FULL || e.outcome == Outcome.TIMED_OUT && !lost;
+        if (handled && !slow) {
+            e.at.prompt.add(now, e.sentAt);
+        }
+        adaptLimit(e.at, e, now, handled && spent <= target * PROMPT_SHARE, late);
+        boolean crowded = Double.isNaN(reportedWait) ? slow
+                : spent > target * LATEST_SHARE || reportedWait > target * WAIT_SHARE;
+        total.ended(now, e.sentAt, target * LATE_SHARE, slow, crowded, pace(e.at, now) < OWN_FAULT);
+        samplePace(now, q, e);
+        boolean failed = !handled && !e.outcome.neverRan && e.outcome != Outcome.CALLED_OFF
+                || e.outcome == Outcome.NO_CONNECTION;
+        if (handled || failed) {
+            weigh(now, e.at, failed);
+        }
+        if (e.outcome == Outcome.NO_CONNECTION) {
+            // Nobody gets through there now, or all its connections are taken.
+            e.at.evidence = Upstream.EVIDENCE;
+            e.at.passedUntil = now + PASS_OVER;
+        }
+        if (e.trial) {
+            e.at.trialOut = false;
+            e.at.passedUntil = now + PASS_OVER;
+            if (handled) {
+                e.at.evidence = 0;
+            }
+        }
+        if (handled) {
+            Execution primary = q.executions.get(0);
+            if (e == primary) {
+                e.at.copyWins = 0;
+            } else if (q.state == Decide.State.RACING && primary.outcome == null) {
+                Upstream beaten = primary.at;
+                beaten.copyWins++;
+                if (beaten.passedOver()) {
+                    beaten.passedUntil = now + PASS_OVER;
+                }
+            }
+        }
+    }
+
+    /**
+     * A sequential test (Wald) on outcomes, against what all our upstreams show together. Guards sidecars of
+     * little traffic, whose win counter is cleared by each answer between two bad ones.
+     */
+    private void weigh(double now, Upstream u, boolean isBad) {
+        double usual = Math.min(MOST_BAD, Math.max(LEAST_BAD, bads.mean(Double.NEGATIVE_INFINITY, 0, 0)));
+        double sick = (9 + usual) / 10;
+        boolean before = u.passedOver();
+        u.evidence += isBad ? Math.log(sick / usual) : Math.log((1 - sick) / (1 - usual));
+        u.evidence = Math.max(0, Math.min(u.evidence, Upstream.EVIDENCE));
+        bads.add(now, isBad ? 1 : 0);
+        if (!before && u.passedOver()) {
+            u.passedUntil = now + PASS_OVER;
+        }
+    }
+
+    /** How long an upstream takes against others; a loser's time counts as far as it got. */
+    private void samplePace(double now, Query q, Execution e) {
+        Samples usual = times.get(q.asked.offering().value());
+        double spent = now - e.sentAt;
+        double mean = usual.mean(Double.NEGATIVE_INFINITY, 0, spent);
+        boolean handled = e.outcome == Outcome.HANDLED;
+        if (handled) {
+            usual.add(now, spent);
+        }
+        if (mean > 0 && (handled || !e.outcome.neverRan && spent > mean)) {
+            double ratio = Math.min(spent / mean, PACE_MOST);
+            e.at.paces.add(now, ratio);
+            shapePaces.computeIfAbsent(e.at.listed.shape(), k -> new Samples(Upstream.PACE_SAMPLES)).add(now, ratio);
+        }
+    }
+
+    /**
+     * What we know of an upstream that we have not met lately: how its shape does. Guards quiet sidecars,
+     * which meet each upstream rarely, where one kind of machine is crowded or sick as a whole.
+     */
+    private double shapePace(ShapeId shape, double now) {
+        Samples seen = paceAge == PACE_AGE ? null : shapePaces.get(shape);
+        return seen == null ? 1 : Math.max(1, seen.mean(now - PACE_AGE, PACE_PRIOR, 1));
+    }
+
+    double pace(Upstream u, double now) {
+        return u.paces.mean(now - paceAge, PACE_PRIOR, shapePace(u.listed.shape(), now));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/portrelay/policy/ListWatch.java
@@ -0,0 +1,42 @@
+package portrelay.policy;
+
+import java.util.SplittableRandom;
+import portrelay.model.Effects;
+
+/** The list is one service for all sidecars: those that failed together must not come back together. */
+final class ListWatch {
+
+    private static final double SHORTEST_BACKOFF = 0.5;
+
+    private final Effects out;
+    private final SplittableRandom chance;
+    private final boolean onRequest;
+    private final double longestBackoff;
+    double askAt = Double.POSITIVE_INFINITY;
+    private int failures;
+
+    ListWatch(Effects out, SplittableRandom chance, boolean onRequest, double askWithin) {
+        this.out = out;
+        this.chance = chance;
+        this.onRequest = onRequest;
+        this.longestBackoff = Math.max(SHORTEST_BACKOFF, askWithin / 4);
+    }
+
+    void ask() {
+        if (onRequest) {
+            askAt = Double.POSITIVE_INFINITY;
+            out.watchList();
+        }
+    }
+
+    void failed(double now) {
+        double backoff = Math.min(longestBackoff, SHORTEST_BACKOFF * (1 << Math.min(failures, 8)));
+        failures++;
+        askAt = now + backoff * (0.5 + chance.nextDouble() / 2);
+    }
+
+    void answered() {
+        failures = 0;
+        askAt = Double.POSITIVE_INFINITY;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/portrelay/policy/Query.java
@@ -0,0 +1,37 @@
+package portrelay.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import portrelay.model.Asked;
+import portrelay.model.Offering;
+
+/** A query that has not been forgotten: what was asked, what was sent, what state it is in. */
+final class Query {
+    final Asked asked;
+    final Offering offering;
+    final double arrivedAt;
+    final List<Execution> executions = new ArrayList<>(2);
+    Decide.State state = Decide.State.FRESH;
+    boolean copied;
+    int keyLot;
+    boolean waiting;
+    Execution winner;
+
+    Query(Asked asked, Offering offering, double arrivedAt) {
+        this.asked = asked;
+        this.offering = offering;
+        this.arrivedAt = arrivedAt;
+    }
+
+    Execution firstThatMayHaveRun() {
+        return executions.stream().filter(Execution::mayHaveRun).findFirst().orElse(null);
+    }
+
+    boolean anyOut() {
+        return executions.stream().anyMatch(e -> e.outcome == null);
+    }
+
+    boolean triedAt(Upstream u) {
+        return executions.stream().anyMatch(e -> e.at == u);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/portrelay/policy/Upstream.java
@@ -0,0 +1,38 @@
+package portrelay.policy;
+
+import portrelay.model.Listed;
+import portrelay.model.UpstreamId;
+
+/** What is known of one upstream. */
+final class Upstream {
+
+    static final int COPY_WINS = 5;
+    static final double EVIDENCE = Math.log(1000);
+    static final int PACE_SAMPLES = 16;
+    static final int FEW = 4;
+    static final double FIRST_LIMIT = 1.5;
+
+    final UpstreamId id;
+    Listed listed;
+    boolean ready;
+    boolean gone;
+    double seenAt;
+    int inFlight;
+    int copyWins;
+    double evidence;
+    double passedUntil;
+    boolean trialOut;
+    double coldCredit;
+    double limit = FIRST_LIMIT;
+    double cutAt = Double.NEGATIVE_INFINITY;
+    final Samples paces = new Samples(PACE_SAMPLES);
+    final Samples prompt = new Samples(FEW);
+
+    Upstream(UpstreamId id) {
+        this.id = id;
+    }
+
+    boolean passedOver() {
+        return copyWins >= COPY_WINS || evidence >= EVIDENCE;
+    }
+}
--- a/src/main/java/portrelay/settings/Settings.java
+++ b/core/src/main/java/portrelay/settings/Settings.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import portrelay.Decide;
 import portrelay.model.ColdRule;
 import portrelay.model.Effects;
 import portrelay.model.ListRule;
@@ -13,6 +12,7 @@
 import portrelay.model.Permits;
 import portrelay.model.Tenant;
 import portrelay.model.TenantId;
+import portrelay.policy.Decide;
 
 /** An instance's settings as the operators word them, and the small records that the decisions take. */
 public final class Settings {
--- a/src/test/java/portrelay/RulesTest.java
+++ b/core/src/test/java/portrelay/policy/RulesTest.java
@@ -1,4 +1,4 @@
-package portrelay;
+package portrelay.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/main/java/portrelay/cli/Command.java
+++ b/daemon/src/main/java/portrelay/cli/Command.java
@@ -1,6 +1,6 @@
 package portrelay.cli;
 
 /** A sub-command; returns the exit code. */
-interface Command {
+public interface Command {
     int run();
 }
--- a/src/main/java/portrelay/drill/Reader.java
+++ b/daemon/src/main/java/portrelay/drill/Reader.java
@@ -6,7 +6,7 @@
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.io.InputStream;
-import portrelay.settings.Tree;
+import portrelay.json.Tree;
 
 /** Reads the wire's values one by one and says in plain words where one is not what it should be. */
 final class Reader {
--- a/src/main/java/portrelay/settings/Tree.java
+++ b/daemon/src/main/java/portrelay/json/Tree.java
@@ -1,4 +1,4 @@
-package portrelay.settings;
+package portrelay.json;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParseException;
--- a/src/main/java/portrelay/net/Config.java
+++ b/daemon/src/main/java/portrelay/net/Config.java
@@ -2,10 +2,10 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import portrelay.json.Tree;
 import portrelay.settings.BadSetting;
 import portrelay.settings.Fields;
 import portrelay.settings.Settings;
-import portrelay.settings.Tree;
 
 /** What a sidecar is told at its start. Known is null where it never had a list. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
--- a/src/main/java/portrelay/net/ListActor.java
+++ b/daemon/src/main/java/portrelay/net/ListActor.java
@@ -12,12 +12,12 @@
 import java.util.Set;
 import java.util.function.Function;
 import org.xnio.XnioExecutor;
+import portrelay.json.Tree;
 import portrelay.model.ListNews;
 import portrelay.model.Listed;
 import portrelay.model.UpstreamId;
 import portrelay.settings.BadSetting;
 import portrelay.settings.Fields;
-import portrelay.settings.Tree;
 
 /** Follows the list: owns the connection to discovery and the upstreams' actors. Keeps one watch going. */
 final class ListActor implements ModuleActor.Watch {
--- a/src/main/java/portrelay/net/ModuleActor.java
+++ b/daemon/src/main/java/portrelay/net/ModuleActor.java
@@ -6,13 +6,13 @@
 import java.util.Map;
 import java.util.Set;
 import org.xnio.XnioExecutor;
-import portrelay.Decide;
 import portrelay.model.Effects;
 import portrelay.model.ListNews;
 import portrelay.model.Listed;
 import portrelay.model.Outcome;
 import portrelay.model.QueryId;
 import portrelay.model.UpstreamId;
+import portrelay.policy.Decide;
 import portrelay.settings.Settings;
 
 /**
--- a/src/test/java/portrelay/NetTest.java
+++ b/daemon/src/test/java/portrelay/net/NetTest.java
@@ -1,4 +1,4 @@
-package portrelay;
+package portrelay.net;
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
@@ -8,11 +8,11 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static portrelay.Rig.RESET;
-import static portrelay.Rig.SILENT;
-import static portrelay.Rig.answer;
-import static portrelay.Rig.raw;
-import static portrelay.Rig.said;
+import static portrelay.net.Town.RESET;
+import static portrelay.net.Town.SILENT;
+import static portrelay.net.Town.answer;
+import static portrelay.net.Town.raw;
+import static portrelay.net.Town.said;
 
 import java.io.BufferedReader;
 import java.net.ConnectException;
@@ -27,12 +27,9 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import portrelay.Rig.Message;
-import portrelay.Rig.Script;
-import portrelay.Rig.Town;
-import portrelay.Rig.Toy;
-import portrelay.net.Config;
-import portrelay.net.Sidecar;
+import portrelay.net.Town.Message;
+import portrelay.net.Town.Script;
+import portrelay.net.Town.Toy;
 import portrelay.settings.BadSetting;
 
 /**
--- /dev/null
+++ b/daemon/src/test/java/portrelay/net/Town.java
@@ -0,0 +1,258 @@
+package portrelay.net;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.LogManager;
+
+/** A sidecar on loopback between toy upstreams, a toy discovery and whoever connects. */
+final class Town implements AutoCloseable {
+
+    /** One HTTP message as the bytes said it; names of headers in small letters. */
+    record Message(String first, Map<String, String> headers, byte[] body) {
+
+        String header(String name) {
+            return headers.get(name.toLowerCase(Locale.ROOT));
+        }
+
+        int status() {
+            return Integer.parseInt(first.split(" ")[1]);
+        }
+
+        /** Null at the end of the stream. */
+        static Message read(InputStream in) throws IOException {
+            String first = line(in);
+            if (first == null) {
+                return null;
+            }
+            Map<String, String> headers = new LinkedHashMap<>();
+            for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
+                int colon = line.indexOf(':');
+                String name = line.substring(0, colon).toLowerCase(Locale.ROOT);
+                headers.put(name, line.substring(colon + 1).trim());
+            }
+            int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+            return new Message(first, headers, in.readNBytes(length));
+        }
+
+        private static String line(InputStream in) throws IOException {
+            StringBuilder line = new StringBuilder();
+            for (int c = in.read(); c != '\n'; c = in.read()) {
+                if (c < 0) {
+                    return null;
+                }
+                line.append(c == '\r' ? "" : (char) c);
+            }
+            return line.toString();
+        }
+    }
+
+    /** What a toy server does with a message; it may write, close or keep silent. */
+    interface Script {
+        void play(Message message, Socket on) throws Exception;
+    }
+
+    static Script answer(String status, String body) {
+        return (message, on) -> on.getOutputStream().write(("HTTP/1.1 " + status + "\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body).getBytes(ISO_8859_1));
+    }
+
+    static Script said(String bytes) {
+        return (message, on) -> on.getOutputStream().write(bytes.getBytes(ISO_8859_1));
+    }
+
+    static Script raw(String bytes) {
+        return (message, on) -> {
+            said(bytes).play(message, on);
+            on.close();
+        };
+    }
+
+    static final Script SILENT = (message, on) -> { };
+    static final Script RESET = (message, on) -> {
+        on.setSoLinger(true, 0);
+        on.close();
+    };
+
+    /** A server on loopback that does what its script says and remembers what it was sent. */
+    static final class Toy implements AutoCloseable {
+
+        final ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final BlockingQueue<Message> seen = new LinkedBlockingQueue<>();
+        final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
+        final List<Socket> accepted = new CopyOnWriteArrayList<>();
+        volatile Script script;
+
+        Toy(Script script) throws IOException {
+            this.script = script;
+            Thread thread = new Thread(this::accept);
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        String address() {
+            return "127.0.0.1:" + door.getLocalPort();
+        }
+
+        Message next() throws InterruptedException {
+            Message message = seen.poll(5, TimeUnit.SECONDS);
+            if (message == null) {
+                throw new AssertionError("nothing came");
+            }
+            return message;
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    Socket one = door.accept();
+                    accepted.add(one);
+                    Thread thread = new Thread(() -> serve(one));
+                    thread.setDaemon(true);
+                    thread.start();
+                }
+            } catch (IOException e) {
+                // Closed.
+            }
+        }
+
+        private void serve(Socket one) {
+            try {
+                InputStream in = one.getInputStream();
+                for (Message m = Message.read(in); m != null; m = Message.read(in)) {
+                    seen.add(m);
+                    script.play(m, one);
+                }
+            } catch (Exception e) {
+                // Broken off by one side.
+            }
+            ended.add(one);
+        }
+
+        @Override
+        public void close() throws IOException {
+            door.close();
+            for (Socket one : accepted) {
+                one.close();
+            }
+        }
+    }
+
+    final Toy discovery = new Toy(SILENT);
+    final List<Toy> upstreams = new ArrayList<>();
+    final List<Socket> clients = new ArrayList<>();
+    final Sidecar sidecar;
+
+    Town(Script... scripts) throws Exception {
+        this(1024, scripts);
+    }
+
+    Town(int sockets, Script... scripts) throws Exception {
+        LogManager.getLogManager().reset();
+        StringBuilder known = new StringBuilder();
+        for (Script script : scripts) {
+            upstreams.add(new Toy(script));
+            known.append(known.length() == 0 ? "" : ",").append(host(upstreams.size() - 1, "SERVING"));
+        }
+        String list = "{\"seq\":7,\"whole\":true,\"hosts\":[" + known + "]}";
+        Config config = Config.parse(config(discovery.address(), list, sockets).getBytes(UTF_8));
+        sidecar = Sidecar.start(config, new PrintStream(OutputStream.nullOutputStream()));
+    }
+
+    String host(int upstream, String health) {
+        return host("s-" + upstream, upstreams.get(upstream).address(), health);
+    }
+
+    static String host(String name, String address, String health) {
+        return "{\"host\":\"" + name + "\",\"dial\":\"" + address
+                + "\",\"site\":\"a\",\"class\":\"m\",\"block\":1,\"health\":\"" + health
+                + "\",\"share\":1.0,\"born_ms\":0}";
+    }
+
+    static String config(String discovery, String known, int sockets) {
+        return "{\"name\":\"t\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":"
+                + known + ",\"settings\":{\"discovery\":\"on_request\",\"siblings\":1,"
+                + "\"tenants\":[{\"name\":\"acme\",\"share\":1}],"
+                + "\"classes\":[" + offering("read", "read_like") + ","
+                + offering("save", "idempotency_key") + "," + offering("issue", "non_idempotent")
+                + "],\"allowed\":{\"max-attempts\":4,\"cancel\":true,"
+                + "\"parallel-tries\":true,\"retry-after\":true,\"max-retry-after-us\":250000,"
+                + "\"dial-timeout-us\":150000,\"conn-idle-us\":1000000},"
+                + "\"invariants\":{\"ask-within-us\":2000000,\"cold-share\":0.3,\"cold-us\":1000000}}}";
+    }
+
+    private static String offering(String name, String effect) {
+        return "{\"name\":\"" + name + "\",\"effect\":\"" + effect + "\",\"group\":\"cell\","
+                + "\"aim-us\":600000,\"hard-limit-us\":1000000,\"dedup-window-us\":900000}";
+    }
+
+    static String head(String line, String id, String offering, int leftMs) {
+        return line + " HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: " + id + "\r\nX-Qos: " + offering
+                + "\r\nX-Customer: acme\r\nX-Expires-In-Ms: " + leftMs + "\r\n";
+    }
+
+    static String read(String id, int leftMs) {
+        return head("GET /read/x", id, "read", leftMs) + "\r\n";
+    }
+
+    static String issue(String id, int leftMs) {
+        return head("POST /issue/x", id, "issue", leftMs) + "Content-Length: 2\r\n\r\nhi";
+    }
+
+    Socket connect() throws IOException {
+        Socket client = new Socket(sidecar.address().getAddress(), sidecar.address().getPort());
+        client.setSoTimeout(5000);
+        client.setTcpNoDelay(true);
+        clients.add(client);
+        return client;
+    }
+
+    static Message ask(Socket on, String bytes) throws IOException {
+        on.getOutputStream().write(bytes.getBytes(ISO_8859_1));
+        return Message.read(on.getInputStream());
+    }
+
+    Message ask(String bytes) throws IOException {
+        return ask(connect(), bytes);
+    }
+
+    /** As after SIGHUP, with discovery at another address. */
+    void reload(String discovery) throws Exception {
+        String none = "{\"seq\":1,\"hosts\":[]}";
+        sidecar.reload(Config.parse(config(discovery, none, 1024).getBytes(UTF_8)));
+    }
+
+    /** How many queries all upstreams were sent. */
+    int sent() {
+        return upstreams.stream().mapToInt(each -> each.seen.size()).sum();
+    }
+
+    @Override
+    public void close() throws Exception {
+        sidecar.close();
+        discovery.close();
+        for (Toy each : upstreams) {
+            each.close();
+        }
+        for (Socket each : clients) {
+            each.close();
+        }
+    }
+}
--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -9,5 +9,5 @@
 [ "$heap" -le 128 ] || heap=128
 exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -XX:+ExitOnOutOfMemoryError \
     "-Xmx${heap}m" -Xss512k -XX:MaxMetaspaceSize=32m -XX:ReservedCodeCacheSize=16m \
-    -XX:MaxDirectMemorySize=16m -XX:SharedArchiveFile=target/portrelay.jsa \
-    -jar target/portrelay.jar serve
+    -XX:MaxDirectMemorySize=16m -XX:SharedArchiveFile=daemon/target/portrelay.jsa \
+    -jar daemon/target/portrelay.jar serve
--- /dev/null
+++ b/kit/src/test/java/portrelay/kit/BordersTest.java
@@ -0,0 +1,64 @@
+package portrelay.kit;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.lang.ArchRule;
+import org.junit.jupiter.api.Test;
+
+/** The borders between the modules, read off the classes themselves. */
+class BordersTest {
+
+    private static final String[] CORE = {"portrelay.policy..", "portrelay.model..", "portrelay.settings..",
+            "portrelay.door.."};
+    private static final JavaClasses ALL = new ClassFileImporter().importPackages("portrelay");
+
+    private static final DescribedPredicate<JavaClass> OUTSIDE_WORLD =
+            new DescribedPredicate<>("sockets, files, threads or a clock") {
+                @Override
+                public boolean test(JavaClass each) {
+                    String name = each.getFullName();
+                    boolean file = name.startsWith("java.io.") && !name.endsWith("Exception")
+                            && !name.equals("java.io.Serializable");
+                    return file || name.startsWith("java.net.") || name.startsWith("java.nio.")
+                            || name.startsWith("java.time.") || name.startsWith("java.util.concurrent.")
+                            || name.startsWith("org.xnio.") || name.startsWith("io.undertow.")
+                            || name.equals("java.lang.Thread");
+                }
+            };
+
+    @Test
+    void coreDoesNoInputOrOutputAndHasNoThread() {
+        noClasses().that().resideInAnyPackage(CORE).should().dependOnClassesThat(OUTSIDE_WORLD).check(ALL);
+        noClasses().that().resideInAnyPackage(CORE).should().callMethod(System.class, "nanoTime").orShould()
+                .callMethod(System.class, "currentTimeMillis").check(ALL);
+    }
+
+    @Test
+    void coreKnowsOnlyItselfAndTheJdk() {
+        classes().that().resideInAnyPackage(CORE).should().onlyDependOnClassesThat()
+                .resideInAnyPackage("portrelay.policy..", "portrelay.model..", "portrelay.settings..",
+                        "portrelay.door..", "java..")
+                .check(ALL);
+    }
+
+    @Test
+    void theDaemonDoesNotKnowTheKit() {
+        noClasses().that().resideOutsideOfPackage("portrelay.kit..").should().dependOnClassesThat()
+                .resideInAPackage("portrelay.kit..").check(ALL);
+    }
+
+    @Test
+    void aBreachWouldBeSeen() {
+        ArchRule breached = noClasses().that().resideInAPackage("portrelay.net..").should()
+                .dependOnClassesThat(OUTSIDE_WORLD);
+        assertThrows(AssertionError.class, () -> breached.check(ALL));
+        assertTrue(ALL.contain("portrelay.policy.Decide"));
+    }
+}
