--- /dev/null
+++ b/core/src/main/java/portrelay/door/Room.java
@@ -0,0 +1,151 @@
+package portrelay.door;
+
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Stream;
+
+/**
+ * Who keeps a place among the clients' connections. Promises that a connection with an open query is never
+ * ended here, and that there is a place for a newcomer as long as any other connection does less than wait for
+ * an answer. Knows no socket: it is told what each connection is at and says which are to end. Times are
+ * seconds; the order of worth is ours, docs/design/door.md.
+ */
+public final class Room {
+
+    /** What a connection is at. SILENT has never said a byte; IDLE has, and has no query open. */
+    public enum Phase { SILENT, SENDING, ASKED, ANSWERING, IDLE }
+
+    /** Why a connection ends, for whoever reads the counts. */
+    public enum Cause { TOO_LONG, MADE_WAY }
+
+    /** A connection that is to end now. */
+    public record Ending(ClientId id, Phase phase, Cause cause) { }
+
+    /** Under pressure one of this phase makes way once it is so old, or while its kind holds over the share. */
+    private record Worth(Phase phase, double age, double share) { }
+
+    private static final double NEVER = Double.POSITIVE_INFINITY;
+
+    /** The least worth first. ASKED has no row. */
+    private final List<Worth> order;
+    /** Without any pressure; no row is no limit. */
+    private final Map<Phase, Double> longest = new EnumMap<>(Phase.class);
+
+    private static final class Line {
+        private Phase phase = Phase.SILENT;
+        private double since;
+    }
+
+    private final Map<ClientId, Line> lines = new HashMap<>();
+    /** Of each phase, the longest in it first. */
+    private final Map<Phase, Set<ClientId>> byPhase = new EnumMap<>(Phase.class);
+
+    public Room(RoomSettings s) {
+        for (Phase each : Phase.values()) {
+            byPhase.put(each, new LinkedHashSet<>());
+        }
+        longest.put(Phase.SENDING, s.sendWithin());
+        longest.put(Phase.ANSWERING, s.readWithin());
+        order = List.of(
+                new Worth(Phase.SILENT, s.speakWithin(), NEVER),
+                new Worth(Phase.SENDING, s.sendWithin() / 2, NEVER),
+                new Worth(Phase.ANSWERING, s.readWithin() / 2, NEVER),
+                new Worth(Phase.IDLE, s.idleMost(), NEVER),
+                new Worth(Phase.SILENT, 0, s.silentShare()),
+                new Worth(Phase.SENDING, 0, s.sendingShare()),
+                new Worth(Phase.IDLE, 0, 0),
+                new Worth(Phase.SILENT, 0, 0),
+                new Worth(Phase.SENDING, 0, 0));
+    }
+
+    public void opened(double now, ClientId id) {
+        Line line = new Line();
+        line.since = now;
+        if (lines.put(id, line) != null) {
+            throw new IllegalStateException("opened twice: " + id);
+        }
+        byPhase.get(Phase.SILENT).add(id);
+    }
+
+    /** What has been closed meanwhile is not known any more, and nothing happens. */
+    public void at(double now, ClientId id, Phase phase) {
+        Line line = lines.get(id);
+        if (line == null) {
+            return;
+        }
+        byPhase.get(line.phase).remove(id);
+        line.phase = phase;
+        line.since = now;
+        byPhase.get(phase).add(id);
+    }
+
+    /** Bytes have come: a silent or idle one sends now, for the others it is nothing new. */
+    public void heard(double now, ClientId id) {
+        Line line = lines.get(id);
+        if (line != null && (line.phase == Phase.SILENT || line.phase == Phase.IDLE)) {
+            at(now, id, Phase.SENDING);
+        }
+    }
+
+    public void closed(ClientId id) {
+        Line line = lines.remove(id);
+        if (line != null) {
+            byPhase.get(line.phase).remove(id);
+        }
+    }
+
+    public int count() {
+        return lines.size();
+    }
+
+    public int count(Phase phase) {
+        return byPhase.get(phase).size();
+    }
+
+    /** Those that may be ended whenever a drain closes the door. */
+    public List<ClientId> quiet() {
+        return Stream.of(Phase.SILENT, Phase.IDLE)
+                .flatMap(each -> byPhase.get(each).stream()).toList();
+    }
+
+    /** One that has been in its phase for too long, whatever room there is; null where there is none. */
+    public Ending overdue(double now) {
+        for (Map.Entry<Phase, Double> each : longest.entrySet()) {
+            ClientId eldest = eldest(each.getKey());
+            if (eldest != null && age(now, eldest) > each.getValue()) {
+                return new Ending(eldest, each.getKey(), Cause.TOO_LONG);
+            }
+        }
+        return null;
+    }
+
+    /** The one of least worth while there are more than so many; null where none is to make way, or none may. */
+    public Ending pressed(double now, int most) {
+        if (lines.size() <= most) {
+            return null;
+        }
+        for (Worth worth : order) {
+            ClientId eldest = eldest(worth.phase);
+            boolean old = eldest != null && worth.age > 0 && age(now, eldest) > worth.age;
+            boolean many = worth.share < NEVER && count(worth.phase) > worth.share * most;
+            if (eldest != null && (old || many)) {
+                return new Ending(eldest, worth.phase, Cause.MADE_WAY);
+            }
+        }
+        return null;
+    }
+
+    private ClientId eldest(Phase phase) {
+        Iterator<ClientId> each = byPhase.get(phase).iterator();
+        return each.hasNext() ? each.next() : null;
+    }
+
+    private double age(double now, ClientId id) {
+        return now - lines.get(id).since;
+    }
+}
--- a/core/src/main/java/portrelay/settings/Fields.java
+++ b/core/src/main/java/portrelay/settings/Fields.java
@@ -74,6 +74,37 @@
         return has(name) ? number(name) : absent;
     }
 
+    /** A number that is there within the bounds, both included, or the given one. */
+    public double within(String name, double absent, double least, double most) throws BadSetting {
+        double value = number(name, absent);
+        if (!(value >= least && value <= most)) {
+            throw bad(name, "a number from " + text(least) + " to " + text(most));
+        }
+        return value;
+    }
+
+    /** Like {@code within}, without fractions. */
+    public int whole(String name, int absent, int least, int most) throws BadSetting {
+        double value = within(name, absent, least, most);
+        if (value != Math.rint(value)) {
+            throw bad(name, "a whole number");
+        }
+        return (int) value;
+    }
+
+    private static String text(double number) {
+        return number == Math.rint(number) ? Long.toString((long) number) : Double.toString(number);
+    }
+
+    /** A field of any other name is a mistake that would else go unnoticed. */
+    public void only(String... names) throws BadSetting {
+        for (Object each : map.keySet()) {
+            if (!List.of(names).contains(each)) {
+                throw bad(String.valueOf(each), "one of " + String.join(", ", names) + " as its name");
+            }
+        }
+    }
+
     public boolean flag(String name) {
         return Boolean.TRUE.equals(map.get(name));
     }
--- a/daemon/src/main/java/portrelay/net/Clients.java
+++ b/daemon/src/main/java/portrelay/net/Clients.java
@@ -1,85 +1,128 @@
 package portrelay.net;
 
 import io.undertow.server.protocol.http.HttpServerConnection;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
+import java.util.HashMap;
 import java.util.Map;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import portrelay.door.ClientId;
+import portrelay.door.Room;
+import portrelay.door.RoomSettings;
 
 /**
- * The clients' connections: what each is at, since when, and which are closed because they only take up room.
- * Undertow limits the time of a head and of the rest between two; bodies, answers and room are left to us.
+ * The clients' connections: owns the sockets, tells the room what each is at and ends those that it names.
+ * Each is entered at {@code opened} and given back at {@code gone}, once.
  */
 final class Clients {
 
-    /** What a connection is at, in the order of a query's life. */
-    enum Phase { QUIET, READING, ASKED, ANSWERING }
-
-    /** A connection with no open query may be closed after two seconds; one that never spoke, at any time. */
-    static final double QUIET_MOST = 2.1;
-    private static final double NEVER_SPOKE_MOST = 0.2;
-    private static final double BODY_WITHIN = 2;
-    private static final double ANSWER_WITHIN = 2.5;
     private static final double EVERY = 0.05;
-    /** Of the room for clients; past it the quiet ones make way, else they shut out those who would ask. */
-    private static final double CROWDED = 0.75;
-
-    private static final class Line {
-        private Phase phase = Phase.QUIET;
-        private double since;
-        private boolean spoke;
-    }
 
     private final Loop loop;
-    /** Longest in its phase first. */
-    private final Map<StreamConnection, Line> lines = new LinkedHashMap<>();
-    private int crowded = Integer.MAX_VALUE;
+    private final Room room;
+    private final Map<StreamConnection, ClientId> ids = new HashMap<>();
+    private final Map<ClientId, StreamConnection> sockets = new HashMap<>();
+    private final DoorCounts counts;
+    private long next;
+    private int most = Integer.MAX_VALUE;
     private boolean sweeping;
 
-    Clients(Loop loop) {
+    Clients(Loop loop, RoomSettings settings, DoorCounts counts) {
         this.loop = loop;
+        this.room = new Room(settings);
+        this.counts = counts;
     }
 
-    void room(int most) {
-        crowded = (int) (CROWDED * most);
+    /** From here on there is room for so many; those of least worth make way at once. */
+    void most(int connections) {
+        most = connections;
+        press();
     }
 
     void opened(StreamConnection socket) {
-        Line line = new Line();
-        line.since = loop.now();
-        lines.put(socket, line);
+        ClientId id = new ClientId(next++);
+        ids.put(socket, id);
+        sockets.put(id, socket);
+        room.opened(loop.now(), id);
+        counts.accepted++;
+        press();
         sweepLater();
     }
 
-    void at(HttpServerConnection connection, Phase phase) {
-        StreamConnection socket = connection.getChannel();
-        Line line = lines.remove(socket);
-        if (line == null) {
-            return;
+    /** Bytes have come from it. */
+    void heard(StreamConnection socket) {
+        ClientId id = ids.get(socket);
+        if (id != null) {
+            room.heard(loop.now(), id);
         }
-        if (!line.spoke) {
-            line.spoke = true;
-            connection.addCloseListener(c -> lines.remove(socket));
+    }
+
+    /** Undertow has made its own of the socket and tells when it closes. */
+    void spoke(HttpServerConnection connection) {
+        StreamConnection socket = connection.getChannel();
+        connection.addCloseListener(c -> gone(socket));
+    }
+
+    void at(HttpServerConnection connection, Room.Phase phase) {
+        ClientId id = ids.get(connection.getChannel());
+        if (id != null) {
+            room.at(loop.now(), id, phase);
         }
-        line.phase = phase;
-        line.since = loop.now();
-        lines.put(socket, line);
+    }
+
+    /** Whether more queries wait for answers than there is room for connections. */
+    boolean full() {
+        return room.count(Room.Phase.ASKED) > most;
     }
 
     int count() {
-        lines.keySet().removeIf(socket -> !socket.isOpen());
-        return lines.size();
+        forgetClosed();
+        return room.count();
     }
 
     void closeQuiet() {
-        lines.entrySet().stream().filter(each -> each.getValue().phase == Phase.QUIET).map(Map.Entry::getKey)
-                .toList().forEach(IoUtils::safeClose);
+        room.quiet().forEach(id -> IoUtils.safeClose(sockets.get(id)));
+        forgetClosed();
+    }
+
+    private void press() {
+        if (room.count() <= most) {
+            return;
+        }
+        forgetClosed();
+        for (Room.Ending e = room.pressed(loop.now(), most); e != null; e = room.pressed(loop.now(), most)) {
+            end(e);
+        }
+    }
+
+    private void end(Room.Ending ending) {
+        StreamConnection socket = sockets.get(ending.id());
+        if (socket.isOpen()) {
+            counts.ended(ending);
+        }
+        IoUtils.safeClose(socket);
+        gone(socket);
+    }
+
+    private void gone(StreamConnection socket) {
+        ClientId id = ids.remove(socket);
+        if (id != null) {
+            sockets.remove(id);
+            room.closed(id);
+        }
+    }
+
+    /** Of one that closed before it spoke nobody tells. */
+    private void forgetClosed() {
+        for (ClientId id : room.quiet()) {
+            StreamConnection socket = sockets.get(id);
+            if (!socket.isOpen()) {
+                gone(socket);
+            }
+        }
     }
 
     private void sweepLater() {
-        if (!sweeping && !lines.isEmpty()) {
+        if (!sweeping && !ids.isEmpty()) {
             sweeping = true;
             loop.after(EVERY, this::sweep);
         }
@@ -87,23 +130,10 @@
 
     private void sweep() {
         sweeping = false;
-        int over = count() - crowded;
-        List<StreamConnection> ending = new ArrayList<>();
-        for (Map.Entry<StreamConnection, Line> each : lines.entrySet()) {
-            Line line = each.getValue();
-            double age = loop.now() - line.since;
-            boolean end = switch (line.phase) {
-                case QUIET -> line.spoke ? over > ending.size() && age > QUIET_MOST
-                        : over > 0 && age > NEVER_SPOKE_MOST;
-                case READING -> age > BODY_WITHIN;
-                case ASKED -> false;
-                case ANSWERING -> age > ANSWER_WITHIN;
-            };
-            if (end) {
-                ending.add(each.getKey());
-            }
+        forgetClosed();
+        for (Room.Ending e = room.overdue(loop.now()); e != null; e = room.overdue(loop.now())) {
+            end(e);
         }
-        ending.forEach(IoUtils::safeClose);
         sweepLater();
     }
 }
--- a/daemon/src/main/java/portrelay/net/Dialer.java
+++ b/daemon/src/main/java/portrelay/net/Dialer.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -42,16 +43,19 @@
     private final Opening opening;
     /** Idle connections, the longest idle first. */
     private final Set<Link> resting = new LinkedHashSet<>();
+    private final IntConsumer counted;
     private int open;
 
-    Dialer(Loop loop, ByteBufferPool buffers, int most) {
-        this(loop, buffers, most, loop.thread()::openStreamConnection);
+    /** Counted hears how many are open each time that one more is. */
+    Dialer(Loop loop, ByteBufferPool buffers, int most, IntConsumer counted) {
+        this(loop, buffers, most, counted, loop.thread()::openStreamConnection);
     }
 
-    Dialer(Loop loop, ByteBufferPool buffers, int most, Opener opener) {
+    Dialer(Loop loop, ByteBufferPool buffers, int most, IntConsumer counted, Opener opener) {
         this.loop = loop;
         this.buffers = buffers;
         this.most = most;
+        this.counted = counted;
         this.opening = new Opening(loop.thread(), opener);
     }
 
@@ -97,6 +101,7 @@
                 return;
             }
             open++;
+            counted.accept(open);
             if (within > 0) {
                 timeOut = loop.after(within, () -> failed(null));
             }
--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -11,6 +11,7 @@
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.AttachmentKey;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
@@ -25,36 +26,44 @@
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
+import portrelay.door.Room;
+import portrelay.door.RoomSettings;
 import portrelay.model.Asked;
 import portrelay.model.QueryId;
 
 /** The application's side: takes queries in, hands them to the module, gives its answers back. */
 final class Front implements HttpHandler {
 
-    private static final double HEAD_WITHIN = 2;
+    /** More than there is room for: those are looked at, and one of least worth ends. */
+    private static final int LOOKS = 8;
+    private static final int BACKLOG = 1024;
 
     private final Loop loop;
     private final QueryReader reader;
     private final ModuleActor module;
     private final HttpOpenListener http;
+    private static final AttachmentKey<Boolean> SPOKE = AttachmentKey.create(Boolean.class);
     private AcceptingChannel<StreamConnection> door;
     private boolean ready;
     private final Clients clients;
+    private final DoorCounts counts;
     private boolean closing;
     private double answerBy = Double.POSITIVE_INFINITY;
 
-    Front(Loop loop, ByteBufferPool buffers, QueryReader reader, ModuleActor module) {
+    Front(Loop loop, ByteBufferPool buffers, QueryReader reader, ModuleActor module, RoomSettings room,
+            DoorCounts counts) {
         this.loop = loop;
         this.reader = reader;
         this.module = module;
-        clients = new Clients(loop);
+        this.counts = counts;
+        clients = new Clients(loop, room, counts);
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .set(UndertowOptions.MAX_HEADER_SIZE, 32 * 1024)
-                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, millis(HEAD_WITHIN))
-                .set(UndertowOptions.NO_REQUEST_TIMEOUT, millis(Clients.QUIET_MOST)).getMap());
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, millis(room.sendWithin()))
+                .set(UndertowOptions.NO_REQUEST_TIMEOUT, millis(room.idleMost())).getMap());
         http.setRootHandler(new HttpContinueReadHandler(this));
     }
 
@@ -62,13 +71,16 @@
         return (int) Math.round(seconds * 1e3);
     }
 
-    /** Takes up to so many connections at this address; more wait at the door. */
+    /**
+     * Takes connections at this address. Past the number that there is room for, one of least worth ends for
+     * each that comes: in the listen queue its query would age unseen, before or behind others that are dead.
+     */
     void listen(XnioWorker worker, InetSocketAddress at, int mostClients) throws IOException {
-        clients.room(mostClients);
+        clients.most(mostClients);
         door = worker.createStreamConnectionServer(at, ChannelListeners.openListenerAdapter(this::accept),
                 OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
-                        .set(Options.BACKLOG, 1024).set(Options.CONNECTION_HIGH_WATER, mostClients)
-                        .set(Options.CONNECTION_LOW_WATER, Math.max(1, mostClients - 1)).getMap());
+                        .set(Options.BACKLOG, BACKLOG).set(Options.CONNECTION_HIGH_WATER, mostClients + LOOKS)
+                        .set(Options.CONNECTION_LOW_WATER, mostClients + LOOKS - 1).getMap());
     }
 
     InetSocketAddress address() {
@@ -81,7 +93,8 @@
 
     void accept(StreamConnection client) {
         clients.opened(client);
-        client.getSourceChannel().setConduit(new QueryGuard(client.getSourceChannel().getConduit()));
+        client.getSourceChannel().setConduit(
+                new QueryGuard(client.getSourceChannel().getConduit(), () -> clients.heard(client)));
         http.handleEvent(client);
     }
 
@@ -106,6 +119,11 @@
         clients.closeQuiet();
     }
 
+    /** Clients may hold so many connections from here on. */
+    void mostClients(int connections) {
+        clients.most(connections);
+    }
+
     /** How many are connected. */
     int clients() {
         return clients.count();
@@ -113,9 +131,13 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        clients.at(connection(exchange), Clients.Phase.READING);
+        if (exchange.getConnection().getAttachment(SPOKE) == null) {
+            exchange.getConnection().putAttachment(SPOKE, true);
+            clients.spoke(connection(exchange));
+        }
+        clients.at(connection(exchange), Room.Phase.SENDING);
         exchange.addExchangeCompleteListener((done, next) -> {
-            clients.at(connection(done), Clients.Phase.QUIET);
+            clients.at(connection(done), Room.Phase.IDLE);
             next.proceed();
         });
         if (closing) {
@@ -152,7 +174,14 @@
             String target = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
             Incoming incoming = new Incoming(asked, exchange.getRequestMethod(), target,
                     exchange.getRequestHeaders(), body, client);
-            clients.at(client.connection, Clients.Phase.ASKED);
+            clients.at(client.connection, Room.Phase.ASKED);
+            if (clients.full()) {
+                // Nobody else can make way: this one is told at once, as nothing was sent for it.
+                counts.full++;
+                exchange.setPersistent(false);
+                client.denied(0);
+                return;
+            }
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
                 client.watch();
                 module.arrived(incoming);
@@ -180,7 +209,7 @@
     }
 
     private void turnAway(HttpServerExchange exchange, BadQuery why, IoCallback then) {
-        clients.at(connection(exchange), Clients.Phase.ANSWERING);
+        clients.at(connection(exchange), Room.Phase.ANSWERING);
         exchange.setStatusCode(why.status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
         String text = why.getMessage() + "\n";
@@ -284,7 +313,7 @@
                 return false;
             }
             over = true;
-            clients.at(connection, Clients.Phase.ANSWERING);
+            clients.at(connection, Room.Phase.ANSWERING);
             if (closing) {
                 exchange.setPersistent(false);
             }
--- a/daemon/src/main/java/portrelay/net/QueryGuard.java
+++ b/daemon/src/main/java/portrelay/net/QueryGuard.java
@@ -9,8 +9,12 @@
 
     private final Framing framing = Framing.ofQueries();
 
-    QueryGuard(StreamSourceConduit next) {
+    private final Runnable heard;
+
+    /** Heard is called whenever bytes have come. */
+    QueryGuard(StreamSourceConduit next, Runnable heard) {
         super(next);
+        this.heard = heard;
     }
 
     @Override
@@ -23,6 +27,7 @@
         if (count <= 0) {
             return count;
         }
+        heard.run();
         ByteBuffer bytes = to.duplicate();
         bytes.flip().position(from);
         while (bytes.hasRemaining() && !framing.broken()) {
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -13,6 +13,7 @@
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
+import portrelay.door.RoomSettings;
 import portrelay.model.Offering;
 import portrelay.settings.BadSetting;
 
@@ -22,10 +23,13 @@
     private static final int BUFFER_SIZE = 16 * 1024;
     private static final int BUFFERS = 256;
     /**
-     * Descriptors of the JVM itself and of discovery; the others are halved between clients and upstreams.
+     * Descriptors of the JVM itself and of discovery. Half of the others are the upstreams' when they need them;
+     * what they do not hold is lent to clients, but for a spare part that is there for the next dials.
      */
     private static final int OWN_SOCKETS = 64;
     private static final double OWN_SHARE = 0.25;
+    private static final int SPARE_OF = 16;
+    private static final double TELL_EVERY = 10;
     /** Of the time after which an upstream closes an idle connection; the rest is for what is on its way. */
     private static final double IDLE_SHARE = 0.5;
     private static final double DEFAULT_IDLE = 10;
@@ -39,6 +43,7 @@
     private final Log log;
     private final XnioWorker worker;
     private final Loop loop;
+    private final DoorCounts counts = new DoorCounts();
     private final Front front;
     private final ListActor list;
     private final double longestCutOff;
@@ -52,15 +57,16 @@
         var buffers = buffers();
         var settings = config.settings();
         int own = (int) Math.min(OWN_SOCKETS, OWN_SHARE * config.sockets());
-        int half = Math.max(1, (config.sockets() - own) / 2);
-        Dialer toUpstreams = new Dialer(loop, buffers, half);
-        Dialer toDiscovery = new Dialer(loop, buffers, 2);
+        int all = Math.max(2, config.sockets() - own);
+        int lent = all - all / SPARE_OF;
+        Dialer toUpstreams = new Dialer(loop, buffers, all / 2, open -> lend(lent - open));
+        Dialer toDiscovery = new Dialer(loop, buffers, 2, open -> { });
         ModuleActor module = new ModuleActor(loop, log, settings, config.seed());
         double idle = IDLE_SHARE * (settings.connectionIdle() > 0 ? settings.connectionIdle() : DEFAULT_IDLE);
         list = new ListActor(loop, log, toDiscovery, config.discovery(), module,
                 at -> new UpstreamActor(loop, log, toUpstreams, module, settings.dialWithin(), idle, at));
-        front = new Front(loop, buffers, new QueryReader(settings), module);
-        front.listen(worker, config.listen(), half);
+        front = new Front(loop, buffers, new QueryReader(settings), module, RoomSettings.USUAL, counts);
+        front.listen(worker, config.listen(), lent);
         longestCutOff = settings.offerings().stream().mapToDouble(Offering::cutOff).max().orElse(0);
         onLoop(() -> {
             if (config.known() != null) {
@@ -68,11 +74,25 @@
             }
             module.start(list);
             front.open();
+            tell();
             new Warmup(loop, buffers, config).run(this::ready);
             return null;
         });
     }
 
+    /** What upstreams take is given back at once, and what they no longer hold is lent with the next dial. */
+    private void lend(int connections) {
+        front.mostClients(Math.max(1, connections));
+    }
+
+    private void tell() {
+        String line = counts.line();
+        if (line != null) {
+            log.info(line);
+        }
+        loop.after(TELL_EVERY, this::tell);
+    }
+
     /** Plays the warm-up alone, on no socket: false where the configuration does not get through it. */
     public static boolean check(Config config) throws IOException {
         XnioWorker worker = worker();
--- a/daemon/src/main/java/portrelay/net/Warmup.java
+++ b/daemon/src/main/java/portrelay/net/Warmup.java
@@ -25,6 +25,7 @@
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
+import portrelay.door.RoomSettings;
 import portrelay.model.GroupId;
 import portrelay.model.ListNews;
 import portrelay.model.Listed;
@@ -70,11 +71,12 @@
         this.offerings = settings.offerings();
         Log quiet = new Log(new PrintStream(OutputStream.nullOutputStream()), config.name());
         module = new ModuleActor(loop, quiet, settings, config.seed());
-        front = new Front(loop, buffers, new QueryReader(settings), module);
+        front = new Front(loop, buffers, new QueryReader(settings), module, RoomSettings.USUAL,
+                new DoorCounts());
         HttpOpenListener upstream = new HttpOpenListener(buffers);
         upstream.setRootHandler(Warmup::answer);
-        Dialer toUpstreams = new Dialer(loop, buffers, CONNECTIONS, pipeTo(upstream::handleEvent));
-        toFront = new Dialer(loop, buffers, CONNECTIONS, pipeTo(front::accept));
+        Dialer toUpstreams = new Dialer(loop, buffers, CONNECTIONS, n -> { }, pipeTo(upstream::handleEvent));
+        toFront = new Dialer(loop, buffers, CONNECTIONS, n -> { }, pipeTo(front::accept));
         for (int i = 0; i < UPSTREAMS; i++) {
             upstreams.add(new UpstreamActor(loop, quiet, toUpstreams, module, 0, 0, NOWHERE));
         }
--- a/daemon/src/test/java/portrelay/net/LinkTest.java
+++ b/daemon/src/test/java/portrelay/net/LinkTest.java
@@ -26,7 +26,7 @@
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         try (ServerSocket door = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             Loop loop = new Loop(worker.getIoThread(), new Clock());
-            Dialer dialer = new Dialer(loop, new DefaultByteBufferPool(true, 16384), 1);
+            Dialer dialer = new Dialer(loop, new DefaultByteBufferPool(true, 16384), 1, n -> { });
             CompletableFuture<Boolean> written = new CompletableFuture<>();
             Call call = Call.of(Methods.GET, "/", Call.NO_BODY);
             call.headers().put(Headers.HOST, "u");
