As many connections rest as were lately wanted at once; the longest idle end

Clients hold a third of the descriptors at most, and those that ask once and keep their connection held all of them until 2.1 s were over; 127 / 2.1 s is the 60 a second that were seen. Excluded: limits (open), loop lag (1 to 20 ms), listen queue (0).

Change: Room keeps as many idle as 1.5 x the most that waited at once in the last 5 s, 16 at least.

--- a/core/src/main/java/portrelay/door/Room.java
+++ b/core/src/main/java/portrelay/door/Room.java
@@ -1,5 +1,6 @@
 package portrelay.door;
 
+import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -21,7 +22,7 @@
     public enum Phase { SILENT, SENDING, ASKED, ANSWERING, IDLE }
 
     /** Why a connection ends, for whoever reads the counts. */
-    public enum Cause { TOO_LONG, MADE_WAY }
+    public enum Cause { TOO_LONG, MADE_WAY, NOT_NEEDED }
 
     /** A connection that is to end now. */
     public record Ending(ClientId id, Phase phase, Cause cause) { }
@@ -30,6 +31,14 @@
     private record Worth(Phase phase, double age, double share) { }
 
     private static final double NEVER = Double.POSITIVE_INFINITY;
+    private static final double PEAK_OVER = 0.5;
+    private static final int PEAKS = 10;
+
+    private final int idleLeast;
+    private final double idlePerAsked;
+    /** The most that waited for an answer at once, in each of the last few stretches of time. */
+    private final int[] peaks = new int[PEAKS];
+    private long stretch;
 
     /** The least worth first. ASKED has no row. */
     private final List<Worth> order;
@@ -49,6 +58,8 @@
         for (Phase each : Phase.values()) {
             byPhase.put(each, new LinkedHashSet<>());
         }
+        idleLeast = s.idleLeast();
+        idlePerAsked = s.idlePerAsked();
         longest.put(Phase.SENDING, s.sendWithin());
         longest.put(Phase.ANSWERING, s.readWithin());
         order = List.of(
@@ -82,6 +93,14 @@
         line.phase = phase;
         line.since = now;
         byPhase.get(phase).add(id);
+        if (phase == Phase.ASKED) {
+            long at = (long) (now / PEAK_OVER);
+            for (long i = Math.max(stretch + 1, at - PEAKS + 1); i <= at; i++) {
+                peaks[(int) (i % PEAKS)] = 0;
+            }
+            stretch = at;
+            peaks[(int) (at % PEAKS)] = Math.max(peaks[(int) (at % PEAKS)], count(Phase.ASKED));
+        }
     }
 
     /** Bytes have come: a silent or idle one sends now, for the others it is nothing new. */
@@ -124,6 +143,17 @@
         return null;
     }
 
+    /**
+     * The longest idle one while more are idle than were lately wanted at once; null where none is. Guards those
+     * whose clients may hold only so many: what rests with clients that ask once and keep their connection can't
+     * be asked on.
+     */
+    public Ending notNeeded() {
+        double wanted = idlePerAsked * Arrays.stream(peaks).max().orElse(0);
+        return count(Phase.IDLE) <= Math.max(idleLeast, wanted) ? null
+                : new Ending(eldest(Phase.IDLE), Phase.IDLE, Cause.NOT_NEEDED);
+    }
+
     /** The one of least worth while there are more than so many; null where none is to make way, or none may. */
     public Ending pressed(double now, int most) {
         if (lines.size() <= most) {
--- a/core/src/main/java/portrelay/door/RoomSettings.java
+++ b/core/src/main/java/portrelay/door/RoomSettings.java
@@ -5,22 +5,25 @@
 
 /**
  * What a client's connection may take its time for, in seconds, and the parts of the room that the silent and
- * the sending may hold before they make way for others.
+ * the sending may hold before they make way for others. As many may be idle as the given least, or that many for
+ * each query that lately waited at once.
  */
 public record RoomSettings(double speakWithin, double sendWithin, double readWithin, double idleMost,
-        double silentShare, double sendingShare) {
+        double silentShare, double sendingShare, int idleLeast, double idlePerAsked) {
 
-    public static final RoomSettings USUAL = new RoomSettings(0.2, 2, 2.5, 2.1, 0.25, 0.25);
+    public static final RoomSettings USUAL = new RoomSettings(0.2, 2, 2.5, 2.1, 0.25, 0.25, 16, 1.5);
 
     static RoomSettings read(Fields f) throws BadSetting {
         f.only("speak-within-ms", "send-within-ms", "read-within-ms", "idle-most-ms", "silent-share",
-                "sending-share");
+                "sending-share", "idle-least", "idle-per-asked");
         return new RoomSettings(
                 f.within("speak-within-ms", USUAL.speakWithin * 1e3, 1, 60_000) / 1e3,
                 f.within("send-within-ms", USUAL.sendWithin * 1e3, 1, 60_000) / 1e3,
                 f.within("read-within-ms", USUAL.readWithin * 1e3, 1, 60_000) / 1e3,
                 f.within("idle-most-ms", USUAL.idleMost * 1e3, 1, 3_600_000) / 1e3,
                 f.within("silent-share", USUAL.silentShare, 0, 1),
-                f.within("sending-share", USUAL.sendingShare, 0, 1));
+                f.within("sending-share", USUAL.sendingShare, 0, 1),
+                f.whole("idle-least", USUAL.idleLeast, 0, 1_000_000),
+                f.within("idle-per-asked", USUAL.idlePerAsked, 0, 1_000_000));
     }
 }
--- a/daemon/src/main/java/portrelay/net/Clients.java
+++ b/daemon/src/main/java/portrelay/net/Clients.java
@@ -66,6 +66,9 @@
         ClientId id = ids.get(connection.getChannel());
         if (id != null) {
             room.at(loop.now(), id, phase);
+            for (Room.Ending e = room.notNeeded(); e != null; e = room.notNeeded()) {
+                end(e);
+            }
         }
     }
 
--- a/daemon/src/main/java/portrelay/net/DoorCounts.java
+++ b/daemon/src/main/java/portrelay/net/DoorCounts.java
@@ -9,12 +9,16 @@
 
     int accepted;
     int full;
+    private int notNeeded;
     private final Map<Room.Phase, Integer> madeWay = new EnumMap<>(Room.Phase.class);
     private final Map<Room.Phase, Integer> tooLong = new EnumMap<>(Room.Phase.class);
 
     void ended(Room.Ending ending) {
-        Map<Room.Phase, Integer> of = ending.cause() == Room.Cause.MADE_WAY ? madeWay : tooLong;
-        of.merge(ending.phase(), 1, Integer::sum);
+        switch (ending.cause()) {
+            case MADE_WAY -> madeWay.merge(ending.phase(), 1, Integer::sum);
+            case TOO_LONG -> tooLong.merge(ending.phase(), 1, Integer::sum);
+            default -> notNeeded++;
+        }
     }
 
     /** Null where nothing happened that on-call would want to know of; begins to count anew. */
@@ -22,10 +26,11 @@
         String line = null;
         if (full > 0 || !madeWay.isEmpty() || !tooLong.isEmpty()) {
             line = "door accepted=" + accepted + " made-way=" + madeWay + " too-long=" + tooLong
-                    + " denied-no-room=" + full;
+                    + " not-needed=" + notNeeded + " denied-no-room=" + full;
         }
         accepted = 0;
         full = 0;
+        notNeeded = 0;
         madeWay.clear();
         tooLong.clear();
         return line;
