A connection is looked at before it is closed; what we were late by is no upstream's fault

And after a restart on half a core the loop is 0.1 to 0.3 s late; that counted as the upstreams' time, cut the limits and passed upstreams over (5 of 10 seen).

Change: QueryGuard.peek reads before a connection is ended; if it has spoken it stays. The idle that are kept follow the last second, less those that wait.

--- a/core/src/main/java/portrelay/door/Room.java
+++ b/core/src/main/java/portrelay/door/Room.java
@@ -31,8 +31,8 @@
     private record Worth(Phase phase, double age, double share) { }
 
     private static final double NEVER = Double.POSITIVE_INFINITY;
-    private static final double PEAK_OVER = 0.5;
-    private static final int PEAKS = 10;
+    private static final double PEAK_OVER = 0.25;
+    private static final int PEAKS = 4;
 
     private final int idleLeast;
     private final double idlePerAsked;
@@ -144,12 +144,12 @@
     }
 
     /**
-     * The longest idle one while more are idle than were lately wanted at once; null where none is. Guards those
+     * The longest idle one while more rest or wait than were lately wanted at once; null where none does. Guards those
      * whose clients may hold only so many: what rests with clients that ask once and keep their connection can't
      * be asked on.
      */
     public Ending notNeeded() {
-        double wanted = idlePerAsked * Arrays.stream(peaks).max().orElse(0);
+        double wanted = idlePerAsked * Arrays.stream(peaks).max().orElse(0) - count(Phase.ASKED);
         return count(Phase.IDLE) <= Math.max(idleLeast, wanted) ? null
                 : new Ending(eldest(Phase.IDLE), Phase.IDLE, Cause.NOT_NEEDED);
     }
--- a/core/src/main/java/portrelay/door/RoomSettings.java
+++ b/core/src/main/java/portrelay/door/RoomSettings.java
@@ -5,8 +5,8 @@
 
 /**
  * What a client's connection may take its time for, in seconds, and the parts of the room that the silent and
- * the sending may hold before they make way for others. As many may be idle as the given least, or that many for
- * each query that lately waited at once.
+ * the sending may hold before they make way for others. As many may be idle as the given least, or as are
+ * wanted beside those that wait for an answer to make so many for each that lately waited at once.
  */
 public record RoomSettings(double speakWithin, double sendWithin, double readWithin, double idleMost,
         double silentShare, double sendingShare, int idleLeast, double idlePerAsked) {
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -185,6 +185,11 @@
         armAlarm();
     }
 
+    /** For so many seconds, at most, what is told next waited for ourselves; no upstream took that time. */
+    public void heldUp(double seconds) {
+        health.heldUp(seconds);
+    }
+
     /** A streamed answer has begun: the execution is the client's now and the others are not needed. */
     public void begun(double time, QueryId id, int execution) {
         now = time;
--- a/daemon/src/main/java/portrelay/net/Clients.java
+++ b/daemon/src/main/java/portrelay/net/Clients.java
@@ -1,6 +1,7 @@
 package portrelay.net;
 
 import io.undertow.server.protocol.http.HttpServerConnection;
+import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
 import org.xnio.IoUtils;
@@ -17,10 +18,12 @@
 
     private static final double EVERY = 0.05;
 
+    private record Line(StreamConnection socket, QueryGuard guard) { }
+
     private final Loop loop;
     private final Room room;
     private final Map<StreamConnection, ClientId> ids = new HashMap<>();
-    private final Map<ClientId, StreamConnection> sockets = new HashMap<>();
+    private final Map<ClientId, Line> lines = new HashMap<>();
     private final DoorCounts counts;
     private long next;
     private int most = Integer.MAX_VALUE;
@@ -38,10 +41,10 @@
         press();
     }
 
-    void opened(StreamConnection socket) {
+    void opened(StreamConnection socket, QueryGuard guard) {
         ClientId id = new ClientId(next++);
         ids.put(socket, id);
-        sockets.put(id, socket);
+        lines.put(id, new Line(socket, guard));
         room.opened(loop.now(), id);
         counts.accepted++;
         press();
@@ -83,7 +86,7 @@
     }
 
     void closeQuiet() {
-        room.quiet().forEach(id -> IoUtils.safeClose(sockets.get(id)));
+        room.quiet().forEach(id -> IoUtils.safeClose(lines.get(id).socket));
         forgetClosed();
     }
 
@@ -98,7 +101,13 @@
     }
 
     private void end(Room.Ending ending) {
-        StreamConnection socket = sockets.get(ending.id());
+        Line line = lines.get(ending.id());
+        StreamConnection socket = line.socket;
+        if (ending.cause() != Room.Cause.TOO_LONG && speaks(line)) {
+            room.at(loop.now(), ending.id(), Room.Phase.SENDING);
+            socket.getSourceChannel().wakeupReads();
+            return;
+        }
         if (socket.isOpen()) {
             counts.ended(ending);
         }
@@ -106,10 +115,18 @@
         gone(socket);
     }
 
+    private static boolean speaks(Line line) {
+        try {
+            return line.socket.isOpen() && line.guard.peek();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private void gone(StreamConnection socket) {
         ClientId id = ids.remove(socket);
         if (id != null) {
-            sockets.remove(id);
+            lines.remove(id);
             room.closed(id);
         }
     }
@@ -117,7 +134,7 @@
     /** Of one that closed before it spoke nobody tells. */
     private void forgetClosed() {
         for (ClientId id : room.quiet()) {
-            StreamConnection socket = sockets.get(id);
+            StreamConnection socket = lines.get(id).socket;
             if (!socket.isOpen()) {
                 gone(socket);
             }
--- a/daemon/src/main/java/portrelay/net/Dialer.java
+++ b/daemon/src/main/java/portrelay/net/Dialer.java
@@ -103,7 +103,8 @@
             open++;
             counted.accept(open);
             if (within > 0) {
-                timeOut = loop.after(within, () -> failed(null));
+                // Once more round the loop: where it was late itself the connection may be there to be seen.
+                timeOut = loop.after(within, () -> timeOut = loop.after(0, () -> failed(null)));
             }
             opening.to = to;
             client.connect(this, null, UNUSED, opening, null, buffers, OPTIONS);
--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -92,9 +92,10 @@
     }
 
     void accept(StreamConnection client) {
-        clients.opened(client);
-        client.getSourceChannel().setConduit(
-                new QueryGuard(client.getSourceChannel().getConduit(), () -> clients.heard(client)));
+        QueryGuard guard =
+                new QueryGuard(client.getSourceChannel().getConduit(), () -> clients.heard(client));
+        client.getSourceChannel().setConduit(guard);
+        clients.opened(client, guard);
         http.handleEvent(client);
     }
 
--- a/daemon/src/main/java/portrelay/net/QueryGuard.java
+++ b/daemon/src/main/java/portrelay/net/QueryGuard.java
@@ -7,7 +7,11 @@
 /** Lets through what a client sends up to where it stops making sense; from there on reading it fails. */
 final class QueryGuard extends Guard {
 
+    private static final int PEEKED = 512;
+
     private final Framing framing = Framing.ofQueries();
+    /** What a look ahead took, until it is read; null where there is none. */
+    private ByteBuffer ahead;
 
     private final Runnable heard;
 
@@ -17,13 +21,38 @@
         this.heard = heard;
     }
 
+    /**
+     * Whether bytes wait that nobody has read. A connection that is to be closed is looked at first: a query that
+     * has come would be lost with it. Whoever goes on after this has to wake the reader up.
+     */
+    boolean peek() throws IOException {
+        if (ahead == null) {
+            ByteBuffer some = ByteBuffer.allocate(PEEKED);
+            if (next.read(some) <= 0) {
+                return false;
+            }
+            ahead = some.flip();
+        }
+        return true;
+    }
+
+    private int readAhead(ByteBuffer to) {
+        int count = Math.min(ahead.remaining(), to.remaining());
+        to.put(ahead.slice().limit(count));
+        ahead.position(ahead.position() + count);
+        if (!ahead.hasRemaining()) {
+            ahead = null;
+        }
+        return count;
+    }
+
     @Override
     public int read(ByteBuffer to) throws IOException {
         if (framing.broken()) {
             throw new IOException("broken framing");
         }
         int from = to.position();
-        int count = next.read(to);
+        int count = ahead == null ? next.read(to) : readAhead(to);
         if (count <= 0) {
             return count;
         }
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -73,6 +73,7 @@
                 list.remembered(config.known());
             }
             module.start(list);
+            loop.watch();
             front.open();
             tell();
             new Warmup(loop, buffers, config).run(this::ready);
