--- /dev/null
+++ b/core/src/main/java/portrelay/door/Door.java
@@ -0,0 +1,306 @@
+package portrelay.door;
+
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import portrelay.model.OfferingId;
+import portrelay.model.QueryId;
+import portrelay.model.TenantId;
+
+/**
+ * Who gets in, in what order, and when to come back. Stands before the module: what it lets in the module decides
+ * on, what it turns away was never sent anywhere. Promises each query one of the two, the second at once when its
+ * wait would outlast its use; fair shares to flows ({@link FairQueue}); times to come back that hold
+ * ({@link Returns}); and memory within {@link DoorSettings#bound}. Never waits, has no clock: a front calls its
+ * events in the order in which things happen, each with the time in seconds, and carries out its effects.
+ */
+public final class Door {
+
+    /** NEW has come in this moment; WAITING is in the queue; INSIDE is the module's; OVER is forgotten. */
+    enum State { NEW, WAITING, INSIDE, OVER }
+
+    enum Input { ARRIVED, HOPELESS, TURN, WAITED, CROWDED_OUT, LEFT, ANSWERED }
+
+    /** What a row does; the input it returns, if any, is read from the row's next state at once. */
+    private interface Effect {
+        Input on(Door d, Query q);
+    }
+
+    private record Row(State state, Input input, State next, Effect effect) { }
+
+    private static final List<Row> TABLE = List.of(
+            new Row(State.NEW, Input.ARRIVED, State.WAITING, Door::join),
+            new Row(State.WAITING, Input.HOPELESS, State.OVER, Door::turnAway),
+            new Row(State.WAITING, Input.CROWDED_OUT, State.OVER, Door::turnAway),
+            new Row(State.WAITING, Input.WAITED, State.OVER, Door::turnAway),
+            new Row(State.WAITING, Input.TURN, State.INSIDE, Door::letIn),
+            new Row(State.WAITING, Input.LEFT, State.OVER, Door::forget),
+            new Row(State.INSIDE, Input.ANSWERED, State.OVER, Door::giveBack));
+
+    private static final Row[][] ROWS = new Row[State.values().length][Input.values().length];
+
+    static {
+        for (Row row : TABLE) {
+            ROWS[row.state.ordinal()][row.input.ordinal()] = row;
+        }
+    }
+
+    private static final class Query {
+        private final Caller caller;
+        private final FlowId flow;
+        private final long order;
+        private State state = State.NEW;
+        private boolean promised;
+        private double letInAt;
+
+        Query(Caller caller, FlowId flow, long order) {
+            this.caller = caller;
+            this.flow = flow;
+            this.order = order;
+        }
+    }
+
+    /** As many let-ins tell how fast the queue moves; fewer than the least tell nothing. */
+    private static final int RATE_SAMPLES = 32;
+    private static final int RATE_LEAST = 8;
+    private static final int TIME_SAMPLES = 64;
+    private static final double UNKNOWN_TIME = 0.1;
+
+    private final DoorSettings settings;
+    private final DoorEffects out;
+    private final FairQueue queue;
+    private final Returns returns;
+    private final Regulars regulars;
+    private final Map<QueryId, Query> queries = new HashMap<>();
+    private final TreeSet<Query> waiting = new TreeSet<>(
+            Comparator.<Query>comparingDouble(q -> q.caller.usefulUntil()).thenComparingLong(q -> q.order));
+    private final Map<OfferingId, Samples> times = new HashMap<>();
+    private final Map<TenantId, Tally> tallies = new HashMap<>();
+    private final Samples letInAt = new Samples(RATE_SAMPLES);
+    private final Samples letInWork = new Samples(RATE_SAMPLES);
+    private int inside;
+    private long order;
+    private boolean closed;
+    private double alarmAt = Double.POSITIVE_INFINITY;
+    private double now;
+
+    /** Longest is the most seconds that clients observe a time to come back for, 0 where they do not. */
+    public Door(DoorSettings settings, double longest, long seed, DoorEffects out) {
+        this.settings = settings;
+        this.out = out;
+        this.queue = new FairQueue(settings.mostWaiting(), settings.mostBytes(), settings.mostFlows());
+        this.regulars = new Regulars(settings.mostFlows());
+        this.returns = new Returns(new SplittableRandom(seed), longest, settings.mostWaiting());
+    }
+
+    // ---- Events -----------------------------------------------------------------------------------------
+
+    /** Ids of open queries are each used once. */
+    public void arrived(double time, Caller caller) {
+        now = time;
+        boolean all = settings.flowsBy() == DoorSettings.FlowsBy.TENANT;
+        Query q = new Query(all ? caller : regulars.place(now, caller), caller.flow(), order++);
+        if (queries.putIfAbsent(caller.id(), q) != null) {
+            throw new IllegalStateException("a query of this id is open: " + caller.id());
+        }
+        step(q, Input.ARRIVED);
+        pump();
+    }
+
+    /** The client no longer waits; only for one that has not been let in. */
+    public void left(double time, QueryId id) {
+        now = time;
+        step(queries.get(id), Input.LEFT);
+        pump();
+    }
+
+    /** The module has answered, or its client has gone: there is a place for another. */
+    public void answered(double time, QueryId id) {
+        now = time;
+        step(queries.get(id), Input.ANSWERED);
+        pump();
+    }
+
+    /** The module may have room again. */
+    public void moved(double time) {
+        now = time;
+        pump();
+    }
+
+    public void alarm(double time) {
+        now = time;
+        if (now >= alarmAt) {
+            alarmAt = Double.POSITIVE_INFINITY;
+        }
+        pump();
+    }
+
+    /** Nobody is let in any more: all that wait are told now, and so is whoever still comes. */
+    public void close(double time) {
+        now = time;
+        closed = true;
+        pump();
+    }
+
+    // ---- What a front asks ------------------------------------------------------------------------------
+
+    public boolean knows(QueryId id) {
+        return queries.containsKey(id);
+    }
+
+    /** Whether it waits here and the module knows nothing of it. */
+    public boolean waits(QueryId id) {
+        Query q = queries.get(id);
+        return q != null && q.state == State.WAITING;
+    }
+
+    /** Seconds that the module usually takes for one: the work that a caller of the offering is booked with. */
+    public double usualWork(OfferingId offering) {
+        Samples seen = times.get(offering);
+        return Math.max(1e-6, seen == null ? UNKNOWN_TIME : seen.mean(UNKNOWN_TIME));
+    }
+
+    public int waiting() {
+        return queue.size();
+    }
+
+    public int inside() {
+        return inside;
+    }
+
+    /** Times to come back that were given and that nobody has used yet. */
+    public int promised() {
+        return returns.open();
+    }
+
+    public Map<TenantId, Tally> tallies() {
+        return Collections.unmodifiableMap(tallies);
+    }
+
+    // ---- The table's effects ----------------------------------------------------------------------------
+
+    private void step(Query q, Input first) {
+        Input input = q == null ? null : first;
+        while (input != null) {
+            Row row = ROWS[q.state.ordinal()][input.ordinal()];
+            if (row == null) {
+                return;
+            }
+            q.state = row.next;
+            input = row.effect.on(this, q);
+        }
+    }
+
+    private Input join(Query q) {
+        Caller c = q.caller;
+        q.promised = returns.redeem(now, c.flow(), c.again());
+        double ahead = q.promised ? 0 : queue.workOf(c.flow());
+        waiting.add(q);
+        tally(q).waits(1);
+        List<Caller> gone = queue.add(c, q.promised);
+        for (Caller each : gone) {
+            step(queries.get(each.id()), Input.CROWDED_OUT);
+        }
+        boolean late = now + secondsFor(c, ahead + c.work()) > c.usefulUntil();
+        return q.state == State.WAITING && (closed || late && !hasRoom()) ? Input.HOPELESS : null;
+    }
+
+    /** Seconds in which the flow's part lets so much work in; 0 while nothing is known of it. */
+    private double secondsFor(Caller c, double work) {
+        double rate = rate();
+        return rate == 0 ? 0 : work / (rate * queue.shareOf(c.flow(), c.weight()));
+    }
+
+    /** Work let in a second while some waited; 0 where too little is known. */
+    private double rate() {
+        if (letInAt.kept() < RATE_LEAST) {
+            return 0;
+        }
+        double span = now - letInAt.oldest();
+        return span <= 0 ? 0 : letInWork.sum() / span;
+    }
+
+    private Input turnAway(Query q) {
+        Caller c = q.caller;
+        remove(q);
+        double rate = rate();
+        double back = 0;
+        if (rate > 0 && !closed) {
+            double free = secondsFor(c, queue.workOf(c.flow()));
+            back = returns.give(now, c.flow(), free, secondsFor(c, c.work()));
+        }
+        tally(q).turnedAway(q.promised, back > 0);
+        queries.remove(c.id());
+        out.turnAway(c.id(), back);
+        return null;
+    }
+
+    private Input letIn(Query q) {
+        remove(q);
+        inside++;
+        regulars.letIn(now, q.flow);
+        q.letInAt = now;
+        tally(q).letIn(q.promised);
+        out.letIn(q.caller.id());
+        return null;
+    }
+
+    private Input forget(Query q) {
+        remove(q);
+        queries.remove(q.caller.id());
+        tally(q).left();
+        return null;
+    }
+
+    private Input giveBack(Query q) {
+        inside--;
+        queries.remove(q.caller.id());
+        times.computeIfAbsent(q.caller.offering(), k -> new Samples(TIME_SAMPLES)).add(now - q.letInAt);
+        return null;
+    }
+
+    /** The one place where what a waiting query takes up is given back. */
+    private void remove(Query q) {
+        queue.remove(q.caller.id());
+        waiting.remove(q);
+        tally(q).waits(-1);
+    }
+
+    // ---- The queue moves --------------------------------------------------------------------------------
+
+    private boolean hasRoom() {
+        return (settings.mostInside() == 0 || inside < settings.mostInside())
+                && (!settings.followModule() || out.moduleHasRoom());
+    }
+
+    private void pump() {
+        returns.forget(now);
+        while (!waiting.isEmpty() && (closed || waiting.first().caller.usefulUntil() <= now)) {
+            step(waiting.first(), Input.WAITED);
+        }
+        while (queue.size() > 0 && hasRoom()) {
+            Caller next = queue.next();
+            if (queue.size() > 0) {
+                letInAt.add(now);
+                letInWork.add(next.work());
+            } else {
+                // Without a queue the pace is that of what comes, and tells nothing of what could get in.
+                letInAt.clear();
+                letInWork.clear();
+            }
+            step(queries.get(next.id()), Input.TURN);
+        }
+        if (!waiting.isEmpty() && waiting.first().caller.usefulUntil() < alarmAt) {
+            alarmAt = waiting.first().caller.usefulUntil();
+            out.alarmAt(alarmAt);
+        }
+    }
+
+    private Tally tally(Query q) {
+        return tallies.computeIfAbsent(q.caller.tenant(), k -> new Tally());
+    }
+}
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -185,6 +185,11 @@
         armAlarm();
     }
 
+    /** Whether one that came now would find room under the limit over all, with nobody held before it. */
+    public boolean hasRoom(double time) {
+        return held.isEmpty() && total.hasRoom(time);
+    }
+
     /** For so many seconds, at most, what is told next waited for ourselves; no upstream took that time. */
     public void heldUp(double seconds) {
         health.heldUp(seconds);
--- a/core/src/main/java/portrelay/settings/Fields.java
+++ b/core/src/main/java/portrelay/settings/Fields.java
@@ -105,6 +105,14 @@
         }
     }
 
+    /** True or false; anything else is a mistake. */
+    public boolean truth(String name) throws BadSetting {
+        if (map.get(name) instanceof Boolean truth) {
+            return truth;
+        }
+        throw bad(name, "true or false");
+    }
+
     public boolean flag(String name) {
         return Boolean.TRUE.equals(map.get(name));
     }
--- a/core/src/main/java/portrelay/settings/Settings.java
+++ b/core/src/main/java/portrelay/settings/Settings.java
@@ -99,6 +99,22 @@
         return ids.keySet().stream().filter(each -> ids.get(each).equals(id)).findFirst().orElseThrow();
     }
 
+    /** "none" for null. */
+    public String name(TenantId id) {
+        return id == null ? "none" : nameOf(tenantIds, id);
+    }
+
+    /** A tenant's part of what there is to share; 1 where the settings allot it none, or there are no tenants. */
+    public double weight(TenantId id) {
+        double share = id == null ? 0 : tenants.get(id.value()).share();
+        return share > 0 ? share : 1;
+    }
+
+    /** Seconds that clients observe a time to come back for; 0 where they do not. */
+    public double longestCoolDown() {
+        return permits.longestCoolDown();
+    }
+
     /** Null where the settings name no such tenant. */
     public TenantId tenant(String name) {
         return tenantIds.get(name);
--- /dev/null
+++ b/core/src/test/java/portrelay/door/FairQueueTest.java
@@ -0,0 +1,136 @@
+package portrelay.door;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import portrelay.model.OfferingId;
+import portrelay.model.QueryId;
+
+/** The fair queue beside a slow plain fluid that divides each unit of work among all flows that have some. */
+class FairQueueTest {
+
+    private static final int FLOWS = 5;
+    private static final double MOST_WORK = 4;
+
+    static Caller caller(String id, String flow, double weight, double work) {
+        return new Caller(new QueryId(id), new FlowId(flow), null, new OfferingId(0), weight, work, 10, 1e9, false);
+    }
+
+    private static double weight(int flow) {
+        return 1 + flow % 3;
+    }
+
+    /** What each flow has had of the fluid, and what it has left. */
+    private static final class Fluid {
+        private final double[] had = new double[FLOWS];
+        private final double[] left = new double[FLOWS];
+
+        void serve(double work) {
+            double rest = work;
+            while (rest > 1e-12) {
+                double weights = 0;
+                double step = rest;
+                for (int i = 0; i < FLOWS; i++) {
+                    weights += left[i] > 1e-12 ? weight(i) : 0;
+                }
+                if (weights == 0) {
+                    return;
+                }
+                for (int i = 0; i < FLOWS; i++) {
+                    step = left[i] > 1e-12 ? Math.min(step, left[i] / weight(i) * weights) : step;
+                }
+                for (int i = 0; i < FLOWS; i++) {
+                    double part = left[i] > 1e-12 ? step * weight(i) / weights : 0;
+                    had[i] += part;
+                    left[i] -= part;
+                }
+                rest -= step;
+            }
+        }
+    }
+
+    @Property(tries = 600, seed = "20261201")
+    void noFlowIsFurtherFromTheFluidThanOneQuerysWork(
+            @ForAll @Size(max = 120) List<@IntRange(min = 0, max = 59) Integer> steps) {
+        FairQueue queue = new FairQueue(1000, 100_000, 100);
+        Fluid fluid = new Fluid();
+        double[] served = new double[FLOWS];
+        int n = 0;
+        for (int step : steps) {
+            int flow = step % FLOWS;
+            double work = 1 + step / FLOWS % (int) MOST_WORK;
+            if (step < 40) {
+                queue.add(caller("q" + n++, "f" + flow, weight(flow), work), false);
+                fluid.left[flow] += work;
+            } else {
+                Caller next = queue.next();
+                if (next != null) {
+                    served[next.flow().value().charAt(1) - '0'] += next.work();
+                    fluid.serve(next.work());
+                }
+            }
+            for (int i = 0; i < FLOWS; i++) {
+                assertTrue(Math.abs(served[i] - fluid.had[i]) <= MOST_WORK + 1e-6,
+                        "flow " + i + " had " + served[i] + ", of the fluid " + fluid.had[i]);
+            }
+        }
+    }
+
+    @Property(tries = 300, seed = "20261201")
+    void nothingIsLostKeptTwiceOrKeptPastABound(
+            @ForAll @Size(max = 200) List<@IntRange(min = 0, max = 999) Integer> steps) {
+        FairQueue queue = new FairQueue(7, 60, 3);
+        Map<QueryId, Caller> plain = new HashMap<>();
+        int n = 0;
+        for (int step : steps) {
+            if (step < 600) {
+                Caller c = new Caller(new QueryId("q" + n++), new FlowId("f" + step % 40), null, new OfferingId(0),
+                        1 + step % 2, 1, step % 23, 1e9, false);
+                plain.put(c.id(), c);
+                queue.add(c, step % 5 == 0).forEach(gone -> assertEquals(gone, plain.remove(gone.id())));
+            } else if (step < 800 && !plain.isEmpty()) {
+                QueryId id = new ArrayList<>(plain.keySet()).get(step % plain.size());
+                assertEquals(plain.remove(id), queue.remove(id));
+            } else {
+                Caller next = queue.next();
+                assertEquals(plain.isEmpty(), next == null);
+                assertTrue(next == null || plain.remove(next.id()) == next);
+            }
+            assertEquals(plain.size(), queue.size());
+            assertEquals(plain.values().stream().mapToLong(Caller::bytes).sum(), queue.bytes());
+            assertTrue(queue.size() <= 7 && queue.bytes() <= 60 && queue.flows() <= 3 + FairQueue.SHARED);
+        }
+        while (queue.next() != null) {
+            assertTrue(queue.size() >= 0);
+        }
+        assertEquals(0, queue.flows(), "flows stay behind when nobody waits");
+    }
+
+    @Test
+    void aFlowThatCameLateIsNotPaidForTheTimeItWasAway() {
+        FairQueue queue = new FairQueue(1000, 100_000, 10);
+        for (int i = 0; i < 100; i++) {
+            queue.add(caller("a" + i, "a", 1, 1), false);
+        }
+        for (int i = 0; i < 50; i++) {
+            queue.next();
+        }
+        for (int i = 0; i < 100; i++) {
+            queue.add(caller("b" + i, "b", 1, 1), false);
+        }
+        int ofB = 0;
+        for (int i = 0; i < 20; i++) {
+            ofB += queue.next().flow().value().equals("b") ? 1 : 0;
+        }
+        assertEquals(10, ofB, 1);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/portrelay/door/RoomTest.java
@@ -0,0 +1,107 @@
+package portrelay.door;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** Who keeps a place, beside a plain list of all connections. */
+class RoomTest {
+
+    private static final int MOST = 8;
+
+    private static ClientId id(long n) {
+        return new ClientId(n);
+    }
+
+    @Property(tries = 500, seed = "20261201")
+    void anAskedOneNeverGoesAndAnyOtherDoesBeforeThereIsNoPlace(
+            @ForAll @Size(max = 120) List<@IntRange(min = 0, max = 999) Integer> steps) {
+        Room room = new Room(RoomSettings.USUAL);
+        Map<ClientId, Room.Phase> plain = new HashMap<>();
+        double now = 0;
+        long next = 0;
+        for (int step : steps) {
+            now += step % 7 * 0.05;
+            if (step < 500 || plain.isEmpty()) {
+                plain.put(id(next), Room.Phase.SILENT);
+                room.opened(now, id(next++));
+            } else {
+                ClientId one = plain.keySet().stream().sorted((a, b) -> Long.compare(a.value(), b.value()))
+                        .skip(step % plain.size()).findFirst().orElseThrow();
+                Room.Phase phase = Room.Phase.values()[step % 5];
+                plain.put(one, phase);
+                room.at(now, one, phase);
+            }
+            for (Room.Ending e = room.pressed(now, MOST); e != null; e = room.pressed(now, MOST)) {
+                assertEquals(plain.remove(e.id()), e.phase());
+                assertTrue(e.phase() != Room.Phase.ASKED);
+                room.closed(e.id());
+            }
+            boolean mayGo = plain.values().stream().anyMatch(p -> p != Room.Phase.ASKED && p != Room.Phase.ANSWERING);
+            assertTrue(plain.size() <= MOST || !mayGo, "no place though " + plain);
+            assertEquals(plain.size(), room.count());
+        }
+    }
+
+    @Test
+    void underPressureTheSilentGoFirstThenTheLongestIdle() {
+        Room room = new Room(RoomSettings.USUAL);
+        for (int i = 0; i < 4; i++) {
+            room.opened(i, id(i));
+        }
+        room.at(4, id(1), Room.Phase.IDLE);
+        room.at(4.1, id(2), Room.Phase.ASKED);
+        room.at(4.2, id(3), Room.Phase.IDLE);
+        assertEquals(id(0), room.pressed(4.3, 3).id());
+        room.closed(id(0));
+        assertEquals(id(1), room.pressed(4.3, 2).id());
+        room.closed(id(1));
+        assertEquals(id(3), room.pressed(4.3, 1).id());
+        room.closed(id(3));
+        assertNull(room.pressed(4.3, 0));
+    }
+
+    /** Incident r67119a: clients that ask once and keep their connection held all that clients may hold. */
+    @Test
+    void asManyRestAsWereLatelyWantedAtOnce() {
+        Room room = new Room(RoomSettings.USUAL);
+        for (int i = 0; i < 40; i++) {
+            room.opened(0, id(i));
+            room.at(0, id(i), Room.Phase.ASKED);
+        }
+        for (int i = 0; i < 40; i++) {
+            room.at(0.01, id(i), Room.Phase.IDLE);
+            assertNull(room.notNeeded(), "40 were wanted a moment ago");
+        }
+        room.opened(2, id(100));
+        room.at(2, id(100), Room.Phase.ASKED);
+        assertEquals(id(0), room.notNeeded().id());
+        int ended = 0;
+        for (Room.Ending e = room.notNeeded(); e != null; e = room.notNeeded()) {
+            room.closed(e.id());
+            ended++;
+        }
+        assertEquals(40 - RoomSettings.USUAL.idleLeast(), ended);
+    }
+
+    @Test
+    void whatTakesTooLongGoesWhateverRoomThereIs() {
+        Room room = new Room(RoomSettings.USUAL);
+        room.opened(0, id(0));
+        room.heard(0, id(0));
+        assertNull(room.overdue(1.9));
+        assertNotNull(room.overdue(2.1));
+        room.at(2.1, id(0), Room.Phase.ASKED);
+        assertNull(room.overdue(100));
+    }
+}
--- a/daemon/src/main/java/portrelay/cli/ConfigCommand.java
+++ b/daemon/src/main/java/portrelay/cli/ConfigCommand.java
@@ -18,6 +18,9 @@
     @Parameter(names = "--config", description = "a sidecar's configuration, a JSON file")
     private String config = System.getenv(Config.FILE);
 
+    @Parameter(names = "--door", description = "the door's settings, a JSON file of their own")
+    private String door;
+
     abstract int run(Config config) throws IOException, BadSetting, InterruptedException;
 
     @Override
@@ -40,10 +43,15 @@
 
     /** The file as it is now. */
     final Config read() throws BadSetting {
+        Config read = Config.parse(bytes(Config.FILE, config));
+        return door == null ? read : read.withDoor(bytes("--door", door));
+    }
+
+    private static byte[] bytes(String what, String file) throws BadSetting {
         try {
-            return Config.parse(Files.readAllBytes(Path.of(config)));
+            return Files.readAllBytes(Path.of(file));
         } catch (IOException e) {
-            throw new BadSetting(Config.FILE, "a file that can be read, not " + config);
+            throw new BadSetting(what, "a file that can be read, not " + file);
         }
     }
 
--- a/daemon/src/main/java/portrelay/net/Config.java
+++ b/daemon/src/main/java/portrelay/net/Config.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import portrelay.door.DoorSettings;
 import portrelay.json.Tree;
 import portrelay.settings.BadSetting;
 import portrelay.settings.Fields;
@@ -9,7 +10,7 @@
 
 /** What a sidecar is told at its start. Known is null where it never had a list. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        int sockets, Fields known, Settings settings) {
+        int sockets, Fields known, Settings settings, DoorSettings door) {
 
     /** The environment variable that names the file. */
     public static final String FILE = Names.CONFIG_FILE;
@@ -17,14 +18,7 @@
     private static final int SOCKETS = 1024;
 
     public static Config parse(byte[] json) throws BadSetting {
-        Object tree;
-        try {
-            tree = Tree.parse(json);
-        } catch (IOException e) {
-            String why = e.getMessage().lines().findFirst().orElse("");
-            throw new BadSetting("the whole", "well-formed JSON, but " + why);
-        }
-        Fields root = Fields.of(tree, "");
+        Fields root = Fields.of(tree(json), "");
         double sockets =
                 root.has(Names.LIMITS) ? root.section(Names.LIMITS).number(Names.SOCKETS, SOCKETS) : SOCKETS;
         Fields known = root.has(Names.KNOWN) ? root.section(Names.KNOWN) : null;
@@ -32,9 +26,26 @@
             ListPage.read(known);
         }
         return new Config(root.text(Names.NAME), address(root, Names.LISTEN), address(root, Names.DISCOVERY),
-                seed(root), (int) sockets, known, new Settings(root.section(Names.SETTINGS)));
+                seed(root), (int) sockets, known, new Settings(root.section(Names.SETTINGS)),
+                root.has(Names.DOOR) ? DoorSettings.read(root.section(Names.DOOR)) : DoorSettings.USUAL);
+    }
+
+    /** With the door as a file of its own sets it: one object with the fields of the section. */
+    public Config withDoor(byte[] json) throws BadSetting {
+        Fields fields = Fields.of(tree(json), Names.DOOR);
+        return new Config(name, listen, discovery, seed, sockets, known, settings, DoorSettings.read(fields));
     }
 
+    private static Object tree(byte[] json) throws BadSetting {
+        try {
+            return Tree.parse(json);
+        } catch (IOException e) {
+            String why = e.getMessage().lines().findFirst().orElse("");
+            throw new BadSetting("the whole", "well-formed JSON, but " + why);
+        }
+    }
+
+
     private static InetSocketAddress address(Fields root, String name) throws BadSetting {
         InetSocketAddress address = Addresses.parse(root.text(name));
         if (address == null) {
--- /dev/null
+++ b/daemon/src/main/java/portrelay/net/DoorActor.java
@@ -0,0 +1,175 @@
+package portrelay.net;
+
+import java.net.InetAddress;
+import java.util.HashMap;
+import java.util.Map;
+import portrelay.door.Caller;
+import portrelay.door.Door;
+import portrelay.door.DoorEffects;
+import portrelay.door.DoorSettings;
+import portrelay.door.FlowId;
+import portrelay.door.Tally;
+import portrelay.model.Asked;
+import portrelay.model.QueryId;
+import portrelay.model.TenantId;
+import portrelay.settings.Settings;
+
+/**
+ * Carries out the door: keeps the queries that wait, hands the module those that are let in and answers those that
+ * are turned away. Decides nothing itself.
+ */
+final class DoorActor implements DoorEffects {
+
+    private final Loop loop;
+    private final Mailbox mailbox;
+    private final Log log;
+    private final Settings settings;
+    private final DoorSettings rules;
+    private final ModuleActor module;
+    private final Door door;
+    private final Map<QueryId, Incoming> waiting = new HashMap<>();
+    private long told;
+
+    DoorActor(Loop loop, Log log, Settings settings, DoorSettings rules, ModuleActor module, long seed) {
+        this.loop = loop;
+        this.mailbox = new Mailbox(loop, log);
+        this.log = log;
+        this.settings = settings;
+        this.rules = rules;
+        this.module = module;
+        this.door = new Door(rules, settings.longestCoolDown(), seed, this);
+        module.moves(this::moved);
+    }
+
+    void arrived(Incoming incoming, InetAddress from) {
+        mailbox.post(() -> arrivedNow(incoming, from));
+    }
+
+    void left(QueryId id) {
+        mailbox.post(() -> {
+            if (door.waits(id)) {
+                waiting.remove(id);
+                door.left(loop.now(), id);
+            } else {
+                module.left(id);
+                door.answered(loop.now(), id);
+            }
+        });
+    }
+
+    boolean knows(QueryId id) {
+        return door.knows(id) || module.knows(id);
+    }
+
+    /** Whoever waits is told now, and so is whoever still comes. */
+    void close() {
+        mailbox.post(() -> door.close(loop.now()));
+    }
+
+    private void moved() {
+        if (door.waiting() > 0) {
+            mailbox.post(() -> door.moved(loop.now()));
+        }
+    }
+
+    private void arrivedNow(Incoming incoming, InetAddress from) {
+        Asked asked = incoming.asked();
+        if (knows(asked.id())) {
+            incoming.reply().writtenOff();
+            return;
+        }
+        waiting.put(asked.id(), incoming);
+        double now = loop.now();
+        double useful = now + rules.waitShare() * (asked.cutOffAt() - now);
+        int bytes = incoming.body().length + incoming.target().length();
+        door.arrived(now, new Caller(asked.id(), flow(asked, from), asked.tenant(), asked.offering(),
+                settings.weight(asked.tenant()), door.usualWork(asked.offering()), bytes, useful, asked.again()));
+    }
+
+    private FlowId flow(Asked asked, InetAddress from) {
+        String tenant = asked.tenant() == null ? "" : Integer.toString(asked.tenant().value());
+        String client = from == null ? "" : from.getHostAddress();
+        return new FlowId(switch (rules.flowsBy()) {
+            case TENANT -> tenant;
+            case CLIENT -> client;
+            case BOTH -> tenant + " " + client;
+        });
+    }
+
+    // ---- What the door does -----------------------------------------------------------------------------
+
+    @Override
+    public void letIn(QueryId query) {
+        Incoming incoming = waiting.remove(query);
+        module.arrived(incoming.repliedBy(new Passed(query, incoming.reply())));
+    }
+
+    @Override
+    public void turnAway(QueryId query, double comeBack) {
+        waiting.remove(query).reply().denied(comeBack);
+    }
+
+    @Override
+    public void alarmAt(double time) {
+        loop.after(time - loop.now(), () -> mailbox.post(() -> alarm(time)));
+    }
+
+    /** Never early: the door has forgotten an alarm that comes before its time. */
+    private void alarm(double time) {
+        if (loop.now() < time) {
+            alarmAt(time);
+        } else {
+            door.alarm(loop.now());
+        }
+    }
+
+    @Override
+    public boolean moduleHasRoom() {
+        return module.hasRoom();
+    }
+
+    /** Lines for on-call, one a tenant, where somebody was turned away since the last ones. */
+    void tell() {
+        long turnedAway = door.tallies().values().stream().mapToLong(Tally::turnedAway).sum();
+        if (turnedAway > told) {
+            for (Map.Entry<TenantId, Tally> each : door.tallies().entrySet()) {
+                log.info("door tenant=" + settings.name(each.getKey()) + " " + each.getValue());
+            }
+        }
+        told = turnedAway;
+    }
+
+    /** The answer of one that was let in: its place is free when it is known. */
+    private final class Passed implements Incoming.Reply {
+
+        private final QueryId id;
+        private final Incoming.Reply to;
+
+        Passed(QueryId id, Incoming.Reply to) {
+            this.id = id;
+            this.to = to;
+        }
+
+        private void over() {
+            mailbox.post(() -> door.answered(loop.now(), id));
+        }
+
+        @Override
+        public void handled(Result answer) {
+            to.handled(answer);
+            over();
+        }
+
+        @Override
+        public void denied(double coolDown) {
+            to.denied(coolDown);
+            over();
+        }
+
+        @Override
+        public void writtenOff() {
+            to.writtenOff();
+            over();
+        }
+    }
+}
--- a/daemon/src/main/java/portrelay/net/Framing.java
+++ b/daemon/src/main/java/portrelay/net/Framing.java
@@ -1,7 +1,6 @@
 package portrelay.net;
 
 import java.nio.ByteBuffer;
-import java.util.Locale;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -14,11 +13,20 @@
 
     private enum Part { FIRST_LINE, HEADERS, BODY, SIZE, CHUNK, AFTER_CHUNK, TRAILERS, END, OPAQUE, BROKEN }
 
+    private static final String CONTENT_LENGTH = "content-length";
+    private static final String TRANSFER_ENCODING = "transfer-encoding";
     private static final int LONGEST_HEAD = 32 * 1024;
     private static final int LONGEST_SIZE_LINE = 256;
     private static final String START = "HTTP/1.";
     private static final Pattern STATUS = Pattern.compile("HTTP/1\\.[01] ([1-5]\\d\\d)( .*)?");
-    private static final Pattern HEADER = Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]+):(.*)");
+    private static final boolean[] IN_NAME = new boolean[128];
+
+    static {
+        for (char c = '!'; c < 127; c++) {
+            IN_NAME[c] = Character.isLetterOrDigit(c) || "!#$%&'*+.^_`|~-".indexOf(c) >= 0;
+        }
+    }
+
     private static final Pattern SIZE = Pattern.compile("([0-9a-fA-F]{1,7})[ \t]*(;.*)?");
     private static final Pattern LENGTH = Pattern.compile("\\d{1,9}");
 
@@ -123,7 +131,8 @@
             char c = (char) (bytes.get() & 0xff);
             line.append(c);
             int most = part == Part.SIZE || part == Part.AFTER_CHUNK ? LONGEST_SIZE_LINE : LONGEST_HEAD;
-            if (line.length() > most || ++head > LONGEST_HEAD && most == LONGEST_HEAD || !startsWell()) {
+            head += most == LONGEST_HEAD ? 1 : 0;
+            if (line.length() > most || head > LONGEST_HEAD || !startsWell()) {
                 part = Part.BROKEN;
             } else if (c == '\n') {
                 boolean whole = line.length() > 1 && line.charAt(line.length() - 2) == '\r';
@@ -170,24 +179,40 @@
     }
 
     private Part header(String text) {
-        Matcher well = HEADER.matcher(text);
-        if (!well.matches()) {
+        int colon = nameEnd(text);
+        if (colon < 1 || text.indexOf('\r', colon) >= 0) {
             unclear = true;
             return answers ? Part.BROKEN : Part.HEADERS;
         }
-        String value = well.group(2).trim();
-        switch (well.group(1).toLowerCase(Locale.ROOT)) {
-            case "content-length" -> {
-                unclear |= length != null || !LENGTH.matcher(value).matches();
-                length = value;
+        // Each line of each message comes through here: nothing is made of those that do not matter.
+        if (named(text, colon, CONTENT_LENGTH)) {
+            String value = text.substring(colon + 1).trim();
+            unclear |= length != null || !LENGTH.matcher(value).matches();
+            length = value;
+        } else if (named(text, colon, TRANSFER_ENCODING)) {
+            String value = text.substring(colon + 1).trim();
+            unclear |= coding != null || !value.equalsIgnoreCase("chunked");
+            coding = value;
+        }
+        return Part.HEADERS;
+    }
+
+    private static boolean named(String text, int colon, String name) {
+        return colon == name.length() && text.regionMatches(true, 0, name, 0, colon);
+    }
+
+    /** Where the name's colon stands; -1 where what stands before it is no name. */
+    private static int nameEnd(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c == ':') {
+                return i;
             }
-            case "transfer-encoding" -> {
-                unclear |= coding != null || !value.equalsIgnoreCase("chunked");
-                coding = value;
+            if (c >= IN_NAME.length || !IN_NAME[c]) {
+                return -1;
             }
-            default -> { }
         }
-        return Part.HEADERS;
+        return -1;
     }
 
     private Part body() {
--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -16,6 +16,7 @@
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import org.xnio.ChannelListeners;
@@ -31,7 +32,7 @@
 import portrelay.model.Asked;
 import portrelay.model.QueryId;
 
-/** The application's side: takes queries in, hands them to the module, gives its answers back. */
+/** The application's side: takes queries in, hands them to the doorkeeper, gives its answers back. */
 final class Front implements HttpHandler {
 
     /** More than there is room for: those are looked at, and one of least worth ends. */
@@ -40,7 +41,7 @@
 
     private final Loop loop;
     private final QueryReader reader;
-    private final ModuleActor module;
+    private final DoorActor doorkeeper;
     private final HttpOpenListener http;
     private static final AttachmentKey<Boolean> SPOKE = AttachmentKey.create(Boolean.class);
     private AcceptingChannel<StreamConnection> door;
@@ -50,11 +51,11 @@
     private boolean closing;
     private double answerBy = Double.POSITIVE_INFINITY;
 
-    Front(Loop loop, ByteBufferPool buffers, QueryReader reader, ModuleActor module, RoomSettings room,
+    Front(Loop loop, ByteBufferPool buffers, QueryReader reader, DoorActor doorkeeper, RoomSettings room,
             DoorCounts counts) {
         this.loop = loop;
         this.reader = reader;
-        this.module = module;
+        this.doorkeeper = doorkeeper;
         this.counts = counts;
         clients = new Clients(loop, room, counts);
         http = new HttpOpenListener(buffers, OptionMap.builder()
@@ -117,6 +118,7 @@
     void close() {
         closing = true;
         closeDoor();
+        doorkeeper.close();
         clients.closeQuiet();
     }
 
@@ -167,7 +169,7 @@
     private void whole(HttpServerExchange exchange, byte[] body) {
         try {
             Asked asked = reader.read(exchange, body.length, loop.now(), answerBy);
-            if (module.knows(asked.id())) {
+            if (doorkeeper.knows(asked.id())) {
                 throw new BadQuery(StatusCodes.CONFLICT, "a query of this id is open");
             }
             Client client = new Client(exchange, asked.id());
@@ -185,7 +187,7 @@
             }
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
                 client.watch();
-                module.arrived(incoming);
+                doorkeeper.arrived(incoming, client.from());
             });
         } catch (BadQuery e) {
             turnAway(exchange, e);
@@ -244,6 +246,11 @@
             this.id = id;
         }
 
+        private InetAddress from() {
+            InetSocketAddress peer = connection.getPeerAddress(InetSocketAddress.class);
+            return peer == null ? null : peer.getAddress();
+        }
+
         /** Undertow does not read while a query is at work, so it would not see the client go. */
         void watch() {
             if (connection.getExtraBytes() != null) {
@@ -278,7 +285,7 @@
             some.close();
             if (count < 0) {
                 over = true;
-                module.left(id);
+                doorkeeper.left(id);
                 IoUtils.safeClose(connection);
             }
         }
--- a/daemon/src/main/java/portrelay/net/Incoming.java
+++ b/daemon/src/main/java/portrelay/net/Incoming.java
@@ -7,6 +7,11 @@
 /** A query as it came: what the decisions need of it, and the bytes that go on unchanged. */
 record Incoming(Asked asked, HttpString method, String target, HeaderMap headers, byte[] body, Reply reply) {
 
+    /** The same query with another to tell its answer to. */
+    Incoming repliedBy(Reply other) {
+        return new Incoming(asked, method, target, headers, body, other);
+    }
+
     /** The client's side of a query. One of these is called, once. */
     interface Reply {
 
--- a/daemon/src/main/java/portrelay/net/Link.java
+++ b/daemon/src/main/java/portrelay/net/Link.java
@@ -19,6 +19,9 @@
 /** One open connection. It carries one call at a time and buffers its answer whole. */
 final class Link {
 
+    /** Most answers are shorter; a longer one is read in turns. */
+    private static final int READ_AT_ONCE = 4 * 1024;
+
     private final ClientConnection connection;
     private final StreamConnection socket;
     private final AtomicLong sent;
@@ -171,7 +174,7 @@
         }
 
         private void read(StreamSourceChannel from) {
-            ByteBuffer some = ByteBuffer.allocate(16 * 1024);
+            ByteBuffer some = ByteBuffer.allocate(READ_AT_ONCE);
             reading = true;
             try {
                 for (int count = from.read(some); count != 0; count = from.read(some)) {
--- a/daemon/src/main/java/portrelay/net/ModuleActor.java
+++ b/daemon/src/main/java/portrelay/net/ModuleActor.java
@@ -44,6 +44,7 @@
     private final Map<QueryId, Open> open = new HashMap<>();
     private final Map<UpstreamId, UpstreamActor> upstreams = new HashMap<>();
     private Watch watch;
+    private Runnable moved = () -> { };
 
     ModuleActor(Loop loop, Log log, Settings settings, long seed) {
         this.loop = loop;
@@ -57,6 +58,15 @@
         mailbox.post(() -> decide.start(loop.now()));
     }
 
+    /** From here on told whenever there may be room for another query. */
+    void moves(Runnable then) {
+        moved = then;
+    }
+
+    boolean hasRoom() {
+        return decide.hasRoom(loop.now());
+    }
+
     void arrived(Incoming incoming) {
         mailbox.post(() -> arrivedNow(incoming));
     }
@@ -76,6 +86,7 @@
             upstreams.putAll(added);
             upstreams.keySet().removeAll(gone);
             decide.list(loop.now(), news, rows);
+            moved.run();
         });
     }
 
@@ -144,6 +155,7 @@
                 writeOff(id);
             }
         }
+        moved.run();
     }
 
     private void answer(QueryId id, Open q) {
@@ -208,6 +220,7 @@
             alarmAt(time);
         } else {
             decide.alarm(now);
+            moved.run();
         }
     }
 
--- a/daemon/src/main/java/portrelay/net/Names.java
+++ b/daemon/src/main/java/portrelay/net/Names.java
@@ -54,4 +54,5 @@
     static final String SOCKETS = "sockets";
     static final String KNOWN = "known";
     static final String SETTINGS = "settings";
+    static final String DOOR = "door";
 }
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -13,7 +13,6 @@
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
-import portrelay.door.RoomSettings;
 import portrelay.model.Offering;
 import portrelay.settings.BadSetting;
 
@@ -29,7 +28,6 @@
     private static final int OWN_SOCKETS = 64;
     private static final double OWN_SHARE = 0.25;
     private static final int SPARE_OF = 16;
-    private static final double TELL_EVERY = 10;
     /** Of the time after which an upstream closes an idle connection; the rest is for what is on its way. */
     private static final double IDLE_SHARE = 0.5;
     private static final double DEFAULT_IDLE = 10;
@@ -44,6 +42,8 @@
     private final XnioWorker worker;
     private final Loop loop;
     private final DoorCounts counts = new DoorCounts();
+    private final DoorActor doorkeeper;
+    private final double tellEvery;
     private final Front front;
     private final ListActor list;
     private final double longestCutOff;
@@ -65,7 +65,10 @@
         double idle = IDLE_SHARE * (settings.connectionIdle() > 0 ? settings.connectionIdle() : DEFAULT_IDLE);
         list = new ListActor(loop, log, toDiscovery, config.discovery(), module,
                 at -> new UpstreamActor(loop, log, toUpstreams, module, settings.dialWithin(), idle, at));
-        front = new Front(loop, buffers, new QueryReader(settings), module, RoomSettings.USUAL, counts);
+        doorkeeper = new DoorActor(loop, log, settings, config.door(), module, config.seed());
+        tellEvery = config.door().tellEvery();
+        log.info("door: at most " + config.door().bound() + " bytes for what waits");
+        front = new Front(loop, buffers, new QueryReader(settings), doorkeeper, config.door().room(), counts);
         front.listen(worker, config.listen(), lent);
         longestCutOff = settings.offerings().stream().mapToDouble(Offering::cutOff).max().orElse(0);
         onLoop(() -> {
@@ -91,7 +94,8 @@
         if (line != null) {
             log.info(line);
         }
-        loop.after(TELL_EVERY, this::tell);
+        doorkeeper.tell();
+        loop.after(tellEvery, this::tell);
     }
 
     /** Plays the warm-up alone, on no socket: false where the configuration does not get through it. */
--- a/daemon/src/main/java/portrelay/net/Warmup.java
+++ b/daemon/src/main/java/portrelay/net/Warmup.java
@@ -25,6 +25,7 @@
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
+import portrelay.door.DoorSettings;
 import portrelay.door.RoomSettings;
 import portrelay.model.GroupId;
 import portrelay.model.ListNews;
@@ -71,8 +72,9 @@
         this.offerings = settings.offerings();
         Log quiet = new Log(new PrintStream(OutputStream.nullOutputStream()), config.name());
         module = new ModuleActor(loop, quiet, settings, config.seed());
-        front = new Front(loop, buffers, new QueryReader(settings), module, RoomSettings.USUAL,
-                new DoorCounts());
+        front = new Front(loop, buffers, new QueryReader(settings),
+                new DoorActor(loop, quiet, settings, DoorSettings.USUAL, module, config.seed()),
+                RoomSettings.USUAL, new DoorCounts());
         HttpOpenListener upstream = new HttpOpenListener(buffers);
         upstream.setRootHandler(Warmup::answer);
         Dialer toUpstreams = new Dialer(loop, buffers, CONNECTIONS, n -> { }, pipeTo(upstream::handleEvent));
--- /dev/null
+++ b/daemon/src/test/java/portrelay/net/DoorNetTest.java
@@ -0,0 +1,222 @@
+package portrelay.net;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static portrelay.net.Town.answer;
+
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.xnio.conduits.StreamSourceConduit;
+import portrelay.net.Town.Message;
+import portrelay.net.Town.Script;
+
+/** The door over sockets: room for connections, fair queues, times to come back. */
+@Timeout(30)
+class DoorNetTest {
+
+    /** Work of so many ms at a toy that takes any number at once. */
+    private static Script after(long millis) {
+        return (m, on) -> {
+            Thread.sleep(millis);
+            answer("200 OK", "ok").play(m, on);
+        };
+    }
+
+    private static double asked(Town town, String id) throws IOException {
+        long start = System.nanoTime();
+        assertEquals(200, town.ask(Town.read(id, 900)).status(), id);
+        return (System.nanoTime() - start) / 1e9;
+    }
+
+    /** Hard case 4: who only takes up room shuts nobody out, however many come. */
+    @Test
+    void silentSlowAndUnreadingConnectionsDoNotKeepAUsualClientWaiting() throws Exception {
+        try (Town town = new Town(120, answer("200 OK", "ok"))) {
+            double worst = 0;
+            for (int i = 0; i < 150; i++) {
+                Socket bad = town.connect();
+                String says = List.of("", "GET /read/x HTTP/1.1\r\nHost: a\r\nX-Slow: ", Town.read("u" + i, 900))
+                        .get(i % 3);
+                bad.getOutputStream().write(says.getBytes(ISO_8859_1));
+                worst = Math.max(worst, asked(town, "usual" + i));
+            }
+            assertTrue(worst < 0.15, "waited " + worst);
+        }
+    }
+
+    /** Incident r67119a: 128 places at rest and 60 queries a second where 240 came. */
+    @Test
+    void clientsThatAskOnceAndKeepTheirConnectionShutNobodyOut() throws Exception {
+        try (Town town = new Town(120, answer("200 OK", "ok"))) {
+            for (int i = 0; i < 300; i++) {
+                assertTrue(asked(town, "q" + i) < 0.5, "query " + i);
+            }
+            int open = 0;
+            for (Socket each : town.clients) {
+                each.setSoTimeout(1);
+                try {
+                    open += each.getInputStream().read() < 0 ? 0 : 1;
+                } catch (SocketTimeoutException e) {
+                    open++;
+                } catch (IOException e) {
+                    open += 0;
+                }
+            }
+            assertTrue(open <= 20, open + " rest");
+        }
+    }
+
+    /** A reload day lost 9 queries: each stood unread in a connection that was closed for room. */
+    @Test
+    void whatALookAheadTookIsReadAllTheSame() throws Exception {
+        byte[] query = Town.read("a", 900).getBytes(ISO_8859_1);
+        ByteBuffer wire = ByteBuffer.wrap(query);
+        StreamSourceConduit source = (StreamSourceConduit) Proxy.newProxyInstance(getClass().getClassLoader(),
+                new Class<?>[] {StreamSourceConduit.class}, (self, method, arguments) -> {
+                    ByteBuffer to = (ByteBuffer) arguments[0];
+                    int count = Math.min(Math.min(30, wire.remaining()), to.remaining());
+                    to.put(wire.slice().limit(count));
+                    wire.position(wire.position() + count);
+                    return count;
+                });
+        AtomicInteger heard = new AtomicInteger();
+        QueryGuard guard = new QueryGuard(source, heard::incrementAndGet);
+        assertTrue(guard.peek());
+        assertEquals(0, heard.get());
+        byte[] all = new byte[query.length];
+        for (int got = 0; got < all.length;) {
+            ByteBuffer some = ByteBuffer.allocate(7);
+            int count = guard.read(some);
+            assertTrue(count > 0);
+            System.arraycopy(some.array(), 0, all, got, count);
+            got += count;
+        }
+        assertArrayEquals(query, all);
+        assertFalse(guard.peek());
+    }
+
+    /** Clients of one tenant that ask again as soon as they have an answer; counts those that were handled. */
+    private static Future<Integer> crowd(ExecutorService threads, Town town, String tenant, int n,
+            CountDownLatch from, CountDownLatch until) {
+        return threads.submit(() -> {
+            int handled = 0;
+            Socket on = town.connect();
+            for (int i = 0; until.getCount() > 0; i++) {
+                String id = tenant + n + "-" + i;
+                Message got = Town.ask(on, Town.read(id, 900).replace("acme", tenant));
+                handled += got.status() == 200 && from.getCount() == 0 ? 1 : 0;
+            }
+            return handled;
+        });
+    }
+
+    /** Hard case 3 over sockets. */
+    @Test
+    void aQuietTenantsShareHoldsAgainstThreeTimesAsManyClients() throws Exception {
+        ExecutorService threads = Executors.newCachedThreadPool();
+        CountDownLatch from = new CountDownLatch(1);
+        CountDownLatch until = new CountDownLatch(1);
+        try (Town town = new Town(1024, "{\"most-inside\": 8}", after(10), after(10))) {
+            List<Future<Integer>> loud = new ArrayList<>();
+            List<Future<Integer>> quiet = new ArrayList<>();
+            for (int i = 0; i < 40; i++) {
+                (i % 4 == 0 ? quiet : loud).add(crowd(threads, town, i % 4 == 0 ? "beta" : "acme", i, from, until));
+            }
+            assertFalse(until.await(700, TimeUnit.MILLISECONDS));
+            from.countDown();
+            assertFalse(until.await(2, TimeUnit.SECONDS));
+            until.countDown();
+            double ofQuiet = 0;
+            double ofLoud = 0;
+            for (Future<Integer> each : quiet) {
+                ofQuiet += each.get();
+            }
+            for (Future<Integer> each : loud) {
+                ofLoud += each.get();
+            }
+            assertTrue(ofQuiet + ofLoud > 400, "handled " + (ofQuiet + ofLoud));
+            assertEquals(0.5, ofQuiet / (ofQuiet + ofLoud), 0.05);
+        } finally {
+            threads.shutdownNow();
+        }
+    }
+
+    /** At least nine of ten who come back when they were told are let in. */
+    @Test
+    void aTimeToComeBackProvesRightOverSockets() throws Exception {
+        ExecutorService threads = Executors.newCachedThreadPool();
+        AtomicInteger right = new AtomicInteger();
+        AtomicInteger wrong = new AtomicInteger();
+        CountDownLatch until = new CountDownLatch(1);
+        try (Town town = new Town(1024, "{\"most-inside\": 8, \"most-waiting\": 16}", after(20), after(20))) {
+            List<Future<?>> all = new ArrayList<>();
+            for (int n = 0; n < 50; n++) {
+                int client = n;
+                all.add(threads.submit(() -> {
+                    String told = null;
+                    for (int i = 0; until.getCount() > 0; i++) {
+                        String again = told == null ? "\r\n" : "X-Second-Try: 1\r\n\r\n";
+                        Message got;
+                        String query = Town.read("c" + client + "-" + i, 900);
+                        // A connection that rested meanwhile may have been closed.
+                        try (Socket on = new Socket(town.sidecar.address().getAddress(),
+                                town.sidecar.address().getPort())) {
+                            got = Town.ask(on, query.substring(0, query.length() - 2) + again);
+                        }
+                        if (told != null) {
+                            (got.status() == 200 ? right : wrong).incrementAndGet();
+                        }
+                        told = got.header("Retry-After");
+                        until.await(told == null ? 20_000 : (long) (Double.parseDouble(told) * 1e6),
+                                TimeUnit.MICROSECONDS);
+                    }
+                    return null;
+                }));
+            }
+            assertFalse(until.await(3, TimeUnit.SECONDS));
+            until.countDown();
+            for (Future<?> each : all) {
+                each.get();
+            }
+            assertTrue(right.get() > 100, right + " right, " + wrong + " wrong");
+            assertTrue(right.get() >= 0.9 * (right.get() + wrong.get()), right + " right, " + wrong + " wrong");
+        } finally {
+            threads.shutdownNow();
+        }
+    }
+
+    /** Hard case 6: a drain in the middle of a crowd. */
+    @Test
+    void aDrainAnswersAllThatWaitAtTheDoor() throws Exception {
+        try (Town town = new Town(1024, "{\"most-inside\": 2}", after(100))) {
+            List<Socket> waiting = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                Socket one = town.connect();
+                one.getOutputStream().write(Town.read("q" + i, 900).getBytes(ISO_8859_1));
+                waiting.add(one);
+            }
+            town.upstreams.get(0).next();
+            town.sidecar.drain();
+            for (Socket each : waiting) {
+                int status = Message.read(each.getInputStream()).status();
+                assertTrue(status == 200 || status == 429, "status " + status);
+            }
+        }
+    }
+}
--- a/daemon/src/test/java/portrelay/net/Town.java
+++ b/daemon/src/test/java/portrelay/net/Town.java
@@ -164,6 +164,11 @@
     }
 
     Town(int sockets, Script... scripts) throws Exception {
+        this(sockets, "{}", scripts);
+    }
+
+    /** With a door as the section says. */
+    Town(int sockets, String door, Script... scripts) throws Exception {
         LogManager.getLogManager().reset();
         StringBuilder known = new StringBuilder();
         for (Script script : scripts) {
@@ -171,7 +176,8 @@
             known.append(known.length() == 0 ? "" : ",").append(host(upstreams.size() - 1, "SERVING"));
         }
         String list = "{\"seq\":7,\"whole\":true,\"hosts\":[" + known + "]}";
-        Config config = Config.parse(config(discovery.address(), list, sockets).getBytes(UTF_8));
+        Config config = Config.parse(config(discovery.address(), list, sockets).getBytes(UTF_8))
+                .withDoor(door.getBytes(UTF_8));
         sidecar = Sidecar.start(config, new PrintStream(OutputStream.nullOutputStream()));
     }
 
@@ -189,7 +195,7 @@
         return "{\"name\":\"t\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery
                 + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":"
                 + known + ",\"settings\":{\"discovery\":\"on_request\",\"siblings\":1,"
-                + "\"tenants\":[{\"name\":\"acme\",\"share\":1}],"
+                + "\"tenants\":[{\"name\":\"acme\",\"share\":1},{\"name\":\"beta\",\"share\":1}],"
                 + "\"classes\":[" + offering("read", "read_like") + ","
                 + offering("save", "idempotency_key") + "," + offering("issue", "non_idempotent")
                 + "],\"allowed\":{\"max-attempts\":4,\"cancel\":true,"
