--- a/core/src/main/java/portrelay/door/Room.java
+++ b/core/src/main/java/portrelay/door/Room.java
@@ -38,6 +38,7 @@
 
     private final int idleLeast;
     private final double idlePerAsked;
+    private final double idleSpared;
     /** The most that waited for an answer at once, in each of the last few stretches of time. */
     private final int[] peaks = new int[PEAKS];
     private long stretch;
@@ -62,6 +63,7 @@
         }
         idleLeast = s.idleLeast();
         idlePerAsked = s.idlePerAsked();
+        idleSpared = s.idleSpared();
         longest.put(Phase.SENDING, s.sendWithin());
         longest.put(Phase.ANSWERING, s.readWithin());
         order = List.of(
@@ -149,10 +151,12 @@
      * Guards those whose clients may hold only so many: what rests with clients that ask once and keep their
      * connection can't be asked on.
      */
-    public Ending notNeeded() {
+    public Ending notNeeded(double now) {
         double wanted = idlePerAsked * Arrays.stream(peaks).max().orElse(0) - count(Phase.ASKED);
-        return count(Phase.IDLE) <= Math.max(idleLeast, wanted) ? null
-                : new Ending(eldest(Phase.IDLE), Phase.IDLE, Cause.NOT_NEEDED);
+        ClientId eldest = eldest(Phase.IDLE);
+        boolean enough = count(Phase.IDLE) <= Math.max(idleLeast, wanted);
+        return enough || eldest == null || age(now, eldest) <= idleSpared ? null
+                : new Ending(eldest, Phase.IDLE, Cause.NOT_NEEDED);
     }
 
     /**
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -191,11 +191,6 @@
         return held.isEmpty() && total.hasRoom(time);
     }
 
-    /** For so many seconds, at most, what is told next waited for ourselves; no upstream took that time. */
-    public void heldUp(double seconds) {
-        health.heldUp(seconds);
-    }
-
     /** A streamed answer has begun: the execution is the client's now and the others are not needed. */
     public void begun(double time, QueryId id, int execution) {
         now = time;
--- a/core/src/main/java/portrelay/policy/Health.java
+++ b/core/src/main/java/portrelay/policy/Health.java
@@ -36,7 +36,6 @@
     private final List<Samples> times = new ArrayList<>();
     private final Samples bads = new Samples(BAD_SAMPLES);
     private double paceAge = PACE_AGE;
-    private double ownDelay;
 
     Health(int offerings) {
         for (int i = 0; i < offerings; i++) {
@@ -49,15 +48,6 @@
         paceAge = Math.max(PACE_AGE, Math.min(PACE_AGE_MOST, PACE_VISITS * seconds));
     }
 
-    /** Guards upstreams and limits against being judged by a sidecar that got no processor for a while. */
-    void heldUp(double seconds) {
-        ownDelay = seconds;
-    }
-
-    private double spent(double now, Execution e) {
-        return Math.max(0, now - e.sentAt - ownDelay);
-    }
-
     /** Guards against growth where shapes are ever new. */
     void forgetAllBut(Collection<ShapeId> shapes) {
         shapePaces.keySet().retainAll(shapes);
@@ -90,7 +80,7 @@
     }
 
     void judge(double now, Query q, Execution e, double reportedWait, TotalLimit total) {
-        double spent = spent(now, e);
+        double spent = now - e.sentAt;
         boolean handled = e.outcome == Outcome.HANDLED;
         double target = q.offering.targetTime();
         // One that many sent after it have overtaken promptly is lost and in no queue: no less would help it.
@@ -156,7 +146,7 @@
     /** How long an upstream takes against others; a loser's time counts as far as it got. */
     private void samplePace(double now, Query q, Execution e) {
         Samples usual = times.get(q.asked.offering().value());
-        double spent = spent(now, e);
+        double spent = now - e.sentAt;
         double mean = usual.mean(Double.NEGATIVE_INFINITY, 0, spent);
         boolean handled = e.outcome == Outcome.HANDLED;
         if (handled) {
--- a/daemon/src/main/java/portrelay/net/Clients.java
+++ b/daemon/src/main/java/portrelay/net/Clients.java
@@ -69,9 +69,7 @@
         ClientId id = ids.get(connection.getChannel());
         if (id != null) {
             room.at(loop.now(), id, phase);
-            for (Room.Ending e = room.notNeeded(); e != null; e = room.notNeeded()) {
-                end(e);
-            }
+            endNotNeeded();
         }
     }
 
@@ -93,12 +91,23 @@
         forgetClosed();
     }
 
+    private void endNotNeeded() {
+        for (Room.Ending e = room.notNeeded(loop.now()); e != null; e = room.notNeeded(loop.now())) {
+            end(e);
+        }
+    }
+
     private void press() {
         if (room.count() <= most) {
             return;
         }
         forgetClosed();
-        for (Room.Ending e = room.pressed(loop.now(), most); e != null; e = room.pressed(loop.now(), most)) {
+        // Each is looked at once: those that have spoken stay, even where that leaves too many for a moment.
+        for (int looks = room.count(); looks > 0 && room.count() > most; looks--) {
+            Room.Ending e = room.pressed(loop.now(), most);
+            if (e == null) {
+                return;
+            }
             end(e);
         }
     }
@@ -157,6 +166,7 @@
         for (Room.Ending e = room.overdue(loop.now()); e != null; e = room.overdue(loop.now())) {
             end(e);
         }
+        endNotNeeded();
         sweepLater();
     }
 }
--- a/daemon/src/main/java/portrelay/net/Loop.java
+++ b/daemon/src/main/java/portrelay/net/Loop.java
@@ -10,11 +10,7 @@
 final class Loop implements Executor {
 
     private final XnioIoThread thread;
-    private static final double BEAT = 0.01;
-
     private final Clock clock;
-    private double beatDueAt = Double.POSITIVE_INFINITY;
-    private double late;
 
     Loop(XnioIoThread thread, Clock clock) {
         this.thread = thread;
@@ -25,27 +21,6 @@
         return thread;
     }
 
-    /** Begins to watch how late the loop itself is. */
-    void watch() {
-        beatDueAt = now();
-        beat();
-    }
-
-    private void beat() {
-        late = Math.max(0, now() - beatDueAt);
-        beatDueAt = now() + BEAT;
-        after(BEAT, this::beat);
-    }
-
-    /**
-     * Seconds for which what is met now may have waited for this thread, at most: by what the last beat was
-     * late, or the next one is. Below the beat itself it is 0.
-     */
-    double lag() {
-        double lag = Math.max(late, now() - beatDueAt);
-        return lag < BEAT ? 0 : lag;
-    }
-
     double now() {
         return clock.now();
     }
--- a/daemon/src/main/java/portrelay/net/ModuleActor.java
+++ b/daemon/src/main/java/portrelay/net/ModuleActor.java
@@ -147,7 +147,6 @@
         forgetIfDone(id, q);
         double now = loop.now();
         try {
-            decide.heldUp(loop.lag());
             decide.outcome(now, id, execution.index(), outcome, ended, null);
         } finally {
             // Whatever befell the module: at the cut-off the client has its answer.
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -76,7 +76,6 @@
                 list.remembered(config.known());
             }
             module.start(list);
-            loop.watch();
             front.open();
             tell();
             new Warmup(loop, buffers, config).run(this::ready);
