--- a/core/src/main/java/portrelay/door/DoorSettings.java
+++ b/core/src/main/java/portrelay/door/DoorSettings.java
@@ -18,7 +18,7 @@
     public static final DoorSettings USUAL = new DoorSettings(FlowsBy.TENANT, 0, false, 1024, 4 << 20, 256,
             0.25, 10, RoomSettings.USUAL);
 
-    /** Bytes that an entry and a flow take besides the query's own: measured, rounded up. */
+    /** Bytes that an entry and a flow take besides the query's own: estimated from their fields. */
     private static final int EACH_QUERY = 400;
     private static final int EACH_FLOW = 600;
 
@@ -42,14 +42,9 @@
                 f.has("connections") ? RoomSettings.read(f.section("connections")) : USUAL.room);
     }
 
-    /** The most bytes that all that waits can ever take. */
+    /** About the most bytes that all that waits can take, without what the library keeps of a connection. */
     public long bound() {
         long flows = 3L * mostFlows + FairQueue.SHARED + Regulars.FLOWS;
         return mostBytes + (long) mostWaiting * EACH_QUERY + flows * EACH_FLOW;
     }
-
-    /** Whether a query can ever wait at the door. */
-    public boolean queues() {
-        return mostInside > 0 || followModule;
-    }
 }
--- a/core/src/main/java/portrelay/door/FairQueue.java
+++ b/core/src/main/java/portrelay/door/FairQueue.java
@@ -87,10 +87,6 @@
         return flows.size();
     }
 
-    boolean has(QueryId id) {
-        return entries.containsKey(id);
-    }
-
     /** Expected work that waits in the flow that a query of this name would join. */
     double workOf(FlowId id) {
         Flow f = flows.get(slot(id));
--- a/core/src/main/java/portrelay/door/RoomSettings.java
+++ b/core/src/main/java/portrelay/door/RoomSettings.java
@@ -6,8 +6,8 @@
 /**
  * What a client's connection may take its time for, in seconds, and the parts of the room that the silent and
  * the sending may hold before they make way for others. As many may be idle as the given least, or as are
- * wanted beside those that wait for an answer to make so many for each that lately waited at once; one that has
- * rested for less than the spared time stays in any case.
+ * wanted beside those that wait for an answer to make so many for each that lately waited at once; one that
+ * has rested for less than the spared time stays in any case.
  */
 public record RoomSettings(double speakWithin, double sendWithin, double readWithin, double idleMost,
         double silentShare, double sendingShare, int idleLeast, double idlePerAsked, double idleSpared) {
--- a/daemon/src/main/java/portrelay/net/DoorActor.java
+++ b/daemon/src/main/java/portrelay/net/DoorActor.java
@@ -1,5 +1,6 @@
 package portrelay.net;
 
+import io.undertow.util.HeaderValues;
 import java.net.InetAddress;
 import java.util.HashMap;
 import java.util.Map;
@@ -81,12 +82,24 @@
         waiting.put(asked.id(), incoming);
         double now = loop.now();
         double useful = now + rules.waitShare() * (asked.cutOffAt() - now);
-        int bytes = incoming.body().length + incoming.target().length();
+        int bytes = incoming.body().length + incoming.target().length() + headerBytes(incoming);
         door.arrived(now, new Caller(asked.id(), flow(asked, from), asked.tenant(), asked.offering(),
                 settings.weight(asked.tenant()), door.usualWork(asked.offering()), bytes, useful,
                 asked.again()));
     }
 
+    /** A head may be many times as long as its body, and waits with it. */
+    private static int headerBytes(Incoming incoming) {
+        int sum = 0;
+        for (HeaderValues each : incoming.headers()) {
+            sum += each.getHeaderName().length();
+            for (String value : each) {
+                sum += value.length();
+            }
+        }
+        return sum;
+    }
+
     private FlowId flow(Asked asked, InetAddress from) {
         String tenant = asked.tenant() == null ? "" : Integer.toString(asked.tenant().value());
         String client = from == null ? "" : from.getHostAddress();
--- a/daemon/src/main/java/portrelay/net/DoorCounts.java
+++ b/daemon/src/main/java/portrelay/net/DoorCounts.java
@@ -24,7 +24,7 @@
     /** Null where nothing happened that on-call would want to know of; begins to count anew. */
     String line() {
         String line = null;
-        if (full > 0 || !madeWay.isEmpty() || !tooLong.isEmpty()) {
+        if (full > 0 || notNeeded > 0 || !madeWay.isEmpty() || !tooLong.isEmpty()) {
             line = "door accepted=" + accepted + " made-way=" + madeWay + " too-long=" + tooLong
                     + " not-needed=" + notNeeded + " denied-no-room=" + full;
         }
