--- a/core/src/test/java/portrelay/door/DoorTest.java
+++ b/core/src/test/java/portrelay/door/DoorTest.java
@@ -212,6 +212,7 @@
         for (int tenant = 0; tenant < 2; tenant++) {
             Tally t = w.door.tallies().get(new TenantId(tenant));
             assertTrue(t.given() > 500, "given " + t.given());
+            assertTrue(t.kept() > 100, "nobody came back at his time: " + t);
             assertTrue(t.kept() >= 0.9 * (t.kept() + t.broken()), t.toString());
         }
         assertTrue(w.told.stream().allMatch(each -> each <= LONGEST));
