--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -94,14 +94,12 @@
     private static final double LONGEST_WAIT_SHARE = 0.11;
     private static final double QUIET_WAIT_SHARE = 0.15;
     private static final int RATE_SAMPLES = 16;
-    private static final int KEY_SAMPLES = 128;
     private static final int TENANT_SAMPLES = 128;
 
     private final Effects out;
     private final SplittableRandom chance;
     private final List<Offering> offerings;
     private final Permits permits;
-    private final boolean warmKeys;
     private final Cold cold;
     private final ListWatch watch;
     private final int sidecars;
@@ -113,25 +111,20 @@
     private final PriorityQueue<Due> dues = new PriorityQueue<>(
             (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
     private final List<Tenant> tenants;
-    private final boolean creditByWork;
     private final List<Samples> tenantSent = new ArrayList<>();
     private long dueOrder;
     private final Samples arrivals = new Samples(RATE_SAMPLES);
-    private final Samples keys = new Samples(KEY_SAMPLES);
     private final Health health;
     private final TotalLimit total = new TotalLimit();
     private double alarmAt = Double.POSITIVE_INFINITY;
     private double now;
 
     public Decide(Effects out, long seed, List<Offering> offerings, List<Tenant> tenants, Permits permits,
-            ColdRule coldRule, ListRule listRule, int sidecars, boolean sized, boolean warmKeys,
-            boolean creditByWork) {
+            ColdRule coldRule, ListRule listRule, int sidecars, boolean sized) {
         this.out = out;
         this.chance = new SplittableRandom(seed);
         this.offerings = offerings;
         this.permits = permits;
-        this.warmKeys = warmKeys;
-        this.creditByWork = creditByWork;
         this.tenants = tenants;
         tenants.forEach(each -> tenantSent.add(new Samples(TENANT_SAMPLES)));
         this.health = new Health(offerings.size());
@@ -157,7 +150,6 @@
         for (int i = 0; i < tenantSent.size() && asked.tenant() != null; i++) {
             tenantSent.get(i).add(now, asked.tenant().value() == i ? 1 : 0);
         }
-        q.keyLot = keyLot(asked);
         step(q, Input.ARRIVED);
         forgetIfDone(q);
         armAlarm();
@@ -173,7 +165,7 @@
         Execution e = q.executions.get(execution);
         e.outcome = outcome;
         e.at.inFlight--;
-        health.judge(now, q, e, Health.reportedWait(report), total);
+        health.judge(now, q, e, total);
         forgetGone();
         if (ended && q.state != State.CLOSED) {
             q.winner = e;
@@ -421,8 +413,8 @@
                 continue;
             }
             double load = u.inFlight + (now < u.seenAt + SETTLING ? mean : 0);
-            if (load == 0 || load <= 1 && warmKeys) {
-                double draw = Math.log(draw(q, u)) * pace * pace / u.listed.scale();
+            if (load == 0) {
+                double draw = Math.log(chance.nextDouble()) * pace * pace / u.listed.scale();
                 if (!idle || draw > bestDraw) {
                     idle = true;
                     bestDraw = draw;
@@ -439,33 +431,6 @@
         return pick;
     }
 
-    /**
-     * The idle ones draw lots, the slow with less luck. Where upstreams do a key's later queries at less
-     * work, the lot comes from key and upstream: every sidecar then finds the same ones for a key.
-     */
-    private double draw(Query q, Upstream u) {
-        if (!warmKeys || q.asked.key() == null) {
-            return chance.nextDouble();
-        }
-        long x = q.asked.key().hashCode() * 0x9E3779B97F4A7C15L ^ u.id.value() * 0xC2B2AE3D27D4EB4FL
-                ^ q.keyLot * 0x165667B19E3779F9L;
-        x = (x ^ x >>> 30) * 0xBF58476D1CE4E5B9L;
-        x = (x ^ x >>> 27) * 0x94D049BB133111EBL;
-        return ((x ^ x >>> 31) >>> 11) * 0x1.0p-53 + 0x1.0p-54;
-    }
-
-    /**
-     * Guards the upstream of a key that many ask for: it draws among as many as its part of ours would fill.
-     */
-    private int keyLot(Asked asked) {
-        if (!warmKeys || asked.key() == null) {
-            return 0;
-        }
-        double part = keys.share(asked.key().hashCode());
-        keys.add(now, asked.key().hashCode());
-        return chance.nextInt(1 + (int) Math.round(part * roster.size()));
-    }
-
     private double meanInFlight() {
         return roster.stream().filter(u -> u.ready).mapToInt(u -> u.inFlight).average().orElse(0);
     }
@@ -501,7 +466,7 @@
 
     /** Credit for the work it usually takes; what goes beyond a tenant's share earns little. */
     private double value(Query q) {
-        double work = creditByWork ? 1 : health.usualTime(q.offering, 0.1);
+        double work = health.usualTime(q.offering, 0.1);
         return q.offering.credit() / work * Math.min(1, shareTaken(q.asked.tenant()));
     }
 
--- a/core/src/main/java/portrelay/policy/Health.java
+++ b/core/src/main/java/portrelay/policy/Health.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import portrelay.model.LoadReport;
 import portrelay.model.Offering;
 import portrelay.model.Outcome;
 import portrelay.model.ShapeId;
@@ -23,14 +22,12 @@
     private static final double PACE_AGE_MOST = 15;
     private static final double PACE_VISITS = 3;
     private static final double PACE_PRIOR = 1;
-    private static final double WAIT_SHARE = 0.12;
     private static final double PACE_MOST = 4;
     static final double OWN_FAULT = 2;
     private static final int TIME_SAMPLES = 64;
     private static final double CUT_TO = 0.7;
     private static final double PROMPT_SHARE = 0.35;
     private static final double LATE_SHARE = 0.45;
-    private static final double LATEST_SHARE = 0.8;
 
     private final Map<ShapeId, Samples> shapePaces = new HashMap<>();
     private final List<Samples> times = new ArrayList<>();
@@ -74,12 +71,7 @@
         }
     }
 
-    /** Little's law on what the upstream said of its queue. */
-    static double reportedWait(LoadReport report) {
-        return report == null ? Double.NaN : report.waiting() / Math.max(1, report.handledRate());
-    }
-
-    void judge(double now, Query q, Execution e, double reportedWait, TotalLimit total) {
+    void judge(double now, Query q, Execution e, TotalLimit total) {
         double spent = now - e.sentAt;
         boolean handled = e.outcome == Outcome.HANDLED;
         double target = q.offering.targetTime();
@@ -92,9 +84,7 @@
             e.at.prompt.add(now, e.sentAt);
         }
         adaptLimit(e.at, e, now, handled && spent <= target * PROMPT_SHARE, late);
-        boolean crowded = Double.isNaN(reportedWait) ? slow
-                : spent > target * LATEST_SHARE || reportedWait > target * WAIT_SHARE;
-        total.ended(now, e.sentAt, target * LATE_SHARE, slow, crowded, pace(e.at, now) < OWN_FAULT);
+        total.ended(now, e.sentAt, target * LATE_SHARE, slow, pace(e.at, now) < OWN_FAULT);
         samplePace(now, q, e);
         boolean failed = !handled && !e.outcome.neverRan && e.outcome != Outcome.CALLED_OFF
                 || e.outcome == Outcome.NO_CONNECTION;
--- a/core/src/main/java/portrelay/policy/Query.java
+++ b/core/src/main/java/portrelay/policy/Query.java
@@ -13,7 +13,6 @@
     final List<Execution> executions = new ArrayList<>(2);
     Decide.State state = Decide.State.FRESH;
     boolean copied;
-    int keyLot;
     boolean waiting;
     Execution winner;
 
--- a/core/src/main/java/portrelay/policy/Samples.java
+++ b/core/src/main/java/portrelay/policy/Samples.java
@@ -29,15 +29,6 @@
         return count >= values.length && Arrays.stream(values).allMatch(each -> each > value);
     }
 
-    /** How large a part of the samples had this value; one of them proves nothing yet. */
-    double share(double value) {
-        int same = -1;
-        for (int i = 0; i < Math.min(count, values.length); i++) {
-            same += values[i] == value ? 1 : 0;
-        }
-        return Math.max(0, same) / (double) values.length;
-    }
-
     /** Mean of what came after the time, as if prior samples of the given value had come before. */
     double mean(double after, double prior, double value) {
         double sum = prior * value;
--- a/core/src/main/java/portrelay/policy/TotalLimit.java
+++ b/core/src/main/java/portrelay/policy/TotalLimit.java
@@ -50,7 +50,7 @@
         return late.mean(Double.NEGATIVE_INFINITY, 0, 0) > LATE_HIGH;
     }
 
-    void ended(double now, double sentAt, double promptWithin, boolean isLate, boolean crowded,
+    void ended(double now, double sentAt, double promptWithin, boolean isLate,
             boolean tellsOfAll) {
         boolean wasFull = inFlight + 1 > size;
         full |= wasFull;
@@ -69,11 +69,11 @@
         late.add(now, isLate ? 1 : 0);
         if (size <= 1) {
             // One outcome is a round here: what one sidecar errs by, all of them together do not.
-            few.add(now, crowded ? 1 : 0);
-            if (crowded && few.mean(Double.NEGATIVE_INFINITY, 0, 0) >= FEW_LATE) {
+            few.add(now, isLate ? 1 : 0);
+            if (isLate && few.mean(Double.NEGATIVE_INFINITY, 0, 0) >= FEW_LATE) {
                 size = Math.max(least, size * SMALL_CUT_TO);
                 starting = false;
-            } else if (!crowded && wasFull) {
+            } else if (!isLate && wasFull) {
                 size += SMALL_STEP;
             }
             return;
--- a/core/src/main/java/portrelay/settings/Settings.java
+++ b/core/src/main/java/portrelay/settings/Settings.java
@@ -27,8 +27,6 @@
     private final double askWithin;
     private final int sidecars;
     private final boolean sized;
-    private final boolean warmKeys;
-    private final boolean creditByWork;
     private final double dialWithin;
     private final double connectionIdle;
 
@@ -56,17 +54,14 @@
                 rules.number("overload-factor", 1), time(rules, "tip-after-us"));
         listMustBeAsked = "on_request".equals(root.text("discovery", ""));
         askWithin = time(rules, "ask-within-us");
-        warmKeys = root.has("family-info") && root.section("family-info").flag("warm-keys");
         sized = !"silent".equals(root.text("weights", ""));
         sidecars = (int) root.number("siblings", 1);
-        creditByWork = "work".equals(root.text("value-by", ""));
     }
 
     /** The platform's real discovery must always be asked, whatever the settings say of the simulated one. */
     public Decide start(Effects effects, long seed, boolean askList) {
         ListRule list = new ListRule(askList, askWithin);
-        return new Decide(effects, seed, offerings, tenants, permits, cold, list, sidecars, sized, warmKeys,
-                creditByWork);
+        return new Decide(effects, seed, offerings, tenants, permits, cold, list, sidecars, sized);
     }
 
     public boolean listMustBeAsked() {
@@ -126,10 +121,6 @@
         return !tenants.isEmpty();
     }
 
-    public boolean warmKeys() {
-        return warmKeys;
-    }
-
     /** 0 where the settings set none. */
     public double dialWithin() {
         return dialWithin;
--- a/daemon/src/main/java/portrelay/net/Names.java
+++ b/daemon/src/main/java/portrelay/net/Names.java
@@ -15,7 +15,6 @@
     static final HttpString TIME_LEFT_MS = new HttpString("X-Expires-In-Ms");
     static final HttpString AGAIN = new HttpString("X-Second-Try");
     static final HttpString NUMBER = new HttpString("Idempotency-Key");
-    static final String KEY = "sid";
     static final HttpString PROXY_CONNECTION = new HttpString("Proxy-Connection");
 
     // What comes back.
--- a/daemon/src/main/java/portrelay/net/QueryReader.java
+++ b/daemon/src/main/java/portrelay/net/QueryReader.java
@@ -81,12 +81,11 @@
             throw missing(Names.TIME_LEFT_MS);
         }
         boolean again = Names.TRUE.equals(one(headers, Names.AGAIN));
-        String key = settings.warmKeys() ? key(exchange.getQueryString()) : null;
         // Nobody waits for longer than the offering's cut-off, whatever a broken client says.
         double cutOff = settings.offering(offering).cutOff();
         double most = Math.min(cutOff > 0 ? cutOff : Double.POSITIVE_INFINITY, answerBy - now);
         double wait = Math.max(Math.min(left / 1e3 - WAY_BACK, most), LEAST);
-        return new Asked(new QueryId(id), offering, tenant, key, now + wait, Double.NaN, again);
+        return new Asked(new QueryId(id), offering, tenant, null, now + wait, Double.NaN, again);
     }
 
     private static void checkMethod(Offering offering, HttpString method, HeaderMap headers, int body)
@@ -129,13 +128,4 @@
         int end = path.indexOf('/', 1);
         return path.isEmpty() ? "" : path.substring(1, end < 0 ? path.length() : end);
     }
-
-    private static String key(String rawQuery) {
-        for (String each : rawQuery.split("&")) {
-            if (each.startsWith(Names.KEY + "=")) {
-                return each.substring(Names.KEY.length() + 1);
-            }
-        }
-        return null;
-    }
 }
