--- a/core/src/main/java/portrelay/model/Effects.java
+++ b/core/src/main/java/portrelay/model/Effects.java
@@ -24,5 +24,17 @@
     /** Asks the list for changes from now on. */
     void watchList();
 
+    /** Asks an upstream for its load; answered by {@code probed}. Only where the settings permit probes. */
+    void probe(UpstreamId upstream);
+
+    /** At most 256 bytes to one other sidecar; may be lost. Only where the settings permit messages. */
+    void tell(int sidecar, String text);
+
+    /** The same to all others. */
+    void tellAll(String text);
+
+    /** Closes our idle connections to an upstream: the next execution there opens a new one. */
+    void letGo(UpstreamId upstream);
+
     void note(String text);
 }
--- /dev/null
+++ b/core/src/main/java/portrelay/model/Site.java
@@ -0,0 +1,30 @@
+package portrelay.model;
+
+/**
+ * Where an instance stands and what it can learn there. Zone is null where the settings name none; me counts
+ * from 0 among the sidecars, whose number is 1 at least.
+ */
+public record Site(int me, int sidecars, ZoneId zone, Weights weights, Reports reports, boolean peers,
+        boolean probes) {
+
+    /** What the list's weights say: nothing, a size, a size roughly, or a size lowered by present load. */
+    public enum Weights { SILENT, NOMINAL, ROUGH, LIVE }
+
+    /** Where load reports come: nowhere, with each answer, or with probes alone. */
+    public enum Reports { SILENT, WITH_ANSWERS, WITH_PROBES }
+
+    /** Whether load can be looked at before a query is sent. */
+    public boolean looks() {
+        return reports == Reports.WITH_PROBES && probes;
+    }
+
+    /** Whether sidecars tell each other of their load, as what upstreams tell comes too late to pick by. */
+    public boolean shares() {
+        return reports == Reports.WITH_ANSWERS && peers && sidecars > 1;
+    }
+
+    /** The same place where nothing but queries and the list can pass, whatever the settings permit. */
+    public Site withoutTalk() {
+        return new Site(me, sidecars, zone, weights, reports, false, false);
+    }
+}
--- a/core/src/main/java/portrelay/policy/Cold.java
+++ b/core/src/main/java/portrelay/policy/Cold.java
@@ -42,7 +42,7 @@
                 ready++;
                 if (ramp(u, now) >= 1) {
                     warm++;
-                    size += u.listed.scale();
+                    size += u.size;
                 }
             }
         }
@@ -59,7 +59,7 @@
         for (Upstream u : roster) {
             double f = u.ready ? ramp(u, now) : 1;
             if (f < 1) {
-                double each = warm > 0 ? f * (sized ? u.listed.scale() / size : 1.0 / warm) : 1.0 / ready;
+                double each = warm > 0 ? f * (sized ? u.size / size : 1.0 / warm) : 1.0 / ready;
                 u.coldCredit = Math.min(2, u.coldCredit + each * stretch);
             }
         }
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -9,9 +9,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import portrelay.model.Asked;
 import portrelay.model.ColdRule;
@@ -24,6 +26,7 @@
 import portrelay.model.Outcome;
 import portrelay.model.Permits;
 import portrelay.model.QueryId;
+import portrelay.model.Site;
 import portrelay.model.Tenant;
 import portrelay.model.TenantId;
 import portrelay.model.UpstreamId;
@@ -33,9 +36,9 @@
     // ---- The table --------------------------------------------------------------------------------------
 
     /** HELD has nothing out and waits for a place; BARE has nothing out after one that did not help. */
-    enum State { FRESH, HELD, ALONE, RACING, BARE, CLOSED }
+    enum State { FRESH, LOOKING, HELD, ALONE, RACING, BARE, CLOSED }
 
-    enum Input { ARRIVED, NOWHERE, TURN, WAITED, PLACED, COPY_DUE, KEPT, ENDED, WON, LEFT }
+    enum Input { ARRIVED, SEEN, AGAIN, NOWHERE, TURN, WAITED, PLACED, COPY_DUE, COPY_SEEN, KEPT, ENDED, WON, LEFT }
 
     /** What a row does; the input it returns, if any, is read from the row's next state at once. */
     private interface Effect {
@@ -47,16 +50,22 @@
     private static final Effect NOTHING = (d, q) -> null;
 
     private static final List<Row> TABLE = List.of(
-            new Row(State.FRESH, Input.ARRIVED, State.ALONE, Decide::sendFirst),
+            new Row(State.FRESH, Input.ARRIVED, State.LOOKING, Decide::look),
+            new Row(State.LOOKING, Input.SEEN, State.ALONE, Decide::sendFirst),
+            new Row(State.LOOKING, Input.LEFT, State.CLOSED, NOTHING),
+            new Row(State.ALONE, Input.AGAIN, State.LOOKING, Decide::look),
             new Row(State.ALONE, Input.NOWHERE, State.HELD, Decide::hold),
-            new Row(State.ALONE, Input.COPY_DUE, State.RACING, Decide::sendCopy),
-            new Row(State.ALONE, Input.ENDED, State.BARE, Decide::sendFurther),
+            new Row(State.ALONE, Input.COPY_DUE, State.ALONE, Decide::look),
+            new Row(State.ALONE, Input.COPY_SEEN, State.RACING, Decide::sendCopy),
+            new Row(State.ALONE, Input.ENDED, State.BARE, Decide::look),
             new Row(State.ALONE, Input.WON, State.CLOSED, Decide::callOffRest),
             new Row(State.ALONE, Input.LEFT, State.CLOSED, Decide::callOffRest),
             new Row(State.RACING, Input.KEPT, State.ALONE, NOTHING),
             new Row(State.RACING, Input.ENDED, State.ALONE, NOTHING),
             new Row(State.RACING, Input.WON, State.CLOSED, Decide::callOffRest),
             new Row(State.RACING, Input.LEFT, State.CLOSED, Decide::callOffRest),
+            new Row(State.BARE, Input.SEEN, State.BARE, Decide::sendFurther),
+            new Row(State.BARE, Input.LEFT, State.CLOSED, NOTHING),
             new Row(State.BARE, Input.PLACED, State.ALONE, NOTHING),
             new Row(State.BARE, Input.NOWHERE, State.CLOSED, Decide::giveUp),
             new Row(State.HELD, Input.TURN, State.ALONE, Decide::sendFirst),
@@ -95,6 +104,15 @@
     private static final double QUIET_WAIT_SHARE = 0.15;
     private static final int RATE_SAMPLES = 16;
     private static final int TENANT_SAMPLES = 128;
+    private static final int LOOKS = 5;
+    private static final int MOST_LOOKS = 2;
+    private static final double LOOK_WAIT = 0.004;
+    private static final double LOOK_FRESH = 0.008;
+    private static final double COPY_SHARE = 0.6;
+    private static final double FIT_SHARE = 0.9;
+    private static final double OLD_TRIALS = 0.02;
+    private static final int OVERTAKEN = 4;
+    private static final double LONGEST_TOLD = 1.5;
 
     private final Effects out;
     private final SplittableRandom chance;
@@ -102,7 +120,11 @@
     private final Permits permits;
     private final Cold cold;
     private final ListWatch watch;
-    private final int sidecars;
+    private final Site site;
+    private final boolean seen;
+    private boolean blindToo;
+    private Part part;
+    private final Set<Query> looking = new LinkedHashSet<>();
 
     private final Map<QueryId, Query> queries = new HashMap<>();
     private final Map<UpstreamId, Upstream> known = new HashMap<>();
@@ -120,7 +142,7 @@
     private double now;
 
     public Decide(Effects out, long seed, List<Offering> offerings, List<Tenant> tenants, Permits permits,
-            ColdRule coldRule, ListRule listRule, int sidecars, boolean sized) {
+            ColdRule coldRule, ListRule listRule, Site site) {
         this.out = out;
         this.chance = new SplittableRandom(seed);
         this.offerings = offerings;
@@ -128,8 +150,10 @@
         this.tenants = tenants;
         tenants.forEach(each -> tenantSent.add(new Samples(TENANT_SAMPLES)));
         this.health = new Health(offerings.size());
-        this.cold = new Cold(coldRule.share(), coldRule.time(), coldRule.overloadFactor(), sized);
-        this.sidecars = Math.max(1, sidecars);
+        this.cold = new Cold(coldRule.share(), coldRule.time(), coldRule.overloadFactor(),
+                site.weights() != Site.Weights.SILENT);
+        this.site = site;
+        this.seen = site.looks() || site.shares();
         this.watch = new ListWatch(out, chance, listRule.onRequest(), listRule.askWithin());
     }
 
@@ -137,6 +161,7 @@
 
     public void start(double time) {
         now = time;
+        part = site.shares() ? new Part(out, site, now) : null;
         watch.ask();
         armAlarm();
     }
@@ -145,16 +170,70 @@
         now = time;
         Query q = new Query(asked, offerings.get(asked.offering().value()), time);
         queries.put(asked.id(), q);
-        health.visitsEach(roster.size() * arrivals.spacing(now));
+        health.visitsEach((part == null ? roster.size() : part.size()) * arrivals.spacing(now));
         arrivals.add(now, 1);
-        for (int i = 0; i < tenantSent.size() && asked.tenant() != null; i++) {
-            tenantSent.get(i).add(now, asked.tenant().value() == i ? 1 : 0);
+        if (asked.tenant() != null) {
+            countTenant(asked.tenant().value());
         }
         step(q, Input.ARRIVED);
         forgetIfDone(q);
         armAlarm();
     }
 
+    private void countTenant(int tenant) {
+        for (int i = 0; i < tenantSent.size(); i++) {
+            tenantSent.get(i).add(now, tenant == i ? 1 : 0);
+        }
+    }
+
+    /** What an upstream tells of its load; null where it did not answer in time. */
+    public void probed(double time, UpstreamId id, LoadReport report) {
+        now = time;
+        Upstream u = known.get(id);
+        if (u != null) {
+            u.probeOut = false;
+            if (report != null && report.inHand() >= 0) {
+                u.reported = Math.rint(report.inHand());
+                u.reportedAt = now;
+            }
+            for (Query q : List.copyOf(looking)) {
+                if (q.sought.remove(u) && (q.sought.isEmpty() || u.reportedAt == now && u.reported == 0)) {
+                    looking.remove(q);
+                    step(q, q.then);
+                    forgetIfDone(q);
+                }
+            }
+        }
+        armAlarm();
+    }
+
+    /** What another sidecar tells; wherever it is not of our part it changes nothing. */
+    public void heard(double time, int from, String text) {
+        now = time;
+        Part.News news = part == null ? null : part.heard(from, text, now);
+        if (news != null && news.word() == Part.Word.BEGUN) {
+            news.at().told.add(new Upstream.Told(from, now));
+            if (news.tenant() >= 0) {
+                countTenant(news.tenant());
+            }
+        } else if (news != null) {
+            news.at().ended(from);
+            endedAt(news.at(), news.word());
+            placeHeld();
+        }
+        armAlarm();
+    }
+
+    private void endedAt(Upstream u, Part.Word word) {
+        if (word == Part.Word.HANDLED) {
+            u.handledAt = now;
+            u.handled++;
+        }
+        if (word != Part.Word.DROPPED) {
+            health.weigh(now, u, word == Part.Word.FAILED);
+        }
+    }
+
     public void outcome(double time, QueryId id, int execution, Outcome outcome, boolean ended,
             LoadReport report) {
         now = time;
@@ -166,6 +245,9 @@
         e.outcome = outcome;
         e.at.inFlight--;
         health.judge(now, q, e, total);
+        if (part != null) {
+            shareEnd(q, e);
+        }
         forgetGone();
         if (ended && q.state != State.CLOSED) {
             q.winner = e;
@@ -217,6 +299,9 @@
         if (now >= watch.askAt) {
             watch.ask();
         }
+        if (part != null) {
+            part.look(now);
+        }
         placeHeld();
         armAlarm();
     }
@@ -250,12 +335,16 @@
                 u.coldCredit = chance.nextDouble();
             }
             u.listed = row;
+            u.weighted(row.scale(), site.weights() == Site.Weights.LIVE);
             u.ready = row.health() == Listed.Health.READY;
             u.gone = row.health() == Listed.Health.GONE;
         }
         forgetGone();
         if (!total.told) {
-            total.start((double) roster.stream().filter(u -> u.ready).count() / sidecars);
+            total.start((double) roster.stream().filter(u -> u.ready).count() / site.sidecars());
+        }
+        if (part != null) {
+            part.listed(roster, now);
         }
         placeHeld();
         armAlarm();
@@ -273,10 +362,16 @@
 
     private Input sendFirst(Query q) {
         Upstream u = pick(q, true);
+        if (site.looks() && q.looks < MOST_LOOKS && (u == null || load(u) >= 1)) {
+            return Input.AGAIN;
+        }
         if (u == null) {
             return Input.NOWHERE;
         }
         double threshold = Math.min(LONGEST_THRESHOLD, (q.asked.cutOffAt() - q.arrivedAt) / 2);
+        if (seen) {
+            threshold = Math.min(threshold, q.offering.targetTime() * COPY_SHARE);
+        }
         send(q, u);
         q.waiting = false;
         if (q.offering.repeats() != Offering.Repeats.AT_MOST_ONCE && permits.copies()) {
@@ -298,9 +393,35 @@
         return null;
     }
 
+    /** Where upstreams tell their load to probes alone, a few are asked; the first idle one ends the wait. */
+    private Input look(Query q) {
+        q.then = q.state == State.ALONE ? Input.COPY_SEEN : Input.SEEN;
+        if (!site.looks() || now + LOOK_WAIT >= q.asked.cutOffAt() || q.state == State.ALONE && q.copied) {
+            return q.then;
+        }
+        q.looks = q.executions.isEmpty() ? q.looks + 1 : MOST_LOOKS;
+        List<Upstream> all = new ArrayList<>(roster);
+        all.removeIf(u -> u.passedOver() && now < u.passedUntil || !mayTake(q, u));
+        q.sought.clear();
+        while (!all.isEmpty() && q.sought.size() < LOOKS) {
+            Upstream u = all.remove(chance.nextInt(all.size()));
+            q.sought.add(u);
+            if (!u.probeOut) {
+                u.probeOut = true;
+                out.probe(u.id);
+            }
+        }
+        if (q.sought.isEmpty()) {
+            return q.then;
+        }
+        looking.add(q);
+        due(now + LOOK_WAIT, q, q.then);
+        return null;
+    }
+
     private Input sendCopy(Query q) {
         // When the whole fleet is slow a copy only doubles the load.
-        boolean useless = q.copied || total.fleetIsSlow();
+        boolean useless = q.copied || !seen && total.fleetIsSlow();
         Upstream u = useless || q.offering.repeats() == Offering.Repeats.AT_MOST_ONCE ? null : pick(q, false);
         if (u == null) {
             return Input.KEPT;
@@ -378,25 +499,29 @@
     // ---- Picking ----------------------------------------------------------------------------------------
 
     private Upstream pick(Query q, boolean first) {
-        if (!total.hasRoom(now)) {
+        looking.remove(q);
+        if (!seen && !total.hasRoom(now)) {
             return null;
         }
         double mean = meanInFlight();
+        roster.forEach(u -> u.forgetBefore(now - LONGEST_TOLD));
         if (first && q.offering.repeats() == Offering.Repeats.REISSUABLE) {
             for (Upstream u : roster) {
-                if (u.passedOver() && now >= u.passedUntil && !u.trialOut && mayTake(q, u)) {
+                if (u.passedOver() && now >= u.passedUntil && !u.trialOut && mayTake(q, u)
+                        && (!seen || load(u) == 0 && !blind(u))) {
                     return u;
                 }
             }
         }
         // Shunned while there are others: a choked upstream has to rest before it works as usual again.
+        blindToo = site.looks() && roster.stream().noneMatch(u -> !blind(u) && mayTake(q, u));
         Upstream u = pickAmong(q, mean, Health.OWN_FAULT, false);
         u = u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, false);
         return u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, true);
     }
 
     private boolean mayTake(Query q, Upstream u) {
-        return u.ready && u.inFlight < u.limit && !q.triedAt(u) && maySend(q, u) && cold.admits(u, now);
+        return u.ready && (seen ? part == null || part.has(u) : u.inFlight < u.limit) && !q.triedAt(u) && maySend(q, u) && cold.admits(u, now);
     }
 
     private Upstream pickAmong(Query q, double mean, double worstPace, boolean passedOverToo) {
@@ -412,6 +537,16 @@
             if (pace >= worstPace) {
                 continue;
             }
+            if (seen) {
+                // What answered no probe, or nobody, is left until nothing else is there.
+                double due = expected(u) * pace;
+                boolean may = inTime(q, due) && (!q.asked.again() || load(u) < u.cores);
+                if (due < least && (blind(u) ? blindToo : may)) {
+                    least = due;
+                    pick = u;
+                }
+                continue;
+            }
             double load = u.inFlight + (now < u.seenAt + SETTLING ? mean : 0);
             if (load == 0) {
                 double draw = Math.log(chance.nextDouble()) * pace * pace / u.listed.scale();
@@ -431,6 +566,28 @@
         return pick;
     }
 
+    /** In flight there as far as anybody told us. */
+    private double load(Upstream u) {
+        return part != null ? u.told.size() : site.looks() ? u.reported : u.inFlight;
+    }
+
+    /** It answered no probe just now, or none of those who share it for long. */
+    private boolean blind(Upstream u) {
+        return part == null ? now > u.reportedAt + LOOK_FRESH : u.silent(now);
+    }
+
+    /** How long a query takes there, with those before it, as a multiple of the usual time alone. */
+    private double expected(Upstream u) {
+        return seen ? Math.max(1, (load(u) + 1) / u.cores) / Math.max(u.size, Double.MIN_NORMAL) : 1;
+    }
+
+    /** Guards against queues that no answer comes out of in time; over their share tenants wait for less. */
+    private boolean inTime(Query q, double expected) {
+        double fit = FIT_SHARE * (0.5 + 0.5 * Math.min(1, shareTaken(q.asked.tenant())));
+        double target = q.offering.targetTime();
+        return now - q.arrivedAt + expected * health.usualTime(q.offering, target / 3) <= target * fit;
+    }
+
     private double meanInFlight() {
         return roster.stream().filter(u -> u.ready).mapToInt(u -> u.inFlight).average().orElse(0);
     }
@@ -438,19 +595,53 @@
     private void send(Query q, Upstream u) {
         boolean trial = u.passedOver() && now >= u.passedUntil;
         u.trialOut |= trial;
-        q.executions.add(new Execution(q.executions.size(), u, now, trial));
+        double idle = u.inFlight == 0 && u.answeredAt > 0 ? now - u.answeredAt : 0;
+        boolean trialOfOld = q.offering.repeats() == Offering.Repeats.REISSUABLE && chance.nextDouble() < OLD_TRIALS;
+        if (part != null && !trialOfOld && part.tooOld(idle, now)) {
+            out.letGo(u.id);
+            idle = 0;
+        }
+        q.executions.add(new Execution(q.executions.size(), u, now, trial, expected(u), idle,
+                u.handled + (int) load(u) + OVERTAKEN));
         u.inFlight++;
+        u.reported++;
+        if (part != null) {
+            u.told.add(new Upstream.Told(site.me(), now));
+            part.tell(Part.Word.BEGUN, u, q.asked.tenant() == null ? -1 : q.asked.tenant().value());
+        }
         total.inFlight++;
         cold.sent(u, roster, now);
         out.send(q.asked.id(), u.id);
     }
 
+    /** Tells the others of an end; what was overtaken on a rested connection tells of the connection. */
+    private void shareEnd(Query q, Execution e) {
+        Upstream u = e.at;
+        u.ended(site.me());
+        boolean handled = e.outcome == Outcome.HANDLED;
+        boolean lost = !handled && e.idle > 0 && u.handled >= e.overtakenAt && !e.outcome.neverRan;
+        if (lost) {
+            part.reaped(e.idle, now, true);
+        }
+        boolean failed = !lost && !handled && !e.outcome.neverRan
+                && (e.outcome != Outcome.CALLED_OFF || now - e.sentAt > q.offering.targetTime() * COPY_SHARE);
+        Part.Word word = handled ? Part.Word.HANDLED : failed ? Part.Word.FAILED : Part.Word.DROPPED;
+        if (handled) {
+            u.answeredAt = now;
+            u.handledAt = now;
+            u.handled++;
+        } else if (failed && e.outcome == Outcome.CALLED_OFF) {
+            health.weigh(now, u, true);
+        }
+        part.tell(word, u, -1);
+    }
+
     // ---- Held queries and timers ------------------------------------------------------------------------
 
     /** What a full fleet can take goes to the query that earns most for its work, not to the oldest. */
     private void placeHeld() {
         held.removeIf(q -> q.state != State.HELD);
-        while (!held.isEmpty() && total.hasRoom(now)) {
+        while (!held.isEmpty() && (seen || total.hasRoom(now))) {
             Query best = held.get(0);
             for (Query q : held) {
                 best = value(q) > value(best) ? q : best;
@@ -487,7 +678,7 @@
         while (!dues.isEmpty() && dues.peek().query.state == State.CLOSED) {
             dues.poll();
         }
-        double next = Math.min(watch.askAt, dues.isEmpty() ? Double.POSITIVE_INFINITY : dues.peek().time);
+        double next = Math.min(part == null ? watch.askAt : Math.min(watch.askAt, part.nextAt()), dues.isEmpty() ? Double.POSITIVE_INFINITY : dues.peek().time);
         if (!held.isEmpty() && total.inFlight == 0 && total.freeAt > now) {
             next = Math.min(next, total.freeAt);
         }
--- a/core/src/main/java/portrelay/policy/Health.java
+++ b/core/src/main/java/portrelay/policy/Health.java
@@ -121,7 +121,7 @@
      * A sequential test (Wald) on outcomes, against what all our upstreams show together. Guards sidecars of
      * little traffic, whose win counter is cleared by each answer between two bad ones.
      */
-    private void weigh(double now, Upstream u, boolean isBad) {
+    void weigh(double now, Upstream u, boolean isBad) {
         double usual = Math.min(MOST_BAD, Math.max(LEAST_BAD, bads.mean(Double.NEGATIVE_INFINITY, 0, 0)));
         double sick = (9 + usual) / 10;
         boolean before = u.passedOver();
@@ -137,10 +137,10 @@
     private void samplePace(double now, Query q, Execution e) {
         Samples usual = times.get(q.asked.offering().value());
         double spent = now - e.sentAt;
-        double mean = usual.mean(Double.NEGATIVE_INFINITY, 0, spent);
+        double mean = e.expected * usual.mean(Double.NEGATIVE_INFINITY, 0, spent / e.expected);
         boolean handled = e.outcome == Outcome.HANDLED;
         if (handled) {
-            usual.add(now, spent);
+            usual.add(now, spent / e.expected);
         }
         if (mean > 0 && (handled || !e.outcome.neverRan && spent > mean)) {
             double ratio = Math.min(spent / mean, PACE_MOST);
--- a/core/src/main/java/portrelay/policy/Query.java
+++ b/core/src/main/java/portrelay/policy/Query.java
@@ -1,7 +1,9 @@
 package portrelay.policy;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import portrelay.model.Asked;
 import portrelay.model.Offering;
 
@@ -14,6 +16,10 @@
     Decide.State state = Decide.State.FRESH;
     boolean copied;
     boolean waiting;
+    /** Upstreams that were asked for their load on its behalf, and what to do when they have told. */
+    final Set<Upstream> sought = new HashSet<>();
+    Decide.Input then;
+    int looks;
     Execution winner;
 
     Query(Asked asked, Offering offering, double arrivedAt) {
--- a/core/src/main/java/portrelay/policy/Upstream.java
+++ b/core/src/main/java/portrelay/policy/Upstream.java
@@ -1,5 +1,7 @@
 package portrelay.policy;
 
+import java.util.ArrayList;
+import java.util.List;
 import portrelay.model.Listed;
 import portrelay.model.UpstreamId;
 
@@ -10,6 +12,8 @@
     static final double EVIDENCE = Math.log(1000);
     static final int PACE_SAMPLES = 16;
     static final int FEW = 4;
+    private static final double LEAST_STEP = 0.02;
+    private static final double SILENT = 0.3;
     static final double FIRST_LIMIT = 1.5;
 
     final UpstreamId id;
@@ -23,6 +27,19 @@
     double passedUntil;
     boolean trialOut;
     double coldCredit;
+    /** The largest weight listed: where weights move with load, what it is when nothing is in flight. */
+    double size;
+    double cores = 1;
+    private double step = Double.POSITIVE_INFINITY;
+    /** In hand when it was last probed, and what we sent since. */
+    double reported;
+    double reportedAt = Double.NEGATIVE_INFINITY;
+    boolean probeOut;
+    /** Executions of all that share it, ours too, the oldest first. */
+    final List<Told> told = new ArrayList<>();
+    double handledAt = Double.NEGATIVE_INFINITY;
+    int handled;
+    double answeredAt = Double.NEGATIVE_INFINITY;
     double limit = FIRST_LIMIT;
     double cutAt = Double.NEGATIVE_INFINITY;
     final Samples paces = new Samples(PACE_SAMPLES);
@@ -32,6 +49,39 @@
         this.id = id;
     }
 
+    record Told(int sidecar, double at) { }
+
+    /** The list lowers a weight by what is held a core: its smallest step tells how many cores there are. */
+    void weighted(double scale, boolean live) {
+        size = live ? Math.max(size, scale) : scale;
+        double held = live ? size / scale - 1 : 0;
+        if (held > LEAST_STEP && held < step) {
+            step = held;
+            cores = Math.max(1, Math.rint(1 / step));
+        }
+    }
+
+    void ended(int sidecar) {
+        for (int i = 0; i < told.size(); i++) {
+            if (told.get(i).sidecar == sidecar) {
+                told.remove(i);
+                return;
+            }
+        }
+    }
+
+    /** Guards against ends that were lost on their way: nothing is waited for so long. */
+    void forgetBefore(double time) {
+        while (!told.isEmpty() && told.get(0).at < time) {
+            told.remove(0);
+        }
+    }
+
+    /** Takes queries and answers none: its oldest is long out and nothing was handled since. */
+    boolean silent(double now) {
+        return !told.isEmpty() && now - told.get(0).at > SILENT && handledAt < told.get(0).at;
+    }
+
     boolean passedOver() {
         return copyWins >= COPY_WINS || evidence >= EVIDENCE;
     }
--- a/core/src/main/java/portrelay/settings/Fields.java
+++ b/core/src/main/java/portrelay/settings/Fields.java
@@ -52,6 +52,21 @@
         return rows;
     }
 
+    /** An array of strings. */
+    public List<String> texts(String name) throws BadSetting {
+        List<String> texts = new ArrayList<>();
+        if (!(map.get(name) instanceof List<?> list)) {
+            throw bad(name, "an array of strings");
+        }
+        for (Object each : list) {
+            if (!(each instanceof String text)) {
+                throw bad(name + "[" + texts.size() + "]", "a string");
+            }
+            texts.add(text);
+        }
+        return texts;
+    }
+
     public String text(String name) throws BadSetting {
         if (map.get(name) instanceof String text) {
             return text;
--- a/core/src/main/java/portrelay/settings/Settings.java
+++ b/core/src/main/java/portrelay/settings/Settings.java
@@ -10,13 +10,18 @@
 import portrelay.model.Offering;
 import portrelay.model.OfferingId;
 import portrelay.model.Permits;
+import portrelay.model.Site;
 import portrelay.model.Tenant;
 import portrelay.model.TenantId;
+import portrelay.model.ZoneId;
 import portrelay.policy.Decide;
 
 /** An instance's settings as the operators word them, and the small records that the decisions take. */
 public final class Settings {
 
+    private static final int MOST_SIDECARS = 1_000_000;
+    private static final int MOST_STREAMS = 1_000_000;
+
     private final Map<String, OfferingId> offeringIds = new HashMap<>();
     private final Map<String, TenantId> tenantIds = new HashMap<>();
     private final List<Offering> offerings = new ArrayList<>();
@@ -25,8 +30,8 @@
     private final ColdRule cold;
     private final boolean listMustBeAsked;
     private final double askWithin;
-    private final int sidecars;
-    private final boolean sized;
+    private final Site site;
+    private final int streams;
     private final double dialWithin;
     private final double connectionIdle;
 
@@ -54,14 +59,36 @@
                 rules.number("overload-factor", 1), time(rules, "tip-after-us"));
         listMustBeAsked = "on_request".equals(root.text("discovery", ""));
         askWithin = time(rules, "ask-within-us");
-        sized = !"silent".equals(root.text("weights", ""));
-        sidecars = (int) root.number("siblings", 1);
+        int sidecars = root.whole("siblings", 1, 1, MOST_SIDECARS);
+        site = new Site(root.whole("me", 0, 0, sidecars - 1), sidecars, zone(root), weights(root),
+                reports(root), allowed.flag("peers"), allowed.flag("probes"));
+        streams = allowed.whole("streams-per-conn", 1, 1, MOST_STREAMS);
+    }
+
+    public Decide start(Effects effects, long seed) {
+        return start(effects, seed, listMustBeAsked, site);
     }
 
-    /** The platform's real discovery must always be asked, whatever the settings say of the simulated one. */
-    public Decide start(Effects effects, long seed, boolean askList) {
+    /**
+     * The platform's discovery must always be asked, and carries neither probes nor messages, whatever the
+     * settings say of the simulated one.
+     */
+    public Decide startOnSockets(Effects effects, long seed) {
+        return start(effects, seed, true, site.withoutTalk());
+    }
+
+    private Decide start(Effects effects, long seed, boolean askList, Site at) {
         ListRule list = new ListRule(askList, askWithin);
-        return new Decide(effects, seed, offerings, tenants, permits, cold, list, sidecars, sized);
+        return new Decide(effects, seed, offerings, tenants, permits, cold, list, at);
+    }
+
+    public Site site() {
+        return site;
+    }
+
+    /** Executions that one connection carries at once; 1 at least. */
+    public int streams() {
+        return streams;
     }
 
     public boolean listMustBeAsked() {
@@ -131,6 +158,41 @@
         return connectionIdle;
     }
 
+    /** Null where none is named; a zone that the settings' own list of zones does not have is a mistake. */
+    private static ZoneId zone(Fields root) throws BadSetting {
+        if (!root.has("zone")) {
+            return null;
+        }
+        String zone = root.text("zone");
+        if (root.has("dcs") && !root.texts("dcs").contains(zone)) {
+            throw root.bad("zone", "one of dcs, not " + zone);
+        }
+        return ZoneId.of(zone);
+    }
+
+    private static Site.Weights weights(Fields root) throws BadSetting {
+        return switch (root.text("weights", "silent")) {
+            case "silent" -> Site.Weights.SILENT;
+            case "nominal" -> Site.Weights.NOMINAL;
+            case "rough" -> Site.Weights.ROUGH;
+            case "live" -> Site.Weights.LIVE;
+            default -> throw root.bad("weights", "silent, nominal, rough or live");
+        };
+    }
+
+    private static Site.Reports reports(Fields root) throws BadSetting {
+        if (!root.has("load-report")) {
+            return Site.Reports.SILENT;
+        }
+        Fields report = root.section("load-report");
+        return switch (report.text("how", "silent")) {
+            case "silent" -> Site.Reports.SILENT;
+            case "piggyback" -> Site.Reports.WITH_ANSWERS;
+            case "pull" -> Site.Reports.WITH_PROBES;
+            default -> throw report.bad("how", "silent, piggyback or pull");
+        };
+    }
+
     private static Offering.Repeats repeats(Fields each) throws BadSetting {
         return switch (each.text("effect")) {
             case "read_like" -> Offering.Repeats.REISSUABLE;
--- a/core/src/test/java/portrelay/policy/Rig.java
+++ b/core/src/test/java/portrelay/policy/Rig.java
@@ -18,6 +18,7 @@
 import portrelay.model.Permits;
 import portrelay.model.QueryId;
 import portrelay.model.ShapeId;
+import portrelay.model.Site;
 import portrelay.model.TenantId;
 import portrelay.model.UpstreamId;
 import portrelay.model.ZoneId;
@@ -38,6 +39,10 @@
             offering(AT_MOST_ONCE, Offering.Repeats.AT_MOST_ONCE, Offering.Group.ALL),
             offering(NUMBERED_ANYWHERE, Offering.Repeats.NUMBERED, Offering.Group.ALL));
 
+    static final int ALL = -1;
+
+    record Told(int to, String text) { }
+
     record Sent(QueryId query, int index, UpstreamId at, double time) { }
 
     final List<Sent> sent = new ArrayList<>();
@@ -46,8 +51,11 @@
     final List<Sent> calledOff = new ArrayList<>();
     final List<Double> alarms = new ArrayList<>();
     final Map<QueryId, Integer> executions = new LinkedHashMap<>();
+    final List<UpstreamId> probed = new ArrayList<>();
+    final List<UpstreamId> letGo = new ArrayList<>();
+    final List<Told> told = new ArrayList<>();
     int watches;
-    private final int sidecars;
+    private final Site site;
     double now = 100;
     Decide decide;
 
@@ -56,7 +64,11 @@
     }
 
     Rig(long seed, int sidecars) {
-        this.sidecars = sidecars;
+        this(seed, new Site(0, sidecars, null, Site.Weights.NOMINAL, Site.Reports.SILENT, false, false));
+    }
+
+    Rig(long seed, Site site) {
+        this.site = site;
         restart(seed);
     }
 
@@ -64,7 +76,7 @@
         alarms.clear();
         executions.clear();
         decide = new Decide(this, seed, OFFERINGS, List.of(), PERMITS, COLD, new ListRule(true, ASK_WITHIN),
-                sidecars, true);
+                site);
         decide.start(now);
     }
 
@@ -153,6 +165,26 @@
         watches++;
     }
 
+    @Override
+    public void probe(UpstreamId upstream) {
+        probed.add(upstream);
+    }
+
+    @Override
+    public void tell(int sidecar, String text) {
+        told.add(new Told(sidecar, text));
+    }
+
+    @Override
+    public void tellAll(String text) {
+        told.add(new Told(ALL, text));
+    }
+
+    @Override
+    public void letGo(UpstreamId upstream) {
+        letGo.add(upstream);
+    }
+
     @Override
     public void note(String text) {
     }
--- a/daemon/src/main/java/portrelay/drill/Drill.java
+++ b/daemon/src/main/java/portrelay/drill/Drill.java
@@ -45,7 +45,6 @@
     private final Replies replies;
     private final Map<InstanceId, Instance> instances = new HashMap<>();
     private final Map<Long, List<Listed>> pages = new HashMap<>();
-    private final Map<String, ZoneId> zones = new HashMap<>();
     private final Map<String, ShapeId> shapes = new HashMap<>();
     private double now;
 
@@ -116,14 +115,16 @@
                 decide(id, () -> at.decide().begun(now, query, execution));
             }
             case "check-result" -> {
-                outcome(in.whole("code"));
-                in.whole("upstream");
+                boolean answered = outcome(in.whole("code")) == Outcome.HANDLED;
+                UpstreamId upstream = new UpstreamId(in.whole("upstream"));
                 in.whole("spent-us");
-                report();
+                LoadReport report = report();
+                decide(id, () -> at.decide().probed(now, upstream, answered ? report : null));
             }
             case "message" -> {
-                in.whole("who");
-                in.text("raw");
+                int who = (int) in.whole("who");
+                String text = in.text("raw");
+                decide(id, () -> at.decide().heard(now, who, text));
             }
             case "down" -> instances.remove(id);
             default -> throw in.bad("a known event, not " + name);
@@ -150,7 +151,7 @@
         } catch (BadSetting e) {
             throw new BadWire(in.line(), e);
         }
-        Decide decide = settings.start(replies.forInstance(id.value()), seed, settings.listMustBeAsked());
+        Decide decide = settings.start(replies.forInstance(id.value()), seed);
         instances.put(id, new Instance(decide, settings));
         decide(id, () -> decide.start(now));
     }
@@ -166,7 +167,7 @@
             double onlineSince = Clock.seconds(in.wholeOr("online-since-us", 0));
             Listed.Health health = health(in.text("health"));
             ShapeId shape = shapes.computeIfAbsent(in.text("shape"), n -> new ShapeId(shapes.size()));
-            ZoneId zone = zones.computeIfAbsent(in.text("zone"), n -> new ZoneId(zones.size()));
+            ZoneId zone = ZoneId.of(in.text("zone"));
             rows.add(new Listed(upstream, health, onlineSince, scale, cell, zone, shape));
             in.endMessage();
         }
--- a/daemon/src/main/java/portrelay/drill/Replies.java
+++ b/daemon/src/main/java/portrelay/drill/Replies.java
@@ -16,6 +16,8 @@
 
     private static final SerializedString SEND = new SerializedString("hand-off");
     private static final SerializedString CALL_OFF = new SerializedString("call-off");
+    private static final SerializedString PROBE = new SerializedString("sample");
+    private static final SerializedString TELL = new SerializedString("notify");
     private static final SerializedString ALARM = new SerializedString("set-timer");
 
     private final OutputStream out;
@@ -118,6 +120,32 @@
             action(new SerializedString("stream-changes"), () -> json.writeBoolean(true));
         }
 
+        @Override
+        public void probe(UpstreamId upstream) {
+            action(PROBE, () -> json.writeNumber(upstream.value()));
+        }
+
+        @Override
+        public void tell(int sidecar, String text) {
+            action(TELL, () -> {
+                json.writeNumber(sidecar);
+                json.writeString(text);
+            });
+        }
+
+        @Override
+        public void tellAll(String text) {
+            action(TELL, () -> {
+                json.writeString("all");
+                json.writeString(text);
+            });
+        }
+
+        @Override
+        public void letGo(UpstreamId upstream) {
+            action(new SerializedString("let-go"), () -> json.writeNumber(upstream.value()));
+        }
+
         @Override
         public void note(String text) {
             action(new SerializedString("debug"), () -> json.writeString(text));
--- a/daemon/src/main/java/portrelay/net/ListPage.java
+++ b/daemon/src/main/java/portrelay/net/ListPage.java
@@ -31,7 +31,7 @@
             Listed listed = new Listed(new UpstreamId(hash(each.text(Names.HOST))), health,
                     Clock.fromUnixMillis(each.number(Names.BORN_MS, 0)), each.number(Names.SCALE, 1),
                     new GroupId((long) each.number(Names.CELL, 0)),
-                    new ZoneId((int) hash(each.text(Names.ZONE, ""))),
+                    ZoneId.of(each.text(Names.ZONE, "")),
                     new ShapeId((int) hash(each.text(Names.SHAPE, ""))));
             rows.add(new Row(listed, address));
         }
--- a/daemon/src/main/java/portrelay/net/ModuleActor.java
+++ b/daemon/src/main/java/portrelay/net/ModuleActor.java
@@ -50,7 +50,7 @@
         this.loop = loop;
         this.log = log;
         this.mailbox = new Mailbox(loop, log);
-        this.decide = settings.start(this, seed, true);
+        this.decide = settings.startOnSockets(this, seed);
     }
 
     void start(Watch watch) {
@@ -228,6 +228,31 @@
         watch.watch();
     }
 
+    /** The platform's protocol has no probes, messages or say over connections: the module knows that. */
+    private static UnsupportedOperationException notOnSockets() {
+        return new UnsupportedOperationException("the module was told that sockets do not offer this");
+    }
+
+    @Override
+    public void probe(UpstreamId upstream) {
+        throw notOnSockets();
+    }
+
+    @Override
+    public void tell(int sidecar, String text) {
+        throw notOnSockets();
+    }
+
+    @Override
+    public void tellAll(String text) {
+        throw notOnSockets();
+    }
+
+    @Override
+    public void letGo(UpstreamId upstream) {
+        throw notOnSockets();
+    }
+
     @Override
     public void note(String text) {
         log.info(text);
