--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -68,7 +68,7 @@
             new Row(State.BARE, Input.LEFT, State.CLOSED, NOTHING),
             new Row(State.BARE, Input.PLACED, State.ALONE, NOTHING),
             new Row(State.BARE, Input.NOWHERE, State.CLOSED, Decide::giveUp),
-            new Row(State.HELD, Input.TURN, State.ALONE, Decide::sendFirst),
+            new Row(State.HELD, Input.TURN, State.LOOKING, Decide::look),
             new Row(State.HELD, Input.WAITED, State.CLOSED, Decide::giveUp),
             new Row(State.HELD, Input.LEFT, State.CLOSED, NOTHING));
 
@@ -107,10 +107,11 @@
     private static final int LOOKS = 5;
     private static final int MOST_LOOKS = 2;
     private static final double LOOK_WAIT = 0.004;
+    private static final double LOOK_EVERY = 0.015;
     private static final double LOOK_FRESH = 0.008;
     private static final double COPY_SHARE = 0.6;
     private static final double FIT_SHARE = 0.9;
-    private static final double OLD_TRIALS = 0.02;
+    private static final double OLD_TRIALS = 0.01;
     private static final int OVERTAKEN = 4;
     private static final double LONGEST_TOLD = 1.5;
 
@@ -382,13 +383,18 @@
 
     /** A query that no upstream may take now waits a while: cold ones take little, the list is late. */
     private Input hold(Query q) {
+        double budget = Math.min(q.offering.targetTime(), q.asked.cutOffAt() - q.arrivedAt);
+        // Below one in flight room comes with time alone, so a little more of it is worth the wait.
+        double share = !seen && total.size < 1 ? QUIET_WAIT_SHARE : LONGEST_WAIT_SHARE;
+        double until = q.arrivedAt + budget * share;
+        if (site.looks()) {
+            due(now + LOOK_EVERY, q, Input.TURN);
+            return now + LOOK_EVERY < until ? null : Input.WAITED;
+        }
         if (!q.waiting) {
             q.waiting = true;
             held.add(q);
-            double budget = Math.min(q.offering.targetTime(), q.asked.cutOffAt() - q.arrivedAt);
-            // Below one in flight room comes with time alone, so a little more of it is worth the wait.
-            double share = total.size < 1 ? QUIET_WAIT_SHARE : LONGEST_WAIT_SHARE;
-            due(q.arrivedAt + budget * share, q, Input.WAITED);
+            due(until, q, Input.WAITED);
         }
         return null;
     }
@@ -396,10 +402,10 @@
     /** Where upstreams tell their load to probes alone, a few are asked; the first idle one ends the wait. */
     private Input look(Query q) {
         q.then = q.state == State.ALONE ? Input.COPY_SEEN : Input.SEEN;
+        q.looks = q.executions.isEmpty() ? q.looks + 1 : MOST_LOOKS;
         if (!site.looks() || now + LOOK_WAIT >= q.asked.cutOffAt() || q.state == State.ALONE && q.copied) {
             return q.then;
         }
-        q.looks = q.executions.isEmpty() ? q.looks + 1 : MOST_LOOKS;
         List<Upstream> all = new ArrayList<>(roster);
         all.removeIf(u -> u.passedOver() && now < u.passedUntil || !mayTake(q, u));
         q.sought.clear();
@@ -517,11 +523,12 @@
         blindToo = site.looks() && roster.stream().noneMatch(u -> !blind(u) && mayTake(q, u));
         Upstream u = pickAmong(q, mean, Health.OWN_FAULT, false);
         u = u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, false);
-        return u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, true);
+        u = u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, true);
+        return u;
     }
 
     private boolean mayTake(Query q, Upstream u) {
-        return u.ready && (seen ? part == null || part.has(u) : u.inFlight < u.limit) && !q.triedAt(u) && maySend(q, u) && cold.admits(u, now);
+        return u.ready && (seen || u.inFlight < u.limit) && (part == null || part.has(u)) && !q.triedAt(u) && maySend(q, u) && cold.admits(u, now);
     }
 
     private Upstream pickAmong(Query q, double mean, double worstPace, boolean passedOverToo) {
@@ -539,10 +546,11 @@
             }
             if (seen) {
                 // What answered no probe, or nobody, is left until nothing else is there.
-                double due = expected(u) * pace;
+                double due = expected(u) * (site.looks() ? 1 : pace);
                 boolean may = inTime(q, due) && (!q.asked.again() || load(u) < u.cores);
-                if (due < least && (blind(u) ? blindToo : may)) {
-                    least = due;
+                double cost = part != null && part.deaf(now) ? -due * Math.log(chance.nextDouble()) : due;
+                if (cost < least && (blind(u) ? blindToo : may)) {
+                    least = cost;
                     pick = u;
                 }
                 continue;
@@ -568,12 +576,13 @@
 
     /** In flight there as far as anybody told us. */
     private double load(Upstream u) {
-        return part != null ? u.told.size() : site.looks() ? u.reported : u.inFlight;
+        return part != null ? part.deaf(now) ? Math.max(u.told.size(), u.listedHeld()) : u.told.size() : site.looks() ? u.reported : u.inFlight;
     }
 
     /** It answered no probe just now, or none of those who share it for long. */
     private boolean blind(Upstream u) {
-        return part == null ? now > u.reportedAt + LOOK_FRESH : u.silent(now);
+        return part == null ? now > u.reportedAt + LOOK_FRESH
+                : u.silent(now) || u.restedOut > 0 && part.reaping(now);
     }
 
     /** How long a query takes there, with those before it, as a multiple of the usual time alone. */
@@ -583,7 +592,7 @@
 
     /** Guards against queues that no answer comes out of in time; over their share tenants wait for less. */
     private boolean inTime(Query q, double expected) {
-        double fit = FIT_SHARE * (0.5 + 0.5 * Math.min(1, shareTaken(q.asked.tenant())));
+        double fit = FIT_SHARE * (0.7 + 0.3 * Math.min(1, shareTaken(q.asked.tenant())));
         double target = q.offering.targetTime();
         return now - q.arrivedAt + expected * health.usualTime(q.offering, target / 3) <= target * fit;
     }
@@ -604,6 +613,7 @@
         q.executions.add(new Execution(q.executions.size(), u, now, trial, expected(u), idle,
                 u.handled + (int) load(u) + OVERTAKEN));
         u.inFlight++;
+        u.restedOut += idle > 0 ? 1 : 0;
         u.reported++;
         if (part != null) {
             u.told.add(new Upstream.Told(site.me(), now));
@@ -618,6 +628,7 @@
     private void shareEnd(Query q, Execution e) {
         Upstream u = e.at;
         u.ended(site.me());
+        u.restedOut -= e.idle > 0 ? 1 : 0;
         boolean handled = e.outcome == Outcome.HANDLED;
         boolean lost = !handled && e.idle > 0 && u.handled >= e.overtakenAt && !e.outcome.neverRan;
         if (lost) {
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -34,11 +34,12 @@
     private static final double NEXT_LAYING = 1;
     private static final double HELLO_EVERY = 20;
     private static final double OLD = 1;
+    private static final double DEAF = 0.5;
     private static final char FIRST_CODE = '!';
     private static final int CODES = 23;
     private static final int ZONE_CODES = 90;
     private static final char OF_THE_PART = '~';
-    private static final double REAPED_FOR = 5;
+    private static final double REAPED_FOR = 20;
     private static final double REAP_SPARE = 0.85;
     private static final double AGE_STEP = 0.03;
 
@@ -53,6 +54,7 @@
     private List<Upstream> ready = List.of();
     private String home = "";
     private double layAt;
+    private double heardAt;
     private double helloAt;
     private double reapAge = Double.POSITIVE_INFINITY;
     private double reapUntil = Double.NEGATIVE_INFINITY;
@@ -241,8 +243,14 @@
         }
     }
 
+    /** Nobody of many has said a word for long: what they have in flight is not known. */
+    boolean deaf(double now) {
+        return !sharers.isEmpty() && now > heardAt + DEAF;
+    }
+
     /** Null for what is no news of an execution; what is torn or foreign changes nothing. */
     News heard(int from, String text, double now) {
+        heardAt = now;
         if (text.length() >= 3 && text.charAt(0) == OF_THE_PART) {
             heardOfPart(from, text, now);
             return null;
@@ -277,6 +285,10 @@
 
     // ---- Connections that were dropped unseen ---------------------------------------------------------------
 
+    boolean reaping(double now) {
+        return now < reapUntil;
+    }
+
     /** Whether a connection that was last heard of so long ago is better not used. */
     boolean tooOld(double idle, double now) {
         return now < reapUntil && idle > reapAge;
@@ -293,7 +305,11 @@
             reapToldAt = now;
             int step = Math.max(0, Math.min(89, (int) Math.round(Math.log(Math.max(AGE_STEP, idle)) * 10) + 45));
             String text = "" + OF_THE_PART + 'r' + (char) (FIRST_CODE + step);
-            sharers.forEach(each -> out.tell(each, text));
+            if (fresh) {
+                out.tellAll(text);
+            } else {
+                sharers.forEach(each -> out.tell(each, text));
+            }
         }
     }
 }
--- a/core/src/main/java/portrelay/policy/Upstream.java
+++ b/core/src/main/java/portrelay/policy/Upstream.java
@@ -12,6 +12,7 @@
     static final double EVIDENCE = Math.log(1000);
     static final int PACE_SAMPLES = 16;
     static final int FEW = 4;
+    private static final int LISTS = 3;
     private static final double LEAST_STEP = 0.02;
     private static final double SILENT = 0.3;
     static final double FIRST_LIMIT = 1.5;
@@ -43,6 +44,9 @@
     double limit = FIRST_LIMIT;
     double cutAt = Double.NEGATIVE_INFINITY;
     final Samples paces = new Samples(PACE_SAMPLES);
+    private final Samples holds = new Samples(LISTS);
+    /** Ours that are out on connections that had rested. */
+    int restedOut;
     final Samples prompt = new Samples(FEW);
 
     Upstream(UpstreamId id) {
@@ -55,12 +59,18 @@
     void weighted(double scale, boolean live) {
         size = live ? Math.max(size, scale) : scale;
         double held = live ? size / scale - 1 : 0;
+        holds.add(0, held);
         if (held > LEAST_STEP && held < step) {
             step = held;
             cores = Math.max(1, Math.rint(1 / step));
         }
     }
 
+    /** Mean of what the last lists showed in hand. */
+    double listedHeld() {
+        return cores * holds.mean(Double.NEGATIVE_INFINITY, 0, 0);
+    }
+
     void ended(int sidecar) {
         for (int i = 0; i < told.size(); i++) {
             if (told.get(i).sidecar == sidecar) {
