--- a/core/src/main/java/portrelay/door/Door.java
+++ b/core/src/main/java/portrelay/door/Door.java
@@ -9,6 +9,8 @@
 import java.util.TreeSet;
 import portrelay.model.OfferingId;
 import portrelay.model.QueryId;
+import portrelay.model.Samples;
+import portrelay.model.Table;
 import portrelay.model.TenantId;
 
 /**
@@ -26,31 +28,21 @@
 
     enum Input { ARRIVED, HOPELESS, TURN, WAITED, CROWDED_OUT, LEFT, ANSWERED }
 
-    /** What a row does; the input it returns, if any, is read from the row's next state at once. */
-    private interface Effect {
-        Input on(Door d, Query q);
+    private static final Table<State, Input, Door, Query> TABLE = new Table<>(State.class, Input.class, List.of(
+            row(State.NEW, Input.ARRIVED, State.WAITING, Door::join),
+            row(State.WAITING, Input.HOPELESS, State.OVER, Door::turnAway),
+            row(State.WAITING, Input.CROWDED_OUT, State.OVER, Door::turnAway),
+            row(State.WAITING, Input.WAITED, State.OVER, Door::turnAway),
+            row(State.WAITING, Input.TURN, State.INSIDE, Door::letIn),
+            row(State.WAITING, Input.LEFT, State.OVER, Door::forget),
+            row(State.INSIDE, Input.ANSWERED, State.OVER, Door::giveBack)));
+
+    private static Table.Row<State, Input, Door, Query> row(State state, Input input, State next,
+            Table.Effect<Door, Query, Input> effect) {
+        return new Table.Row<>(state, input, next, effect);
     }
 
-    private record Row(State state, Input input, State next, Effect effect) { }
-
-    private static final List<Row> TABLE = List.of(
-            new Row(State.NEW, Input.ARRIVED, State.WAITING, Door::join),
-            new Row(State.WAITING, Input.HOPELESS, State.OVER, Door::turnAway),
-            new Row(State.WAITING, Input.CROWDED_OUT, State.OVER, Door::turnAway),
-            new Row(State.WAITING, Input.WAITED, State.OVER, Door::turnAway),
-            new Row(State.WAITING, Input.TURN, State.INSIDE, Door::letIn),
-            new Row(State.WAITING, Input.LEFT, State.OVER, Door::forget),
-            new Row(State.INSIDE, Input.ANSWERED, State.OVER, Door::giveBack));
-
-    private static final Row[][] ROWS = new Row[State.values().length][Input.values().length];
-
-    static {
-        for (Row row : TABLE) {
-            ROWS[row.state.ordinal()][row.input.ordinal()] = row;
-        }
-    }
-
-    private static final class Query {
+    private static final class Query implements Table.Subject<State> {
         private final Caller caller;
         private final FlowId flow;
         private final long order;
@@ -63,6 +55,16 @@
             this.flow = flow;
             this.order = order;
         }
+
+        @Override
+        public State state() {
+            return state;
+        }
+
+        @Override
+        public void state(State next) {
+            state = next;
+        }
     }
 
     /** As many let-ins tell how fast the queue moves; fewer than the least tell nothing. */
@@ -187,14 +189,8 @@
     // ---- The table's effects ----------------------------------------------------------------------------
 
     private void step(Query q, Input first) {
-        Input input = q == null ? null : first;
-        while (input != null) {
-            Row row = ROWS[q.state.ordinal()][input.ordinal()];
-            if (row == null) {
-                return;
-            }
-            q.state = row.next;
-            input = row.effect.on(this, q);
+        if (q != null) {
+            TABLE.step(this, q, first);
         }
     }
 
--- /dev/null
+++ b/core/src/main/java/portrelay/model/Table.java
@@ -0,0 +1,48 @@
+package portrelay.model;
+
+import java.util.List;
+
+/**
+ * A table of state, input, next state and effect, read by a short loop. Promises that an input without a row
+ * changes nothing: timers can't be taken back and come late. S and I are the states and inputs, D what
+ * decides, Q what it decides on.
+ */
+public final class Table<S extends Enum<S>, I extends Enum<I>, D, Q extends Table.Subject<S>> {
+
+    /** Whatever has a state. */
+    public interface Subject<S> {
+        S state();
+
+        void state(S next);
+    }
+
+    /** What a row does; the input it returns, if any, is read from the row's next state at once. */
+    public interface Effect<D, Q, I> {
+        I on(D decider, Q subject);
+    }
+
+    public record Row<S, I, D, Q>(S state, I input, S next, Effect<D, Q, I> effect) { }
+
+    private final Row<S, I, D, Q>[][] rows;
+
+    @SuppressWarnings({"unchecked", "rawtypes"})
+    public Table(Class<S> states, Class<I> inputs, List<Row<S, I, D, Q>> table) {
+        rows = new Row[states.getEnumConstants().length][inputs.getEnumConstants().length];
+        for (Row<S, I, D, Q> row : table) {
+            rows[row.state.ordinal()][row.input.ordinal()] = row;
+        }
+    }
+
+    /** A null input is none. */
+    public void step(D decider, Q subject, I first) {
+        I input = first;
+        while (input != null) {
+            Row<S, I, D, Q> row = rows[subject.state().ordinal()][input.ordinal()];
+            if (row == null) {
+                return;
+            }
+            subject.state(row.next);
+            input = row.effect.on(decider, subject);
+        }
+    }
+}
--- a/core/src/main/java/portrelay/policy/Cold.java
+++ b/core/src/main/java/portrelay/policy/Cold.java
@@ -1,31 +1,30 @@
 package portrelay.policy;
 
 import java.util.List;
+import portrelay.model.ColdRule;
 
 /**
  * Guards against all sidecars together pushing over an upstream that has just started: each sends it no
  * more than a ramp's share of what it sends a like warm one, so the sum keeps to the ramp.
  */
 final class Cold {
-    private final double share;
-    private final double time;
+    private final ColdRule rule;
     private final double stretch;
     private final boolean sized;
 
-    Cold(double share, double time, double overloadFactor, boolean sized) {
+    Cold(ColdRule rule, boolean sized) {
         // Halfway, in ratio, between what it can surely do and what pushes it over.
-        this.stretch = Math.sqrt(overloadFactor);
-        this.share = share;
-        this.time = time;
+        this.stretch = Math.sqrt(rule.overloadFactor());
+        this.rule = rule;
         this.sized = sized;
     }
 
     double ramp(Upstream u, double now) {
         double since = u.listed.onlineSince();
-        if (since <= 0 || now >= since + time || time <= 0) {
+        if (since <= 0 || now >= since + rule.time() || rule.time() <= 0) {
             return 1;
         }
-        return share + (1 - share) * Math.max(0, now - since) / time;
+        return rule.share() + (1 - rule.share()) * Math.max(0, now - since) / rule.time();
     }
 
     boolean admits(Upstream u, double now) {
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -7,29 +7,9 @@
 // portrelay.model. A call never waits and instances share nothing. docs/design.md tells what is kept of the
 // design, what is changed and when each change acts.
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Set;
-import java.util.SplittableRandom;
-import portrelay.model.Asked;
-import portrelay.model.ColdRule;
-import portrelay.model.Effects;
-import portrelay.model.ListNews;
-import portrelay.model.ListRule;
-import portrelay.model.Listed;
-import portrelay.model.LoadReport;
-import portrelay.model.Offering;
-import portrelay.model.Outcome;
-import portrelay.model.Permits;
-import portrelay.model.QueryId;
-import portrelay.model.Site;
-import portrelay.model.Tenant;
-import portrelay.model.TenantId;
-import portrelay.model.UpstreamId;
+import java.util.*;
+import portrelay.gossip.Gossip;
+import portrelay.model.*;
 
 public final class Decide {
 
@@ -38,58 +18,42 @@
     /** HELD has nothing out and waits for a place; BARE has nothing out after one that did not help. */
     enum State { FRESH, LOOKING, HELD, ALONE, RACING, BARE, CLOSED }
 
-    enum Input { ARRIVED, SEEN, AGAIN, NOWHERE, TURN, WAITED, PLACED, COPY_DUE, COPY_SEEN, KEPT, ENDED, WON, LEFT }
-
-    /** What a row does; the input it returns, if any, is read from the row's next state at once. */
-    private interface Effect {
-        Input on(Decide d, Query q);
+    enum Input { ARRIVED, SEEN, AGAIN, NOWHERE, TURN, WAITED, PLACED, COPY_DUE, COPY_SEEN, KEPT, ENDED, WON,
+        LEFT }
+
+    private static final Table.Effect<Decide, Query, Input> NOTHING = (d, q) -> null;
+
+    private static final Table<State, Input, Decide, Query> TABLE = new Table<>(State.class,
+            Input.class, List.of(
+            row(State.FRESH, Input.ARRIVED, State.LOOKING, Decide::look),
+            row(State.LOOKING, Input.SEEN, State.ALONE, Decide::sendFirst),
+            row(State.LOOKING, Input.LEFT, State.CLOSED, NOTHING),
+            row(State.ALONE, Input.AGAIN, State.LOOKING, Decide::look),
+            row(State.ALONE, Input.NOWHERE, State.HELD, Decide::hold),
+            row(State.ALONE, Input.COPY_DUE, State.ALONE, Decide::look),
+            row(State.ALONE, Input.COPY_SEEN, State.RACING, Decide::sendCopy),
+            row(State.ALONE, Input.ENDED, State.BARE, Decide::look),
+            row(State.ALONE, Input.WON, State.CLOSED, Decide::callOffRest),
+            row(State.ALONE, Input.LEFT, State.CLOSED, Decide::callOffRest),
+            row(State.RACING, Input.KEPT, State.ALONE, NOTHING),
+            row(State.RACING, Input.ENDED, State.ALONE, NOTHING),
+            row(State.RACING, Input.WON, State.CLOSED, Decide::callOffRest),
+            row(State.RACING, Input.LEFT, State.CLOSED, Decide::callOffRest),
+            row(State.BARE, Input.SEEN, State.BARE, Decide::sendFurther),
+            row(State.BARE, Input.LEFT, State.CLOSED, NOTHING),
+            row(State.BARE, Input.PLACED, State.ALONE, NOTHING),
+            row(State.BARE, Input.NOWHERE, State.CLOSED, Decide::giveUp),
+            row(State.HELD, Input.TURN, State.LOOKING, Decide::look),
+            row(State.HELD, Input.WAITED, State.CLOSED, Decide::giveUp),
+            row(State.HELD, Input.LEFT, State.CLOSED, NOTHING)));
+
+    private static Table.Row<State, Input, Decide, Query> row(State state, Input input, State next,
+            Table.Effect<Decide, Query, Input> effect) {
+        return new Table.Row<>(state, input, next, effect);
     }
 
-    private record Row(State state, Input input, State next, Effect effect) { }
-
-    private static final Effect NOTHING = (d, q) -> null;
-
-    private static final List<Row> TABLE = List.of(
-            new Row(State.FRESH, Input.ARRIVED, State.LOOKING, Decide::look),
-            new Row(State.LOOKING, Input.SEEN, State.ALONE, Decide::sendFirst),
-            new Row(State.LOOKING, Input.LEFT, State.CLOSED, NOTHING),
-            new Row(State.ALONE, Input.AGAIN, State.LOOKING, Decide::look),
-            new Row(State.ALONE, Input.NOWHERE, State.HELD, Decide::hold),
-            new Row(State.ALONE, Input.COPY_DUE, State.ALONE, Decide::look),
-            new Row(State.ALONE, Input.COPY_SEEN, State.RACING, Decide::sendCopy),
-            new Row(State.ALONE, Input.ENDED, State.BARE, Decide::look),
-            new Row(State.ALONE, Input.WON, State.CLOSED, Decide::callOffRest),
-            new Row(State.ALONE, Input.LEFT, State.CLOSED, Decide::callOffRest),
-            new Row(State.RACING, Input.KEPT, State.ALONE, NOTHING),
-            new Row(State.RACING, Input.ENDED, State.ALONE, NOTHING),
-            new Row(State.RACING, Input.WON, State.CLOSED, Decide::callOffRest),
-            new Row(State.RACING, Input.LEFT, State.CLOSED, Decide::callOffRest),
-            new Row(State.BARE, Input.SEEN, State.BARE, Decide::sendFurther),
-            new Row(State.BARE, Input.LEFT, State.CLOSED, NOTHING),
-            new Row(State.BARE, Input.PLACED, State.ALONE, NOTHING),
-            new Row(State.BARE, Input.NOWHERE, State.CLOSED, Decide::giveUp),
-            new Row(State.HELD, Input.TURN, State.LOOKING, Decide::look),
-            new Row(State.HELD, Input.WAITED, State.CLOSED, Decide::giveUp),
-            new Row(State.HELD, Input.LEFT, State.CLOSED, NOTHING));
-
-    private static final Row[][] ROWS = new Row[State.values().length][Input.values().length];
-
-    static {
-        for (Row row : TABLE) {
-            ROWS[row.state.ordinal()][row.input.ordinal()] = row;
-        }
-    }
-
-    /** An input that a state has no row for changes nothing: timers can't be taken back and come late. */
     private void step(Query q, Input input) {
-        while (input != null) {
-            Row row = ROWS[q.state.ordinal()][input.ordinal()];
-            if (row == null) {
-                return;
-            }
-            q.state = row.next;
-            input = row.effect.on(this, q);
-        }
+        TABLE.step(this, q, input);
     }
 
     // ---- What is held -----------------------------------------------------------------------------------
@@ -117,7 +81,7 @@
 
     private final Effects out;
     private final SplittableRandom chance;
-    private final List<Offering> offerings;
+    private final Deployment of;
     private final Permits permits;
     private final Cold cold;
     private final ListWatch watch;
@@ -133,7 +97,6 @@
     private final List<Query> held = new ArrayList<>();
     private final PriorityQueue<Due> dues = new PriorityQueue<>(
             (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
-    private final List<Tenant> tenants;
     private final List<Samples> tenantSent = new ArrayList<>();
     private long dueOrder;
     private final Samples arrivals = new Samples(RATE_SAMPLES);
@@ -142,20 +105,17 @@
     private double alarmAt = Double.POSITIVE_INFINITY;
     private double now;
 
-    public Decide(Effects out, long seed, List<Offering> offerings, List<Tenant> tenants, Permits permits,
-            ColdRule coldRule, ListRule listRule, Site site) {
+    public Decide(Effects out, long seed, Deployment of) {
         this.out = out;
+        this.of = of;
         this.chance = new SplittableRandom(seed);
-        this.offerings = offerings;
-        this.permits = permits;
-        this.tenants = tenants;
-        tenants.forEach(each -> tenantSent.add(new Samples(TENANT_SAMPLES)));
-        this.health = new Health(offerings.size());
-        this.cold = new Cold(coldRule.share(), coldRule.time(), coldRule.overloadFactor(),
-                site.weights() != Site.Weights.SILENT);
-        this.site = site;
+        this.permits = of.permits();
+        this.site = of.site();
         this.seen = site.looks() || site.shares();
-        this.watch = new ListWatch(out, chance, listRule.onRequest(), listRule.askWithin());
+        of.tenants().forEach(each -> tenantSent.add(new Samples(TENANT_SAMPLES)));
+        this.health = new Health(of.offerings().size());
+        this.cold = new Cold(of.cold(), site.weights() != Site.Weights.SILENT);
+        this.watch = new ListWatch(out, chance, of.list());
     }
 
     // ---- Events -----------------------------------------------------------------------------------------
@@ -169,20 +129,22 @@
 
     public void arrival(double time, Asked asked) {
         now = time;
-        Query q = new Query(asked, offerings.get(asked.offering().value()), time);
+        Query q = new Query(asked, of.offerings().get(asked.offering().value()), time);
         queries.put(asked.id(), q);
         health.visitsEach((part == null ? roster.size() : part.size()) * arrivals.spacing(now));
         arrivals.add(now, 1);
-        if (asked.tenant() != null) {
-            countTenant(asked.tenant().value());
-        }
+        countTenant(number(asked.tenant()));
         step(q, Input.ARRIVED);
         forgetIfDone(q);
         armAlarm();
     }
 
+    private static int number(TenantId tenant) {
+        return tenant == null ? -1 : tenant.value();
+    }
+
     private void countTenant(int tenant) {
-        for (int i = 0; i < tenantSent.size(); i++) {
+        for (int i = 0; i < tenantSent.size() && tenant >= 0; i++) {
             tenantSent.get(i).add(now, tenant == i ? 1 : 0);
         }
     }
@@ -208,33 +170,26 @@
         armAlarm();
     }
 
-    /** What another sidecar tells; wherever it is not of our part it changes nothing. */
+    /** What another sidecar tells; where it is not of our part it changes nothing. */
     public void heard(double time, int from, String text) {
         now = time;
-        Part.News news = part == null ? null : part.heard(from, text, now);
-        if (news != null && news.word() == Part.Word.BEGUN) {
-            news.at().told.add(new Upstream.Told(from, now));
-            if (news.tenant() >= 0) {
-                countTenant(news.tenant());
+        Gossip.News news = part == null ? null : part.gossip.heard(from, text, now);
+        Upstream u = news == null ? null : part.at(news.code());
+        if (news != null && news.word() == Gossip.Word.LOST) {
+            part.lost(news.rested(), now, false);
+        } else if (u != null && news.word() == Gossip.Word.BEGUN) {
+            u.told.add(new Upstream.Told(from, now));
+            countTenant(news.tenant());
+        } else if (u != null) {
+            u.ended(from, news.word(), now);
+            if (news.word() != Gossip.Word.DROPPED) {
+                health.weigh(now, u, news.word() == Gossip.Word.FAILED);
             }
-        } else if (news != null) {
-            news.at().ended(from);
-            endedAt(news.at(), news.word());
             placeHeld();
         }
         armAlarm();
     }
 
-    private void endedAt(Upstream u, Part.Word word) {
-        if (word == Part.Word.HANDLED) {
-            u.handledAt = now;
-            u.handled++;
-        }
-        if (word != Part.Word.DROPPED) {
-            health.weigh(now, u, word == Part.Word.FAILED);
-        }
-    }
-
     public void outcome(double time, QueryId id, int execution, Outcome outcome, boolean ended,
             LoadReport report) {
         now = time;
@@ -301,7 +256,7 @@
             watch.ask();
         }
         if (part != null) {
-            part.look(now);
+            part.turn(now);
         }
         placeHeld();
         armAlarm();
@@ -523,60 +478,54 @@
         blindToo = site.looks() && roster.stream().noneMatch(u -> !blind(u) && mayTake(q, u));
         Upstream u = pickAmong(q, mean, Health.OWN_FAULT, false);
         u = u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, false);
-        u = u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, true);
-        return u;
+        return u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, true);
     }
 
     private boolean mayTake(Query q, Upstream u) {
-        return u.ready && (seen || u.inFlight < u.limit) && (part == null || part.has(u)) && !q.triedAt(u) && maySend(q, u) && cold.admits(u, now);
+        return u.ready && (seen || u.inFlight < u.limit) && (part == null || part.has(u)) && !q.triedAt(u)
+                && maySend(q, u) && cold.admits(u, now);
     }
 
     private Upstream pickAmong(Query q, double mean, double worstPace, boolean passedOverToo) {
         Upstream pick = null;
         double least = Double.POSITIVE_INFINITY;
-        double bestDraw = 0;
-        boolean idle = false;
         for (Upstream u : roster) {
-            if (u.passedOver() && !passedOverToo || !mayTake(q, u)) {
-                continue;
-            }
-            double pace = health.pace(u, now);
-            if (pace >= worstPace) {
-                continue;
-            }
-            if (seen) {
-                // What answered no probe, or nobody, is left until nothing else is there.
-                double due = expected(u) * (site.looks() ? 1 : pace);
-                boolean may = inTime(q, due) && (!q.asked.again() || load(u) < u.cores);
-                double cost = part != null && part.deaf(now) ? -due * Math.log(chance.nextDouble()) : due;
-                if (cost < least && (blind(u) ? blindToo : may)) {
-                    least = cost;
-                    pick = u;
-                }
-                continue;
-            }
-            double load = u.inFlight + (now < u.seenAt + SETTLING ? mean : 0);
-            if (load == 0) {
-                double draw = Math.log(chance.nextDouble()) * pace * pace / u.listed.scale();
-                if (!idle || draw > bestDraw) {
-                    idle = true;
-                    bestDraw = draw;
-                    pick = u;
-                }
-            } else if (!idle) {
-                double weighed = load * pace / u.listed.scale();
-                if (weighed < least) {
-                    least = weighed;
-                    pick = u;
-                }
+            boolean not = u.passedOver() && !passedOverToo || !mayTake(q, u);
+            double pace = not ? worstPace : health.pace(u, now);
+            double cost = pace >= worstPace ? Double.POSITIVE_INFINITY
+                    : seen ? seenCost(q, u, pace) : ownCost(u, mean, pace);
+            if (cost < least) {
+                least = cost;
+                pick = u;
             }
         }
         return pick;
     }
 
+    /** The idle ones draw lots, all before those that are not; the slow and small with less luck. */
+    private double ownCost(Upstream u, double mean, double pace) {
+        double load = u.inFlight + (now < u.seenAt + SETTLING ? mean : 0);
+        return load > 0 ? load * pace / u.size : u.size / (Math.log(chance.nextDouble()) * pace * pace);
+    }
+
+    /** Soonest done; by lot where what the others have in flight is known from the list alone. */
+    private double seenCost(Query q, Upstream u, double pace) {
+        double due = expected(u) * (site.looks() ? 1 : pace);
+        // A client's retry earns little by then: it takes what is idle, and nobody waits behind it.
+        boolean may = inTime(q, due) && (!q.asked.again() || load(u) < u.cores);
+        if (blind(u) ? !blindToo : !may) {
+            return Double.POSITIVE_INFINITY;
+        }
+        return deaf() ? -due * Math.log(chance.nextDouble()) : due;
+    }
+
+    private boolean deaf() {
+        return part != null && part.gossip.deaf(now);
+    }
+
     /** In flight there as far as anybody told us. */
     private double load(Upstream u) {
-        return part != null ? part.deaf(now) ? Math.max(u.told.size(), u.listedHeld()) : u.told.size() : site.looks() ? u.reported : u.inFlight;
+        return part == null ? u.reported : deaf() ? Math.max(u.told.size(), u.listedHeld()) : u.told.size();
     }
 
     /** It answered no probe just now, or none of those who share it for long. */
@@ -604,20 +553,21 @@
     private void send(Query q, Upstream u) {
         boolean trial = u.passedOver() && now >= u.passedUntil;
         u.trialOut |= trial;
-        double idle = u.inFlight == 0 && u.answeredAt > 0 ? now - u.answeredAt : 0;
-        boolean trialOfOld = q.offering.repeats() == Offering.Repeats.REISSUABLE && chance.nextDouble() < OLD_TRIALS;
-        if (part != null && !trialOfOld && part.tooOld(idle, now)) {
+        double rested = part != null && u.inFlight == 0 && u.answeredAt > 0 ? now - u.answeredAt : 0;
+        // A few that may run again go out on old ones all the same: else nobody learns that they hold again.
+        boolean mayTry = q.offering.repeats() == Offering.Repeats.REISSUABLE;
+        if (rested > 0 && part.tooOld(rested, now) && !(mayTry && chance.nextDouble() < OLD_TRIALS)) {
             out.letGo(u.id);
-            idle = 0;
+            rested = 0;
         }
-        q.executions.add(new Execution(q.executions.size(), u, now, trial, expected(u), idle,
+        q.executions.add(new Execution(q.executions.size(), u, now, trial, expected(u), rested,
                 u.handled + (int) load(u) + OVERTAKEN));
         u.inFlight++;
-        u.restedOut += idle > 0 ? 1 : 0;
+        u.restedOut += rested > 0 ? 1 : 0;
         u.reported++;
         if (part != null) {
             u.told.add(new Upstream.Told(site.me(), now));
-            part.tell(Part.Word.BEGUN, u, q.asked.tenant() == null ? -1 : q.asked.tenant().value());
+            part.tell(Gossip.Word.BEGUN, u, number(q.asked.tenant()));
         }
         total.inFlight++;
         cold.sent(u, roster, now);
@@ -626,25 +576,21 @@
 
     /** Tells the others of an end; what was overtaken on a rested connection tells of the connection. */
     private void shareEnd(Query q, Execution e) {
-        Upstream u = e.at;
-        u.ended(site.me());
-        u.restedOut -= e.idle > 0 ? 1 : 0;
         boolean handled = e.outcome == Outcome.HANDLED;
-        boolean lost = !handled && e.idle > 0 && u.handled >= e.overtakenAt && !e.outcome.neverRan;
-        if (lost) {
-            part.reaped(e.idle, now, true);
-        }
+        boolean lost = !handled && e.rested > 0 && e.at.handled >= e.overtakenAt && !e.outcome.neverRan;
+        boolean off = e.outcome == Outcome.CALLED_OFF;
         boolean failed = !lost && !handled && !e.outcome.neverRan
-                && (e.outcome != Outcome.CALLED_OFF || now - e.sentAt > q.offering.targetTime() * COPY_SHARE);
-        Part.Word word = handled ? Part.Word.HANDLED : failed ? Part.Word.FAILED : Part.Word.DROPPED;
-        if (handled) {
-            u.answeredAt = now;
-            u.handledAt = now;
-            u.handled++;
-        } else if (failed && e.outcome == Outcome.CALLED_OFF) {
-            health.weigh(now, u, true);
+                && (!off || now - e.sentAt > q.offering.targetTime() * COPY_SHARE);
+        Gossip.Word word = handled ? Gossip.Word.HANDLED : failed ? Gossip.Word.FAILED : Gossip.Word.DROPPED;
+        e.at.ended(site.me(), word, now);
+        e.at.restedOut -= e.rested > 0 ? 1 : 0;
+        e.at.answeredAt = handled ? now : e.at.answeredAt;
+        if (lost) {
+            part.lost(e.rested, now, true);
+        } else if (failed && off) {
+            health.weigh(now, e.at, true);
         }
-        part.tell(word, u, -1);
+        part.tell(word, e.at, -1);
     }
 
     // ---- Held queries and timers ------------------------------------------------------------------------
@@ -653,10 +599,7 @@
     private void placeHeld() {
         held.removeIf(q -> q.state != State.HELD);
         while (!held.isEmpty() && (seen || total.hasRoom(now))) {
-            Query best = held.get(0);
-            for (Query q : held) {
-                best = value(q) > value(best) ? q : best;
-            }
+            Query best = held.stream().reduce((a, b) -> value(b) > value(a) ? b : a).orElseThrow();
             step(best, Input.TURN);
             if (best.state == State.HELD) {
                 return;
@@ -678,7 +621,7 @@
             return 1;
         }
         double part = tenantSent.get(tenant.value()).mean(Double.NEGATIVE_INFINITY, 0, 0);
-        return part == 0 ? 1 : tenants.get(tenant.value()).share() / part;
+        return part == 0 ? 1 : of.tenants().get(tenant.value()).share() / part;
     }
 
     private void due(double time, Query q, Input input) {
@@ -689,7 +632,8 @@
         while (!dues.isEmpty() && dues.peek().query.state == State.CLOSED) {
             dues.poll();
         }
-        double next = Math.min(part == null ? watch.askAt : Math.min(watch.askAt, part.nextAt()), dues.isEmpty() ? Double.POSITIVE_INFINITY : dues.peek().time);
+        double next = Math.min(watch.askAt, dues.isEmpty() ? Double.POSITIVE_INFINITY : dues.peek().time);
+        next = part == null ? next : Math.min(next, part.nextAt());
         if (!held.isEmpty() && total.inFlight == 0 && total.freeAt > now) {
             next = Math.min(next, total.freeAt);
         }
--- a/core/src/main/java/portrelay/policy/Execution.java
+++ b/core/src/main/java/portrelay/policy/Execution.java
@@ -11,19 +11,19 @@
     /** The work's multiple that we expected it to take, 1 where nothing is known of the load. */
     final double expected;
     /** How long the connection it went on had rested, 0 for a new one or one in use. */
-    final double idle;
+    final double rested;
     /** What had to be handled there after it for it to be lost. */
     final int overtakenAt;
     Outcome outcome;
 
-    Execution(int index, Upstream at, double sentAt, boolean trial, double expected, double idle,
+    Execution(int index, Upstream at, double sentAt, boolean trial, double expected, double rested,
             int overtakenAt) {
         this.index = index;
         this.at = at;
         this.sentAt = sentAt;
         this.trial = trial;
         this.expected = expected;
-        this.idle = idle;
+        this.rested = rested;
         this.overtakenAt = overtakenAt;
     }
 
--- a/core/src/main/java/portrelay/policy/Health.java
+++ b/core/src/main/java/portrelay/policy/Health.java
@@ -1,13 +1,7 @@
 package portrelay.policy;
 
-import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import portrelay.model.Offering;
-import portrelay.model.Outcome;
-import portrelay.model.ShapeId;
+import java.util.*;
+import portrelay.model.*;
 
 /**
  * What outcomes tell of upstreams: the limit of each, the win counter, the sequential test and the pace.
--- a/core/src/main/java/portrelay/policy/ListWatch.java
+++ b/core/src/main/java/portrelay/policy/ListWatch.java
@@ -2,6 +2,7 @@
 
 import java.util.SplittableRandom;
 import portrelay.model.Effects;
+import portrelay.model.ListRule;
 
 /** The list is one service for all sidecars: those that failed together must not come back together. */
 final class ListWatch {
@@ -15,11 +16,11 @@
     double askAt = Double.POSITIVE_INFINITY;
     private int failures;
 
-    ListWatch(Effects out, SplittableRandom chance, boolean onRequest, double askWithin) {
+    ListWatch(Effects out, SplittableRandom chance, ListRule rule) {
         this.out = out;
         this.chance = chance;
-        this.onRequest = onRequest;
-        this.longestBackoff = Math.max(SHORTEST_BACKOFF, askWithin / 4);
+        this.onRequest = rule.onRequest();
+        this.longestBackoff = Math.max(SHORTEST_BACKOFF, rule.askWithin() / 4);
     }
 
     void ask() {
--- a/core/src/main/java/portrelay/policy/Query.java
+++ b/core/src/main/java/portrelay/policy/Query.java
@@ -1,14 +1,10 @@
 package portrelay.policy;
 
-import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
-import portrelay.model.Asked;
-import portrelay.model.Offering;
+import java.util.*;
+import portrelay.model.*;
 
 /** A query that has not been forgotten: what was asked, what was sent, what state it is in. */
-final class Query {
+final class Query implements Table.Subject<Decide.State> {
     final Asked asked;
     final Offering offering;
     final double arrivedAt;
@@ -22,6 +18,16 @@
     int looks;
     Execution winner;
 
+    @Override
+    public Decide.State state() {
+        return state;
+    }
+
+    @Override
+    public void state(Decide.State next) {
+        state = next;
+    }
+
     Query(Asked asked, Offering offering, double arrivedAt) {
         this.asked = asked;
         this.offering = offering;
--- a/core/src/main/java/portrelay/policy/TotalLimit.java
+++ b/core/src/main/java/portrelay/policy/TotalLimit.java
@@ -1,5 +1,7 @@
 package portrelay.policy;
 
+import portrelay.model.Samples;
+
 /**
  * Guards against a fleet that all sidecars overfill together: one or two executions of each at every
  * upstream are already too many there, and only the sum over our upstreams is fine enough to hold less.
--- a/core/src/main/java/portrelay/policy/Upstream.java
+++ b/core/src/main/java/portrelay/policy/Upstream.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import portrelay.gossip.Gossip;
 import portrelay.model.Listed;
+import portrelay.model.Samples;
 import portrelay.model.UpstreamId;
 
 /** What is known of one upstream. */
@@ -71,13 +73,10 @@
         return cores * holds.mean(Double.NEGATIVE_INFINITY, 0, 0);
     }
 
-    void ended(int sidecar) {
-        for (int i = 0; i < told.size(); i++) {
-            if (told.get(i).sidecar == sidecar) {
-                told.remove(i);
-                return;
-            }
-        }
+    void ended(int sidecar, Gossip.Word word, double now) {
+        told.stream().filter(each -> each.sidecar == sidecar).findFirst().ifPresent(told::remove);
+        handledAt = word == Gossip.Word.HANDLED ? now : handledAt;
+        handled += word == Gossip.Word.HANDLED ? 1 : 0;
     }
 
     /** Guards against ends that were lost on their way: nothing is waited for so long. */
--- a/core/src/main/java/portrelay/settings/Settings.java
+++ b/core/src/main/java/portrelay/settings/Settings.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import portrelay.model.ColdRule;
+import portrelay.model.Deployment;
 import portrelay.model.Effects;
 import portrelay.model.ListRule;
 import portrelay.model.Offering;
@@ -79,7 +80,7 @@
 
     private Decide start(Effects effects, long seed, boolean askList, Site at) {
         ListRule list = new ListRule(askList, askWithin);
-        return new Decide(effects, seed, offerings, tenants, permits, cold, list, at);
+        return new Decide(effects, seed, new Deployment(offerings, tenants, permits, cold, list, at));
     }
 
     public Site site() {
--- a/core/src/test/java/portrelay/policy/Rig.java
+++ b/core/src/test/java/portrelay/policy/Rig.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import portrelay.model.Asked;
 import portrelay.model.ColdRule;
+import portrelay.model.Deployment;
 import portrelay.model.Effects;
 import portrelay.model.GroupId;
 import portrelay.model.ListNews;
@@ -75,8 +76,8 @@
     final void restart(long seed) {
         alarms.clear();
         executions.clear();
-        decide = new Decide(this, seed, OFFERINGS, List.of(), PERMITS, COLD, new ListRule(true, ASK_WITHIN),
-                site);
+        decide = new Decide(this, seed, new Deployment(OFFERINGS, List.of(), PERMITS, COLD,
+                new ListRule(true, ASK_WITHIN), site));
         decide.start(now);
     }
 
