--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -75,8 +75,10 @@
     private static final double LOOK_FRESH = 0.008;
     private static final double COPY_SHARE = 0.6;
     private static final double FIT_SHARE = 0.9;
+    private static final double FIT_CROWDED = 0.3;
     private static final double OLD_TRIALS = 0.01;
     private static final int OVERTAKEN = 4;
+    private static final double COME_BACK = 0.1;
     private static final double LONGEST_TOLD = 1.5;
 
     private final Effects out;
@@ -88,6 +90,8 @@
     private final Site site;
     private final boolean seen;
     private boolean blindToo;
+    /** Mean in hand a core over the fleet, as the last lists told. */
+    private double crowd;
     private Part part;
     private final Set<Query> looking = new LinkedHashSet<>();
 
@@ -301,6 +305,7 @@
         }
         if (part != null) {
             part.listed(roster, now);
+            crowd = roster.stream().filter(u -> u.ready).mapToDouble(u -> u.listedHeld() / u.cores).average().orElse(0);
         }
         placeHeld();
         armAlarm();
@@ -415,7 +420,7 @@
     /** Answered at once: a client that is told early can still be served elsewhere or come back later. */
     private Input giveUp(Query q) {
         if (mayDeny(q)) {
-            out.deny(q.asked.id(), permits.longestCoolDown());
+            out.deny(q.asked.id(), seen ? Math.min(permits.longestCoolDown(), q.offering.targetTime() * COME_BACK) : permits.longestCoolDown());
         } else {
             out.writeOff(q.asked.id());
         }
@@ -461,7 +466,7 @@
 
     private Upstream pick(Query q, boolean first) {
         looking.remove(q);
-        if (!seen && !total.hasRoom(now)) {
+        if ((!seen || deaf() && crowd > 1) && !total.hasRoom(now)) {
             return null;
         }
         double mean = meanInFlight();
@@ -541,7 +546,7 @@
 
     /** Guards against queues that no answer comes out of in time; over their share tenants wait for less. */
     private boolean inTime(Query q, double expected) {
-        double fit = FIT_SHARE * (0.7 + 0.3 * Math.min(1, shareTaken(q.asked.tenant())));
+        double fit = (FIT_SHARE - FIT_CROWDED * Math.max(0, Math.min(1, 2 * (crowd - 1)))) * (0.7 + 0.3 * Math.min(1, shareTaken(q.asked.tenant())));
         double target = q.offering.targetTime();
         return now - q.arrivedAt + expected * health.usualTime(q.offering, target / 3) <= target * fit;
     }
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -20,7 +20,7 @@
     private static final double LAY_EVERY = 1;
     private static final double LEAST_ROOM = 0.01;
     private static final double REAPED_FOR = 20;
-    private static final double REAP_SPARE = 0.85;
+    private static final double REAP_SPARE = 0.95;
     private static final double TOLD_EVERY = 1;
 
     final Gossip gossip;
