--- a/core/src/main/java/portrelay/model/Samples.java
+++ b/core/src/main/java/portrelay/model/Samples.java
@@ -49,6 +49,11 @@
         return kept() == 0 ? absent : sum() / kept();
     }
 
+    /** The second smallest of those that are kept: a single odd one does not count. */
+    public double secondLeast() {
+        return kept() < 2 ? Double.POSITIVE_INFINITY : Arrays.stream(values, 0, kept()).sorted().toArray()[1];
+    }
+
     /** Mean time between the last samples up to now; 0 while there are none. */
     public double spacing(double now) {
         return kept() == 0 ? 0 : (now - times[(count - kept()) % values.length]) / kept();
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -177,7 +177,11 @@
     /** What another sidecar tells; where it is not of our part it changes nothing. */
     public void heard(double time, int from, String text) {
         now = time;
-        Gossip.News news = part == null ? null : part.gossip.heard(from, text, now);
+        if (part == null) {
+            return;
+        }
+        Gossip.News news = part.gossip.heard(from, text, now);
+        part.turn(now);
         Upstream u = news == null ? null : part.at(news.code());
         if (news != null && news.word() == Gossip.Word.LOST) {
             part.lost(news.rested(), now, false);
@@ -541,7 +545,8 @@
 
     /** How long a query takes there, with those before it, as a multiple of the usual time alone. */
     private double expected(Upstream u) {
-        return seen ? Math.max(1, (load(u) + 1) / u.cores) / Math.max(u.size, Double.MIN_NORMAL) : 1;
+        double size = Math.max(u.size, Double.MIN_NORMAL) * cold.ramp(u, now);
+        return seen ? Math.max(1, (load(u) + 1) / u.cores) / size : 1;
     }
 
     /** Guards against queues that no answer comes out of in time; over their share tenants wait for less. */
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -21,6 +21,7 @@
     private static final double LEAST_ROOM = 0.01;
     private static final double REAPED_FOR = 20;
     private static final double REAP_SPARE = 0.95;
+    private static final int LOST_SAMPLES = 8;
     private static final double TOLD_EVERY = 1;
 
     final Gossip gossip;
@@ -30,7 +31,8 @@
     private List<Upstream> ready = List.of();
     private double layAt;
     private double laidAt = Double.NEGATIVE_INFINITY;
-    private double reapAge;
+    /** How long the connections of the last lost ones had rested. */
+    private final Samples lost = new Samples(LOST_SAMPLES);
     private double reapUntil = Double.NEGATIVE_INFINITY;
     private double reapToldAt = Double.NEGATIVE_INFINITY;
 
@@ -148,8 +150,14 @@
             double among = Math.min(here, count.get(zone));
             return at(pieces, zone, gossip.fewKnown() ? Gossip.lot(site.me()) : (rank + 0.5) / among);
         }
+        double away = 0;
+        double ours = 0;
+        for (char each : count.keySet()) {
+            ours = each == zone ? away + rank - here + 0.5 : ours;
+            away += Math.max(0, count.get(each) - Math.floor(room.getOrDefault(each, 0.0)));
+        }
         room.replaceAll((each, all) -> Math.max(LEAST_ROOM, all - count.getOrDefault(each, 0)));
-        double to = Gossip.lot(~site.me()) * room.values().stream().mapToDouble(each -> each).sum();
+        double to = ours / away * room.values().stream().mapToDouble(each -> each).sum();
         for (Map.Entry<Character, Double> each : room.entrySet()) {
             if (to < each.getValue()) {
                 return at(pieces, each.getKey(), to / each.getValue());
@@ -179,15 +187,17 @@
 
     /** Whether a connection that was last heard of so long ago is better not used. */
     boolean tooOld(double rested, double now) {
-        return reaping(now) && rested > reapAge;
+        return reaping(now) && rested > lost.secondLeast() * REAP_SPARE;
     }
 
     /** What went out on a connection that had rested so long was lost; the first word of it goes to all. */
     void lost(double rested, double now, boolean ours) {
         boolean first = !reaping(now);
-        double age = rested * REAP_SPARE;
-        boolean news = first || age < reapAge || now > reapToldAt + TOLD_EVERY;
-        reapAge = first ? age : Math.min(age, reapAge);
+        if (first) {
+            lost.clear();
+        }
+        boolean news = lost.kept() < 2 || rested < lost.secondLeast() || now > reapToldAt + TOLD_EVERY;
+        lost.add(rested);
         reapUntil = now + REAPED_FOR;
         if (ours && news) {
             reapToldAt = now;
