--- a/core/src/main/java/portrelay/door/Door.java
+++ b/core/src/main/java/portrelay/door/Door.java
@@ -42,29 +42,19 @@
         return new Table.Row<>(state, input, next, effect);
     }
 
-    private static final class Query implements Table.Subject<State> {
+    private static final class Query extends Table.Subject<State> {
         private final Caller caller;
         private final FlowId flow;
         private final long order;
-        private State state = State.NEW;
         private boolean promised;
         private double letInAt;
 
         Query(Caller caller, FlowId flow, long order) {
+            super(State.NEW);
             this.caller = caller;
             this.flow = flow;
             this.order = order;
         }
-
-        @Override
-        public State state() {
-            return state;
-        }
-
-        @Override
-        public void state(State next) {
-            state = next;
-        }
     }
 
     /** As many let-ins tell how fast the queue moves; fewer than the least tell nothing. */
@@ -158,7 +148,7 @@
     /** Whether it waits here and the module knows nothing of it. */
     public boolean waits(QueryId id) {
         Query q = queries.get(id);
-        return q != null && q.state == State.WAITING;
+        return q != null && q.state() == State.WAITING;
     }
 
     /**
@@ -205,7 +195,7 @@
             step(queries.get(each.id()), Input.CROWDED_OUT);
         }
         boolean late = now + secondsFor(c, ahead + c.work()) > c.usefulUntil();
-        return q.state == State.WAITING && (closed || late && !hasRoom()) ? Input.HOPELESS : null;
+        return q.state() == State.WAITING && (closed || late && !hasRoom()) ? Input.HOPELESS : null;
     }
 
     /** Seconds in which the flow's part lets so much work in; 0 while nothing is known of it. */
--- a/core/src/main/java/portrelay/gossip/Gossip.java
+++ b/core/src/main/java/portrelay/gossip/Gossip.java
@@ -1,6 +1,5 @@
 package portrelay.gossip;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -9,10 +8,11 @@
 import portrelay.model.Site;
 
 /**
- * What sidecars say to each other, and who is where: each tells all its zone and the part it keeps to, and
- * those of the same part each start and end of an execution. Promises the order of the members to be the same
- * at all sidecars that know the same ones. Decides nothing; what is torn, foreign or from nobody changes
- * nothing. A message is a character or two: sidecars are charged for each.
+ * What sidecars say to each other, and who is where: each tells its zone, once to all where nobody knew it and
+ * then to one now and then, who answers with all zones that he knows; and those of the same part tell each
+ * other each start and end of an execution. Promises the order of the members to be the same at all sidecars
+ * that know the same ones. Decides nothing; what is torn, foreign or from nobody changes nothing. Sidecars are
+ * charged for each message, so one is a character or two, and nothing is told to all that can be worked out.
  */
 public final class Gossip {
 
@@ -25,17 +25,23 @@
     /** Code is the upstream's within the part, tenant -1 for none, seconds at rest for LOST alone. */
     public record News(Word word, int code, int tenant, double rested) { }
 
-    public record Member(char zone, String home) { }
-
     private static final int OF_EXECUTIONS = Word.LOST.ordinal();
     private static final char FIRST_CODE = '!';
     private static final int ZONE_CODES = 90;
     private static final char OF_THE_PART = '~';
     private static final char HELLO = 'h';
     private static final char HELLO_WHO_ELSE = 'H';
+    private static final char ZONES = 'm';
     private static final char LOST = 'r';
-    private static final double HELLO_EVERY = 20;
-    /** Sidecars that start together answer nobody: all of them say hello by themselves. */
+    private static final char UNKNOWN = ' ';
+    private static final int MOST_IN_ONE = 200;
+    private static final double ASK_AT_FIRST = 0.05;
+    private static final double ASK_EVERY = 10;
+    /** Asked in vain so often, nobody of those who run knows us: all have just started. */
+    private static final int IN_VAIN = 2;
+    /** To more than so many it would take as long to tell all as it takes to spread from one to the next. */
+    private static final int MOST_TOLD = 1000;
+    /** Who started a moment ago knows nothing yet: what he answers would pass for all there is. */
     private static final double YOUNG = 1;
     private static final double DEAF = 0.5;
     private static final int AGE_CODES = 89;
@@ -45,17 +51,22 @@
     private final Effects out;
     private final Site site;
     private final double startedAt;
-    private final TreeMap<Integer, Member> members = new TreeMap<>(Comparator.comparing(Gossip::lot));
-    private final List<Integer> sharers = new ArrayList<>();
-    private double helloAt;
+    private final char zone;
+    private final TreeMap<Integer, Character> members = new TreeMap<>(Comparator.comparing(Gossip::lot));
+    private List<Integer> sharers = List.of();
+    private double askAt;
+    private int asked;
+    private boolean answered;
     private double heardAt;
     private boolean changed;
 
     public Gossip(Effects out, Site site, double now) {
         this.out = out;
         this.site = site;
+        this.zone = site.zone() == null ? FIRST_CODE : sign(site.zone().value());
         this.startedAt = now;
-        this.helloAt = now;
+        this.askAt = now;
+        members.put(site.me(), zone);
         this.heardAt = now;
     }
 
@@ -73,30 +84,17 @@
 
     // ---- Who is where -------------------------------------------------------------------------------------
 
-    /** From now on we keep to this part; said to all with the next {@code turn} where it is news. */
-    public void keepTo(char zone, String home, double now) {
-        Member was = members.put(site.me(), new Member(zone, home));
-        helloAt = was == null || !was.home.equals(home) ? now : helloAt;
-        sharers.clear();
-        members.forEach((id, m) -> share(id, m));
-    }
-
-    private void share(int sidecar, Member m) {
-        if (sidecar != site.me() && members.containsKey(site.me()) && m.home.equals(home())) {
-            sharers.add(sidecar);
-        }
-    }
-
-    private String home() {
-        return members.get(site.me()).home;
+    /** From now on these, without us, share our part. */
+    public void sharers(List<Integer> now) {
+        sharers = now;
     }
 
-    /** Us among them once we keep to a part. */
-    public Map<Integer, Member> members() {
+    /** The zone's sign of each that we know, us among them. */
+    public Map<Integer, Character> members() {
         return members;
     }
 
-    /** Less than half of the sidecars have said a word since our start. */
+    /** Less than half of the sidecars are known. */
     public boolean fewKnown() {
         return members.size() * 2 < site.sidecars();
     }
@@ -108,21 +106,36 @@
         return was;
     }
 
-    /** Says hello where it is time. */
+    /** Asks who is where when it is time: one of the others, another one each time. */
     public void turn(double now) {
-        if (now >= helloAt && members.containsKey(site.me())) {
-            helloAt = now + HELLO_EVERY * (0.75 + lot(site.me()) / 2);
-            out.tellAll(hello(fewKnown() ? HELLO_WHO_ELSE : HELLO));
+        if (now < askAt) {
+            return;
         }
+        boolean vain = asked <= IN_VAIN && !answered;
+        askAt = now + (vain || fewKnown() ? ASK_AT_FIRST : ASK_EVERY * (0.75 + lot(site.me()) / 2));
+        if (vain && asked == IN_VAIN && site.sidecars() <= MOST_TOLD) {
+            out.tellAll("" + OF_THE_PART + HELLO + zone);
+        } else {
+            int step = 1 + (int) (lot(site.me() + asked * site.sidecars()) * (site.sidecars() - 1));
+            out.tell((site.me() + step) % site.sidecars(), "" + OF_THE_PART + HELLO_WHO_ELSE + zone);
+        }
+        asked++;
     }
 
     /** When {@code turn} is to be called at the latest. */
     public double nextAt() {
-        return members.containsKey(site.me()) ? helloAt : Double.POSITIVE_INFINITY;
+        return askAt;
     }
 
-    private String hello(char word) {
-        return "" + OF_THE_PART + word + members.get(site.me()).zone + home();
+    private void answer(int to) {
+        for (int first = 0; first < site.sidecars(); first += MOST_IN_ONE) {
+            char part = (char) (FIRST_CODE + first / MOST_IN_ONE);
+            StringBuilder text = new StringBuilder("" + OF_THE_PART + ZONES + part);
+            for (int i = first; i < Math.min(first + MOST_IN_ONE, site.sidecars()); i++) {
+                text.append(members.getOrDefault(i, UNKNOWN).charValue());
+            }
+            out.tell(to, text.toString());
+        }
     }
 
     // ---- What is said -------------------------------------------------------------------------------------
@@ -163,7 +176,7 @@
                 double step = text.charAt(2) - FIRST_CODE - AGE_OF_ONE;
                 return new News(Word.LOST, -1, -1, Math.exp(step / AGE_STEPS));
             }
-            helloFrom(from, text, now);
+            ofWhoIsWhere(from, text, now);
             return null;
         }
         int code = text.isEmpty() ? -1 : text.charAt(0) - FIRST_CODE;
@@ -174,20 +187,25 @@
         return new News(Word.values()[code / CODES], code % CODES, tenant, 0);
     }
 
-    private void helloFrom(int from, String text, double now) {
+    private void ofWhoIsWhere(int from, String text, double now) {
         char word = text.charAt(1);
-        if (from < 0 || from >= site.sidecars() || from == site.me() || word != HELLO && word != HELLO_WHO_ELSE) {
-            return;
+        if (word == HELLO || word == HELLO_WHO_ELSE) {
+            learn(from, text.charAt(2));
         }
-        if (word == HELLO_WHO_ELSE && now > startedAt + YOUNG && members.containsKey(site.me())) {
-            out.tell(from, hello(HELLO));
+        if (word == HELLO_WHO_ELSE && from >= 0 && from < site.sidecars() && now > startedAt + YOUNG) {
+            answer(from);
         }
-        Member is = new Member(text.charAt(2), text.substring(3));
-        Member was = members.put(from, is);
-        if (!is.equals(was)) {
-            changed |= was == null || was.zone != is.zone;
-            sharers.remove((Integer) from);
-            share(from, is);
+        answered |= word == ZONES;
+        int first = (text.charAt(2) - FIRST_CODE) * MOST_IN_ONE;
+        for (int i = 3; word == ZONES && i < text.length(); i++) {
+            learn(first + i - 3, text.charAt(i));
+        }
+    }
+
+    private void learn(int sidecar, char where) {
+        if (sidecar >= 0 && sidecar < site.sidecars() && sidecar != site.me() && where != UNKNOWN) {
+            Character was = members.put(sidecar, where);
+            changed |= was == null || was != where;
         }
     }
 }
--- a/core/src/main/java/portrelay/model/Offering.java
+++ b/core/src/main/java/portrelay/model/Offering.java
@@ -6,6 +6,15 @@
 
     public enum Repeats { REISSUABLE, NUMBERED, AT_MOST_ONCE }
 
+    /** Whether the second upstream drops a repeat of what the first one may have run. */
+    public boolean sameGroup(Listed first, Listed second) {
+        return switch (group) {
+            case ALL -> true;
+            case ZONE -> first.zone().equals(second.zone());
+            case CELL -> first.cell().equals(second.cell());
+        };
+    }
+
     /** The upstreams that drop a repeat of a numbered query. */
     public enum Group { ALL, ZONE, CELL }
 }
--- /dev/null
+++ b/core/src/main/java/portrelay/model/Shares.java
@@ -0,0 +1,31 @@
+package portrelay.model;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What part of the last queries each tenant sent, against its share. */
+public final class Shares {
+
+    private static final int SAMPLES = 128;
+
+    private final List<Tenant> tenants;
+    private final List<Samples> sent = new ArrayList<>();
+
+    public Shares(List<Tenant> tenants) {
+        this.tenants = tenants;
+        tenants.forEach(each -> sent.add(new Samples(SAMPLES)));
+    }
+
+    /** By the tenant's number; what belongs to none is not counted. */
+    public void count(int tenant) {
+        for (int i = 0; i < sent.size() && tenant >= 0; i++) {
+            sent.get(i).add(tenant == i ? 1 : 0);
+        }
+    }
+
+    /** A tenant's share over the part of the last queries that it sent, 1 at most: 1 where it keeps within it. */
+    public double kept(TenantId tenant) {
+        double part = tenant == null ? 0 : sent.get(tenant.value()).mean(0);
+        return part == 0 ? 1 : Math.min(1, tenants.get(tenant.value()).share() / part);
+    }
+}
--- a/core/src/main/java/portrelay/model/Table.java
+++ b/core/src/main/java/portrelay/model/Table.java
@@ -9,11 +9,17 @@
  */
 public final class Table<S extends Enum<S>, I extends Enum<I>, D, Q extends Table.Subject<S>> {
 
-    /** Whatever has a state. */
-    public interface Subject<S> {
-        S state();
+    /** Whatever has a state; the table alone changes it. */
+    public abstract static class Subject<S> {
+        private S state;
 
-        void state(S next);
+        protected Subject(S first) {
+            state = first;
+        }
+
+        public final S state() {
+            return state;
+        }
     }
 
     /** What a row does; the input it returns, if any, is read from the row's next state at once. */
@@ -41,7 +47,7 @@
             if (row == null) {
                 return;
             }
-            subject.state(row.next);
+            ((Subject<S>) subject).state = row.next;
             input = row.effect.on(decider, subject);
         }
     }
--- a/core/src/main/java/portrelay/model/TenantId.java
+++ b/core/src/main/java/portrelay/model/TenantId.java
@@ -1,4 +1,9 @@
 package portrelay.model;
 
 public record TenantId(int value) {
+
+    /** -1 for null. */
+    public static int number(TenantId tenant) {
+        return tenant == null ? -1 : tenant.value;
+    }
 }
--- a/core/src/main/java/portrelay/policy/Cold.java
+++ b/core/src/main/java/portrelay/policy/Cold.java
@@ -10,13 +10,11 @@
 final class Cold {
     private final ColdRule rule;
     private final double stretch;
-    private final boolean sized;
 
-    Cold(ColdRule rule, boolean sized) {
+    Cold(ColdRule rule) {
         // Halfway, in ratio, between what it can surely do and what pushes it over.
         this.stretch = Math.sqrt(rule.overloadFactor());
         this.rule = rule;
-        this.sized = sized;
     }
 
     double ramp(Upstream u, double now) {
@@ -58,7 +56,7 @@
         for (Upstream u : roster) {
             double f = u.ready ? ramp(u, now) : 1;
             if (f < 1) {
-                double each = warm > 0 ? f * (sized ? u.size / size : 1.0 / warm) : 1.0 / ready;
+                double each = warm > 0 ? f * u.size / size : 1.0 / ready;
                 u.coldCredit = Math.min(2, u.coldCredit + each * stretch);
             }
         }
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -10,11 +10,10 @@
 import java.util.*;
 import portrelay.gossip.Gossip;
 import portrelay.model.*;
+import portrelay.sources.ListWatch;
 
 public final class Decide {
 
-    // ---- The table --------------------------------------------------------------------------------------
-
     /** HELD has nothing out and waits for a place; BARE has nothing out after one that did not help. */
     enum State { FRESH, LOOKING, HELD, ALONE, RACING, BARE, CLOSED }
 
@@ -56,18 +55,11 @@
         TABLE.step(this, q, input);
     }
 
-    // ---- What is held -----------------------------------------------------------------------------------
-
-    private record Due(double time, long order, Query query, Input input) { }
-
-    // ---- Settings of the design that are ours to choose -------------------------------------------------
-
     private static final double LONGEST_THRESHOLD = 1.0;
     private static final double SETTLING = 3.0;
     private static final double LONGEST_WAIT_SHARE = 0.11;
     private static final double QUIET_WAIT_SHARE = 0.15;
     private static final int RATE_SAMPLES = 16;
-    private static final int TENANT_SAMPLES = 128;
     private static final int LOOKS = 5;
     private static final int MOST_LOOKS = 2;
     private static final double LOOK_WAIT = 0.004;
@@ -79,7 +71,6 @@
     private static final double OLD_TRIALS = 0.01;
     private static final int OVERTAKEN = 4;
     private static final double COME_BACK = 0.1;
-    private static final double LONGEST_TOLD = 1.5;
 
     private final Effects out;
     private final SplittableRandom chance;
@@ -99,10 +90,8 @@
     private final Map<UpstreamId, Upstream> known = new HashMap<>();
     private final List<Upstream> roster = new ArrayList<>();
     private final List<Query> held = new ArrayList<>();
-    private final PriorityQueue<Due> dues = new PriorityQueue<>(
-            (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
-    private final List<Samples> tenantSent = new ArrayList<>();
-    private long dueOrder;
+    private final Dues<Query, Input> dues = new Dues<>();
+    private final Shares shares;
     private final Samples arrivals = new Samples(RATE_SAMPLES);
     private final Health health;
     private final TotalLimit total = new TotalLimit();
@@ -116,9 +105,9 @@
         this.permits = of.permits();
         this.site = of.site();
         this.seen = site.looks() || site.shares();
-        of.tenants().forEach(each -> tenantSent.add(new Samples(TENANT_SAMPLES)));
+        this.shares = new Shares(of.tenants());
         this.health = new Health(of.offerings().size());
-        this.cold = new Cold(of.cold(), site.weights() != Site.Weights.SILENT);
+        this.cold = new Cold(of.cold());
         this.watch = new ListWatch(out, chance, of.list());
     }
 
@@ -137,22 +126,12 @@
         queries.put(asked.id(), q);
         health.visitsEach((part == null ? roster.size() : part.size()) * arrivals.spacing(now));
         arrivals.add(now, 1);
-        countTenant(number(asked.tenant()));
+        shares.count(TenantId.number(asked.tenant()));
         step(q, Input.ARRIVED);
         forgetIfDone(q);
         armAlarm();
     }
 
-    private static int number(TenantId tenant) {
-        return tenant == null ? -1 : tenant.value();
-    }
-
-    private void countTenant(int tenant) {
-        for (int i = 0; i < tenantSent.size() && tenant >= 0; i++) {
-            tenantSent.get(i).add(now, tenant == i ? 1 : 0);
-        }
-    }
-
     /** What an upstream tells of its load; null where it did not answer in time. */
     public void probed(double time, UpstreamId id, LoadReport report) {
         now = time;
@@ -184,12 +163,12 @@
         part.turn(now);
         Upstream u = news == null ? null : part.at(news.code());
         if (news != null && news.word() == Gossip.Word.LOST) {
-            part.lost(news.rested(), now, false);
+            part.dropped.lost(news.rested(), now);
         } else if (u != null && news.word() == Gossip.Word.BEGUN) {
-            u.told.add(new Upstream.Told(from, now));
-            countTenant(news.tenant());
+            u.told.begun(from, now);
+            shares.count(news.tenant());
         } else if (u != null) {
-            u.ended(from, news.word(), now);
+            u.told.ended(from, news.word(), now);
             if (news.word() != Gossip.Word.DROPPED) {
                 health.weigh(now, u, news.word() == Gossip.Word.FAILED);
             }
@@ -213,7 +192,7 @@
             shareEnd(q, e);
         }
         forgetGone();
-        if (ended && q.state != State.CLOSED) {
+        if (ended && q.state() != State.CLOSED) {
             q.winner = e;
             step(q, outcome == Outcome.HANDLED ? Input.WON : Input.LEFT);
         } else if (!ended) {
@@ -233,7 +212,7 @@
     public void begun(double time, QueryId id, int execution) {
         now = time;
         Query q = queries.get(id);
-        if (q != null && q.state != State.CLOSED && execution < q.executions.size()) {
+        if (q != null && q.state() != State.CLOSED && execution < q.executions.size()) {
             q.winner = q.executions.get(execution);
             step(q, Input.WON);
         }
@@ -255,12 +234,11 @@
         if (now >= alarmAt) {
             alarmAt = Double.POSITIVE_INFINITY;
         }
-        while (!dues.isEmpty() && dues.peek().time <= now) {
-            Due due = dues.poll();
-            step(due.query, due.input);
-            forgetIfDone(due.query);
+        for (Dues.Due<Query, Input> due = dues.next(now); due != null; due = dues.next(now)) {
+            step(due.subject(), due.input());
+            forgetIfDone(due.subject());
         }
-        if (now >= watch.askAt) {
+        if (now >= watch.askAt()) {
             watch.ask();
         }
         if (part != null) {
@@ -299,17 +277,21 @@
                 u.coldCredit = chance.nextDouble();
             }
             u.listed = row;
-            u.weighted(row.scale(), site.weights() == Site.Weights.LIVE);
+            u.weight.listed(row.scale(), site.weights() == Site.Weights.LIVE);
             u.ready = row.health() == Listed.Health.READY;
             u.gone = row.health() == Listed.Health.GONE;
         }
+        // Machines of one shape are of one size: the one that is idle just now shows it for all.
+        Map<ShapeId, Double> sizes = new HashMap<>();
+        roster.forEach(u -> sizes.merge(u.listed.shape(), u.weight.size(), Math::max));
+        boolean live = site.weights() == Site.Weights.LIVE;
+        roster.forEach(u -> u.size = live ? sizes.get(u.listed.shape()) : u.weight.size());
         forgetGone();
-        if (!total.told) {
-            total.start((double) roster.stream().filter(u -> u.ready).count() / site.sidecars());
-        }
+        total.start((double) roster.stream().filter(u -> u.ready).count() / site.sidecars());
         if (part != null) {
             part.listed(roster, now);
-            crowd = roster.stream().filter(u -> u.ready).mapToDouble(u -> u.listedHeld() / u.cores).average().orElse(0);
+            crowd = roster.stream().filter(u -> u.ready).mapToDouble(u -> u.weight.held() / u.weight.cores())
+                    .average().orElse(0);
         }
         placeHeld();
         armAlarm();
@@ -323,8 +305,6 @@
         }
     }
 
-    // ---- Effects of the table ---------------------------------------------------------------------------
-
     private Input sendFirst(Query q) {
         Upstream u = pick(q, true);
         if (site.looks() && q.looks < MOST_LOOKS && (u == null || load(u) >= 1)) {
@@ -340,7 +320,7 @@
         send(q, u);
         q.waiting = false;
         if (q.offering.repeats() != Offering.Repeats.AT_MOST_ONCE && permits.copies()) {
-            due(now + threshold, q, Input.COPY_DUE);
+            dues.add(now + threshold, q, Input.COPY_DUE);
         }
         return null;
     }
@@ -352,22 +332,22 @@
         double share = !seen && total.size < 1 ? QUIET_WAIT_SHARE : LONGEST_WAIT_SHARE;
         double until = q.arrivedAt + budget * share;
         if (site.looks()) {
-            due(now + LOOK_EVERY, q, Input.TURN);
+            dues.add(now + LOOK_EVERY, q, Input.TURN);
             return now + LOOK_EVERY < until ? null : Input.WAITED;
         }
         if (!q.waiting) {
             q.waiting = true;
             held.add(q);
-            due(until, q, Input.WAITED);
+            dues.add(until, q, Input.WAITED);
         }
         return null;
     }
 
     /** Where upstreams tell their load to probes alone, a few are asked; the first idle one ends the wait. */
     private Input look(Query q) {
-        q.then = q.state == State.ALONE ? Input.COPY_SEEN : Input.SEEN;
+        q.then = q.state() == State.ALONE ? Input.COPY_SEEN : Input.SEEN;
         q.looks = q.executions.isEmpty() ? q.looks + 1 : MOST_LOOKS;
-        if (!site.looks() || now + LOOK_WAIT >= q.asked.cutOffAt() || q.state == State.ALONE && q.copied) {
+        if (!site.looks() || now + LOOK_WAIT >= q.asked.cutOffAt() || q.state() == State.ALONE && q.copied) {
             return q.then;
         }
         List<Upstream> all = new ArrayList<>(roster);
@@ -385,7 +365,7 @@
             return q.then;
         }
         looking.add(q);
-        due(now + LOOK_WAIT, q, q.then);
+        dues.add(now + LOOK_WAIT, q, q.then);
         return null;
     }
 
@@ -431,8 +411,6 @@
         return null;
     }
 
-    // ---- The rules on repeats and denials ---------------------------------------------------------------
-
     private static boolean mayDeny(Query q) {
         return switch (q.offering.repeats()) {
             case REISSUABLE -> true;
@@ -454,15 +432,7 @@
             case REISSUABLE -> permits.copies() || !q.anyOut();
             case AT_MOST_ONCE -> false;
             case NUMBERED -> (permits.copies() || !q.anyOut()) && now < first.sentAt + q.offering.window()
-                    && sameGroup(q.offering.group(), first.at.listed, u.listed);
-        };
-    }
-
-    private static boolean sameGroup(Offering.Group group, Listed a, Listed b) {
-        return switch (group) {
-            case ALL -> true;
-            case ZONE -> a.zone().equals(b.zone());
-            case CELL -> a.cell().equals(b.cell());
+                    && q.offering.sameGroup(first.at.listed, u.listed);
         };
     }
 
@@ -474,7 +444,6 @@
             return null;
         }
         double mean = meanInFlight();
-        roster.forEach(u -> u.forgetBefore(now - LONGEST_TOLD));
         if (first && q.offering.repeats() == Offering.Repeats.REISSUABLE) {
             for (Upstream u : roster) {
                 if (u.passedOver() && now >= u.passedUntil && !u.trialOut && mayTake(q, u)
@@ -521,7 +490,7 @@
     private double seenCost(Query q, Upstream u, double pace) {
         double due = expected(u) * (site.looks() ? 1 : pace);
         // A client's retry earns little by then: it takes what is idle, and nobody waits behind it.
-        boolean may = inTime(q, due) && (!q.asked.again() || load(u) < u.cores);
+        boolean may = inTime(q, due) && (!q.asked.again() || load(u) < u.weight.cores());
         if (blind(u) ? !blindToo : !may) {
             return Double.POSITIVE_INFINITY;
         }
@@ -534,24 +503,24 @@
 
     /** In flight there as far as anybody told us. */
     private double load(Upstream u) {
-        return part == null ? u.reported : deaf() ? Math.max(u.told.size(), u.listedHeld()) : u.told.size();
+        return part == null ? u.reported : deaf() ? Math.max(u.told.inFlight(now), u.weight.held()) : u.told.inFlight(now);
     }
 
     /** It answered no probe just now, or none of those who share it for long. */
     private boolean blind(Upstream u) {
         return part == null ? now > u.reportedAt + LOOK_FRESH
-                : u.silent(now) || u.restedOut > 0 && part.reaping(now);
+                : u.told.silent(now) || u.restedOut > 0 && part.dropped.on(now);
     }
 
     /** How long a query takes there, with those before it, as a multiple of the usual time alone. */
     private double expected(Upstream u) {
         double size = Math.max(u.size, Double.MIN_NORMAL) * cold.ramp(u, now);
-        return seen ? Math.max(1, (load(u) + 1) / u.cores) / size : 1;
+        return seen ? Math.max(1, (load(u) + 1) / u.weight.cores()) / size : 1;
     }
 
     /** Guards against queues that no answer comes out of in time; over their share tenants wait for less. */
     private boolean inTime(Query q, double expected) {
-        double fit = (FIT_SHARE - FIT_CROWDED * Math.max(0, Math.min(1, 2 * (crowd - 1)))) * (0.7 + 0.3 * Math.min(1, shareTaken(q.asked.tenant())));
+        double fit = (FIT_SHARE - FIT_CROWDED * Math.max(0, Math.min(1, 2 * (crowd - 1)))) * (0.7 + 0.3 * shares.kept(q.asked.tenant()));
         double target = q.offering.targetTime();
         return now - q.arrivedAt + expected * health.usualTime(q.offering, target / 3) <= target * fit;
     }
@@ -566,18 +535,18 @@
         double rested = part != null && u.inFlight == 0 && u.answeredAt > 0 ? now - u.answeredAt : 0;
         // A few that may run again go out on old ones all the same: else nobody learns that they hold again.
         boolean mayTry = q.offering.repeats() == Offering.Repeats.REISSUABLE;
-        if (rested > 0 && part.tooOld(rested, now) && !(mayTry && chance.nextDouble() < OLD_TRIALS)) {
+        if (rested > 0 && part.dropped.tooOld(rested, now) && !(mayTry && chance.nextDouble() < OLD_TRIALS)) {
             out.letGo(u.id);
             rested = 0;
         }
         q.executions.add(new Execution(q.executions.size(), u, now, trial, expected(u), rested,
-                u.handled + (int) load(u) + OVERTAKEN));
+                u.told.handled() + (int) load(u) + OVERTAKEN));
         u.inFlight++;
         u.restedOut += rested > 0 ? 1 : 0;
         u.reported++;
         if (part != null) {
-            u.told.add(new Upstream.Told(site.me(), now));
-            part.tell(Gossip.Word.BEGUN, u, number(q.asked.tenant()));
+            u.told.begun(site.me(), now);
+            part.tell(Gossip.Word.BEGUN, u, TenantId.number(q.asked.tenant()));
         }
         total.inFlight++;
         cold.sent(u, roster, now);
@@ -587,31 +556,29 @@
     /** Tells the others of an end; what was overtaken on a rested connection tells of the connection. */
     private void shareEnd(Query q, Execution e) {
         boolean handled = e.outcome == Outcome.HANDLED;
-        boolean lost = !handled && e.rested > 0 && e.at.handled >= e.overtakenAt && !e.outcome.neverRan;
+        boolean lost = !handled && e.rested > 0 && e.at.told.handled() >= e.overtakenAt && !e.outcome.neverRan;
         boolean off = e.outcome == Outcome.CALLED_OFF;
         boolean failed = !lost && !handled && !e.outcome.neverRan
                 && (!off || now - e.sentAt > q.offering.targetTime() * COPY_SHARE);
         Gossip.Word word = handled ? Gossip.Word.HANDLED : failed ? Gossip.Word.FAILED : Gossip.Word.DROPPED;
-        e.at.ended(site.me(), word, now);
+        e.at.told.ended(site.me(), word, now);
         e.at.restedOut -= e.rested > 0 ? 1 : 0;
         e.at.answeredAt = handled ? now : e.at.answeredAt;
         if (lost) {
-            part.lost(e.rested, now, true);
+            part.dropped.lost(e.rested, now, part.gossip);
         } else if (failed && off) {
             health.weigh(now, e.at, true);
         }
         part.tell(word, e.at, -1);
     }
 
-    // ---- Held queries and timers ------------------------------------------------------------------------
-
     /** What a full fleet can take goes to the query that earns most for its work, not to the oldest. */
     private void placeHeld() {
-        held.removeIf(q -> q.state != State.HELD);
+        held.removeIf(q -> q.state() != State.HELD);
         while (!held.isEmpty() && (seen || total.hasRoom(now))) {
             Query best = held.stream().reduce((a, b) -> value(b) > value(a) ? b : a).orElseThrow();
             step(best, Input.TURN);
-            if (best.state == State.HELD) {
+            if (best.state() == State.HELD) {
                 return;
             }
             held.remove(best);
@@ -622,27 +589,14 @@
     /** Credit for the work it usually takes; what goes beyond a tenant's share earns little. */
     private double value(Query q) {
         double work = health.usualTime(q.offering, 0.1);
-        return q.offering.credit() / work * Math.min(1, shareTaken(q.asked.tenant()));
-    }
-
-    /** A tenant's share over the part of our last queries that it sent; over 1 where it keeps within it. */
-    private double shareTaken(TenantId tenant) {
-        if (tenant == null) {
-            return 1;
-        }
-        double part = tenantSent.get(tenant.value()).mean(Double.NEGATIVE_INFINITY, 0, 0);
-        return part == 0 ? 1 : of.tenants().get(tenant.value()).share() / part;
-    }
-
-    private void due(double time, Query q, Input input) {
-        dues.add(new Due(time, dueOrder++, q, input));
+        return q.offering.credit() / work * shares.kept(q.asked.tenant());
     }
 
     private void armAlarm() {
-        while (!dues.isEmpty() && dues.peek().query.state == State.CLOSED) {
-            dues.poll();
+        while (dues.nextAt() < Double.POSITIVE_INFINITY && dues.nextSubject().state() == State.CLOSED) {
+            dues.next(Double.POSITIVE_INFINITY);
         }
-        double next = Math.min(watch.askAt, dues.isEmpty() ? Double.POSITIVE_INFINITY : dues.peek().time);
+        double next = Math.min(watch.askAt(), dues.nextAt());
         next = part == null ? next : Math.min(next, part.nextAt());
         if (!held.isEmpty() && total.inFlight == 0 && total.freeAt > now) {
             next = Math.min(next, total.freeAt);
@@ -655,7 +609,7 @@
 
     /** Kept until its last execution has ended: a late outcome still tells of the upstream. */
     private void forgetIfDone(Query q) {
-        if (q.state == State.CLOSED && !q.anyOut()) {
+        if (q.state() == State.CLOSED && !q.anyOut()) {
             queries.remove(q.asked.id());
         }
     }
--- a/core/src/main/java/portrelay/policy/Health.java
+++ b/core/src/main/java/portrelay/policy/Health.java
@@ -101,7 +101,7 @@
             Execution primary = q.executions.get(0);
             if (e == primary) {
                 e.at.copyWins = 0;
-            } else if (q.state == Decide.State.RACING && primary.outcome == null) {
+            } else if (q.state() == Decide.State.RACING && primary.outcome == null) {
                 Upstream beaten = primary.at;
                 beaten.copyWins++;
                 if (beaten.passedOver()) {
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -1,7 +1,7 @@
 package portrelay.policy;
 
 import java.util.*;
-import portrelay.gossip.Gossip;
+import portrelay.gossip.*;
 import portrelay.model.*;
 
 /**
@@ -12,29 +12,23 @@
  */
 final class Part {
 
-    private record Piece(String name, char zone, List<Upstream> upstreams, double size) { }
+    private record Piece(char zone, List<Upstream> upstreams, double size) { }
 
     private static final int MOST_SHARERS = 14;
     private static final int FEWEST = 2;
-    private static final double LAY_AFTER = 0.1;
+    private static final double LAY_AFTER = 0.05;
     private static final double LAY_EVERY = 1;
     private static final double LEAST_ROOM = 0.01;
-    private static final double REAPED_FOR = 20;
-    private static final double REAP_SPARE = 0.95;
-    private static final int LOST_SAMPLES = 8;
-    private static final double TOLD_EVERY = 1;
 
     final Gossip gossip;
+    final Dropped dropped = new Dropped();
     private final Site site;
-    private final Map<Upstream, Integer> codes = new HashMap<>();
-    private final Upstream[] byCode = new Upstream[Gossip.CODES];
+    private List<Upstream> upstreams = List.of();
     private List<Upstream> ready = List.of();
+    private double sized;
     private double layAt;
+    private boolean laidBlind;
     private double laidAt = Double.NEGATIVE_INFINITY;
-    /** How long the connections of the last lost ones had rested. */
-    private final Samples lost = new Samples(LOST_SAMPLES);
-    private double reapUntil = Double.NEGATIVE_INFINITY;
-    private double reapToldAt = Double.NEGATIVE_INFINITY;
 
     Part(Effects out, Site site, double now) {
         this.gossip = new Gossip(out, site, now);
@@ -43,20 +37,20 @@
     }
 
     boolean has(Upstream u) {
-        return codes.containsKey(u);
+        return upstreams.contains(u);
     }
 
     int size() {
-        return codes.size();
+        return upstreams.size();
     }
 
     Upstream at(int code) {
-        return code < 0 ? null : byCode[code];
+        return code < 0 || code >= upstreams.size() ? null : upstreams.get(code);
     }
 
     void tell(Gossip.Word word, Upstream u, int tenant) {
         if (has(u)) {
-            gossip.tell(word, codes.get(u), tenant);
+            gossip.tell(word, upstreams.indexOf(u), tenant);
         }
     }
 
@@ -64,21 +58,23 @@
 
     void listed(List<Upstream> roster, double now) {
         List<Upstream> is = roster.stream().filter(u -> u.ready).toList();
-        layAt = is.equals(ready) ? layAt : now;
+        // Sizes show by and by where weights move with load.
+        layAt = is.equals(ready) && size(is) == sized ? layAt : now;
         ready = is;
+        sized = size(is);
         turn(now);
     }
 
     /** Lays the sidecars over the parts anew where something has changed. */
     void turn(double now) {
         if (gossip.changed()) {
-            double next = gossip.fewKnown() ? now : laidAt + LAY_EVERY;
-            layAt = Math.min(layAt, Math.max(now + LAY_AFTER, next));
+            layAt = Math.min(layAt, Math.max(now + LAY_AFTER, laidAt + (laidBlind ? 0 : LAY_EVERY)));
         }
         if (now >= layAt && !ready.isEmpty()) {
             layAt = Double.POSITIVE_INFINITY;
             laidAt = now;
-            lay(now);
+            laidBlind = gossip.fewKnown();
+            lay();
         }
         gossip.turn(now);
     }
@@ -88,21 +84,13 @@
         return ready.isEmpty() ? Double.POSITIVE_INFINITY : Math.min(layAt, gossip.nextAt());
     }
 
-    private void lay(double now) {
-        char zone = Gossip.sign((site.zone() == null ? ready.get(0).listed.zone() : site.zone()).value());
-        gossip.members().computeIfAbsent(site.me(), k -> new Gossip.Member(zone, ""));
-        Piece mine = place(cut(), zone);
-        gossip.keepTo(zone, mine.name(), now);
-        codes.clear();
-        Arrays.fill(byCode, null);
-        for (Upstream u : mine.upstreams()) {
-            int at = Math.floorMod(Long.hashCode(u.id.value() * 0x9E3779B97F4A7C15L), Gossip.CODES);
-            while (byCode[at] != null) {
-                at = (at + 1) % Gossip.CODES;
-            }
-            byCode[at] = u;
-            codes.put(u, at);
-        }
+    private void lay() {
+        List<Piece> pieces = cut();
+        Map<Integer, Piece> homes = place(pieces);
+        Piece mine = homes.getOrDefault(site.me(), pieces.get(0));
+        homes.remove(site.me());
+        gossip.sharers(homes.keySet().stream().filter(each -> homes.get(each) == mine).toList());
+        upstreams = mine.upstreams();
     }
 
     /** By group, as numbered copies stay in one; a group that too many would share is cut in equal parts. */
@@ -121,7 +109,7 @@
                     part.add(group.get(j));
                 }
                 char zone = Gossip.sign(group.get(0).listed.zone().value());
-                pieces.add(new Piece(cell + "." + i, zone, part, size(part)));
+                pieces.add(new Piece(zone, part, size(part)));
             }
         });
         return pieces;
@@ -133,38 +121,38 @@
 
     /**
      * As many of a zone's sidecars as its upstreams have room for stay, in one order that all know; the rest
-     * go where room is left. Whoever knows too few of the others stays.
+     * go where room is left. While few are known, all stay.
      */
-    private Piece place(List<Piece> pieces, char zone) {
-        Map<Integer, Gossip.Member> members = gossip.members();
+    private Map<Integer, Piece> place(List<Piece> pieces) {
+        Map<Integer, Character> members = gossip.members();
         Map<Character, Double> room = new TreeMap<>();
         pieces.forEach(p -> room.merge(p.zone(), members.size() * p.size() / size(ready), Double::sum));
         Map<Character, Integer> count = new TreeMap<>();
-        int rank = 0;
-        for (Map.Entry<Integer, Gossip.Member> m : members.entrySet()) {
-            int before = count.merge(m.getValue().zone(), 1, Integer::sum) - 1;
-            rank = m.getKey() == site.me() ? before : rank;
-        }
-        double here = Math.floor(room.getOrDefault(zone, 0.0));
-        if (room.containsKey(zone) && (gossip.fewKnown() || rank < here)) {
-            double among = Math.min(here, count.get(zone));
-            return at(pieces, zone, gossip.fewKnown() ? Gossip.lot(site.me()) : (rank + 0.5) / among);
-        }
-        double away = 0;
-        double ours = 0;
-        for (char each : count.keySet()) {
-            ours = each == zone ? away + rank - here + 0.5 : ours;
-            away += Math.max(0, count.get(each) - Math.floor(room.getOrDefault(each, 0.0)));
-        }
-        room.replaceAll((each, all) -> Math.max(LEAST_ROOM, all - count.getOrDefault(each, 0)));
-        double to = ours / away * room.values().stream().mapToDouble(each -> each).sum();
-        for (Map.Entry<Character, Double> each : room.entrySet()) {
-            if (to < each.getValue()) {
-                return at(pieces, each.getKey(), to / each.getValue());
+        members.values().forEach(zone -> count.merge(zone, 1, Integer::sum));
+        Map<Character, Integer> ranks = new HashMap<>();
+        Map<Integer, Piece> homes = new LinkedHashMap<>();
+        List<Integer> away = new ArrayList<>();
+        members.forEach((id, zone) -> {
+            int rank = ranks.merge(zone, 1, Integer::sum) - 1;
+            double stay = Math.min(Math.floor(room.getOrDefault(zone, 0.0)), count.get(zone));
+            if (room.containsKey(zone) && (gossip.fewKnown() || rank < stay)) {
+                homes.put(id, at(pieces, zone, gossip.fewKnown() ? Gossip.lot(id) : (rank + 0.5) / stay));
+            } else {
+                away.add(id);
+            }
+        });
+        room.replaceAll((zone, all) -> Math.max(LEAST_ROOM, all - count.getOrDefault(zone, 0)));
+        double free = room.values().stream().mapToDouble(each -> each).sum();
+        for (int i = 0; i < away.size(); i++) {
+            double to = (i + 0.5) / away.size() * free;
+            for (Map.Entry<Character, Double> each : room.entrySet()) {
+                if (to >= 0 && to < each.getValue()) {
+                    homes.put(away.get(i), at(pieces, each.getKey(), to / each.getValue()));
+                }
+                to -= each.getValue();
             }
-            to -= each.getValue();
         }
-        return pieces.get(0);
+        return homes;
     }
 
     private static Piece at(List<Piece> pieces, char zone, double share) {
@@ -178,30 +166,4 @@
         }
         return here.get(here.size() - 1);
     }
-
-    // ---- Connections that were dropped unseen -------------------------------------------------------------
-
-    boolean reaping(double now) {
-        return now < reapUntil;
-    }
-
-    /** Whether a connection that was last heard of so long ago is better not used. */
-    boolean tooOld(double rested, double now) {
-        return reaping(now) && rested > lost.secondLeast() * REAP_SPARE;
-    }
-
-    /** What went out on a connection that had rested so long was lost; the first word of it goes to all. */
-    void lost(double rested, double now, boolean ours) {
-        boolean first = !reaping(now);
-        if (first) {
-            lost.clear();
-        }
-        boolean news = lost.kept() < 2 || rested < lost.secondLeast() || now > reapToldAt + TOLD_EVERY;
-        lost.add(rested);
-        reapUntil = now + REAPED_FOR;
-        if (ours && news) {
-            reapToldAt = now;
-            gossip.tellLost(rested, first);
-        }
-    }
 }
--- a/core/src/main/java/portrelay/policy/Query.java
+++ b/core/src/main/java/portrelay/policy/Query.java
@@ -4,12 +4,11 @@
 import portrelay.model.*;
 
 /** A query that has not been forgotten: what was asked, what was sent, what state it is in. */
-final class Query implements Table.Subject<Decide.State> {
+final class Query extends Table.Subject<Decide.State> {
     final Asked asked;
     final Offering offering;
     final double arrivedAt;
     final List<Execution> executions = new ArrayList<>(2);
-    Decide.State state = Decide.State.FRESH;
     boolean copied;
     boolean waiting;
     /** Upstreams that were asked for their load on its behalf, and what to do when they have told. */
@@ -18,17 +17,8 @@
     int looks;
     Execution winner;
 
-    @Override
-    public Decide.State state() {
-        return state;
-    }
-
-    @Override
-    public void state(Decide.State next) {
-        state = next;
-    }
-
     Query(Asked asked, Offering offering, double arrivedAt) {
+        super(Decide.State.FRESH);
         this.asked = asked;
         this.offering = offering;
         this.arrivedAt = arrivedAt;
--- a/core/src/main/java/portrelay/policy/TotalLimit.java
+++ b/core/src/main/java/portrelay/policy/TotalLimit.java
@@ -24,7 +24,7 @@
     private final Samples few = new Samples(Upstream.FEW);
     private double unit = 1;
     private double least = 1;
-    boolean told;
+    private boolean told;
     private boolean starting = true;
     private double changedAt = Double.NEGATIVE_INFINITY;
     double freeAt = Double.NEGATIVE_INFINITY;
@@ -34,7 +34,7 @@
 
     /** All sidecars may start in one moment: what each begins with is its part of what all may send. */
     void start(double share) {
-        if (share == 0) {
+        if (share == 0 || told) {
             return;
         }
         told = true;
--- a/core/src/main/java/portrelay/settings/Settings.java
+++ b/core/src/main/java/portrelay/settings/Settings.java
@@ -22,6 +22,7 @@
 
     private static final int MOST_SIDECARS = 1_000_000;
     private static final int MOST_STREAMS = 1_000_000;
+    private static final double LONGEST_US = 1e15;
 
     private final Map<String, OfferingId> offeringIds = new HashMap<>();
     private final Map<String, TenantId> tenantIds = new HashMap<>();
@@ -58,7 +59,7 @@
         connectionIdle = time(allowed, "conn-idle-us");
         cold = new ColdRule(rules.number("cold-share", 1), time(rules, "cold-us"),
                 rules.number("overload-factor", 1), time(rules, "tip-after-us"));
-        listMustBeAsked = "on_request".equals(root.text("discovery", ""));
+        listMustBeAsked = mustBeAsked(root);
         askWithin = time(rules, "ask-within-us");
         int sidecars = root.whole("siblings", 1, 1, MOST_SIDECARS);
         site = new Site(root.whole("me", 0, 0, sidecars - 1), sidecars, zone(root), weights(root),
@@ -83,6 +84,24 @@
         return new Decide(effects, seed, new Deployment(offerings, tenants, permits, cold, list, at));
     }
 
+    /** What the settings set that sockets do not offer yet: the field, and what the module does instead. */
+    public List<String> notOnSockets() {
+        List<String> fields = new ArrayList<>();
+        if (!listMustBeAsked) {
+            fields.add("settings.discovery: discovery is asked on sockets, whatever is set");
+        }
+        if (site.looks()) {
+            fields.add("settings.load-report.how: upstreams are not probed on sockets; decides by own executions");
+        }
+        if (site.shares()) {
+            fields.add("settings.allowed.peers: no messages on sockets; decides by own executions");
+        }
+        if (streams > 1) {
+            fields.add("settings.allowed.streams-per-conn: one query at a time on a connection on sockets");
+        }
+        return fields;
+    }
+
     public Site site() {
         return site;
     }
@@ -159,6 +178,14 @@
         return connectionIdle;
     }
 
+    private static boolean mustBeAsked(Fields root) throws BadSetting {
+        return switch (root.text("discovery", "pushed")) {
+            case "on_request" -> true;
+            case "pushed" -> false;
+            default -> throw root.bad("discovery", "pushed or on_request");
+        };
+    }
+
     /** Null where none is named; a zone that the settings' own list of zones does not have is a mistake. */
     private static ZoneId zone(Fields root) throws BadSetting {
         if (!root.has("zone")) {
@@ -186,6 +213,9 @@
             return Site.Reports.SILENT;
         }
         Fields report = root.section("load-report");
+        if (report.has("columns")) {
+            report.texts("columns");
+        }
         return switch (report.text("how", "silent")) {
             case "silent" -> Site.Reports.SILENT;
             case "piggyback" -> Site.Reports.WITH_ANSWERS;
@@ -213,6 +243,6 @@
     }
 
     private static double time(Fields map, String name) throws BadSetting {
-        return map.number(name, 0) / 1e6;
+        return map.within(name, 0, 0, LONGEST_US) / 1e6;
     }
 }
--- a/core/src/test/java/portrelay/policy/Rig.java
+++ b/core/src/test/java/portrelay/policy/Rig.java
@@ -41,6 +41,14 @@
             offering(NUMBERED_ANYWHERE, Offering.Repeats.NUMBERED, Offering.Group.ALL));
 
     static final int ALL = -1;
+    static final Site ALONE = new Site(0, 1, null, Site.Weights.NOMINAL, Site.Reports.SILENT, false, false);
+    static final Site LOOKING =
+            new Site(0, 50, null, Site.Weights.SILENT, Site.Reports.WITH_PROBES, false, true);
+
+    /** One of ten, at home in a zone whose upstreams are 6 x zone and the next five. */
+    static Site sharing(int me, int zone) {
+        return new Site(me, 10, new ZoneId(zone), Site.Weights.LIVE, Site.Reports.WITH_ANSWERS, true, false);
+    }
 
     record Told(int to, String text) { }
 
@@ -48,6 +56,7 @@
 
     final List<Sent> sent = new ArrayList<>();
     final List<QueryId> denied = new ArrayList<>();
+    double coolDown;
     final List<QueryId> writtenOff = new ArrayList<>();
     final List<Sent> calledOff = new ArrayList<>();
     final List<Double> alarms = new ArrayList<>();
@@ -149,6 +158,7 @@
     @Override
     public void deny(QueryId query, double coolDown) {
         denied.add(query);
+        this.coolDown = coolDown;
     }
 
     @Override
--- a/core/src/test/java/portrelay/policy/RulesTest.java
+++ b/core/src/test/java/portrelay/policy/RulesTest.java
@@ -15,9 +15,11 @@
 import net.jqwik.api.constraints.Size;
 import portrelay.model.ListNews;
 import portrelay.model.Listed;
+import portrelay.model.LoadReport;
 import portrelay.model.Offering;
 import portrelay.model.Outcome;
 import portrelay.model.QueryId;
+import portrelay.model.Site;
 import portrelay.model.UpstreamId;
 
 /**
@@ -83,8 +85,23 @@
         Map<QueryId, Owed> owed;
         Map<Integer, Double> toldAt;
 
-        Watched(long seed) {
-            super(seed);
+        Watched(long seed, Site site) {
+            super(seed, site);
+        }
+
+        /** Probes are answered, fail, or are forgotten; messages are sound, torn or nobody's. */
+        void talk(int detail) {
+            for (UpstreamId each : List.copyOf(probed)) {
+                if (detail % 5 > 0) {
+                    probed.remove(each);
+                    double inHand = detail % 5 == 1 ? Double.NaN : detail / 5 % 4;
+                    decide.probed(now, each, detail % 5 == 2 ? null
+                            : new LoadReport(inHand, 0, 0, Double.NaN, Double.NaN, Double.NaN));
+                }
+            }
+            String text = detail % 3 == 0 ? "~h!0." + detail % 2 : detail % 3 == 1 ? "~r" + (char) (33 + detail % 90)
+                    : "" + (char) (33 + detail % 127) + (detail % 2 == 0 ? "" : "!");
+            decide.heard(now, detail % 12 - 1, text);
         }
 
         void forget(long seed) {
@@ -162,13 +179,29 @@
     @Property(tries = 400, seed = "20261201")
     void whatTheModuleDoesThePlainModelAllows(
             @ForAll @Size(min = 40, max = 250) List<@IntRange(min = 0, max = 999_999) Integer> day) {
-        Watched w = new Watched(day.get(0));
+        play(day, new Watched(day.get(0), Rig.ALONE));
+    }
+
+    @Property(tries = 300, seed = "20261202")
+    void theRulesHoldWhereLoadIsLookedAt(
+            @ForAll @Size(min = 40, max = 250) List<@IntRange(min = 0, max = 999_999) Integer> day) {
+        play(day, new Watched(day.get(0), Rig.LOOKING));
+    }
+
+    @Property(tries = 300, seed = "20261203")
+    void theRulesHoldWhereLoadIsShared(
+            @ForAll @Size(min = 40, max = 250) List<@IntRange(min = 0, max = 999_999) Integer> day) {
+        play(day, new Watched(day.get(0), Rig.sharing(0, 0)));
+    }
+
+    private static void play(List<Integer> day, Watched w) {
         w.forget(day.get(0));
         w.ready(UPSTREAMS);
         int asked = 0;
         for (int step : day) {
             int kind = step % 16;
             int detail = step / 16;
+            w.talk(detail);
             if (kind < 5) {
                 int offering = detail % 4;
                 QueryId id = new QueryId("q" + asked++);
--- /dev/null
+++ b/core/src/test/java/portrelay/policy/SeenLoadTest.java
@@ -0,0 +1,285 @@
+package portrelay.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import portrelay.model.Asked;
+import portrelay.model.ListNews;
+import portrelay.model.Listed;
+import portrelay.model.LoadReport;
+import portrelay.model.OfferingId;
+import portrelay.model.Outcome;
+import portrelay.model.QueryId;
+import portrelay.model.UpstreamId;
+
+/** Where load is looked at (ktm-refund-hall) or told by those who share upstreams (amman-main). */
+class SeenLoadTest {
+
+    private final Rig looks = new Rig(3, Rig.LOOKING);
+
+    private static LoadReport holding(double queries) {
+        return new LoadReport(queries, 0, 0.5, Double.NaN, Double.NaN, Double.NaN);
+    }
+
+    /** ktm-refund-hall big-1: ours in flight is 0 everywhere, so the pick was a lot. */
+    @Test
+    void theFirstIdleOfFiveProbedGetsTheQuery() {
+        looks.ready(20);
+        looks.ask("a", Rig.REISSUABLE, 2);
+        assertEquals(5, looks.probed.size());
+        assertTrue(looks.sent.isEmpty());
+        looks.decide.probed(looks.now, looks.probed.get(0), holding(2));
+        looks.decide.probed(looks.now, looks.probed.get(1), holding(0.02));
+        assertEquals(looks.probed.get(1), looks.last().at());
+        looks.decide.probed(looks.now, looks.probed.get(2), holding(0));
+        assertEquals(1, looks.sent.size());
+    }
+
+    /** ktm-refund-hall big days: what answered no probe was taken where all that answered were busy. */
+    @Test
+    void whatDoesNotAnswerIsPassedByAndNobodyWaitsForItLong() {
+        looks.ready(20);
+        looks.ask("a", Rig.REISSUABLE, 2);
+        looks.decide.probed(looks.now, looks.probed.get(3), holding(1));
+        looks.pass(0.0045);
+        assertEquals(10, looks.probed.size(), "a second look, as nothing was idle");
+        looks.decide.probed(looks.now, looks.probed.get(7), holding(1));
+        looks.pass(0.0045);
+        assertTrue(Set.of(looks.probed.get(3), looks.probed.get(7)).contains(looks.last().at()));
+    }
+
+    @Test
+    void withProbesThatFailOrSayNothingItIsSentAllTheSame() {
+        looks.ready(20);
+        looks.ask("a", Rig.REISSUABLE, 2);
+        looks.decide.probed(looks.now, looks.probed.get(0), null);
+        looks.decide.probed(looks.now, looks.probed.get(1), holding(Double.NaN));
+        looks.pass(0.009);
+        assertEquals(1, looks.sent.size());
+    }
+
+    /** ktm-refund-hall, heavy_tail: clients' retries of what was heavy jammed the fleet for half a minute. */
+    @Test
+    void aRetryTakesNoPlaceBehindAnotherAndIsToldToComeBackSoon() {
+        looks.ready(4);
+        looks.decide.arrival(looks.now, new Asked(new QueryId("r"), new OfferingId(Rig.REISSUABLE), null, null,
+                looks.now + 2, Double.NaN, true));
+        for (int i = 0; i < 40; i++) {
+            List.copyOf(looks.probed).forEach(each -> looks.decide.probed(looks.now, each, holding(1)));
+            looks.pass(0.002);
+        }
+        assertTrue(looks.sent.isEmpty());
+        assertEquals(1, looks.denied.size());
+        assertTrue(looks.coolDown > 0 && looks.coolDown < 0.1, "told to come back after " + looks.coolDown);
+    }
+
+    // ---- Shared -----------------------------------------------------------------------------------------
+
+    /** Sidecars whose messages reach each other at once. */
+    private static final class Pool {
+        final Map<Integer, Rig> rigs = new HashMap<>();
+        private final Map<Integer, Integer> read = new HashMap<>();
+
+        /** Of ten, as many in each zone as said; the list holds twelve upstreams in two zones. */
+        Pool(int inFirstZone) {
+            for (int i = 0; i < 10; i++) {
+                rigs.put(i, new Rig(i, Rig.sharing(i, i < inFirstZone ? 0 : 1)));
+            }
+            rigs.values().forEach(each -> each.ready(12));
+            for (int i = 0; i < 30; i++) {
+                talk();
+                rigs.values().forEach(each -> each.pass(0.01));
+            }
+        }
+
+        void talk() {
+            for (int more = 1; more > 0;) {
+                more = 0;
+                for (Map.Entry<Integer, Rig> from : rigs.entrySet()) {
+                    List<Rig.Told> told = from.getValue().told;
+                    int at = read.merge(from.getKey(), 0, Integer::sum);
+                    read.put(from.getKey(), told.size());
+                    more += told.size() - at;
+                    for (Rig.Told each : List.copyOf(told.subList(at, told.size()))) {
+                        rigs.forEach((to, rig) -> {
+                            if (to != from.getKey() && (each.to() == Rig.ALL || each.to() == to)) {
+                                rig.decide.heard(rig.now, from.getKey(), each.text());
+                            }
+                        });
+                    }
+                }
+            }
+        }
+    }
+
+    private static Set<UpstreamId> usedBy(Rig rig) {
+        Set<UpstreamId> used = new HashSet<>();
+        for (int i = 0; i < 40; i++) {
+            rig.ask("u" + i, Rig.AT_MOST_ONCE, 2);
+            if (!rig.sent.isEmpty()) {
+                used.add(rig.last().at());
+                rig.end(rig.last(), Outcome.HANDLED);
+            }
+        }
+        return used;
+    }
+
+    /** amman-main big-1: 18% of executions got no connection, as each sidecar went to each upstream. */
+    @Test
+    void aSidecarKeepsToOneGroupOfItsOwnZone() {
+        Pool pool = new Pool(5);
+        for (int i = 0; i < 10; i++) {
+            Set<UpstreamId> used = usedBy(pool.rigs.get(i));
+            assertTrue(used.size() <= 3, "one group of three, not " + used);
+            for (UpstreamId each : used) {
+                assertEquals(i < 5 ? 0 : 1, each.value() / 6, "a zone's sidecars stay while there is room");
+            }
+        }
+    }
+
+    /** amman-main: hall-b has a third of the traffic and a seventh of the size. */
+    @Test
+    void whereAZoneHasMoreSidecarsThanRoomTheRestGoWhereRoomIs() {
+        Pool pool = new Pool(8);
+        int away = 0;
+        for (int i = 0; i < 10; i++) {
+            long first = usedBy(pool.rigs.get(i)).iterator().next().value() / 6;
+            away += i < 8 && first == 1 ? 1 : 0;
+            assertTrue(i < 8 || first == 1);
+        }
+        assertEquals(3, away);
+    }
+
+    /** amman-main big-2: what others have in flight counts as if it were ours. */
+    @Test
+    void whatAnotherHasInFlightIsPassedByUntilItSaysThatItEnded() {
+        Pool pool = new Pool(5);
+        Map<Set<UpstreamId>, List<Rig>> parts = new HashMap<>();
+        pool.rigs.values().forEach(each -> parts.computeIfAbsent(usedBy(each), k -> new ArrayList<>()).add(each));
+        pool.talk();
+        List<Rig> sharers = parts.values().stream().filter(each -> each.size() >= 2).findFirst().orElseThrow();
+        Rig one = sharers.get(0);
+        Rig other = sharers.get(1);
+        one.ask("a", Rig.AT_MOST_ONCE, 2);
+        pool.talk();
+        for (int i = 0; i < 10; i++) {
+            other.ask("b" + i, Rig.AT_MOST_ONCE, 2);
+            assertNotEquals(one.last().at(), other.last().at());
+            other.end(other.last(), Outcome.HANDLED);
+        }
+    }
+
+    /** amman-main i9d3891: with 711 sidecars, words to all at each change of the list were half of all acts. */
+    @Test
+    void aChangedListIsAnsweredByNoWordToAll() {
+        Pool pool = new Pool(5);
+        Rig rig = pool.rigs.get(0);
+        long all = rig.told.stream().filter(each -> each.to() == Rig.ALL).count();
+        rig.decide.list(rig.now, ListNews.CHANGES, List.of(Rig.row(0, Listed.Health.DRAINING, 0)));
+        rig.pass(5);
+        pool.talk();
+        assertEquals(1, all);
+        assertEquals(1, rig.told.stream().filter(each -> each.to() == Rig.ALL).count());
+    }
+
+    /** amman-main, balancer_roll: one that comes back alone learns from one of those that ran on. */
+    @Test
+    void aRestartedSidecarLearnsWhoIsWhereFromOneOther() {
+        Pool pool = new Pool(5);
+        pool.rigs.values().forEach(each -> each.pass(1));
+        Rig back = pool.rigs.get(2);
+        back.told.clear();
+        pool.read.put(2, 0);
+        back.restart(99);
+        back.ready(12);
+        for (int i = 0; i < 30; i++) {
+            pool.talk();
+            pool.rigs.values().forEach(each -> each.pass(0.01));
+        }
+        assertTrue(back.told.stream().noneMatch(each -> each.to() == Rig.ALL), "told all");
+        int before = back.told.size();
+        back.ask("a", Rig.AT_MOST_ONCE, 2);
+        assertTrue(back.told.size() > before, "knows nobody who shares its part");
+    }
+
+    @Test
+    void tornForeignAndNobodysMessagesChangeNothing() {
+        Pool pool = new Pool(5);
+        Rig rig = pool.rigs.get(0);
+        long group = usedBy(rig).iterator().next().value() / 3;
+        int told = rig.told.size();
+        for (String text : List.of("", "~", "~h", "~H", "~r", "~x!", "~m", "~mz", "~m!", "\u00e9", "z", "~~~~", "!")) {
+            for (int from : new int[] {-1, 0, 3, 10, 4711}) {
+                rig.decide.heard(rig.now, from, text);
+            }
+        }
+        assertEquals(told, rig.told.size(), "answered nobody");
+        rig.pass(2);
+        assertTrue(usedBy(rig).stream().allMatch(each -> each.value() / 3 == group));
+        assertEquals(0, rig.denied.size());
+    }
+
+    /** amman-main, idle_reap: connections at rest are dropped unseen, what goes out on one is lost. */
+    @Test
+    void afterTwoThatWereLostOnRestedConnectionsOldOnesAreNotUsed() {
+        Pool pool = new Pool(5);
+        Rig rig = pool.rigs.get(0);
+        usedBy(rig);
+        for (int lost = 0; lost < 2; lost++) {
+            rig.pass(1);
+            rig.ask("lost" + lost, Rig.AT_MOST_ONCE, 2);
+            Rig.Sent silent = rig.last();
+            for (int i = 0; i < 12; i++) {
+                rig.ask("on" + lost + i, Rig.AT_MOST_ONCE, 2);
+                rig.end(rig.last(), Outcome.HANDLED);
+            }
+            // Others of its part go on being answered there.
+            String begun = rig.told.stream().map(Rig.Told::text).filter(t -> t.length() == 2).reduce((a, b) -> b)
+                    .orElseThrow();
+            for (char code = '!'; code < '!' + 23; code++) {
+                for (int i = 0; i < 8; i++) {
+                    rig.decide.heard(rig.now, 4, "" + code + begun.charAt(1));
+                    rig.decide.heard(rig.now, 4, "" + (char) (code + 23));
+                }
+            }
+            rig.pass(0.3);
+            rig.end(silent, Outcome.TIMED_OUT);
+        }
+        assertTrue(rig.told.stream().anyMatch(t -> t.to() == Rig.ALL && t.text().startsWith("~r")));
+        rig.pass(1);
+        int before = rig.letGo.size();
+        rig.ask("next", Rig.AT_MOST_ONCE, 2);
+        assertEquals(rig.last().at(), rig.letGo.get(before));
+    }
+
+    /** amman-main: a weight falls with what is held; its largest is the size, its step tells the cores. */
+    @Test
+    void aWeightThatMovesWithLoadIsNoSize() {
+        Upstream u = new Upstream(new UpstreamId(1));
+        for (double scale : new double[] {2, 2 / 1.5, 1, 2 / 2.5}) {
+            u.weight.listed(scale, true);
+        }
+        assertEquals(2, u.weight.size());
+        assertEquals(2, u.weight.cores());
+        assertEquals(2, u.weight.held(), 1e-9);
+        u.weight.listed(0.5, false);
+        assertEquals(0.5, u.weight.size());
+    }
+
+    @Test
+    void aDrainingUpstreamLeavesThePartAtOnce() {
+        Pool pool = new Pool(5);
+        Rig rig = pool.rigs.get(0);
+        UpstreamId one = usedBy(rig).iterator().next();
+        rig.decide.list(rig.now, ListNews.CHANGES, List.of(Rig.row((int) one.value(), Listed.Health.DRAINING, 0)));
+        assertTrue(!usedBy(rig).contains(one));
+    }
+}
--- a/daemon/src/main/java/portrelay/cli/Main.java
+++ b/daemon/src/main/java/portrelay/cli/Main.java
@@ -22,7 +22,8 @@
      */
     public static int run(String program, Map<String, Command> further, String[] args) {
         Map<String, Command> commands = new HashMap<>(Map.of("drill", new DrillCommand(),
-                "serve", new ServeCommand(), "check", new CheckCommand(), "version", new VersionCommand()));
+                "serve", new ServeCommand(), "check", new CheckCommand(),
+                "migrate", new MigrateCommand(), "version", new VersionCommand()));
         commands.putAll(further);
         JCommander cli = JCommander.newBuilder().programName(program).build();
         commands.forEach(cli::addCommand);
--- a/daemon/src/main/java/portrelay/cli/ServeCommand.java
+++ b/daemon/src/main/java/portrelay/cli/ServeCommand.java
@@ -17,6 +17,7 @@
     int run(Config config) throws IOException, BadSetting, InterruptedException {
         CompletableFuture<Sidecar> serving = new CompletableFuture<>();
         Log log = new Log(System.err, config.name());
+        config.settings().notOnSockets().forEach(each -> log.warn("not yet on sockets: " + each));
         onHangUp(() -> serving.thenAccept(sidecar -> reload(sidecar, log)));
         Sidecar sidecar = Sidecar.start(config, System.err);
         Runtime.getRuntime().addShutdownHook(new Thread(sidecar::drain));
--- a/daemon/src/main/java/portrelay/json/Tree.java
+++ b/daemon/src/main/java/portrelay/json/Tree.java
@@ -1,10 +1,13 @@
 package portrelay.json;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParseException;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -27,6 +30,45 @@
         }
     }
 
+    /** In UTF-8, indented, with a newline at the end; whole numbers are written without a fraction. */
+    public static byte[] write(Object tree) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (JsonGenerator json = new JsonFactory().createGenerator(out).useDefaultPrettyPrinter()) {
+            write(json, tree);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        out.write('\n');
+        return out.toByteArray();
+    }
+
+    private static void write(JsonGenerator json, Object tree) throws IOException {
+        if (tree instanceof Map<?, ?> map) {
+            json.writeStartObject();
+            for (Map.Entry<?, ?> each : map.entrySet()) {
+                json.writeFieldName((String) each.getKey());
+                write(json, each.getValue());
+            }
+            json.writeEndObject();
+        } else if (tree instanceof List<?> list) {
+            json.writeStartArray();
+            for (Object each : list) {
+                write(json, each);
+            }
+            json.writeEndArray();
+        } else if (tree instanceof Double number && number == Math.rint(number) && Math.abs(number) < 1e15) {
+            json.writeNumber(number.longValue());
+        } else if (tree instanceof Double number) {
+            json.writeNumber(number);
+        } else if (tree instanceof Boolean truth) {
+            json.writeBoolean(truth);
+        } else if (tree instanceof String text) {
+            json.writeString(text);
+        } else {
+            json.writeNull();
+        }
+    }
+
     /** The value that starts with the token, which was read last. */
     public static Object read(JsonParser json, JsonToken token) throws IOException {
         if (token == null) {
--- /dev/null
+++ b/daemon/src/test/java/portrelay/net/MigrateNetTest.java
@@ -0,0 +1,169 @@
+package portrelay.net;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import portrelay.cli.Main;
+import portrelay.net.Town.Toy;
+
+/** An old configuration, made into its counterpart for a new shape, serves on loopback. */
+class MigrateNetTest {
+
+    private static final String SHAPE = "{\"settings\":{\"siblings\":57,\"me\":3,\"dcs\":[\"a\",\"b\"],"
+            + "\"zone\":\"a\",\"discovery\":\"pushed\",\"weights\":\"live\","
+            + "\"load-report\":{\"how\":\"piggyback\",\"columns\":[\"load_share\",\"tps\"]},"
+            + "\"allowed\":{\"peers\":true,\"probes\":false,\"streams-per-conn\":100}}}";
+    private static final String NONE = "{\"seq\":1,\"hosts\":[]}";
+
+    @TempDir
+    private Path folder;
+    private String errors = "";
+
+    private int migrate(String... more) {
+        String[] args = Stream.concat(Stream.of("migrate", "--config", at("old.json"), "--shape",
+                at("shape.json")), Stream.of(more)).toArray(String[]::new);
+        PrintStream before = System.err;
+        ByteArrayOutputStream said = new ByteArrayOutputStream();
+        System.setErr(new PrintStream(said));
+        try {
+            return Main.run("portrelay", Map.of(), args);
+        } finally {
+            System.setErr(before);
+            errors = said.toString();
+        }
+    }
+
+    private String at(String file) {
+        return folder.resolve(file).toString();
+    }
+
+    private void files(String old, String shape) throws Exception {
+        Files.writeString(folder.resolve("old.json"), old);
+        Files.writeString(folder.resolve("shape.json"), shape);
+    }
+
+    private List<String> names() throws Exception {
+        try (var files = Files.list(folder)) {
+            return files.map(each -> each.getFileName().toString()).sorted().toList();
+        }
+    }
+
+    @Test
+    void theCounterpartServesAQueryAndWhatWasLeftOutIsNamed() throws Exception {
+        try (Toy upstream = new Toy(Town.answer("200 OK", "here"));
+                Toy discovery = new Toy((message, on) -> {
+                    if (!message.first().contains("index=")) {
+                        Town.answer("200 OK", "{\"seq\":9,\"whole\":true,\"hosts\":["
+                                + Town.host("s-0", upstreamAddress, "SERVING") + "]}").play(message, on);
+                    }
+                })) {
+            upstreamAddress = upstream.address();
+            String known = "{\"seq\":1,\"hosts\":[" + Town.host("s-9", "127.0.0.1:1", "SERVING") + "]}";
+            String old = Town.config(discovery.address(), known, 256);
+            files(old.replace("\"siblings\":1", "\"siblings\":1,\"family-info\":{\"warm-keys\":false}"), SHAPE);
+            assertEquals(1, migrate("--out", at("new.json")));
+            assertTrue(errors.contains("left out known:"), errors);
+            assertTrue(errors.contains("left out settings.family-info:"), errors);
+            assertTrue(errors.contains("not yet settings.allowed.peers:"), errors);
+            Config made = Config.parse(Files.readAllBytes(folder.resolve("new.json")));
+            assertEquals(57, made.settings().site().sidecars());
+            assertEquals(100, made.settings().streams());
+            assertEquals(256, made.sockets());
+            assertTrue(Sidecar.check(made));
+            try (Sidecar sidecar = Sidecar.start(made, new PrintStream(OutputStream.nullOutputStream()))) {
+                discovery.next();
+                discovery.next();
+                try (Socket client = new Socket(sidecar.address().getAddress(), sidecar.address().getPort())) {
+                    client.setSoTimeout(5000);
+                    assertEquals("here", new String(Town.ask(client, Town.read("a", 900)).body(), ISO_8859_1));
+                }
+            }
+        }
+    }
+
+    private volatile String upstreamAddress;
+
+    @Test
+    void whereAllIsCarriedOverItSaysSo() throws Exception {
+        files(Town.config("127.0.0.1:1", NONE, 256), SHAPE);
+        assertEquals(0, migrate("--out", at("new.json")));
+        assertFalse(errors.contains("left out"), errors);
+    }
+
+    @Test
+    void aDryRunLeavesTheFolderAsItWas() throws Exception {
+        files(Town.config("127.0.0.1:1", NONE, 256), SHAPE);
+        PrintStream before = System.out;
+        ByteArrayOutputStream printed = new ByteArrayOutputStream();
+        System.setOut(new PrintStream(printed));
+        try {
+            assertEquals(0, migrate("--out", at("new.json"), "--dry-run"));
+        } finally {
+            System.setOut(before);
+        }
+        assertEquals(List.of("old.json", "shape.json"), names());
+        assertEquals(57, Config.parse(printed.toByteArray()).settings().site().sidecars());
+    }
+
+    @Test
+    void badInputIsNamedInOneLineAndNothingIsWritten() throws Exception {
+        String old = Town.config("127.0.0.1:1", NONE, 256);
+        refused("{", SHAPE, "the whole");
+        refused(old.replace("idempotency_key", "who knows"), SHAPE, "settings.classes[1].effect");
+        refused(old, "[1", "--shape");
+        refused(old, "{}", "settings");
+        refused(old, SHAPE.replace("\"zone\":\"a\"", "\"zone\":\"c\""), "settings.zone");
+        refused(old, SHAPE.replace("piggyback", "perhaps"), "settings.load-report.how");
+        refused(old, SHAPE.replace("\"live\"", "\"heavy\""), "settings.weights");
+        refused(old, SHAPE.replace("\"pushed\"", "\"guessed\""), "settings.discovery");
+        refused(old, SHAPE.replace("\"me\":3", "\"me\":57"), "settings.me");
+        refused(old, SHAPE.replace("\"me\":3", "\"me\":-1"), "settings.me");
+        refused(old, SHAPE.replace(":100", ":0"), "settings.allowed.streams-per-conn");
+        refused(old, SHAPE.replace("\"tps\"", "7"), "settings.load-report.columns[1]");
+        refused(old, SHAPE.replace("\"peers\"", "\"piers\""), "settings.allowed.piers");
+        refused(old, SHAPE.replace("\"siblings\":57", "\"classes\":[]"), "settings.classes");
+        Files.delete(folder.resolve("shape.json"));
+        assertEquals(2, migrate("--out", at("new.json")));
+        assertEquals(List.of("old.json"), names());
+    }
+
+    private void refused(String old, String shape, String place) throws Exception {
+        files(old, shape);
+        assertEquals(2, migrate("--out", at("new.json")), place);
+        assertTrue(errors.contains(place) && errors.lines().count() == 1, errors);
+        assertEquals(List.of("old.json", "shape.json"), names());
+    }
+
+    @Test
+    void anExistingFileIsNeverWrittenOver() throws Exception {
+        files(Town.config("127.0.0.1:1", NONE, 256), SHAPE);
+        byte[] mine = {1, 2, 3};
+        Files.write(folder.resolve("new.json"), mine);
+        assertEquals(2, migrate("--out", at("new.json")));
+        assertArrayEquals(mine, Files.readAllBytes(folder.resolve("new.json")));
+        assertEquals(List.of("new.json", "old.json", "shape.json"), names());
+    }
+
+    /** What an old file does not set leaves the module as it was. */
+    @Test
+    void anOldFileAloneNeitherLooksNorShares() throws Exception {
+        Config old = Config.parse(Town.config("127.0.0.1:1", NONE, 256).getBytes(ISO_8859_1));
+        assertFalse(old.settings().site().looks() || old.settings().site().shares());
+        assertEquals(1, old.settings().streams());
+        assertEquals(List.of(), old.settings().notOnSockets());
+    }
+}
