--- a/core/src/main/java/portrelay/door/Door.java
+++ b/core/src/main/java/portrelay/door/Door.java
@@ -28,7 +28,8 @@
 
     enum Input { ARRIVED, HOPELESS, TURN, WAITED, CROWDED_OUT, LEFT, ANSWERED }
 
-    private static final Table<State, Input, Door, Query> TABLE = new Table<>(State.class, Input.class, List.of(
+    private static final Table<State, Input, Door, Query> TABLE = new Table<>(State.class,
+            Input.class, List.of(
             row(State.NEW, Input.ARRIVED, State.WAITING, Door::join),
             row(State.WAITING, Input.HOPELESS, State.OVER, Door::turnAway),
             row(State.WAITING, Input.CROWDED_OUT, State.OVER, Door::turnAway),
--- a/core/src/main/java/portrelay/gossip/Ledger.java
+++ b/core/src/main/java/portrelay/gossip/Ledger.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * What is in flight at one upstream as all that share it have said, ourselves among them. Promises that no end
- * that was lost on its way is waited for: what is older than it can be is forgotten.
+ * What is in flight at one upstream as all that share it have said, ourselves among them. Promises that no
+ * end that was lost on its way is waited for: what is older than it can be is forgotten.
  */
 public final class Ledger {
 
--- a/core/src/main/java/portrelay/model/Shares.java
+++ b/core/src/main/java/portrelay/model/Shares.java
@@ -23,7 +23,7 @@
         }
     }
 
-    /** A tenant's share over the part of the last queries that it sent, 1 at most: 1 where it keeps within it. */
+    /** A tenant's share over the part of the last queries that it sent; 1 where it keeps within it. */
     public double kept(TenantId tenant) {
         double part = tenant == null ? 0 : sent.get(tenant.value()).mean(0);
         return part == 0 ? 1 : Math.min(1, tenants.get(tenant.value()).share() / part);
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -1,11 +1,9 @@
 package portrelay.policy;
 
 // The decisions of one sidecar: the table and its events here, the rest in the files beside. A front makes
-// one Decide for each instance, hands it the settings, and calls start, list, arrival, outcome, begun, left
-// and alarm in the order in which things happen, each with the time in seconds. Decide answers through
-// portrelay.model.Effects, which the front implements; the types that pass between them stand in
-// portrelay.model. A call never waits and instances share nothing. docs/design.md tells what is kept of the
-// design, what is changed and when each change acts.
+// one Decide for each instance and calls its events in the order in which things happen, each with the time in
+// seconds; Decide answers through portrelay.model.Effects. A call never waits, and instances share nothing
+// but messages. docs/design.md tells what is kept of the design, what is changed and when each change acts.
 
 import java.util.*;
 import portrelay.gossip.Gossip;
@@ -75,7 +73,6 @@
     private final Effects out;
     private final SplittableRandom chance;
     private final Deployment of;
-    private final Permits permits;
     private final Cold cold;
     private final ListWatch watch;
     private final Site site;
@@ -102,7 +99,6 @@
         this.out = out;
         this.of = of;
         this.chance = new SplittableRandom(seed);
-        this.permits = of.permits();
         this.site = of.site();
         this.seen = site.looks() || site.shares();
         this.shares = new Shares(of.tenants());
@@ -314,12 +310,10 @@
             return Input.NOWHERE;
         }
         double threshold = Math.min(LONGEST_THRESHOLD, (q.asked.cutOffAt() - q.arrivedAt) / 2);
-        if (seen) {
-            threshold = Math.min(threshold, q.offering.targetTime() * COPY_SHARE);
-        }
+        threshold = seen ? Math.min(threshold, q.offering.targetTime() * COPY_SHARE) : threshold;
         send(q, u);
         q.waiting = false;
-        if (q.offering.repeats() != Offering.Repeats.AT_MOST_ONCE && permits.copies()) {
+        if (q.offering.repeats() != Offering.Repeats.AT_MOST_ONCE && of.permits().copies()) {
             dues.add(now + threshold, q, Input.COPY_DUE);
         }
         return null;
@@ -334,8 +328,7 @@
         if (site.looks()) {
             dues.add(now + LOOK_EVERY, q, Input.TURN);
             return now + LOOK_EVERY < until ? null : Input.WAITED;
-        }
-        if (!q.waiting) {
+        } else if (!q.waiting) {
             q.waiting = true;
             held.add(q);
             dues.add(until, q, Input.WAITED);
@@ -376,7 +369,6 @@
         if (u == null) {
             return Input.KEPT;
         }
-        q.copied = true;
         send(q, u);
         return null;
     }
@@ -384,27 +376,24 @@
     /** Nothing is out any more: the copy goes now, and later ones while budget and rules allow. */
     private Input sendFurther(Query q) {
         Upstream u = pick(q, false);
-        if (u == null) {
-            return Input.NOWHERE;
+        if (u != null) {
+            send(q, u);
         }
-        q.copied = true;
-        send(q, u);
-        return Input.PLACED;
+        return u == null ? Input.NOWHERE : Input.PLACED;
     }
 
     private Input callOffRest(Query q) {
-        for (Execution e : q.executions) {
-            if (e.outcome == null && e != q.winner && permits.cancel()) {
-                out.callOff(q.asked.id(), e.index);
-            }
-        }
+        q.executions.stream().filter(e -> e.outcome == null && e != q.winner && of.permits().cancel())
+                .forEach(e -> out.callOff(q.asked.id(), e.index));
         return null;
     }
 
     /** Answered at once: a client that is told early can still be served elsewhere or come back later. */
     private Input giveUp(Query q) {
         if (mayDeny(q)) {
-            out.deny(q.asked.id(), seen ? Math.min(permits.longestCoolDown(), q.offering.targetTime() * COME_BACK) : permits.longestCoolDown());
+            // Others of the pool may have room soon; to one that decides alone nothing sooner is known.
+            double soon = seen ? q.offering.targetTime() * COME_BACK : Double.POSITIVE_INFINITY;
+            out.deny(q.asked.id(), Math.min(of.permits().longestCoolDown(), soon));
         } else {
             out.writeOff(q.asked.id());
         }
@@ -421,17 +410,15 @@
 
     /** Guards against a second effect: where an execution may have run, only its group drops the repeat. */
     private boolean maySend(Query q, Upstream u) {
-        if (q.executions.size() >= permits.executions() || now >= q.asked.cutOffAt()) {
+        if (q.executions.size() >= of.permits().executions() || now >= q.asked.cutOffAt()) {
             return false;
         }
         Execution first = q.firstThatMayHaveRun();
-        if (first == null) {
-            return true;
-        }
-        return switch (q.offering.repeats()) {
-            case REISSUABLE -> permits.copies() || !q.anyOut();
+        boolean another = of.permits().copies() || !q.anyOut();
+        return first == null || another && switch (q.offering.repeats()) {
+            case REISSUABLE -> true;
             case AT_MOST_ONCE -> false;
-            case NUMBERED -> (permits.copies() || !q.anyOut()) && now < first.sentAt + q.offering.window()
+            case NUMBERED -> now < first.sentAt + q.offering.window()
                     && q.offering.sameGroup(first.at.listed, u.listed);
         };
     }
@@ -443,7 +430,7 @@
         if ((!seen || deaf() && crowd > 1) && !total.hasRoom(now)) {
             return null;
         }
-        double mean = meanInFlight();
+        double mean = roster.stream().filter(u -> u.ready).mapToInt(u -> u.inFlight).average().orElse(0);
         if (first && q.offering.repeats() == Offering.Repeats.REISSUABLE) {
             for (Upstream u : roster) {
                 if (u.passedOver() && now >= u.passedUntil && !u.trialOut && mayTake(q, u)
@@ -503,7 +490,7 @@
 
     /** In flight there as far as anybody told us. */
     private double load(Upstream u) {
-        return part == null ? u.reported : deaf() ? Math.max(u.told.inFlight(now), u.weight.held()) : u.told.inFlight(now);
+        return part == null ? u.reported : Math.max(u.told.inFlight(now), deaf() ? u.weight.held() : 0);
     }
 
     /** It answered no probe just now, or none of those who share it for long. */
@@ -520,16 +507,14 @@
 
     /** Guards against queues that no answer comes out of in time; over their share tenants wait for less. */
     private boolean inTime(Query q, double expected) {
-        double fit = (FIT_SHARE - FIT_CROWDED * Math.max(0, Math.min(1, 2 * (crowd - 1)))) * (0.7 + 0.3 * shares.kept(q.asked.tenant()));
+        double fit = FIT_SHARE - FIT_CROWDED * Math.max(0, Math.min(1, 2 * (crowd - 1)));
+        fit *= 0.7 + 0.3 * shares.kept(q.asked.tenant());
         double target = q.offering.targetTime();
         return now - q.arrivedAt + expected * health.usualTime(q.offering, target / 3) <= target * fit;
     }
 
-    private double meanInFlight() {
-        return roster.stream().filter(u -> u.ready).mapToInt(u -> u.inFlight).average().orElse(0);
-    }
-
     private void send(Query q, Upstream u) {
+        q.copied = !q.executions.isEmpty();
         boolean trial = u.passedOver() && now >= u.passedUntil;
         u.trialOut |= trial;
         double rested = part != null && u.inFlight == 0 && u.answeredAt > 0 ? now - u.answeredAt : 0;
@@ -556,7 +541,8 @@
     /** Tells the others of an end; what was overtaken on a rested connection tells of the connection. */
     private void shareEnd(Query q, Execution e) {
         boolean handled = e.outcome == Outcome.HANDLED;
-        boolean lost = !handled && e.rested > 0 && e.at.told.handled() >= e.overtakenAt && !e.outcome.neverRan;
+        boolean lost = !handled && !e.outcome.neverRan && e.rested > 0
+                && e.at.told.handled() >= e.overtakenAt;
         boolean off = e.outcome == Outcome.CALLED_OFF;
         boolean failed = !lost && !handled && !e.outcome.neverRan
                 && (!off || now - e.sentAt > q.offering.targetTime() * COPY_SHARE);
--- a/core/src/main/java/portrelay/policy/Upstream.java
+++ b/core/src/main/java/portrelay/policy/Upstream.java
@@ -1,10 +1,7 @@
 package portrelay.policy;
 
 import portrelay.gossip.Ledger;
-import portrelay.model.Listed;
-import portrelay.model.LiveWeight;
-import portrelay.model.Samples;
-import portrelay.model.UpstreamId;
+import portrelay.model.*;
 
 /** What is known of one upstream. */
 final class Upstream {
--- a/core/src/main/java/portrelay/settings/Migration.java
+++ b/core/src/main/java/portrelay/settings/Migration.java
@@ -6,11 +6,11 @@
 import java.util.Map;
 
 /**
- * An old configuration made into its counterpart for another shape of deployment. Who the sidecar is, where it
- * listens and finds discovery, its offerings, tenants and door stay the old file's; the rest of the settings is
- * the shape's, and the old file's where the shape says nothing. Promises to name each field of the old file that
- * has no place in the new one, and each that the shape sets anew. Trees are maps, lists, strings, doubles and
- * booleans; neither is changed.
+ * An old configuration made into its counterpart for another shape of deployment. Who the sidecar is, where
+ * it listens and finds discovery, its offerings, tenants and door stay the old file's; the rest of the settings
+ * is the shape's, and the old file's where the shape says nothing. Promises to name each field of the old file
+ * that has no place in the new one, and each that the shape sets anew. Trees are maps, lists, strings, doubles
+ * and booleans; neither is changed.
  */
 public final class Migration {
 
@@ -50,7 +50,7 @@
         Map<String, Object> config = new LinkedHashMap<>();
         old.forEach((name, value) -> {
             if (name.equals(KNOWN) && !noHosts(value)) {
-                leftOut.add(KNOWN + ": a list of the old deployment's upstreams; discovery tells the new ones");
+                leftOut.add(KNOWN + ": upstreams of the old deployment; discovery tells the new ones");
             } else if (TOP.contains(name)) {
                 config.put((String) name, name.equals(SETTINGS) ? settings(map(value), sets) : value);
             } else if (!name.equals(KNOWN)) {
--- a/core/src/test/java/portrelay/policy/SeenLoadTest.java
+++ b/core/src/test/java/portrelay/policy/SeenLoadTest.java
@@ -70,8 +70,8 @@
     @Test
     void aRetryTakesNoPlaceBehindAnotherAndIsToldToComeBackSoon() {
         looks.ready(4);
-        looks.decide.arrival(looks.now, new Asked(new QueryId("r"), new OfferingId(Rig.REISSUABLE), null, null,
-                looks.now + 2, Double.NaN, true));
+        looks.decide.arrival(looks.now, new Asked(new QueryId("r"), new OfferingId(Rig.REISSUABLE), null,
+                null, looks.now + 2, Double.NaN, true));
         for (int i = 0; i < 40; i++) {
             List.copyOf(looks.probed).forEach(each -> looks.decide.probed(looks.now, each, holding(1)));
             looks.pass(0.002);
@@ -163,9 +163,12 @@
     void whatAnotherHasInFlightIsPassedByUntilItSaysThatItEnded() {
         Pool pool = new Pool(5);
         Map<Set<UpstreamId>, List<Rig>> parts = new HashMap<>();
-        pool.rigs.values().forEach(each -> parts.computeIfAbsent(usedBy(each), k -> new ArrayList<>()).add(each));
+        for (Rig each : pool.rigs.values()) {
+            parts.computeIfAbsent(usedBy(each), k -> new ArrayList<>()).add(each);
+        }
         pool.talk();
-        List<Rig> sharers = parts.values().stream().filter(each -> each.size() >= 2).findFirst().orElseThrow();
+        List<Rig> sharers =
+                parts.values().stream().filter(each -> each.size() >= 2).findFirst().orElseThrow();
         Rig one = sharers.get(0);
         Rig other = sharers.get(1);
         one.ask("a", Rig.AT_MOST_ONCE, 2);
@@ -177,7 +180,7 @@
         }
     }
 
-    /** amman-main i9d3891: with 711 sidecars, words to all at each change of the list were half of all acts. */
+    /** amman-main i9d3891: with 711 sidecars, words to all at each change of the list broke the count. */
     @Test
     void aChangedListIsAnsweredByNoWordToAll() {
         Pool pool = new Pool(5);
@@ -216,7 +219,8 @@
         Rig rig = pool.rigs.get(0);
         long group = usedBy(rig).iterator().next().value() / 3;
         int told = rig.told.size();
-        for (String text : List.of("", "~", "~h", "~H", "~r", "~x!", "~m", "~mz", "~m!", "\u00e9", "z", "~~~~", "!")) {
+        for (String text : List.of("", "~", "~h", "~H", "~r", "~x!", "~m", "~mz", "~m!", "\u00e9", "z", "~~~~",
+                "!")) {
             for (int from : new int[] {-1, 0, 3, 10, 4711}) {
                 rig.decide.heard(rig.now, from, text);
             }
@@ -242,8 +246,8 @@
                 rig.end(rig.last(), Outcome.HANDLED);
             }
             // Others of its part go on being answered there.
-            String begun = rig.told.stream().map(Rig.Told::text).filter(t -> t.length() == 2).reduce((a, b) -> b)
-                    .orElseThrow();
+            String begun = rig.told.stream().map(Rig.Told::text).filter(t -> t.length() == 2)
+                    .reduce((a, b) -> b).orElseThrow();
             for (char code = '!'; code < '!' + 23; code++) {
                 for (int i = 0; i < 8; i++) {
                     rig.decide.heard(rig.now, 4, "" + code + begun.charAt(1));
@@ -279,7 +283,8 @@
         Pool pool = new Pool(5);
         Rig rig = pool.rigs.get(0);
         UpstreamId one = usedBy(rig).iterator().next();
-        rig.decide.list(rig.now, ListNews.CHANGES, List.of(Rig.row((int) one.value(), Listed.Health.DRAINING, 0)));
+        rig.decide.list(rig.now, ListNews.CHANGES,
+                List.of(Rig.row((int) one.value(), Listed.Health.DRAINING, 0)));
         assertTrue(!usedBy(rig).contains(one));
     }
 }
--- a/daemon/src/test/java/portrelay/net/MigrateNetTest.java
+++ b/daemon/src/test/java/portrelay/net/MigrateNetTest.java
@@ -74,11 +74,12 @@
             upstreamAddress = upstream.address();
             String known = "{\"seq\":1,\"hosts\":[" + Town.host("s-9", "127.0.0.1:1", "SERVING") + "]}";
             String old = Town.config(discovery.address(), known, 256);
-            files(old.replace("\"siblings\":1", "\"siblings\":1,\"family-info\":{\"warm-keys\":false}"), SHAPE);
+            files(old.replace("\"siblings\":1",
+                    "\"siblings\":1,\"family-info\":{\"warm-keys\":false}"), SHAPE);
             assertEquals(1, migrate("--out", at("new.json")));
             assertTrue(errors.contains("left out known:"), errors);
             assertTrue(errors.contains("left out settings.family-info:"), errors);
-            assertTrue(errors.contains("not yet settings.allowed.peers:"), errors);
+            assertTrue(errors.contains("not yet on sockets settings.allowed.peers:"), errors);
             Config made = Config.parse(Files.readAllBytes(folder.resolve("new.json")));
             assertEquals(57, made.settings().site().sidecars());
             assertEquals(100, made.settings().streams());
@@ -87,9 +88,11 @@
             try (Sidecar sidecar = Sidecar.start(made, new PrintStream(OutputStream.nullOutputStream()))) {
                 discovery.next();
                 discovery.next();
-                try (Socket client = new Socket(sidecar.address().getAddress(), sidecar.address().getPort())) {
+                var at = sidecar.address();
+                try (Socket client = new Socket(at.getAddress(), at.getPort())) {
                     client.setSoTimeout(5000);
-                    assertEquals("here", new String(Town.ask(client, Town.read("a", 900)).body(), ISO_8859_1));
+                    byte[] body = Town.ask(client, Town.read("a", 900)).body();
+                    assertEquals("here", new String(body, ISO_8859_1));
                 }
             }
         }
