--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -1,9 +1,9 @@
 package portrelay.policy;
 
 // The decisions of one sidecar: the table and its events here, the rest in the files beside. A front makes
-// one Decide for each instance and calls its events in the order in which things happen, each with the time in
-// seconds; Decide answers through portrelay.model.Effects. A call never waits, and instances share nothing
-// but messages. docs/design.md tells what is kept of the design, what is changed and when each change acts.
+// one Decide for each instance and calls its events in the order in which things happen, each with the time
+// in seconds; Decide answers through portrelay.model.Effects. A call never waits, and instances share nothing
+// but messages. docs/design.md tells what is kept, what is changed and when each change acts.
 
 import java.util.*;
 import portrelay.gossip.Gossip;
@@ -60,6 +60,7 @@
     private static final int RATE_SAMPLES = 16;
     private static final int LOOKS = 5;
     private static final int MOST_LOOKS = 2;
+    private static final int MOST_DRAWS = 4;
     private static final double LOOK_WAIT = 0.004;
     private static final double LOOK_EVERY = 0.015;
     private static final double LOOK_FRESH = 0.008;
@@ -303,7 +304,7 @@
 
     private Input sendFirst(Query q) {
         Upstream u = pick(q, true);
-        if (site.looks() && q.looks < MOST_LOOKS && (u == null || load(u) >= 1)) {
+        if (site.looks() && q.looks < MOST_LOOKS && !q.asked.again() && (u == null || load(u) >= 1)) {
             return Input.AGAIN;
         }
         if (u == null) {
@@ -327,7 +328,7 @@
         double until = q.arrivedAt + budget * share;
         if (site.looks()) {
             dues.add(now + LOOK_EVERY, q, Input.TURN);
-            return now + LOOK_EVERY < until ? null : Input.WAITED;
+            return now + LOOK_EVERY < until && !q.asked.again() ? null : Input.WAITED;
         } else if (!q.waiting) {
             q.waiting = true;
             held.add(q);
@@ -343,13 +344,11 @@
         if (!site.looks() || now + LOOK_WAIT >= q.asked.cutOffAt() || q.state() == State.ALONE && q.copied) {
             return q.then;
         }
-        List<Upstream> all = new ArrayList<>(roster);
-        all.removeIf(u -> u.passedOver() && now < u.passedUntil || !mayTake(q, u));
         q.sought.clear();
-        while (!all.isEmpty() && q.sought.size() < LOOKS) {
-            Upstream u = all.remove(chance.nextInt(all.size()));
-            q.sought.add(u);
-            if (!u.probeOut) {
+        for (int i = 0; i < LOOKS * MOST_DRAWS && q.sought.size() < LOOKS && !roster.isEmpty(); i++) {
+            Upstream u = roster.get(chance.nextInt(roster.size()));
+            boolean may = !(u.passedOver() && now < u.passedUntil) && mayTake(q, u);
+            if (may && q.sought.add(u) && !u.probeOut) {
                 u.probeOut = true;
                 out.probe(u.id);
             }
@@ -430,7 +429,8 @@
         if ((!seen || deaf() && crowd > 1) && !total.hasRoom(now)) {
             return null;
         }
-        double mean = roster.stream().filter(u -> u.ready).mapToInt(u -> u.inFlight).average().orElse(0);
+        double mean = seen ? 0
+                : roster.stream().filter(u -> u.ready).mapToInt(u -> u.inFlight).average().orElse(0);
         if (first && q.offering.repeats() == Offering.Repeats.REISSUABLE) {
             for (Upstream u : roster) {
                 if (u.passedOver() && now >= u.passedUntil && !u.trialOut && mayTake(q, u)
@@ -455,7 +455,8 @@
         Upstream pick = null;
         double least = Double.POSITIVE_INFINITY;
         for (Upstream u : roster) {
-            boolean not = u.passedOver() && !passedOverToo || !mayTake(q, u);
+            // The cheap questions first: in a burst a sidecar asks them of all upstreams thousands of times.
+            boolean not = u.passedOver() && !passedOverToo || seen && blind(u) && !blindToo || !mayTake(q, u);
             double pace = not ? worstPace : health.pace(u, now);
             double cost = pace >= worstPace ? Double.POSITIVE_INFINITY
                     : seen ? seenCost(q, u, pace) : ownCost(u, mean, pace);
