--- a/core/src/test/java/portrelay/policy/SeenLoadTest.java
+++ b/core/src/test/java/portrelay/policy/SeenLoadTest.java
@@ -66,7 +66,7 @@
         assertEquals(1, looks.sent.size());
     }
 
-    /** ktm-refund-hall, heavy_tail: clients' retries of what was heavy jammed the fleet for half a minute. */
+    /** ktm-refund-hall, heavy_tail and i122c47: retries jammed the fleet, and looking for them the sidecars. */
     @Test
     void aRetryTakesNoPlaceBehindAnotherAndIsToldToComeBackSoon() {
         looks.ready(4);
@@ -78,6 +78,7 @@
         }
         assertTrue(looks.sent.isEmpty());
         assertEquals(1, looks.denied.size());
+        assertEquals(4, looks.probed.size(), "looked more than once");
         assertTrue(looks.coolDown > 0 && looks.coolDown < 0.1, "told to come back after " + looks.coolDown);
     }
 
