--- a/core/src/main/java/portrelay/gossip/Dropped.java
+++ b/core/src/main/java/portrelay/gossip/Dropped.java
@@ -33,12 +33,13 @@
         until = now + FOR;
     }
 
-    /** The same, seen by ourselves; those that have to hear of it are told: the first one goes to all. */
+    /** The same, seen by ourselves; those that have to hear of it are told: the first two go to all. */
     public void lost(double seconds, double now, Gossip gossip) {
-        boolean first = !on(now);
-        if (rested.kept() < 2 || seconds < rested.secondLeast() || first || now > toldAt + TOLD_EVERY) {
+        // Nobody acts on one alone: until two are known, whoever loses one tells all.
+        boolean few = !on(now) || rested.kept() < 2;
+        if (few || seconds < rested.secondLeast() || now > toldAt + TOLD_EVERY) {
             toldAt = now;
-            gossip.tellLost(seconds, first);
+            gossip.tellLost(seconds, few);
         }
         lost(seconds, now);
     }
