--- a/core/src/main/java/portrelay/gossip/Gossip.java
+++ b/core/src/main/java/portrelay/gossip/Gossip.java
@@ -8,11 +8,11 @@
 import portrelay.model.Site;
 
 /**
- * What sidecars say to each other, and who is where: each tells its zone, once to all where nobody knew it and
- * then to one now and then, who answers with all zones that he knows; and those of the same part tell each
- * other each start and end of an execution. Promises the order of the members to be the same at all sidecars
- * that know the same ones. Decides nothing; what is torn, foreign or from nobody changes nothing. Sidecars are
- * charged for each message, so one is a character or two, and nothing is told to all that can be worked out.
+ * What sidecars say to each other, and who is where: each tells its zone, once to all where nobody knew it
+ * and then to one now and then, who answers with all zones that he knows; and those of the same part tell
+ * each other each start and end of an execution. Promises the order of the members to be the same at all
+ * sidecars that know the same ones. Decides nothing; what is torn, foreign or from nobody changes nothing.
+ * Sidecars are charged for each message, so few are sent, and nothing is told to all that can be worked out.
  */
 public final class Gossip {
 
--- a/core/src/main/java/portrelay/settings/Migration.java
+++ b/core/src/main/java/portrelay/settings/Migration.java
@@ -7,10 +7,10 @@
 
 /**
  * An old configuration made into its counterpart for another shape of deployment. Who the sidecar is, where
- * it listens and finds discovery, its offerings, tenants and door stay the old file's; the rest of the settings
- * is the shape's, and the old file's where the shape says nothing. Promises to name each field of the old file
- * that has no place in the new one, and each that the shape sets anew. Trees are maps, lists, strings, doubles
- * and booleans; neither is changed.
+ * it listens and finds discovery, its offerings, tenants and door stay the old file's; the rest of the
+ * settings is the shape's, and the old file's where the shape says nothing. Promises to name each field of
+ * the old file that has no place in the new one, and each that the shape sets anew. Trees are maps, lists,
+ * strings, doubles and booleans; neither is changed.
  */
 public final class Migration {
 
--- a/core/src/main/java/portrelay/settings/Settings.java
+++ b/core/src/main/java/portrelay/settings/Settings.java
@@ -91,7 +91,7 @@
             fields.add("settings.discovery: discovery is asked on sockets, whatever is set");
         }
         if (site.looks()) {
-            fields.add("settings.load-report.how: upstreams are not probed on sockets; decides by own executions");
+            fields.add("settings.load-report.how: no probes on sockets; decides by own executions");
         }
         if (site.shares()) {
             fields.add("settings.allowed.peers: no messages on sockets; decides by own executions");
