--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -447,7 +447,7 @@
     }
 
     private boolean mayTake(Query q, Upstream u) {
-        return u.ready && (seen || u.inFlight < u.limit) && (part == null || part.has(u)) && !q.triedAt(u)
+        return u.ready && (part == null || part.has(u)) && !q.triedAt(u)
                 && maySend(q, u) && cold.admits(u, now);
     }
 
--- a/core/src/main/java/portrelay/policy/Health.java
+++ b/core/src/main/java/portrelay/policy/Health.java
@@ -19,8 +19,6 @@
     private static final double PACE_MOST = 4;
     static final double OWN_FAULT = 2;
     private static final int TIME_SAMPLES = 64;
-    private static final double CUT_TO = 0.7;
-    private static final double PROMPT_SHARE = 0.35;
     private static final double LATE_SHARE = 0.45;
 
     private final Map<ShapeId, Samples> shapePaces = new HashMap<>();
@@ -49,22 +47,6 @@
         return times.get(offering.id().value()).mean(Double.NEGATIVE_INFINITY, 1, prior);
     }
 
-    /**
-     * What we keep in flight at one upstream grows by one for each full round of prompt outcomes and is cut
-     * by a share on a late or failed one. Guards against queues that no answer comes out of in time: what
-     * can't be placed waits briefly here and is then denied, while the client can still use that.
-     */
-    private static void adaptLimit(Upstream u, Execution e, double now, boolean prompt, boolean late) {
-        if (prompt) {
-            if (u.inFlight + 1 >= u.limit / 2) {
-                u.limit += 1 / u.limit;
-            }
-        } else if (late && e.sentAt >= u.cutAt) {
-            u.limit = Math.max(1, u.limit * CUT_TO);
-            u.cutAt = now;
-        }
-    }
-
     void judge(double now, Query q, Execution e, TotalLimit total) {
         double spent = now - e.sentAt;
         boolean handled = e.outcome == Outcome.HANDLED;
@@ -72,12 +54,9 @@
         // One that many sent after it have overtaken promptly is lost and in no queue: no less would help it.
         boolean lost = !handled && e.at.prompt.allAbove(e.sentAt);
         boolean slow = spent > target * LATE_SHARE && !lost;
-        // An error that comes back quickly tells of the upstream, not of too much in flight.
-        boolean late = slow || e.outcome == Outcome.FULL || e.outcome == Outcome.TIMED_OUT && !lost;
         if (handled && !slow) {
             e.at.prompt.add(now, e.sentAt);
         }
-        adaptLimit(e.at, e, now, handled && spent <= target * PROMPT_SHARE, late);
         total.ended(now, e.sentAt, target * LATE_SHARE, slow, pace(e.at, now) < OWN_FAULT);
         samplePace(now, q, e);
         boolean failed = !handled && !e.outcome.neverRan && e.outcome != Outcome.CALLED_OFF
--- a/core/src/main/java/portrelay/policy/Upstream.java
+++ b/core/src/main/java/portrelay/policy/Upstream.java
@@ -10,7 +10,6 @@
     static final double EVIDENCE = Math.log(1000);
     static final int PACE_SAMPLES = 16;
     static final int FEW = 4;
-    static final double FIRST_LIMIT = 1.5;
 
     final UpstreamId id;
     Listed listed;
@@ -33,8 +32,6 @@
     double reportedAt = Double.NEGATIVE_INFINITY;
     boolean probeOut;
     double answeredAt = Double.NEGATIVE_INFINITY;
-    double limit = FIRST_LIMIT;
-    double cutAt = Double.NEGATIVE_INFINITY;
     final Samples paces = new Samples(PACE_SAMPLES);
     /** Ours that are out on connections that had rested. */
     int restedOut;
