--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -298,7 +298,6 @@
     private void forgetGone() {
         if (roster.removeIf(u -> u.gone && u.inFlight == 0)) {
             known.values().retainAll(roster);
-            health.forgetAllBut(roster.stream().map(u -> u.listed.shape()).toList());
         }
     }
 
--- a/core/src/main/java/portrelay/policy/Health.java
+++ b/core/src/main/java/portrelay/policy/Health.java
@@ -21,7 +21,6 @@
     private static final int TIME_SAMPLES = 64;
     private static final double LATE_SHARE = 0.45;
 
-    private final Map<ShapeId, Samples> shapePaces = new HashMap<>();
     private final List<Samples> times = new ArrayList<>();
     private final Samples bads = new Samples(BAD_SAMPLES);
     private double paceAge = PACE_AGE;
@@ -37,11 +36,6 @@
         paceAge = Math.max(PACE_AGE, Math.min(PACE_AGE_MOST, PACE_VISITS * seconds));
     }
 
-    /** Guards against growth where shapes are ever new. */
-    void forgetAllBut(Collection<ShapeId> shapes) {
-        shapePaces.keySet().retainAll(shapes);
-    }
-
     /** Seconds that a handled query of the offering takes; the prior counts as one sample. */
     double usualTime(Offering offering, double prior) {
         return times.get(offering.id().value()).mean(Double.NEGATIVE_INFINITY, 1, prior);
@@ -116,23 +110,11 @@
             usual.add(now, spent / e.expected);
         }
         if (mean > 0 && (handled || !e.outcome.neverRan && spent > mean)) {
-            double ratio = Math.min(spent / mean, PACE_MOST);
-            e.at.paces.add(now, ratio);
-            shapePaces.computeIfAbsent(e.at.listed.shape(), k -> new Samples(Upstream.PACE_SAMPLES))
-                    .add(now, ratio);
+            e.at.paces.add(now, Math.min(spent / mean, PACE_MOST));
         }
     }
 
-    /**
-     * What we know of an upstream that we have not met lately: how its shape does. Guards quiet sidecars,
-     * which meet each upstream rarely, where one kind of machine is crowded or sick as a whole.
-     */
-    private double shapePace(ShapeId shape, double now) {
-        Samples seen = paceAge == PACE_AGE ? null : shapePaces.get(shape);
-        return seen == null ? 1 : Math.max(1, seen.mean(now - PACE_AGE, PACE_PRIOR, 1));
-    }
-
     double pace(Upstream u, double now) {
-        return u.paces.mean(now - paceAge, PACE_PRIOR, shapePace(u.listed.shape(), now));
+        return u.paces.mean(now - paceAge, PACE_PRIOR, 1);
     }
 }
