--- a/core/src/main/java/portrelay/gossip/Gossip.java
+++ b/core/src/main/java/portrelay/gossip/Gossip.java
@@ -43,7 +43,6 @@
     private static final int MOST_TOLD = 1000;
     /** Who started a moment ago knows nothing yet: what he answers would pass for all there is. */
     private static final double YOUNG = 1;
-    private static final double DEAF = 0.5;
     private static final int AGE_CODES = 89;
     private static final int AGE_OF_ONE = 45;
     private static final double AGE_STEPS = 10;
@@ -163,9 +162,14 @@
         }
     }
 
-    /** Nobody of those who share our part has said a word for long: what they have in flight is not known. */
-    public boolean deaf(double now) {
-        return !sharers.isEmpty() && now > heardAt + DEAF;
+    /** Whether anybody shares our part. */
+    public boolean shared() {
+        return !sharers.isEmpty();
+    }
+
+    /** When anybody last said a word. */
+    public double heardAt() {
+        return heardAt;
     }
 
     /** Null for what is no news of an execution or a connection. */
--- a/core/src/main/java/portrelay/gossip/Ledger.java
+++ b/core/src/main/java/portrelay/gossip/Ledger.java
@@ -12,7 +12,6 @@
     private record Entry(int sidecar, double at) { }
 
     private static final double LONGEST = 1.5;
-    private static final double SILENT = 0.3;
 
     private final List<Entry> entries = new ArrayList<>();
     private double handledAt = Double.NEGATIVE_INFINITY;
@@ -40,8 +39,8 @@
         return handled;
     }
 
-    /** Takes queries and answers none: its oldest is long out and nothing was handled since. */
-    public boolean silent(double now) {
-        return inFlight(now) > 0 && now - entries.get(0).at > SILENT && handledAt < entries.get(0).at;
+    /** Seconds for which the oldest has been out with nothing handled since; 0 where something was. */
+    public double silence(double now) {
+        return inFlight(now) > 0 && handledAt < entries.get(0).at ? now - entries.get(0).at : 0;
     }
 }
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -8,7 +8,6 @@
 import java.util.*;
 import portrelay.gossip.Gossip;
 import portrelay.model.*;
-import portrelay.sources.ListWatch;
 
 public final class Decide {
 
@@ -70,12 +69,13 @@
     private static final double OLD_TRIALS = 0.01;
     private static final int OVERTAKEN = 4;
     private static final double COME_BACK = 0.1;
+    private static final double SILENT = 0.3;
+    private static final double SHORTEST_BACKOFF = 0.5;
 
     private final Effects out;
     private final SplittableRandom chance;
     private final Deployment of;
     private final Cold cold;
-    private final ListWatch watch;
     private final Site site;
     private final boolean seen;
     private boolean blindToo;
@@ -94,6 +94,8 @@
     private final Health health;
     private final TotalLimit total = new TotalLimit();
     private double alarmAt = Double.POSITIVE_INFINITY;
+    private double askListAt = Double.POSITIVE_INFINITY;
+    private int listFailures;
     private double now;
 
     public Decide(Effects out, long seed, Deployment of) {
@@ -105,7 +107,6 @@
         this.shares = new Shares(of.tenants());
         this.health = new Health(of.offerings().size());
         this.cold = new Cold(of.cold());
-        this.watch = new ListWatch(out, chance, of.list());
     }
 
     // ---- Events -----------------------------------------------------------------------------------------
@@ -113,10 +114,17 @@
     public void start(double time) {
         now = time;
         part = site.shares() ? new Part(out, site, now) : null;
-        watch.ask();
+        askList();
         armAlarm();
     }
 
+    private void askList() {
+        askListAt = Double.POSITIVE_INFINITY;
+        if (of.list().onRequest()) {
+            out.watchList();
+        }
+    }
+
     public void arrival(double time, Asked asked) {
         now = time;
         Query q = new Query(asked, of.offerings().get(asked.offering().value()), time);
@@ -160,7 +168,7 @@
         part.turn(now);
         Upstream u = news == null ? null : part.at(news.code());
         if (news != null && news.word() == Gossip.Word.LOST) {
-            part.dropped.lost(news.rested(), now);
+            part.lost(news.rested(), now, false);
         } else if (u != null && news.word() == Gossip.Word.BEGUN) {
             u.told.begun(from, now);
             shares.count(news.tenant());
@@ -235,8 +243,8 @@
             step(due.subject(), due.input());
             forgetIfDone(due.subject());
         }
-        if (now >= watch.askAt()) {
-            watch.ask();
+        if (now >= askListAt) {
+            askList();
         }
         if (part != null) {
             part.turn(now);
@@ -248,12 +256,16 @@
     public void list(double time, ListNews news, List<Listed> rows) {
         now = time;
         if (news == ListNews.FAILED) {
-            watch.failed(now);
+            // One service for all sidecars: those that failed together must not come back together.
+            double longest = Math.max(SHORTEST_BACKOFF, of.list().askWithin() / 4);
+            double backoff = Math.min(longest, SHORTEST_BACKOFF * (1 << Math.min(listFailures++, 8)));
+            askListAt = now + backoff * (0.5 + chance.nextDouble() / 2);
             armAlarm();
             return;
         }
         if (news != ListNews.REMEMBERED) {
-            watch.answered();
+            listFailures = 0;
+            askListAt = Double.POSITIVE_INFINITY;
         }
         if (news != ListNews.CHANGES) {
             roster.forEach(u -> u.ready = !(u.gone = true));
@@ -485,7 +497,7 @@
     }
 
     private boolean deaf() {
-        return part != null && part.gossip.deaf(now);
+        return part != null && part.deaf(now);
     }
 
     /** In flight there as far as anybody told us. */
@@ -496,7 +508,7 @@
     /** It answered no probe just now, or none of those who share it for long. */
     private boolean blind(Upstream u) {
         return part == null ? now > u.reportedAt + LOOK_FRESH
-                : u.told.silent(now) || u.restedOut > 0 && part.dropped.on(now);
+                : u.told.silence(now) > SILENT || u.restedOut > 0 && part.dropping(now);
     }
 
     /** How long a query takes there, with those before it, as a multiple of the usual time alone. */
@@ -520,7 +532,7 @@
         double rested = part != null && u.inFlight == 0 && u.answeredAt > 0 ? now - u.answeredAt : 0;
         // A few that may run again go out on old ones all the same: else nobody learns that they hold again.
         boolean mayTry = q.offering.repeats() == Offering.Repeats.REISSUABLE;
-        if (rested > 0 && part.dropped.tooOld(rested, now) && !(mayTry && chance.nextDouble() < OLD_TRIALS)) {
+        if (rested > 0 && part.tooOld(rested, now) && !(mayTry && chance.nextDouble() < OLD_TRIALS)) {
             out.letGo(u.id);
             rested = 0;
         }
@@ -551,7 +563,7 @@
         e.at.restedOut -= e.rested > 0 ? 1 : 0;
         e.at.answeredAt = handled ? now : e.at.answeredAt;
         if (lost) {
-            part.dropped.lost(e.rested, now, part.gossip);
+            part.lost(e.rested, now, true);
         } else if (failed && off) {
             health.weigh(now, e.at, true);
         }
@@ -582,7 +594,7 @@
         while (dues.nextAt() < Double.POSITIVE_INFINITY && dues.nextSubject().state() == State.CLOSED) {
             dues.next(Double.POSITIVE_INFINITY);
         }
-        double next = Math.min(watch.askAt(), dues.nextAt());
+        double next = Math.min(askListAt, dues.nextAt());
         next = part == null ? next : Math.min(next, part.nextAt());
         if (!held.isEmpty() && total.inFlight == 0 && total.freeAt > now) {
             next = Math.min(next, total.freeAt);
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -1,7 +1,7 @@
 package portrelay.policy;
 
 import java.util.*;
-import portrelay.gossip.*;
+import portrelay.gossip.Gossip;
 import portrelay.model.*;
 
 /**
@@ -19,12 +19,20 @@
     private static final double LAY_AFTER = 0.05;
     private static final double LAY_EVERY = 1;
     private static final double LEAST_ROOM = 0.01;
+    private static final double DEAF = 0.5;
+    private static final int LOST_SAMPLES = 8;
+    private static final double DROPPED_FOR = 20;
+    private static final double AGE_SPARE = 0.95;
+    private static final double TOLD_EVERY = 1;
 
     final Gossip gossip;
-    final Dropped dropped = new Dropped();
     private final Site site;
     private List<Upstream> upstreams = List.of();
     private List<Upstream> ready = List.of();
+    /** How long those connections had rested that lost a query. */
+    private final Samples lost = new Samples(LOST_SAMPLES);
+    private double lostUntil = Double.NEGATIVE_INFINITY;
+    private double lostToldAt = Double.NEGATIVE_INFINITY;
     private double sized;
     private double layAt;
     private boolean laidBlind;
@@ -54,8 +62,6 @@
         }
     }
 
-    // ---- Which part ---------------------------------------------------------------------------------------
-
     void listed(List<Upstream> roster, double now) {
         List<Upstream> is = roster.stream().filter(u -> u.ready).toList();
         // Sizes show by and by where weights move with load.
@@ -166,4 +172,33 @@
         }
         return here.get(here.size() - 1);
     }
+
+    /** Nobody of those who share it has said a word for long: what they have in flight is not known. */
+    boolean deaf(double now) {
+        return gossip.shared() && now > gossip.heardAt() + DEAF;
+    }
+
+    /** Whether connections are being dropped unseen these days. */
+    boolean dropping(double now) {
+        return now < lostUntil;
+    }
+
+    /** Whether a connection that rested so long is better not used. */
+    boolean tooOld(double rested, double now) {
+        return dropping(now) && rested > lost.secondLeast() * AGE_SPARE;
+    }
+
+    /** One was lost after so long a rest; a single odd one sets no age, so until two are known all are told. */
+    void lost(double rested, double now, boolean ours) {
+        boolean few = !dropping(now) || lost.kept() < 2;
+        if (ours && (few || rested < lost.secondLeast() || now > lostToldAt + TOLD_EVERY)) {
+            lostToldAt = now;
+            gossip.tellLost(rested, few);
+        }
+        if (!dropping(now)) {
+            lost.clear();
+        }
+        lost.add(rested);
+        lostUntil = now + DROPPED_FOR;
+    }
 }
