--- a/core/src/main/java/portrelay/door/Door.java
+++ b/core/src/main/java/portrelay/door/Door.java
@@ -28,20 +28,15 @@
 
     enum Input { ARRIVED, HOPELESS, TURN, WAITED, CROWDED_OUT, LEFT, ANSWERED }
 
-    private static final Table<State, Input, Door, Query> TABLE = new Table<>(State.class,
-            Input.class, List.of(
-            row(State.NEW, Input.ARRIVED, State.WAITING, Door::join),
-            row(State.WAITING, Input.HOPELESS, State.OVER, Door::turnAway),
-            row(State.WAITING, Input.CROWDED_OUT, State.OVER, Door::turnAway),
-            row(State.WAITING, Input.WAITED, State.OVER, Door::turnAway),
-            row(State.WAITING, Input.TURN, State.INSIDE, Door::letIn),
-            row(State.WAITING, Input.LEFT, State.OVER, Door::forget),
-            row(State.INSIDE, Input.ANSWERED, State.OVER, Door::giveBack)));
-
-    private static Table.Row<State, Input, Door, Query> row(State state, Input input, State next,
-            Table.Effect<Door, Query, Input> effect) {
-        return new Table.Row<>(state, input, next, effect);
-    }
+    private static final Table<State, Input, Door, Query> TABLE =
+            new Table<State, Input, Door, Query>(State.class, Input.class)
+            .row(State.NEW, Input.ARRIVED, State.WAITING, Door::join)
+            .row(State.WAITING, Input.HOPELESS, State.OVER, Door::turnAway)
+            .row(State.WAITING, Input.CROWDED_OUT, State.OVER, Door::turnAway)
+            .row(State.WAITING, Input.WAITED, State.OVER, Door::turnAway)
+            .row(State.WAITING, Input.TURN, State.INSIDE, Door::letIn)
+            .row(State.WAITING, Input.LEFT, State.OVER, Door::forget)
+            .row(State.INSIDE, Input.ANSWERED, State.OVER, Door::giveBack);
 
     private static final class Query extends Table.Subject<State> {
         private final Caller caller;
--- a/core/src/main/java/portrelay/model/Table.java
+++ b/core/src/main/java/portrelay/model/Table.java
@@ -1,7 +1,5 @@
 package portrelay.model;
 
-import java.util.List;
-
 /**
  * A table of state, input, next state and effect, read by a short loop. Promises that an input without a row
  * changes nothing: timers can't be taken back and come late. S and I are the states and inputs, D what
@@ -27,16 +25,22 @@
         I on(D decider, Q subject);
     }
 
-    public record Row<S, I, D, Q>(S state, I input, S next, Effect<D, Q, I> effect) { }
+    private record Row<S, I, D, Q>(S next, Effect<D, Q, I> effect) { }
 
     private final Row<S, I, D, Q>[][] rows;
 
     @SuppressWarnings({"unchecked", "rawtypes"})
-    public Table(Class<S> states, Class<I> inputs, List<Row<S, I, D, Q>> table) {
+    public Table(Class<S> states, Class<I> inputs) {
         rows = new Row[states.getEnumConstants().length][inputs.getEnumConstants().length];
-        for (Row<S, I, D, Q> row : table) {
-            rows[row.state.ordinal()][row.input.ordinal()] = row;
+    }
+
+    /** The next row; its state and input stand in no other. */
+    public Table<S, I, D, Q> row(S state, I input, S next, Effect<D, Q, I> effect) {
+        if (rows[state.ordinal()][input.ordinal()] != null) {
+            throw new IllegalArgumentException("two rows for " + state + ", " + input);
         }
+        rows[state.ordinal()][input.ordinal()] = new Row<>(next, effect);
+        return this;
     }
 
     /** A null input is none. */
--- a/core/src/main/java/portrelay/policy/Cold.java
+++ b/core/src/main/java/portrelay/policy/Cold.java
@@ -31,32 +31,14 @@
 
     /** Every send to a warm upstream, or any where none is, earns each cold one its part of a send. */
     void sent(Upstream to, List<Upstream> roster, double now) {
-        int warm = 0;
-        double size = 0;
-        int ready = 0;
-        for (Upstream u : roster) {
-            if (u.ready) {
-                ready++;
-                if (ramp(u, now) >= 1) {
-                    warm++;
-                    size += u.size;
-                }
-            }
-        }
-        if (warm == ready) {
-            return;
-        }
+        List<Upstream> ready = roster.stream().filter(u -> u.ready).toList();
+        double warm = ready.stream().filter(u -> ramp(u, now) >= 1).mapToDouble(u -> u.size).sum();
         boolean toWarm = ramp(to, now) >= 1;
-        if (!toWarm) {
-            to.coldCredit -= 1;
-        }
-        if (!toWarm && warm > 0) {
-            return;
-        }
-        for (Upstream u : roster) {
-            double f = u.ready ? ramp(u, now) : 1;
-            if (f < 1) {
-                double each = warm > 0 ? f * u.size / size : 1.0 / ready;
+        to.coldCredit -= toWarm ? 0 : 1;
+        for (Upstream u : ready) {
+            double f = ramp(u, now);
+            if (f < 1 && (toWarm || warm == 0)) {
+                double each = warm > 0 ? f * u.size / warm : 1.0 / ready.size();
                 u.coldCredit = Math.min(2, u.coldCredit + each * stretch);
             }
         }
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -14,42 +14,40 @@
     /** HELD has nothing out and waits for a place; BARE has nothing out after one that did not help. */
     enum State { FRESH, LOOKING, HELD, ALONE, RACING, BARE, CLOSED }
 
-    enum Input { ARRIVED, SEEN, AGAIN, NOWHERE, TURN, WAITED, PLACED, COPY_DUE, COPY_SEEN, KEPT, ENDED, WON,
-        LEFT }
+    enum Input { ARRIVED, SEEN, AGAIN, NOWHERE, TURN, WAITED, PLACED, COPY_DUE, COPY_SEEN, ENDED, WON, LEFT }
 
     private static final Table.Effect<Decide, Query, Input> NOTHING = (d, q) -> null;
 
-    private static final Table<State, Input, Decide, Query> TABLE = new Table<>(State.class,
-            Input.class, List.of(
-            row(State.FRESH, Input.ARRIVED, State.LOOKING, Decide::look),
-            row(State.LOOKING, Input.SEEN, State.ALONE, Decide::sendFirst),
-            row(State.LOOKING, Input.LEFT, State.CLOSED, NOTHING),
-            row(State.ALONE, Input.AGAIN, State.LOOKING, Decide::look),
-            row(State.ALONE, Input.NOWHERE, State.HELD, Decide::hold),
-            row(State.ALONE, Input.COPY_DUE, State.ALONE, Decide::look),
-            row(State.ALONE, Input.COPY_SEEN, State.RACING, Decide::sendCopy),
-            row(State.ALONE, Input.ENDED, State.BARE, Decide::look),
-            row(State.ALONE, Input.WON, State.CLOSED, Decide::callOffRest),
-            row(State.ALONE, Input.LEFT, State.CLOSED, Decide::callOffRest),
-            row(State.RACING, Input.KEPT, State.ALONE, NOTHING),
-            row(State.RACING, Input.ENDED, State.ALONE, NOTHING),
-            row(State.RACING, Input.WON, State.CLOSED, Decide::callOffRest),
-            row(State.RACING, Input.LEFT, State.CLOSED, Decide::callOffRest),
-            row(State.BARE, Input.SEEN, State.BARE, Decide::sendFurther),
-            row(State.BARE, Input.LEFT, State.CLOSED, NOTHING),
-            row(State.BARE, Input.PLACED, State.ALONE, NOTHING),
-            row(State.BARE, Input.NOWHERE, State.CLOSED, Decide::giveUp),
-            row(State.HELD, Input.TURN, State.LOOKING, Decide::look),
-            row(State.HELD, Input.WAITED, State.CLOSED, Decide::giveUp),
-            row(State.HELD, Input.LEFT, State.CLOSED, NOTHING)));
-
-    private static Table.Row<State, Input, Decide, Query> row(State state, Input input, State next,
-            Table.Effect<Decide, Query, Input> effect) {
-        return new Table.Row<>(state, input, next, effect);
-    }
-
+    private static final Table<State, Input, Decide, Query> TABLE =
+            new Table<State, Input, Decide, Query>(State.class, Input.class)
+            .row(State.FRESH, Input.ARRIVED, State.LOOKING, Decide::look)
+            .row(State.LOOKING, Input.SEEN, State.ALONE, Decide::sendFirst)
+            .row(State.LOOKING, Input.LEFT, State.CLOSED, NOTHING)
+            .row(State.ALONE, Input.AGAIN, State.LOOKING, Decide::look)
+            .row(State.ALONE, Input.NOWHERE, State.HELD, Decide::hold)
+            .row(State.ALONE, Input.COPY_DUE, State.ALONE, Decide::look)
+            .row(State.ALONE, Input.COPY_SEEN, State.RACING, Decide::sendAnother)
+            .row(State.ALONE, Input.ENDED, State.BARE, Decide::look)
+            .row(State.ALONE, Input.WON, State.CLOSED, Decide::callOffRest)
+            .row(State.ALONE, Input.LEFT, State.CLOSED, Decide::callOffRest)
+            .row(State.RACING, Input.NOWHERE, State.ALONE, NOTHING)
+            .row(State.RACING, Input.ENDED, State.ALONE, NOTHING)
+            .row(State.RACING, Input.WON, State.CLOSED, Decide::callOffRest)
+            .row(State.RACING, Input.LEFT, State.CLOSED, Decide::callOffRest)
+            .row(State.BARE, Input.SEEN, State.BARE, Decide::sendAnother)
+            .row(State.BARE, Input.LEFT, State.CLOSED, NOTHING)
+            .row(State.BARE, Input.PLACED, State.ALONE, NOTHING)
+            .row(State.BARE, Input.NOWHERE, State.CLOSED, Decide::giveUp)
+            .row(State.HELD, Input.TURN, State.LOOKING, Decide::look)
+            .row(State.HELD, Input.WAITED, State.CLOSED, Decide::giveUp)
+            .row(State.HELD, Input.LEFT, State.CLOSED, NOTHING);
+
+    /** A query is kept until its last execution has ended: a late outcome still tells of the upstream. */
     private void step(Query q, Input input) {
         TABLE.step(this, q, input);
+        if (q.state() == State.CLOSED && !q.anyOut()) {
+            queries.remove(q.asked.id());
+        }
     }
 
     private static final double LONGEST_THRESHOLD = 1.0;
@@ -109,8 +107,6 @@
         this.cold = new Cold(of.cold());
     }
 
-    // ---- Events -----------------------------------------------------------------------------------------
-
     public void start(double time) {
         now = time;
         part = site.shares() ? new Part(out, site, now) : null;
@@ -133,7 +129,6 @@
         arrivals.add(now, 1);
         shares.count(TenantId.number(asked.tenant()));
         step(q, Input.ARRIVED);
-        forgetIfDone(q);
         armAlarm();
     }
 
@@ -151,7 +146,6 @@
                 if (q.sought.remove(u) && (q.sought.isEmpty() || u.reportedAt == now && u.reported == 0)) {
                     looking.remove(q);
                     step(q, q.then);
-                    forgetIfDone(q);
                 }
             }
         }
@@ -200,10 +194,9 @@
         if (ended && q.state() != State.CLOSED) {
             q.winner = e;
             step(q, outcome == Outcome.HANDLED ? Input.WON : Input.LEFT);
-        } else if (!ended) {
+        } else {
             step(q, Input.ENDED);
         }
-        forgetIfDone(q);
         placeHeld();
         armAlarm();
     }
@@ -229,7 +222,6 @@
         Query q = queries.get(id);
         if (q != null) {
             step(q, Input.LEFT);
-            forgetIfDone(q);
         }
         armAlarm();
     }
@@ -241,7 +233,6 @@
         }
         for (Dues.Due<Query, Input> due = dues.next(now); due != null; due = dues.next(now)) {
             step(due.subject(), due.input());
-            forgetIfDone(due.subject());
         }
         if (now >= askListAt) {
             askList();
@@ -324,7 +315,6 @@
         double threshold = Math.min(LONGEST_THRESHOLD, (q.asked.cutOffAt() - q.arrivedAt) / 2);
         threshold = seen ? Math.min(threshold, q.offering.targetTime() * COPY_SHARE) : threshold;
         send(q, u);
-        q.waiting = false;
         if (q.offering.repeats() != Offering.Repeats.AT_MOST_ONCE && of.permits().copies()) {
             dues.add(now + threshold, q, Input.COPY_DUE);
         }
@@ -340,8 +330,7 @@
         if (site.looks()) {
             dues.add(now + LOOK_EVERY, q, Input.TURN);
             return now + LOOK_EVERY < until && !q.asked.again() ? null : Input.WAITED;
-        } else if (!q.waiting) {
-            q.waiting = true;
+        } else if (!held.contains(q)) {
             held.add(q);
             dues.add(until, q, Input.WAITED);
         }
@@ -352,7 +341,7 @@
     private Input look(Query q) {
         q.then = q.state() == State.ALONE ? Input.COPY_SEEN : Input.SEEN;
         q.looks = q.executions.isEmpty() ? q.looks + 1 : MOST_LOOKS;
-        if (!site.looks() || now + LOOK_WAIT >= q.asked.cutOffAt() || q.state() == State.ALONE && q.copied) {
+        if (!site.looks() || now + LOOK_WAIT >= q.asked.cutOffAt() || q.state() == State.ALONE && q.executions.size() > 1) {
             return q.then;
         }
         q.sought.clear();
@@ -372,20 +361,11 @@
         return null;
     }
 
-    private Input sendCopy(Query q) {
+    /** A copy, or a further one at once where nothing is out any more, while budget and rules allow. */
+    private Input sendAnother(Query q) {
         // When the whole fleet is slow a copy only doubles the load.
-        boolean useless = q.copied || !seen && total.fleetIsSlow();
-        Upstream u = useless || q.offering.repeats() == Offering.Repeats.AT_MOST_ONCE ? null : pick(q, false);
-        if (u == null) {
-            return Input.KEPT;
-        }
-        send(q, u);
-        return null;
-    }
-
-    /** Nothing is out any more: the copy goes now, and later ones while budget and rules allow. */
-    private Input sendFurther(Query q) {
-        Upstream u = pick(q, false);
+        boolean useless = q.anyOut() && (q.executions.size() > 1 || !seen && total.fleetIsSlow());
+        Upstream u = useless ? null : pick(q, false);
         if (u != null) {
             send(q, u);
         }
@@ -400,9 +380,11 @@
 
     /** Answered at once: a client that is told early can still be served elsewhere or come back later. */
     private Input giveUp(Query q) {
-        if (mayDeny(q)) {
+        Offering o = q.offering;
+        boolean anywhere = o.repeats() == Offering.Repeats.NUMBERED && o.group() == Offering.Group.ALL;
+        if (o.repeats() == Offering.Repeats.REISSUABLE || anywhere || q.firstThatMayHaveRun() == null) {
             // Others of the pool may have room soon; to one that decides alone nothing sooner is known.
-            double soon = seen ? q.offering.targetTime() * COME_BACK : Double.POSITIVE_INFINITY;
+            double soon = seen ? o.targetTime() * COME_BACK : Double.POSITIVE_INFINITY;
             out.deny(q.asked.id(), Math.min(of.permits().longestCoolDown(), soon));
         } else {
             out.writeOff(q.asked.id());
@@ -410,14 +392,6 @@
         return null;
     }
 
-    private static boolean mayDeny(Query q) {
-        return switch (q.offering.repeats()) {
-            case REISSUABLE -> true;
-            case NUMBERED -> q.offering.group() == Offering.Group.ALL || q.firstThatMayHaveRun() == null;
-            case AT_MOST_ONCE -> q.firstThatMayHaveRun() == null;
-        };
-    }
-
     /** Guards against a second effect: where an execution may have run, only its group drops the repeat. */
     private boolean maySend(Query q, Upstream u) {
         if (q.executions.size() >= of.permits().executions() || now >= q.asked.cutOffAt()) {
@@ -433,8 +407,6 @@
         };
     }
 
-    // ---- Picking ----------------------------------------------------------------------------------------
-
     private Upstream pick(Query q, boolean first) {
         looking.remove(q);
         if ((!seen || deaf() && crowd > 1) && !total.hasRoom(now)) {
@@ -526,7 +498,6 @@
     }
 
     private void send(Query q, Upstream u) {
-        q.copied = !q.executions.isEmpty();
         boolean trial = u.passedOver() && now >= u.passedUntil;
         u.trialOut |= trial;
         double rested = part != null && u.inFlight == 0 && u.answeredAt > 0 ? now - u.answeredAt : 0;
@@ -580,7 +551,6 @@
                 return;
             }
             held.remove(best);
-            forgetIfDone(best);
         }
     }
 
@@ -604,11 +574,4 @@
             out.alarmAt(next);
         }
     }
-
-    /** Kept until its last execution has ended: a late outcome still tells of the upstream. */
-    private void forgetIfDone(Query q) {
-        if (q.state() == State.CLOSED && !q.anyOut()) {
-            queries.remove(q.asked.id());
-        }
-    }
 }
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -1,6 +1,7 @@
 package portrelay.policy;
 
 import java.util.*;
+import java.util.function.ToDoubleFunction;
 import portrelay.gossip.Gossip;
 import portrelay.model.*;
 
@@ -142,35 +143,29 @@
             int rank = ranks.merge(zone, 1, Integer::sum) - 1;
             double stay = Math.min(Math.floor(room.getOrDefault(zone, 0.0)), count.get(zone));
             if (room.containsKey(zone) && (gossip.fewKnown() || rank < stay)) {
-                homes.put(id, at(pieces, zone, gossip.fewKnown() ? Gossip.lot(id) : (rank + 0.5) / stay));
+                double share = gossip.fewKnown() ? Gossip.lot(id) : (rank + 0.5) / stay;
+                homes.put(id, at(pieces, share, p -> p.zone() == zone ? p.size() : 0));
             } else {
                 away.add(id);
             }
         });
-        room.replaceAll((zone, all) -> Math.max(LEAST_ROOM, all - count.getOrDefault(zone, 0)));
-        double free = room.values().stream().mapToDouble(each -> each).sum();
         for (int i = 0; i < away.size(); i++) {
-            double to = (i + 0.5) / away.size() * free;
-            for (Map.Entry<Character, Double> each : room.entrySet()) {
-                if (to >= 0 && to < each.getValue()) {
-                    homes.put(away.get(i), at(pieces, each.getKey(), to / each.getValue()));
-                }
-                to -= each.getValue();
-            }
+            homes.put(away.get(i), at(pieces, (i + 0.5) / away.size(), p -> p.size() * Math.max(LEAST_ROOM,
+                    1 - count.getOrDefault(p.zone(), 0) / room.get(p.zone()))));
         }
         return homes;
     }
 
-    private static Piece at(List<Piece> pieces, char zone, double share) {
-        List<Piece> here = pieces.stream().filter(p -> p.zone() == zone).toList();
-        double left = share * here.stream().mapToDouble(Piece::size).sum();
-        for (Piece p : here) {
-            left -= p.size();
+    /** Where a share of the pieces' weights, laid end to end, comes to. */
+    private static Piece at(List<Piece> pieces, double share, ToDoubleFunction<Piece> weight) {
+        double left = share * pieces.stream().mapToDouble(weight).sum();
+        for (Piece p : pieces) {
+            left -= weight.applyAsDouble(p);
             if (left < 0) {
                 return p;
             }
         }
-        return here.get(here.size() - 1);
+        return pieces.get(pieces.size() - 1);
     }
 
     /** Nobody of those who share it has said a word for long: what they have in flight is not known. */
--- a/core/src/main/java/portrelay/policy/Query.java
+++ b/core/src/main/java/portrelay/policy/Query.java
@@ -9,8 +9,6 @@
     final Offering offering;
     final double arrivedAt;
     final List<Execution> executions = new ArrayList<>(2);
-    boolean copied;
-    boolean waiting;
     /** Upstreams that were asked for their load on its behalf, and what to do when they have told. */
     final Set<Upstream> sought = new HashSet<>();
     Decide.Input then;
