--- a/core/src/main/java/portrelay/model/Dues.java
+++ b/core/src/main/java/portrelay/model/Dues.java
@@ -1,6 +1,7 @@
 package portrelay.model;
 
 import java.util.PriorityQueue;
+import java.util.function.Predicate;
 
 /** What falls due when, in the order in which it was asked for where times are equal. */
 public final class Dues<Q, I> {
@@ -17,16 +18,14 @@
 
     /** What is due by now, taken out; null where nothing is. */
     public Due<Q, I> next(double now) {
-        return nextAt() <= now ? dues.poll() : null;
+        return !dues.isEmpty() && dues.peek().time <= now ? dues.poll() : null;
     }
 
-    /** Infinite where nothing is to come. */
-    public double nextAt() {
+    /** Infinite where nothing is to come; what first stands there of subjects no longer open is forgotten. */
+    public double nextAt(Predicate<Q> open) {
+        while (!dues.isEmpty() && !open.test(dues.peek().subject)) {
+            dues.poll();
+        }
         return dues.isEmpty() ? Double.POSITIVE_INFINITY : dues.peek().time;
     }
-
-    /** Whose turn it will be; there has to be one. */
-    public Q nextSubject() {
-        return dues.peek().subject;
-    }
 }
--- a/core/src/main/java/portrelay/model/LiveWeight.java
+++ b/core/src/main/java/portrelay/model/LiveWeight.java
@@ -6,13 +6,17 @@
  */
 public final class LiveWeight {
 
-    private static final int LISTS = 3;
     private static final double LEAST_STEP = 0.02;
 
-    private final Samples held = new Samples(LISTS);
+    private final Samples held;
     private double size;
     private double step = 1;
 
+    /** Lists are how many the mean in hand is taken over. */
+    public LiveWeight(int lists) {
+        held = new Samples(lists);
+    }
+
     public void listed(double scale, boolean live) {
         size = live ? Math.max(size, scale) : scale;
         double holds = live && scale > 0 ? size / scale - 1 : 0;
--- a/core/src/main/java/portrelay/model/Shares.java
+++ b/core/src/main/java/portrelay/model/Shares.java
@@ -6,14 +6,12 @@
 /** What part of the last queries each tenant sent, against its share. */
 public final class Shares {
 
-    private static final int SAMPLES = 128;
-
     private final List<Tenant> tenants;
     private final List<Samples> sent = new ArrayList<>();
 
-    public Shares(List<Tenant> tenants) {
+    public Shares(List<Tenant> tenants, int samples) {
         this.tenants = tenants;
-        tenants.forEach(each -> sent.add(new Samples(SAMPLES)));
+        tenants.forEach(each -> sent.add(new Samples(samples)));
     }
 
     /** By the tenant's number; what belongs to none is not counted. */
--- a/core/src/main/java/portrelay/model/Table.java
+++ b/core/src/main/java/portrelay/model/Table.java
@@ -34,6 +34,11 @@
         rows = new Row[states.getEnumConstants().length][inputs.getEnumConstants().length];
     }
 
+    /** A row that does nothing but lead on. */
+    public Table<S, I, D, Q> row(S state, I input, S next) {
+        return row(state, input, next, (decider, subject) -> null);
+    }
+
     /** The next row; its state and input stand in no other. */
     public Table<S, I, D, Q> row(S state, I input, S next, Effect<D, Q, I> effect) {
         if (rows[state.ordinal()][input.ordinal()] != null) {
--- a/core/src/main/java/portrelay/policy/Cold.java
+++ b/core/src/main/java/portrelay/policy/Cold.java
@@ -7,15 +7,7 @@
  * Guards against all sidecars together pushing over an upstream that has just started: each sends it no
  * more than a ramp's share of what it sends a like warm one, so the sum keeps to the ramp.
  */
-final class Cold {
-    private final ColdRule rule;
-    private final double stretch;
-
-    Cold(ColdRule rule) {
-        // Halfway, in ratio, between what it can surely do and what pushes it over.
-        this.stretch = Math.sqrt(rule.overloadFactor());
-        this.rule = rule;
-    }
+record Cold(ColdRule rule) {
 
     double ramp(Upstream u, double now) {
         double since = u.listed.onlineSince();
@@ -39,7 +31,8 @@
             double f = ramp(u, now);
             if (f < 1 && (toWarm || warm == 0)) {
                 double each = warm > 0 ? f * u.size / warm : 1.0 / ready.size();
-                u.coldCredit = Math.min(2, u.coldCredit + each * stretch);
+                // Halfway, in ratio, between what it can surely do and what pushes it over.
+                u.coldCredit = Math.min(2, u.coldCredit + each * Math.sqrt(rule.overloadFactor()));
             }
         }
     }
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -16,13 +16,11 @@
 
     enum Input { ARRIVED, SEEN, AGAIN, NOWHERE, TURN, WAITED, PLACED, COPY_DUE, COPY_SEEN, ENDED, WON, LEFT }
 
-    private static final Table.Effect<Decide, Query, Input> NOTHING = (d, q) -> null;
-
     private static final Table<State, Input, Decide, Query> TABLE =
             new Table<State, Input, Decide, Query>(State.class, Input.class)
             .row(State.FRESH, Input.ARRIVED, State.LOOKING, Decide::look)
             .row(State.LOOKING, Input.SEEN, State.ALONE, Decide::sendFirst)
-            .row(State.LOOKING, Input.LEFT, State.CLOSED, NOTHING)
+            .row(State.LOOKING, Input.LEFT, State.CLOSED)
             .row(State.ALONE, Input.AGAIN, State.LOOKING, Decide::look)
             .row(State.ALONE, Input.NOWHERE, State.HELD, Decide::hold)
             .row(State.ALONE, Input.COPY_DUE, State.ALONE, Decide::look)
@@ -30,17 +28,17 @@
             .row(State.ALONE, Input.ENDED, State.BARE, Decide::look)
             .row(State.ALONE, Input.WON, State.CLOSED, Decide::callOffRest)
             .row(State.ALONE, Input.LEFT, State.CLOSED, Decide::callOffRest)
-            .row(State.RACING, Input.NOWHERE, State.ALONE, NOTHING)
-            .row(State.RACING, Input.ENDED, State.ALONE, NOTHING)
+            .row(State.RACING, Input.NOWHERE, State.ALONE)
+            .row(State.RACING, Input.ENDED, State.ALONE)
             .row(State.RACING, Input.WON, State.CLOSED, Decide::callOffRest)
             .row(State.RACING, Input.LEFT, State.CLOSED, Decide::callOffRest)
             .row(State.BARE, Input.SEEN, State.BARE, Decide::sendAnother)
-            .row(State.BARE, Input.LEFT, State.CLOSED, NOTHING)
-            .row(State.BARE, Input.PLACED, State.ALONE, NOTHING)
+            .row(State.BARE, Input.LEFT, State.CLOSED)
+            .row(State.BARE, Input.PLACED, State.ALONE)
             .row(State.BARE, Input.NOWHERE, State.CLOSED, Decide::giveUp)
             .row(State.HELD, Input.TURN, State.LOOKING, Decide::look)
             .row(State.HELD, Input.WAITED, State.CLOSED, Decide::giveUp)
-            .row(State.HELD, Input.LEFT, State.CLOSED, NOTHING);
+            .row(State.HELD, Input.LEFT, State.CLOSED);
 
     /** A query is kept until its last execution has ended: a late outcome still tells of the upstream. */
     private void step(Query q, Input input) {
@@ -55,6 +53,7 @@
     private static final double LONGEST_WAIT_SHARE = 0.11;
     private static final double QUIET_WAIT_SHARE = 0.15;
     private static final int RATE_SAMPLES = 16;
+    private static final int TENANT_SAMPLES = 128;
     private static final int LOOKS = 5;
     private static final int MOST_LOOKS = 2;
     private static final int MOST_DRAWS = 4;
@@ -102,7 +101,7 @@
         this.chance = new SplittableRandom(seed);
         this.site = of.site();
         this.seen = site.looks() || site.shares();
-        this.shares = new Shares(of.tenants());
+        this.shares = new Shares(of.tenants(), TENANT_SAMPLES);
         this.health = new Health(of.offerings().size());
         this.cold = new Cold(of.cold());
     }
@@ -110,15 +109,8 @@
     public void start(double time) {
         now = time;
         part = site.shares() ? new Part(out, site, now) : null;
-        askList();
-        armAlarm();
-    }
-
-    private void askList() {
-        askListAt = Double.POSITIVE_INFINITY;
-        if (of.list().onRequest()) {
-            out.watchList();
-        }
+        askListAt = of.list().onRequest() ? now : askListAt;
+        alarm(now);
     }
 
     public void arrival(double time, Asked asked) {
@@ -206,17 +198,6 @@
         return held.isEmpty() && total.hasRoom(time);
     }
 
-    /** A streamed answer has begun: the execution is the client's now and the others are not needed. */
-    public void begun(double time, QueryId id, int execution) {
-        now = time;
-        Query q = queries.get(id);
-        if (q != null && q.state() != State.CLOSED && execution < q.executions.size()) {
-            q.winner = q.executions.get(execution);
-            step(q, Input.WON);
-        }
-        armAlarm();
-    }
-
     public void left(double time, QueryId id) {
         now = time;
         Query q = queries.get(id);
@@ -228,14 +209,13 @@
 
     public void alarm(double time) {
         now = time;
-        if (now >= alarmAt) {
-            alarmAt = Double.POSITIVE_INFINITY;
-        }
+        alarmAt = now >= alarmAt ? Double.POSITIVE_INFINITY : alarmAt;
         for (Dues.Due<Query, Input> due = dues.next(now); due != null; due = dues.next(now)) {
             step(due.subject(), due.input());
         }
         if (now >= askListAt) {
-            askList();
+            askListAt = Double.POSITIVE_INFINITY;
+            out.watchList();
         }
         if (part != null) {
             part.turn(now);
@@ -306,11 +286,9 @@
 
     private Input sendFirst(Query q) {
         Upstream u = pick(q, true);
-        if (site.looks() && q.looks < MOST_LOOKS && !q.asked.again() && (u == null || load(u) >= 1)) {
-            return Input.AGAIN;
-        }
-        if (u == null) {
-            return Input.NOWHERE;
+        boolean lookAgain = site.looks() && q.looks < MOST_LOOKS && !q.asked.again();
+        if (u == null || lookAgain && load(u) >= 1) {
+            return lookAgain ? Input.AGAIN : Input.NOWHERE;
         }
         double threshold = Math.min(LONGEST_THRESHOLD, (q.asked.cutOffAt() - q.arrivedAt) / 2);
         threshold = seen ? Math.min(threshold, q.offering.targetTime() * COPY_SHARE) : threshold;
@@ -323,9 +301,9 @@
 
     /** A query that no upstream may take now waits a while: cold ones take little, the list is late. */
     private Input hold(Query q) {
-        double budget = Math.min(q.offering.targetTime(), q.asked.cutOffAt() - q.arrivedAt);
         // Below one in flight room comes with time alone, so a little more of it is worth the wait.
         double share = !seen && total.size < 1 ? QUIET_WAIT_SHARE : LONGEST_WAIT_SHARE;
+        double budget = Math.min(q.offering.targetTime(), q.asked.cutOffAt() - q.arrivedAt);
         double until = q.arrivedAt + budget * share;
         if (site.looks()) {
             dues.add(now + LOOK_EVERY, q, Input.TURN);
@@ -341,7 +319,8 @@
     private Input look(Query q) {
         q.then = q.state() == State.ALONE ? Input.COPY_SEEN : Input.SEEN;
         q.looks = q.executions.isEmpty() ? q.looks + 1 : MOST_LOOKS;
-        if (!site.looks() || now + LOOK_WAIT >= q.asked.cutOffAt() || q.state() == State.ALONE && q.executions.size() > 1) {
+        boolean copied = q.state() == State.ALONE && q.executions.size() > 1;
+        if (!site.looks() || now + LOOK_WAIT >= q.asked.cutOffAt() || copied) {
             return q.then;
         }
         q.sought.clear();
@@ -374,7 +353,7 @@
 
     private Input callOffRest(Query q) {
         q.executions.stream().filter(e -> e.outcome == null && e != q.winner && of.permits().cancel())
-                .forEach(e -> out.callOff(q.asked.id(), e.index));
+                .forEach(e -> out.callOff(q.asked.id(), q.executions.indexOf(e)));
         return null;
     }
 
@@ -414,17 +393,13 @@
         }
         double mean = seen ? 0
                 : roster.stream().filter(u -> u.ready).mapToInt(u -> u.inFlight).average().orElse(0);
-        if (first && q.offering.repeats() == Offering.Repeats.REISSUABLE) {
-            for (Upstream u : roster) {
-                if (u.passedOver() && now >= u.passedUntil && !u.trialOut && mayTake(q, u)
-                        && (!seen || load(u) == 0 && !blind(u))) {
-                    return u;
-                }
-            }
-        }
+        boolean mayTry = first && q.offering.repeats() == Offering.Repeats.REISSUABLE;
+        Upstream u = roster.stream().filter(each -> mayTry && each.passedOver() && now >= each.passedUntil
+                && !each.trialOut && mayTake(q, each) && (!seen || load(each) == 0 && !blind(each)))
+                .findFirst().orElse(null);
+        blindToo = site.looks() && roster.stream().noneMatch(each -> !blind(each) && mayTake(q, each));
         // Shunned while there are others: a choked upstream has to rest before it works as usual again.
-        blindToo = site.looks() && roster.stream().noneMatch(u -> !blind(u) && mayTake(q, u));
-        Upstream u = pickAmong(q, mean, Health.OWN_FAULT, false);
+        u = u != null ? u : pickAmong(q, mean, Health.OWN_FAULT, false);
         u = u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, false);
         return u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, true);
     }
@@ -507,7 +482,7 @@
             out.letGo(u.id);
             rested = 0;
         }
-        q.executions.add(new Execution(q.executions.size(), u, now, trial, expected(u), rested,
+        q.executions.add(new Execution(u, now, trial, expected(u), rested,
                 u.told.handled() + (int) load(u) + OVERTAKEN));
         u.inFlight++;
         u.restedOut += rested > 0 ? 1 : 0;
@@ -556,15 +531,11 @@
 
     /** Credit for the work it usually takes; what goes beyond a tenant's share earns little. */
     private double value(Query q) {
-        double work = health.usualTime(q.offering, 0.1);
-        return q.offering.credit() / work * shares.kept(q.asked.tenant());
+        return q.offering.credit() / health.usualTime(q.offering, 0.1) * shares.kept(q.asked.tenant());
     }
 
     private void armAlarm() {
-        while (dues.nextAt() < Double.POSITIVE_INFINITY && dues.nextSubject().state() == State.CLOSED) {
-            dues.next(Double.POSITIVE_INFINITY);
-        }
-        double next = Math.min(askListAt, dues.nextAt());
+        double next = Math.min(askListAt, dues.nextAt(q -> q.state() != State.CLOSED));
         next = part == null ? next : Math.min(next, part.nextAt());
         if (!held.isEmpty() && total.inFlight == 0 && total.freeAt > now) {
             next = Math.min(next, total.freeAt);
--- a/core/src/main/java/portrelay/policy/Execution.java
+++ b/core/src/main/java/portrelay/policy/Execution.java
@@ -4,7 +4,6 @@
 
 /** One execution of a query; its outcome is null while it is out. */
 final class Execution {
-    final int index;
     final Upstream at;
     final double sentAt;
     final boolean trial;
@@ -16,9 +15,7 @@
     final int overtakenAt;
     Outcome outcome;
 
-    Execution(int index, Upstream at, double sentAt, boolean trial, double expected, double rested,
-            int overtakenAt) {
-        this.index = index;
+    Execution(Upstream at, double sentAt, boolean trial, double expected, double rested, int overtakenAt) {
         this.at = at;
         this.sentAt = sentAt;
         this.trial = trial;
--- a/core/src/main/java/portrelay/policy/Health.java
+++ b/core/src/main/java/portrelay/policy/Health.java
@@ -3,11 +3,8 @@
 import java.util.*;
 import portrelay.model.*;
 
-/**
- * What outcomes tell of upstreams: the limit of each, the win counter, the sequential test and the pace.
- */
+/** What outcomes tell of upstreams: the win counter, the sequential test and the pace. */
 final class Health {
-
     private static final double PASS_OVER = 5.0;
     private static final double LEAST_BAD = 0.05;
     private static final double MOST_BAD = 0.2;
@@ -58,29 +55,17 @@
         if (handled || failed) {
             weigh(now, e.at, failed);
         }
-        if (e.outcome == Outcome.NO_CONNECTION) {
-            // Nobody gets through there now, or all its connections are taken.
-            e.at.evidence = Upstream.EVIDENCE;
-            e.at.passedUntil = now + PASS_OVER;
-        }
-        if (e.trial) {
-            e.at.trialOut = false;
-            e.at.passedUntil = now + PASS_OVER;
-            if (handled) {
-                e.at.evidence = 0;
-            }
-        }
-        if (handled) {
-            Execution primary = q.executions.get(0);
-            if (e == primary) {
-                e.at.copyWins = 0;
-            } else if (q.state() == Decide.State.RACING && primary.outcome == null) {
-                Upstream beaten = primary.at;
-                beaten.copyWins++;
-                if (beaten.passedOver()) {
-                    beaten.passedUntil = now + PASS_OVER;
-                }
-            }
+        boolean noWay = e.outcome == Outcome.NO_CONNECTION;
+        // Nobody gets through there now, or all its connections are taken.
+        e.at.evidence = noWay ? Upstream.EVIDENCE : e.trial && handled ? 0 : e.at.evidence;
+        e.at.passedUntil = noWay || e.trial ? now + PASS_OVER : e.at.passedUntil;
+        e.at.trialOut &= !e.trial;
+        Execution primary = q.executions.get(0);
+        if (handled && e == primary) {
+            e.at.copyWins = 0;
+        } else if (handled && q.state() == Decide.State.RACING && primary.outcome == null) {
+            primary.at.copyWins++;
+            primary.at.passedUntil = primary.at.passedOver() ? now + PASS_OVER : primary.at.passedUntil;
         }
     }
 
@@ -89,7 +74,7 @@
      * little traffic, whose win counter is cleared by each answer between two bad ones.
      */
     void weigh(double now, Upstream u, boolean isBad) {
-        double usual = Math.min(MOST_BAD, Math.max(LEAST_BAD, bads.mean(Double.NEGATIVE_INFINITY, 0, 0)));
+        double usual = Math.min(MOST_BAD, Math.max(LEAST_BAD, bads.mean(0)));
         double sick = (9 + usual) / 10;
         boolean before = u.passedOver();
         u.evidence += isBad ? Math.log(sick / usual) : Math.log((1 - sick) / (1 - usual));
@@ -105,11 +90,10 @@
         Samples usual = times.get(q.asked.offering().value());
         double spent = now - e.sentAt;
         double mean = e.expected * usual.mean(Double.NEGATIVE_INFINITY, 0, spent / e.expected);
-        boolean handled = e.outcome == Outcome.HANDLED;
-        if (handled) {
+        if (e.outcome == Outcome.HANDLED) {
             usual.add(now, spent / e.expected);
         }
-        if (mean > 0 && (handled || !e.outcome.neverRan && spent > mean)) {
+        if (mean > 0 && (e.outcome == Outcome.HANDLED || !e.outcome.neverRan && spent > mean)) {
             e.at.paces.add(now, Math.min(spent / mean, PACE_MOST));
         }
     }
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -12,7 +12,6 @@
  * by what all have said of their zones; nobody decides for others.
  */
 final class Part {
-
     private record Piece(char zone, List<Upstream> upstreams, double size) { }
 
     private static final int MOST_SHARERS = 14;
@@ -183,7 +182,7 @@
         return dropping(now) && rested > lost.secondLeast() * AGE_SPARE;
     }
 
-    /** One was lost after so long a rest; a single odd one sets no age, so until two are known all are told. */
+    /** One was lost after so long a rest. A single odd one sets no age: until two are known all are told. */
     void lost(double rested, double now, boolean ours) {
         boolean few = !dropping(now) || lost.kept() < 2;
         if (ours && (few || rested < lost.secondLeast() || now > lostToldAt + TOLD_EVERY)) {
--- a/core/src/main/java/portrelay/policy/TotalLimit.java
+++ b/core/src/main/java/portrelay/policy/TotalLimit.java
@@ -7,7 +7,6 @@
  * upstream are already too many there, and only the sum over our upstreams is fine enough to hold less.
  */
 final class TotalLimit {
-
     private static final double FIRST_TOTAL = 3;
     private static final double FIRST_EACH = 2.5;
     private static final double START_PART = 3;
@@ -49,14 +48,12 @@
     }
 
     boolean fleetIsSlow() {
-        return late.mean(Double.NEGATIVE_INFINITY, 0, 0) > LATE_HIGH;
+        return late.mean(0) > LATE_HIGH;
     }
 
-    void ended(double now, double sentAt, double promptWithin, boolean isLate,
-            boolean tellsOfAll) {
-        boolean wasFull = inFlight + 1 > size;
+    void ended(double now, double sentAt, double promptWithin, boolean isLate, boolean tellsOfAll) {
+        boolean wasFull = inFlight-- + 1 > size;
         full |= wasFull;
-        inFlight--;
         // At the start nothing is known: each prompt outcome makes room until a round goes wrong.
         if (starting && wasFull && !isLate) {
             size += unit >= 1 ? 1 : unit / START_PART;
@@ -72,7 +69,7 @@
         if (size <= 1) {
             // One outcome is a round here: what one sidecar errs by, all of them together do not.
             few.add(now, isLate ? 1 : 0);
-            if (isLate && few.mean(Double.NEGATIVE_INFINITY, 0, 0) >= FEW_LATE) {
+            if (isLate && few.mean(0) >= FEW_LATE) {
                 size = Math.max(least, size * SMALL_CUT_TO);
                 starting = false;
             } else if (!isLate && wasFull) {
@@ -83,7 +80,7 @@
         if (++round < Math.max(ROUND / 2, Math.min(ROUND, size))) {
             return;
         }
-        double share = late.mean(Double.NEGATIVE_INFINITY, 0, 0);
+        double share = late.mean(0);
         if (share > LATE_HIGH) {
             size = Math.max(least, size * TOTAL_CUT_TO);
             starting = false;
--- a/core/src/main/java/portrelay/policy/Upstream.java
+++ b/core/src/main/java/portrelay/policy/Upstream.java
@@ -5,11 +5,11 @@
 
 /** What is known of one upstream. */
 final class Upstream {
-
     static final int COPY_WINS = 5;
     static final double EVIDENCE = Math.log(1000);
     static final int PACE_SAMPLES = 16;
     static final int FEW = 4;
+    private static final int LISTS = 3;
 
     final UpstreamId id;
     Listed listed;
@@ -24,7 +24,7 @@
     double coldCredit;
     /** What it is when nothing is in flight, against others. */
     double size;
-    final LiveWeight weight = new LiveWeight();
+    final LiveWeight weight = new LiveWeight(LISTS);
     /** What all that share it have in flight there. */
     final Ledger told = new Ledger();
     /** In hand when it was last probed, and what we sent since. */
--- a/daemon/src/main/java/portrelay/drill/Drill.java
+++ b/daemon/src/main/java/portrelay/drill/Drill.java
@@ -108,11 +108,11 @@
                 decide(id, () -> at.decide().left(now, query));
             }
             case "accepted" -> {
-                QueryId query = new QueryId(in.text("request-id"));
+                // Streamed answers only, and no deployment has them: such an answer counts when it is whole.
+                in.text("request-id");
                 in.whole("upstream");
                 in.whole("spent-us");
-                int execution = (int) in.whole("try");
-                decide(id, () -> at.decide().begun(now, query, execution));
+                in.whole("try");
             }
             case "check-result" -> {
                 boolean answered = outcome(in.whole("code")) == Outcome.HANDLED;
