Tests for what the move left untested; above 1,000 sidecars zones spread at all

Cause: read against the issue, these answers had no test: a dead peer's executions, a hung upstream, deafness, the tighter fit, cold ones in the pick, sizes by shape, the further look, the copy's time, more than 1,000 sidecars, migrate into a folder that is not there, an old file's decisions. GossipTest found a fault: of 1,100 sidecars none knew all after 2 s, as whoever knew half asked once in 10 s; who has learned something asks on now, and more than 1,000 know all.

--- a/core/src/main/java/portrelay/gossip/Gossip.java
+++ b/core/src/main/java/portrelay/gossip/Gossip.java
@@ -56,6 +56,8 @@
     private double askAt;
     private int asked;
     private boolean answered;
+    /** Since we last asked: who has just learned something asks on, or half would know half for long. */
+    private boolean learned;
     private double heardAt;
     private boolean changed;
 
@@ -111,7 +113,7 @@
             return;
         }
         boolean vain = asked <= IN_VAIN && !answered;
-        askAt = now + (vain || fewKnown() ? ASK_AT_FIRST : ASK_EVERY * (0.75 + lot(site.me()) / 2));
+        askAt = now + (vain || fewKnown() || learned ? ASK_AT_FIRST : ASK_EVERY * (0.75 + lot(site.me()) / 2));
         if (vain && asked == IN_VAIN && site.sidecars() <= MOST_TOLD) {
             out.tellAll("" + OF_THE_PART + HELLO + zone);
         } else {
@@ -119,6 +121,7 @@
             out.tell((site.me() + step) % site.sidecars(), "" + OF_THE_PART + HELLO_WHO_ELSE + zone);
         }
         asked++;
+        learned = false;
     }
 
     /** When {@code turn} is to be called at the latest. */
@@ -210,6 +213,7 @@
         if (sidecar >= 0 && sidecar < site.sidecars() && sidecar != site.me() && where != UNKNOWN) {
             Character was = members.put(sidecar, where);
             changed |= was == null || was != where;
+            learned |= changed;
         }
     }
 }
--- a/core/src/main/java/portrelay/model/ZoneId.java
+++ b/core/src/main/java/portrelay/model/ZoneId.java
@@ -4,10 +4,6 @@
 public record ZoneId(int value) {
 
     public static ZoneId of(String name) {
-        int hash = 0x811c9dc5;
-        for (int i = 0; i < name.length(); i++) {
-            hash = (hash ^ name.charAt(i)) * 0x01000193;
-        }
-        return new ZoneId(hash);
+        return new ZoneId((int) Hash.of(name));
     }
 }
--- a/core/src/main/java/portrelay/settings/Migration.java
+++ b/core/src/main/java/portrelay/settings/Migration.java
@@ -19,15 +19,6 @@
     private static final List<String> OWN = List.of("classes", "tenants");
     private static final List<String> TOP =
             List.of("name", "listen", "discovery", "seed", "limits", "door", SETTINGS);
-    private static final Map<String, List<String>> SECTIONS = Map.of(
-            "allowed", List.of("max-attempts", "cancel", "parallel-tries", "probes", "peers", "retry-after",
-                    "max-retry-after-us", "dial-timeout-us", "conn-idle-us", "streams-per-conn"),
-            "invariants", List.of("ask-within-us", "cold-share", "cold-us", "overload-factor", "tip-after-us",
-                    "drain-grace-us", "grace-to-answer-us"),
-            "load-report", List.of("how", "columns"));
-    private static final List<String> PLAIN =
-            List.of("classes", "tenants", "discovery", "siblings", "weights", "me", "zone", "dcs");
-
     /** What became of an old file: the new one, what had no place in it, what the shape set anew. */
     public record Result(Map<String, Object> config, List<String> leftOut, List<String> replaced) { }
 
@@ -65,11 +56,11 @@
             if (OWN.contains(name)) {
                 throw place.bad(name.toString(), "nothing: offerings and tenants are the old file's");
             }
-            if (!PLAIN.contains(name) && !SECTIONS.containsKey(name)) {
+            if (!Settings.PLAIN.contains(name) && !Settings.SECTIONS.containsKey(name)) {
                 throw place.bad(name.toString(), "a setting that portrelay reads");
             }
         }
-        for (Map.Entry<String, List<String>> each : SECTIONS.entrySet()) {
+        for (Map.Entry<String, List<String>> each : Settings.SECTIONS.entrySet()) {
             if (sets.containsKey(each.getKey())) {
                 place.section(each.getKey()).only(each.getValue().toArray(String[]::new));
             }
@@ -87,11 +78,11 @@
     private Map<String, Object> settings(Map<?, ?> old, Map<?, ?> sets) {
         Map<String, Object> merged = new LinkedHashMap<>();
         old.forEach((name, value) -> {
-            if (SECTIONS.containsKey(name)) {
-                merged.put((String) name, section(SETTINGS + "." + name, SECTIONS.get(name), map(value),
+            if (Settings.SECTIONS.containsKey(name)) {
+                merged.put((String) name, section(SETTINGS + "." + name, Settings.SECTIONS.get(name), map(value),
                         map(sets.get(name))));
             } else {
-                carry(SETTINGS + "." + name, PLAIN, (String) name, value, sets, merged);
+                carry(SETTINGS + "." + name, Settings.PLAIN, (String) name, value, sets, merged);
             }
         });
         sets.forEach((name, value) -> merged.putIfAbsent((String) name, value));
--- a/core/src/main/java/portrelay/settings/Settings.java
+++ b/core/src/main/java/portrelay/settings/Settings.java
@@ -20,6 +20,16 @@
 /** An instance's settings as the operators word them, and the small records that the decisions take. */
 public final class Settings {
 
+    /** The names that are read below, by section and plain; whoever adds one there adds it here. */
+    static final Map<String, List<String>> SECTIONS = Map.of(
+            "allowed", List.of("max-attempts", "cancel", "parallel-tries", "probes", "peers", "retry-after",
+                    "max-retry-after-us", "dial-timeout-us", "conn-idle-us", "streams-per-conn"),
+            "invariants", List.of("ask-within-us", "cold-share", "cold-us", "overload-factor", "tip-after-us",
+                    "drain-grace-us", "grace-to-answer-us"),
+            "load-report", List.of("how", "columns"));
+    static final List<String> PLAIN =
+            List.of("classes", "tenants", "discovery", "siblings", "weights", "me", "zone", "dcs");
+
     private static final int MOST_SIDECARS = 1_000_000;
     private static final int MOST_STREAMS = 1_000_000;
     private static final double LONGEST_US = 1e15;
--- /dev/null
+++ b/core/src/test/java/portrelay/gossip/GossipTest.java
@@ -0,0 +1,125 @@
+package portrelay.gossip;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import portrelay.model.Effects;
+import portrelay.model.QueryId;
+import portrelay.model.Site;
+import portrelay.model.UpstreamId;
+import portrelay.model.ZoneId;
+
+/** How the zones of many sidecars become known, in virtual time. */
+class GossipTest {
+
+    private static final double MESSAGE = 0.02;
+
+    private record Mail(int from, int to, String text) { }
+
+    private final List<Mail> mail = new ArrayList<>();
+    private int toAll;
+
+    private final class Teller implements Effects {
+        private final int me;
+
+        Teller(int me) {
+            this.me = me;
+        }
+
+        @Override
+        public void tell(int sidecar, String text) {
+            assertTrue(text.getBytes(StandardCharsets.UTF_8).length <= 256, "too long a message");
+            mail.add(new Mail(me, sidecar, text));
+        }
+
+        @Override
+        public void tellAll(String text) {
+            toAll++;
+            mail.add(new Mail(me, -1, text));
+        }
+
+        @Override
+        public void send(QueryId query, UpstreamId upstream) {
+        }
+
+        @Override
+        public void callOff(QueryId query, int execution) {
+        }
+
+        @Override
+        public void deny(QueryId query, double coolDown) {
+        }
+
+        @Override
+        public void writeOff(QueryId query) {
+        }
+
+        @Override
+        public void alarmAt(double time) {
+        }
+
+        @Override
+        public void watchList() {
+        }
+
+        @Override
+        public void probe(UpstreamId upstream) {
+        }
+
+        @Override
+        public void letGo(UpstreamId upstream) {
+        }
+
+        @Override
+        public void note(String text) {
+        }
+    }
+
+    private List<Gossip> started(int sidecars, double now) {
+        List<Gossip> all = new ArrayList<>();
+        for (int i = 0; i < sidecars; i++) {
+            Site site = new Site(i, sidecars, new ZoneId(i % 4), Site.Weights.LIVE, Site.Reports.WITH_ANSWERS,
+                    true, false);
+            all.add(new Gossip(new Teller(i), site, now));
+        }
+        return all;
+    }
+
+    private void play(List<Gossip> all, double from, double until) {
+        for (double now = from; now < until; now += MESSAGE) {
+            double at = now;
+            List<Mail> arriving = List.copyOf(mail);
+            mail.clear();
+            for (Mail each : arriving) {
+                for (int to = 0; to < all.size(); to++) {
+                    if (to != each.from && (each.to == -1 || each.to == to)) {
+                        all.get(to).heard(each.from, each.text, at);
+                    }
+                }
+            }
+            all.forEach(each -> each.turn(at));
+        }
+    }
+
+    @Test
+    void thoseThatStartTogetherKnowEachOtherWithinASecond() {
+        List<Gossip> all = started(60, 0);
+        play(all, 0, 0.3);
+        all.forEach(each -> assertEquals(60, each.members().size()));
+        assertEquals(60, toAll);
+    }
+
+    /** Above a thousand nobody tells all: zones spread from one to the next. Not played on the bench. */
+    @Test
+    void manyLearnOfEachOtherWithNoWordToAll() {
+        List<Gossip> all = started(1100, 0);
+        play(all, 0, 2);
+        assertEquals(0, toAll);
+        long know = all.stream().filter(each -> each.members().size() == 1100).count();
+        assertTrue(know > 1000, know + " of 1100 know all");
+    }
+}
--- a/core/src/test/java/portrelay/policy/Rig.java
+++ b/core/src/test/java/portrelay/policy/Rig.java
@@ -100,6 +100,16 @@
                 new ZoneId(upstream / 6), new ShapeId(upstream % 2));
     }
 
+    /** The list as it moves: upstreams from 0 on with these weights. */
+    void weights(double... scales) {
+        List<Listed> rows = new ArrayList<>();
+        for (int i = 0; i < scales.length; i++) {
+            Listed row = row(i, Listed.Health.READY, 0);
+            rows.add(new Listed(row.id(), row.health(), 0, scales[i], row.cell(), row.zone(), row.shape()));
+        }
+        decide.list(now, ListNews.CHANGES, rows);
+    }
+
     void ready(int upstreams) {
         List<Listed> rows = new ArrayList<>();
         for (int i = 0; i < upstreams; i++) {
--- a/core/src/test/java/portrelay/policy/SeenLoadTest.java
+++ b/core/src/test/java/portrelay/policy/SeenLoadTest.java
@@ -290,4 +290,172 @@
                 List.of(Rig.row((int) one.value(), Listed.Health.DRAINING, 0)));
         assertTrue(!usedBy(rig).contains(one));
     }
+
+    // ---- What can fail on the way ---------------------------------------------------------------------------
+
+    /** Answers after so many seconds, one by one, so that the usual time is known. */
+    private static void work(Rig rig, int offering, double seconds) {
+        for (int i = 0; i < 100; i++) {
+            rig.ask("w" + offering + "-" + i, offering, 2);
+            Rig.Sent sent = rig.last();
+            rig.pass(seconds);
+            rig.end(sent, Outcome.HANDLED);
+        }
+    }
+
+    /** A sidecar that dies says no ends; what it had begun is not in flight for ever. */
+    @Test
+    void whatADeadPeerHadBegunIsForgotten() {
+        Pool pool = new Pool(5);
+        Rig rig = pool.rigs.get(0);
+        work(rig, Rig.AT_MOST_ONCE, 0.05);
+        for (char code = '!'; code < '!' + 3; code++) {
+            for (int i = 0; i < 30; i++) {
+                rig.decide.heard(rig.now, 4, "" + code + "!");
+            }
+        }
+        int sent = rig.sent.size();
+        rig.ask("behind", Rig.AT_MOST_ONCE, 2);
+        assertEquals(sent, rig.sent.size(), "thirty before it at each, yet sent");
+        rig.pass(1.6);
+        rig.decide.heard(rig.now, 3, "~h!");
+        rig.ask("after", Rig.AT_MOST_ONCE, 2);
+        assertEquals(sent + 1, rig.sent.size());
+    }
+
+    /** amman-main, hang: an upstream that takes queries and answers none drew more of them. */
+    @Test
+    void anUpstreamThatHasAnsweredNobodyForLongIsPassedBy() {
+        Rig rig = new Rig(3, Rig.sharing(0, 0));
+        rig.ready(3);
+        rig.ask("hung", Rig.AT_MOST_ONCE, 2);
+        UpstreamId hung = rig.last().at();
+        rig.pass(0.31);
+        for (int i = 0; i < 30; i++) {
+            rig.ask("q" + i, Rig.AT_MOST_ONCE, 2);
+            rig.ask("r" + i, Rig.AT_MOST_ONCE, 2);
+            List<Rig.Sent> two = rig.sent.subList(rig.sent.size() - 2, rig.sent.size());
+            two.forEach(each -> assertNotEquals(hung, each.at()));
+            List.copyOf(two).forEach(each -> rig.end(each, Outcome.HANDLED));
+        }
+    }
+
+    /** amman-main, peer_down (big seed 3): with no word of others each upstream looked idle. */
+    @Test
+    void aDeafSidecarGoesByTheListsWeights() {
+        Pool pool = new Pool(5);
+        Rig rig = pool.rigs.get(0);
+        work(rig, Rig.AT_MOST_ONCE, 0.05);
+        long group = rig.last().at().value() / 3;
+        for (int list = 0; list < 3; list++) {
+            double[] scales = new double[12];
+            for (int i = 0; i < 12; i++) {
+                scales[i] = i == group * 3 ? 1 / 4.0 : 1;
+            }
+            rig.weights(scales);
+        }
+        rig.pass(1);
+        int crowded = 0;
+        for (int i = 0; i < 300; i++) {
+            rig.ask("q" + i, Rig.AT_MOST_ONCE, 2);
+            boolean behindThree = rig.last().at().value() == group * 3;
+            crowded += behindThree ? 1 : 0;
+            rig.pass(behindThree ? 0.2 : 0.05);
+            rig.end(rig.last(), Outcome.HANDLED);
+        }
+        assertTrue(crowded < 60, crowded + " of 300 to the one that holds three");
+    }
+
+    /** amman-main overload: what just fits on average is late near half the time. */
+    @Test
+    void inACrowdAPlaceHasToFitWithMoreToSpare() {
+        assertEquals(0, deniedBehindOne(1, 1, 1), "not crowded");
+        assertTrue(deniedBehindOne(0.25, 0.25, 0.25) > 0, "crowded");
+    }
+
+    private static int deniedBehindOne(double... scales) {
+        Rig rig = new Rig(5, Rig.sharing(0, 0));
+        rig.ready(3);
+        work(rig, Rig.AT_MOST_ONCE, 0.15);
+        for (int list = 0; list < 3; list++) {
+            rig.weights(scales);
+        }
+        for (int i = 0; i < 6; i++) {
+            rig.ask("q" + i, Rig.AT_MOST_ONCE, 2);
+        }
+        rig.pass(0.1);
+        return rig.denied.size();
+    }
+
+    /** ktm-refund-hall, deploy: an idle cold upstream takes three times as long as a warm one. */
+    @Test
+    void aColdUpstreamIsNotTakenForAnIdleWarmOne() {
+        Rig rig = new Rig(3, Rig.sharing(0, 0));
+        rig.ready(2);
+        rig.decide.list(rig.now, ListNews.CHANGES, List.of(Rig.row(2, Listed.Health.READY, rig.now)));
+        int cold = 0;
+        for (int i = 0; i < 60; i++) {
+            rig.ask("q" + i, Rig.AT_MOST_ONCE, 2);
+            cold += rig.last().at().value() == 2 ? 1 : 0;
+            rig.pass(0.01);
+            rig.end(rig.last(), Outcome.HANDLED);
+        }
+        assertEquals(0, cold);
+    }
+
+    /** amman-main, balancer_roll: the last list of a restarted sidecar has weights lowered by load. */
+    @Test
+    void aSizeIsSeenAtTheIdlestOfAShape() {
+        Rig fresh = new Rig(3, Rig.sharing(0, 0));
+        List<Listed> rows = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            Listed row = Rig.row(i, Listed.Health.READY, 0);
+            rows.add(new Listed(row.id(), row.health(), 0, i == 1 ? 1 : 1 / (1.0 + i), row.cell(), row.zone(),
+                    row.shape()));
+        }
+        // 0 and 2 are of one shape: 0 is idle and listed at its size, 2 holds two and is listed at a third.
+        fresh.decide.list(fresh.now, ListNews.REMEMBERED, rows);
+        Set<UpstreamId> used = new HashSet<>();
+        for (int i = 0; i < 3; i++) {
+            fresh.ask("q" + i, Rig.AT_MOST_ONCE, 2);
+            used.add(fresh.last().at());
+        }
+        assertEquals(3, used.size(), "one of them passed for a third of its size");
+    }
+
+    /** ktm-refund-hall overload: a place comes free within milliseconds, a denial costs a client's try. */
+    @Test
+    void whatFindsNoPlaceLooksAgainBeforeItIsDenied() {
+        looks.ready(5);
+        looks.ask("a", Rig.AT_MOST_ONCE, 2);
+        for (int i = 0; i < 2; i++) {
+            List.copyOf(looks.probed).forEach(each -> looks.decide.probed(looks.now, each, holding(9)));
+            looks.pass(0.005);
+        }
+        assertTrue(looks.sent.isEmpty() && looks.denied.isEmpty());
+        int before = looks.probed.size();
+        looks.pass(0.02);
+        assertTrue(looks.probed.size() > before, "no further look");
+        looks.decide.probed(looks.now, looks.probed.get(looks.probed.size() - 1), holding(0));
+        assertEquals(1, looks.sent.size());
+    }
+
+    /** amman-main: half the budget lies past the target time, where a copy earns nothing. */
+    @Test
+    void aCopyGoesWhileItCanStillBeInTimeOrNotAtAll() {
+        Rig rig = new Rig(3, Rig.sharing(0, 0));
+        rig.ready(3);
+        work(rig, Rig.REISSUABLE, 0.05);
+        int before = rig.sent.size();
+        rig.ask("a", Rig.REISSUABLE, 2);
+        rig.pass(0.25);
+        assertEquals(before + 2, rig.sent.size(), "a copy at 0.6 of 0.4 s");
+        Rig slow = new Rig(3, Rig.sharing(0, 0));
+        slow.ready(3);
+        work(slow, Rig.REISSUABLE, 0.2);
+        before = slow.sent.size();
+        slow.ask("a", Rig.REISSUABLE, 2);
+        slow.pass(1.5);
+        assertEquals(before + 1, slow.sent.size(), "it would end at 0.44 s of 0.4");
+    }
 }
--- a/daemon/src/main/java/portrelay/cli/ConfigCommand.java
+++ b/daemon/src/main/java/portrelay/cli/ConfigCommand.java
@@ -47,7 +47,7 @@
         return door == null ? read : read.withDoor(bytes("--door", door));
     }
 
-    private static byte[] bytes(String what, String file) throws BadSetting {
+    static byte[] bytes(String what, String file) throws BadSetting {
         try {
             return Files.readAllBytes(Path.of(file));
         } catch (IOException e) {
--- a/daemon/src/main/java/portrelay/cli/MigrateCommand.java
+++ b/daemon/src/main/java/portrelay/cli/MigrateCommand.java
@@ -39,9 +39,9 @@
             if (out == null && !dryRun) {
                 throw new BadSetting("--out", "a file's name, or --dry-run");
             }
-            byte[] old = bytes("--config", config);
+            byte[] old = ConfigCommand.bytes("--config", config);
             check("--config " + config, old);
-            Migration.Result result = migrate(old, bytes("--shape", shape));
+            Migration.Result result = migrate(old, ConfigCommand.bytes("--shape", shape));
             byte[] json = Tree.write(result.config());
             check("--shape " + shape, json);
             if (dryRun) {
@@ -86,14 +86,6 @@
         }
     }
 
-    private static byte[] bytes(String option, String file) throws BadSetting {
-        try {
-            return Files.readAllBytes(Path.of(file));
-        } catch (IOException e) {
-            throw new BadSetting(option, "a file that can be read, not " + file);
-        }
-    }
-
     /** Whole or not at all, and never over what is there: a link fails where its name is taken. */
     private void write(byte[] json) throws IOException {
         Path target = Path.of(out).toAbsolutePath();
--- a/daemon/src/main/java/portrelay/net/ListPage.java
+++ b/daemon/src/main/java/portrelay/net/ListPage.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import portrelay.model.GroupId;
+import portrelay.model.Hash;
 import portrelay.model.Listed;
 import portrelay.model.ShapeId;
 import portrelay.model.UpstreamId;
@@ -28,28 +29,16 @@
                     throw each.bad(Names.ADDRESS, "a numeric address and a port");
                 }
             }
-            Listed listed = new Listed(new UpstreamId(hash(each.text(Names.HOST))), health,
+            Listed listed = new Listed(new UpstreamId(Hash.of(each.text(Names.HOST))), health,
                     Clock.fromUnixMillis(each.number(Names.BORN_MS, 0)), each.number(Names.SCALE, 1),
                     new GroupId((long) each.number(Names.CELL, 0)),
                     ZoneId.of(each.text(Names.ZONE, "")),
-                    new ShapeId((int) hash(each.text(Names.SHAPE, ""))));
+                    new ShapeId((int) Hash.of(each.text(Names.SHAPE, ""))));
             rows.add(new Row(listed, address));
         }
         return new ListPage((long) page.number(Names.VERSION), page.flag(Names.WHOLE), rows);
     }
 
-    /**
-     * From the name alone (FNV-1a), so that all sidecars and all lives of one know it by the same id, and no
-     * table of names grows.
-     */
-    private static long hash(String name) {
-        long hash = 0xcbf29ce484222325L;
-        for (int i = 0; i < name.length(); i++) {
-            hash = (hash ^ name.charAt(i)) * 0x100000001b3L;
-        }
-        return hash;
-    }
-
     private static Listed.Health health(Fields row) throws BadSetting {
         return switch (row.text(Names.HEALTH)) {
             case Names.HEALTH_READY -> Listed.Health.READY;
--- a/daemon/src/test/java/portrelay/net/MigrateNetTest.java
+++ b/daemon/src/test/java/portrelay/net/MigrateNetTest.java
@@ -9,16 +9,34 @@
 import java.io.ByteArrayOutputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Proxy;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import portrelay.cli.Main;
+import portrelay.model.Asked;
+import portrelay.model.Effects;
+import portrelay.model.GroupId;
+import portrelay.model.ListNews;
+import portrelay.model.Listed;
+import portrelay.model.OfferingId;
+import portrelay.model.Outcome;
+import portrelay.model.QueryId;
+import portrelay.model.ShapeId;
+import portrelay.model.TenantId;
+import portrelay.model.UpstreamId;
+import portrelay.model.ZoneId;
 import portrelay.net.Town.Toy;
+import portrelay.policy.Decide;
 
 /** An old configuration, made into its counterpart for a new shape, serves on loopback. */
 class MigrateNetTest {
@@ -161,6 +179,65 @@
         assertEquals(List.of("new.json", "old.json", "shape.json"), names());
     }
 
+    @Test
+    void aFolderThatIsNotThereIsNamed() throws Exception {
+        files(Town.config("127.0.0.1:1", NONE, 256), SHAPE);
+        assertEquals(2, migrate("--out", at("nowhere/new.json")));
+        assertTrue(errors.contains("--out") && errors.lines().count() == 1, errors);
+        assertEquals(List.of("old.json", "shape.json"), names());
+    }
+
+    /** The names that Migration knows stand beside those that Settings reads: one added there alone shows here. */
+    @Test
+    void theExampleIsCarriedOverWholeBySettingNothing() throws Exception {
+        files(Files.readString(Path.of("../examples/config.json")), "{\"settings\":{}}");
+        assertEquals(0, migrate("--out", at("new.json")));
+        assertEquals("", errors);
+    }
+
+    /** The same acts, one by one, from an old file and from one that sets each new field to its default. */
+    @Test
+    void anOldFileDecidesAsOneWithTheDefaultsSpeltOut() throws Exception {
+        files(Town.config("127.0.0.1:1", NONE, 256), "{\"settings\":{\"me\":0,\"siblings\":1,"
+                + "\"weights\":\"silent\",\"load-report\":{\"how\":\"silent\"},\"allowed\":{"
+                + "\"peers\":false,\"probes\":false,\"streams-per-conn\":1}}}");
+        assertEquals(0, migrate("--out", at("new.json")));
+        List<String> old = acts("old.json");
+        assertTrue(old.size() > 100);
+        assertEquals(old, acts("new.json"));
+    }
+
+    private List<String> acts(String file) throws Exception {
+        List<String> acts = new ArrayList<>();
+        InvocationHandler write = (self, method, arguments) -> {
+            acts.add(method.getName() + Arrays.toString(arguments));
+            return null;
+        };
+        Effects effects = (Effects) Proxy.newProxyInstance(Effects.class.getClassLoader(),
+                new Class<?>[] {Effects.class}, write);
+        Decide decide = Config.parse(Files.readAllBytes(folder.resolve(file))).settings()
+                .startOnSockets(effects, 7);
+        decide.start(100);
+        List<Listed> rows = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            rows.add(new Listed(new UpstreamId(i), Listed.Health.READY, 0, 1 + i % 2, new GroupId(i / 3),
+                    ZoneId.of("z" + i / 3), new ShapeId(0)));
+        }
+        decide.list(100, ListNews.WHOLE, rows);
+        SplittableRandom chance = new SplittableRandom(3);
+        for (int i = 0; i < 200; i++) {
+            double now = 100 + i * 0.05;
+            QueryId id = new QueryId("q" + i);
+            decide.alarm(now);
+            decide.arrival(now, new Asked(id, new OfferingId(i % 3), new TenantId(i % 2), null, now + 0.8,
+                    Double.NaN, false));
+            QueryId ended = new QueryId("q" + (i - chance.nextInt(4)));
+            Outcome outcome = Outcome.values()[chance.nextInt(3)];
+            decide.outcome(now + 0.04, ended, 0, outcome, outcome == Outcome.HANDLED, null);
+        }
+        return acts;
+    }
+
     /** What an old file does not set leaves the module as it was. */
     @Test
     void anOldFileAloneNeitherLooksNorShares() throws Exception {
