--- a/core/src/main/java/portrelay/gossip/Gossip.java
+++ b/core/src/main/java/portrelay/gossip/Gossip.java
@@ -113,7 +113,8 @@
             return;
         }
         boolean vain = asked <= IN_VAIN && !answered;
-        askAt = now + (vain || fewKnown() || learned ? ASK_AT_FIRST : ASK_EVERY * (0.75 + lot(site.me()) / 2));
+        double later = ASK_EVERY * (0.75 + lot(site.me()) / 2);
+        askAt = now + (vain || fewKnown() || learned ? ASK_AT_FIRST : later);
         if (vain && asked == IN_VAIN && site.sidecars() <= MOST_TOLD) {
             out.tellAll("" + OF_THE_PART + HELLO + zone);
         } else {
--- a/core/src/main/java/portrelay/settings/Migration.java
+++ b/core/src/main/java/portrelay/settings/Migration.java
@@ -79,8 +79,8 @@
         Map<String, Object> merged = new LinkedHashMap<>();
         old.forEach((name, value) -> {
             if (Settings.SECTIONS.containsKey(name)) {
-                merged.put((String) name, section(SETTINGS + "." + name, Settings.SECTIONS.get(name), map(value),
-                        map(sets.get(name))));
+                merged.put((String) name, section(SETTINGS + "." + name, Settings.SECTIONS.get(name),
+                        map(value), map(sets.get(name))));
             } else {
                 carry(SETTINGS + "." + name, Settings.PLAIN, (String) name, value, sets, merged);
             }
--- a/daemon/src/test/java/portrelay/net/MigrateNetTest.java
+++ b/daemon/src/test/java/portrelay/net/MigrateNetTest.java
@@ -187,7 +187,7 @@
         assertEquals(List.of("old.json", "shape.json"), names());
     }
 
-    /** The names that Migration knows stand beside those that Settings reads: one added there alone shows here. */
+    /** The names that Migration knows stand beside those that Settings reads: one added alone shows here. */
     @Test
     void theExampleIsCarriedOverWholeBySettingNothing() throws Exception {
         files(Files.readString(Path.of("../examples/config.json")), "{\"settings\":{}}");
