--- a/core/src/main/java/portrelay/door/Room.java
+++ b/core/src/main/java/portrelay/door/Room.java
@@ -135,6 +135,11 @@
         return Stream.of(phases).flatMap(each -> byPhase.get(each).stream()).toList();
     }
 
+    /** Those that have been silent or idle for so long, in seconds. */
+    public List<ClientId> quiet(double now, double atLeast) {
+        return in(Phase.SILENT, Phase.IDLE).stream().filter(each -> age(now, each) >= atLeast).toList();
+    }
+
     /** One that has been in its phase for too long, whatever room there is; null where there is none. */
     public Ending overdue(double now) {
         for (Map.Entry<Phase, Double> each : longest.entrySet()) {
--- a/core/src/main/java/portrelay/policy/Cold.java
+++ b/core/src/main/java/portrelay/policy/Cold.java
@@ -10,17 +10,13 @@
 record Cold(ColdRule rule) {
 
     double ramp(Upstream u, double now) {
-        double since = u.listed.onlineSince();
+        double since = Math.max(u.listed.onlineSince(), u.backAt);
         if (since <= 0 || now >= since + rule.time() || rule.time() <= 0) {
             return 1;
         }
         return rule.share() + (1 - rule.share()) * Math.max(0, now - since) / rule.time();
     }
 
-    boolean admits(Upstream u, double now) {
-        return u.coldCredit >= 1 || ramp(u, now) >= 1;
-    }
-
     /** Every send to a warm upstream, or any where none is, earns each cold one its part of a send. */
     void sent(Upstream to, List<Upstream> roster, double now) {
         List<Upstream> ready = roster.stream().filter(u -> u.ready).toList();
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -1,16 +1,14 @@
 package portrelay.policy;
 
-// The decisions of one sidecar: the table and its events here, the rest in the files beside. A front makes
-// one Decide for each instance and calls its events in the order in which things happen, each with the time
-// in seconds; Decide answers through portrelay.model.Effects. A call never waits, and instances share nothing
-// but messages. docs/design.md tells what is kept, what is changed and when each change acts.
-
 import java.util.*;
 import portrelay.gossip.Gossip;
 import portrelay.model.*;
 
+/**
+ * The decisions of one sidecar (docs/design.md): its events are called in the order in which things happen,
+ * each with the time in seconds, and answered through {@link Effects}. No call waits.
+ */
 public final class Decide {
-
     /** HELD has nothing out and waits for a place; BARE has nothing out after one that did not help. */
     enum State { FRESH, LOOKING, HELD, ALONE, RACING, BARE, CLOSED }
 
@@ -68,7 +66,6 @@
     private static final double COME_BACK = 0.1;
     private static final double SILENT = 0.3;
     private static final double SHORTEST_BACKOFF = 0.5;
-
     private final Effects out;
     private final SplittableRandom chance;
     private final Deployment of;
@@ -80,10 +77,10 @@
     private double crowd;
     private Part part;
     private final Set<Query> looking = new LinkedHashSet<>();
-
     private final Map<QueryId, Query> queries = new HashMap<>();
     private final Map<UpstreamId, Upstream> known = new HashMap<>();
     private final List<Upstream> roster = new ArrayList<>();
+    private final Set<UpstreamId> banned = new HashSet<>();
     private final List<Query> held = new ArrayList<>();
     private final Dues<Query, Input> dues = new Dues<>();
     private final Shares shares;
@@ -117,7 +114,7 @@
         now = time;
         Query q = new Query(asked, of.offerings().get(asked.offering().value()), time);
         queries.put(asked.id(), q);
-        health.visitsEach((part == null ? roster.size() : part.size()) * arrivals.spacing(now));
+        health.visitsEach((part == null ? roster.size() : part.upstreams.size()) * arrivals.spacing(now));
         arrivals.add(now, 1);
         shares.count(TenantId.number(asked.tenant()));
         step(q, Input.ARRIVED);
@@ -175,13 +172,11 @@
         if (q == null || execution >= q.executions.size() || q.executions.get(execution).outcome != null) {
             return;
         }
-        Execution e = q.executions.get(execution);
+        Query.Execution e = q.executions.get(execution);
         e.outcome = outcome;
         e.at.inFlight--;
         health.judge(now, q, e, total);
-        if (part != null) {
-            shareEnd(q, e);
-        }
+        shareEnd(q, e);
         forgetGone();
         if (ended && q.state() != State.CLOSED) {
             q.winner = e;
@@ -250,15 +245,11 @@
                 known.put(row.id(), u);
                 roster.add(chance.nextInt(roster.size() + 1), u);
             } else if (row.onlineSince() > u.listed.onlineSince()) {
-                // A restarted process has nothing left of what its predecessor was judged by.
-                u.seenAt = now;
-                u.copyWins = 0;
-                u.evidence = 0;
-                u.coldCredit = chance.nextDouble();
+                u.anew(now, chance.nextDouble());
             }
             u.listed = row;
             u.weight.listed(row.scale(), site.weights() == Site.Weights.LIVE);
-            u.ready = row.health() == Listed.Health.READY;
+            u.ready = row.health() == Listed.Health.READY && !banned.contains(u.id);
             u.gone = row.health() == Listed.Health.GONE;
         }
         // Machines of one shape are of one size: the one that is idle just now shows it for all.
@@ -277,6 +268,25 @@
         armAlarm();
     }
 
+    /** Operators take an upstream out or call it back; until then no list's word on it counts. */
+    public void ban(double time, UpstreamId id, boolean isOut) {
+        now = time;
+        Upstream u = (isOut ? banned.add(id) : banned.remove(id)) ? known.get(id) : null;
+        if (u != null && !isOut) {
+            // It was restarted meanwhile: cold from here on, and owed a query to show what it is.
+            u.anew(u.backAt = now, 1);
+            u.paces.clear();
+            u.prompt.clear();
+            u.owed = true;
+        }
+        if (u != null) {
+            u.ready = !isOut && u.listed.health() == Listed.Health.READY;
+            Optional.ofNullable(part).ifPresent(p -> p.listed(roster, now));
+        }
+        placeHeld();
+        armAlarm();
+    }
+
     /** Guards against growth where ids are ever new: what the list no longer has and nothing is out at. */
     private void forgetGone() {
         if (roster.removeIf(u -> u.gone && u.inFlight == 0)) {
@@ -305,7 +315,9 @@
         double share = !seen && total.size < 1 ? QUIET_WAIT_SHARE : LONGEST_WAIT_SHARE;
         double budget = Math.min(q.offering.targetTime(), q.asked.cutOffAt() - q.arrivedAt);
         double until = q.arrivedAt + budget * share;
-        if (site.looks()) {
+        if (!banned.isEmpty() && roster.stream().allMatch(u -> banned.contains(u.id))) {
+            return Input.WAITED;
+        } else if (site.looks()) {
             dues.add(now + LOOK_EVERY, q, Input.TURN);
             return now + LOOK_EVERY < until && !q.asked.again() ? null : Input.WAITED;
         } else if (!held.contains(q)) {
@@ -343,7 +355,8 @@
     /** A copy, or a further one at once where nothing is out any more, while budget and rules allow. */
     private Input sendAnother(Query q) {
         // When the whole fleet is slow a copy only doubles the load.
-        boolean useless = q.anyOut() && (q.executions.size() > 1 || !seen && total.fleetIsSlow());
+        boolean slow = !seen && total.late.mean(0) > TotalLimit.LATE_HIGH;
+        boolean useless = q.anyOut() && (q.executions.size() > 1 || slow);
         Upstream u = useless ? null : pick(q, false);
         if (u != null) {
             send(q, u);
@@ -376,7 +389,7 @@
         if (q.executions.size() >= of.permits().executions() || now >= q.asked.cutOffAt()) {
             return false;
         }
-        Execution first = q.firstThatMayHaveRun();
+        Query.Execution first = q.firstThatMayHaveRun();
         boolean another = of.permits().copies() || !q.anyOut();
         return first == null || another && switch (q.offering.repeats()) {
             case REISSUABLE -> true;
@@ -394,9 +407,9 @@
         double mean = seen ? 0
                 : roster.stream().filter(u -> u.ready).mapToInt(u -> u.inFlight).average().orElse(0);
         boolean mayTry = first && q.offering.repeats() == Offering.Repeats.REISSUABLE;
-        Upstream u = roster.stream().filter(each -> mayTry && each.passedOver() && now >= each.passedUntil
-                && !each.trialOut && mayTake(q, each) && (!seen || load(each) == 0 && !blind(each)))
-                .findFirst().orElse(null);
+        Upstream u = roster.stream().filter(each -> mayTry && (each.owed && now >= each.backAt + SETTLING
+                || each.passedOver() && now >= each.passedUntil && !each.trialOut)
+                && mayTake(q, each) && (!seen || load(each) == 0 && !blind(each))).findFirst().orElse(null);
         blindToo = site.looks() && roster.stream().noneMatch(each -> !blind(each) && mayTake(q, each));
         // Shunned while there are others: a choked upstream has to rest before it works as usual again.
         u = u != null ? u : pickAmong(q, mean, Health.OWN_FAULT, false);
@@ -405,8 +418,8 @@
     }
 
     private boolean mayTake(Query q, Upstream u) {
-        return u.ready && (part == null || part.has(u)) && !q.triedAt(u)
-                && maySend(q, u) && cold.admits(u, now);
+        return u.ready && (part == null || part.upstreams.contains(u)) && !q.at(u) && maySend(q, u)
+                && (u.coldCredit >= 1 || cold.ramp(u, now) >= 1);
     }
 
     private Upstream pickAmong(Query q, double mean, double worstPace, boolean passedOverToo) {
@@ -475,6 +488,7 @@
     private void send(Query q, Upstream u) {
         boolean trial = u.passedOver() && now >= u.passedUntil;
         u.trialOut |= trial;
+        u.owed = false;
         double rested = part != null && u.inFlight == 0 && u.answeredAt > 0 ? now - u.answeredAt : 0;
         // A few that may run again go out on old ones all the same: else nobody learns that they hold again.
         boolean mayTry = q.offering.repeats() == Offering.Repeats.REISSUABLE;
@@ -482,7 +496,7 @@
             out.letGo(u.id);
             rested = 0;
         }
-        q.executions.add(new Execution(u, now, trial, expected(u), rested,
+        q.executions.add(new Query.Execution(u, now, trial, expected(u), rested,
                 u.told.handled() + (int) load(u) + OVERTAKEN));
         u.inFlight++;
         u.restedOut += rested > 0 ? 1 : 0;
@@ -497,7 +511,10 @@
     }
 
     /** Tells the others of an end; what was overtaken on a rested connection tells of the connection. */
-    private void shareEnd(Query q, Execution e) {
+    private void shareEnd(Query q, Query.Execution e) {
+        if (part == null) {
+            return;
+        }
         boolean handled = e.outcome == Outcome.HANDLED;
         boolean lost = !handled && !e.outcome.neverRan && e.rested > 0
                 && e.at.told.handled() >= e.overtakenAt;
--- a/core/src/main/java/portrelay/policy/Health.java
+++ b/core/src/main/java/portrelay/policy/Health.java
@@ -17,7 +17,6 @@
     static final double OWN_FAULT = 2;
     private static final int TIME_SAMPLES = 64;
     private static final double LATE_SHARE = 0.45;
-
     private final List<Samples> times = new ArrayList<>();
     private final Samples bads = new Samples(BAD_SAMPLES);
     private double paceAge = PACE_AGE;
@@ -38,7 +37,7 @@
         return times.get(offering.id().value()).mean(Double.NEGATIVE_INFINITY, 1, prior);
     }
 
-    void judge(double now, Query q, Execution e, TotalLimit total) {
+    void judge(double now, Query q, Query.Execution e, TotalLimit total) {
         double spent = now - e.sentAt;
         boolean handled = e.outcome == Outcome.HANDLED;
         double target = q.offering.targetTime();
@@ -60,7 +59,7 @@
         e.at.evidence = noWay ? Upstream.EVIDENCE : e.trial && handled ? 0 : e.at.evidence;
         e.at.passedUntil = noWay || e.trial ? now + PASS_OVER : e.at.passedUntil;
         e.at.trialOut &= !e.trial;
-        Execution primary = q.executions.get(0);
+        Query.Execution primary = q.executions.get(0);
         if (handled && e == primary) {
             e.at.copyWins = 0;
         } else if (handled && q.state() == Decide.State.RACING && primary.outcome == null) {
@@ -86,7 +85,7 @@
     }
 
     /** How long an upstream takes against others; a loser's time counts as far as it got. */
-    private void samplePace(double now, Query q, Execution e) {
+    private void samplePace(double now, Query q, Query.Execution e) {
         Samples usual = times.get(q.asked.offering().value());
         double spent = now - e.sentAt;
         double mean = e.expected * usual.mean(Double.NEGATIVE_INFINITY, 0, spent / e.expected);
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -24,10 +24,9 @@
     private static final double DROPPED_FOR = 20;
     private static final double AGE_SPARE = 0.95;
     private static final double TOLD_EVERY = 1;
-
     final Gossip gossip;
     private final Site site;
-    private List<Upstream> upstreams = List.of();
+    List<Upstream> upstreams = List.of();
     private List<Upstream> ready = List.of();
     /** How long those connections had rested that lost a query. */
     private final Samples lost = new Samples(LOST_SAMPLES);
@@ -44,20 +43,12 @@
         this.layAt = now;
     }
 
-    boolean has(Upstream u) {
-        return upstreams.contains(u);
-    }
-
-    int size() {
-        return upstreams.size();
-    }
-
     Upstream at(int code) {
         return code < 0 || code >= upstreams.size() ? null : upstreams.get(code);
     }
 
     void tell(Gossip.Word word, Upstream u, int tenant) {
-        if (has(u)) {
+        if (upstreams.contains(u)) {
             gossip.tell(word, upstreams.indexOf(u), tenant);
         }
     }
--- a/core/src/main/java/portrelay/policy/Query.java
+++ b/core/src/main/java/portrelay/policy/Query.java
@@ -15,6 +15,32 @@
     int looks;
     Execution winner;
 
+    /** One execution; its outcome is null while it is out. */
+    static final class Execution {
+        final Upstream at;
+        final double sentAt;
+        final boolean trial;
+        /** The work's multiple that we expected it to take, 1 where nothing is known of the load. */
+        final double expected;
+        /** How long the connection it went on had rested, 0 for a new one or one in use. */
+        final double rested;
+        /** What had to be handled there after it for it to be lost. */
+        final int overtakenAt;
+        Outcome outcome;
+        Execution(Upstream to, double now, boolean trial, double expected, double rested, int overtakenAt) {
+            this.at = to;
+            this.sentAt = now;
+            this.trial = trial;
+            this.expected = expected;
+            this.rested = rested;
+            this.overtakenAt = overtakenAt;
+        }
+        /** Out and unknown counts as run: only an outcome can prove the contrary. */
+        boolean mayHaveRun() {
+            return outcome == null || !outcome.neverRan;
+        }
+    }
+
     Query(Asked asked, Offering offering, double arrivedAt) {
         super(Decide.State.FRESH);
         this.asked = asked;
@@ -26,11 +52,11 @@
         return executions.stream().filter(Execution::mayHaveRun).findFirst().orElse(null);
     }
 
-    boolean anyOut() {
-        return executions.stream().anyMatch(e -> e.outcome == null);
+    boolean at(Upstream u) {
+        return executions.stream().anyMatch(e -> e.at == u);
     }
 
-    boolean triedAt(Upstream u) {
-        return executions.stream().anyMatch(e -> e.at == u);
+    boolean anyOut() {
+        return executions.stream().anyMatch(e -> e.outcome == null);
     }
 }
--- a/core/src/main/java/portrelay/policy/TotalLimit.java
+++ b/core/src/main/java/portrelay/policy/TotalLimit.java
@@ -11,14 +11,13 @@
     private static final double FIRST_EACH = 2.5;
     private static final double START_PART = 3;
     private static final int ROUND = 16;
-    private static final double LATE_HIGH = 0.25;
+    static final double LATE_HIGH = 0.25;
     private static final double LATE_LOW = 0.15;
     private static final double TOTAL_CUT_TO = 0.8;
     private static final double FEW_LATE = 0.5;
     private static final double SMALL_CUT_TO = 0.5;
     private static final double SMALL_STEP = 0.12;
-
-    private final Samples late = new Samples(ROUND);
+    final Samples late = new Samples(ROUND);
     double size = FIRST_TOTAL;
     private final Samples few = new Samples(Upstream.FEW);
     private double unit = 1;
@@ -47,10 +46,6 @@
         return size >= 1 ? inFlight < size : inFlight == 0 && now >= freeAt;
     }
 
-    boolean fleetIsSlow() {
-        return late.mean(0) > LATE_HIGH;
-    }
-
     void ended(double now, double sentAt, double promptWithin, boolean isLate, boolean tellsOfAll) {
         boolean wasFull = inFlight-- + 1 > size;
         full |= wasFull;
--- a/core/src/main/java/portrelay/policy/Upstream.java
+++ b/core/src/main/java/portrelay/policy/Upstream.java
@@ -10,7 +10,6 @@
     static final int PACE_SAMPLES = 16;
     static final int FEW = 4;
     private static final int LISTS = 3;
-
     final UpstreamId id;
     Listed listed;
     boolean ready;
@@ -20,6 +19,9 @@
     int copyWins;
     double evidence;
     double passedUntil;
+    /** When operators called it back; owed while nothing has gone there since. */
+    double backAt;
+    boolean owed;
     boolean trialOut;
     double coldCredit;
     /** What it is when nothing is in flight, against others. */
@@ -41,6 +43,14 @@
         this.id = id;
     }
 
+    /** As new: nothing is left of what it, or the process before it, was judged by. */
+    void anew(double now, double credit) {
+        seenAt = now;
+        copyWins = 0;
+        evidence = 0;
+        coldCredit = credit;
+    }
+
     boolean passedOver() {
         return copyWins >= COPY_WINS || evidence >= EVIDENCE;
     }
--- a/core/src/main/java/portrelay/settings/Migration.java
+++ b/core/src/main/java/portrelay/settings/Migration.java
@@ -18,7 +18,7 @@
     private static final String KNOWN = "known";
     private static final List<String> OWN = List.of("classes", "tenants");
     private static final List<String> TOP =
-            List.of("name", "listen", "discovery", "seed", "limits", "door", SETTINGS);
+            List.of("name", "listen", "mgmt", "discovery", "seed", "limits", "door", SETTINGS);
     /** What became of an old file: the new one, what had no place in it, what the shape set anew. */
     public record Result(Map<String, Object> config, List<String> leftOut, List<String> replaced) { }
 
--- /dev/null
+++ b/core/src/test/java/portrelay/policy/BanTest.java
@@ -0,0 +1,155 @@
+package portrelay.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import portrelay.model.ListNews;
+import portrelay.model.Listed;
+import portrelay.model.Outcome;
+import portrelay.model.QueryId;
+import portrelay.model.UpstreamId;
+
+/** Upstreams that operators take out and put back. */
+class BanTest {
+
+    private static final UpstreamId OUT = new UpstreamId(0);
+
+    private static boolean used(Rig rig, int queries) {
+        int before = rig.sent.size();
+        for (int i = 0; i < queries; i++) {
+            rig.ask("u" + rig.now + "-" + i, Rig.REISSUABLE, 2);
+            rig.end(rig.last(), Outcome.HANDLED);
+            rig.pass(0.01);
+        }
+        return rig.sent.subList(before, rig.sent.size()).stream().anyMatch(each -> each.at().equals(OUT));
+    }
+
+    @Test
+    void whileItIsOutNothingTheListSaysBringsItBack() {
+        Rig rig = new Rig(1);
+        rig.ready(3);
+        assertTrue(used(rig, 60));
+        rig.decide.ban(rig.now, OUT, true);
+        assertTrue(!used(rig, 60));
+        rig.decide.list(rig.now, ListNews.CHANGES, List.of(Rig.row(0, Listed.Health.DRAINING, 0)));
+        rig.decide.list(rig.now, ListNews.CHANGES, List.of(Rig.row(0, Listed.Health.READY, 0)));
+        assertTrue(!used(rig, 60), "drained and ready again");
+        rig.decide.list(rig.now, ListNews.CHANGES, List.of(Rig.row(0, Listed.Health.GONE, 0)));
+        rig.decide.list(rig.now, ListNews.CHANGES, List.of(Rig.row(0, Listed.Health.READY, rig.now)));
+        assertTrue(!used(rig, 60), "delisted and listed again");
+        rig.ready(3);
+        assertTrue(!used(rig, 60), "a whole list");
+        rig.decide.ban(rig.now, OUT, true);
+        rig.decide.ban(rig.now, OUT, false);
+        rig.pass(15);
+        assertTrue(used(rig, 60), "one call back ends it however often it was called out");
+    }
+
+    @Test
+    void copiesFurtherExecutionsAndHeldQueriesDoNotGoThereEither() {
+        for (int seed = 0; seed < 20; seed++) {
+            Rig rig = new Rig(seed);
+            rig.ready(2);
+            rig.decide.ban(rig.now, OUT, true);
+            rig.ask("copy", Rig.REISSUABLE, 2);
+            rig.pass(1.5);
+            rig.end(rig.last(), Outcome.ERROR);
+            rig.ask("further", Rig.AT_MOST_ONCE, 2);
+            rig.end(rig.last(), Outcome.FULL);
+            rig.pass(1);
+            rig.sent.forEach(each -> assertNotEquals(OUT, each.at()));
+        }
+    }
+
+    @Test
+    void aDrainOfTheListAndABanMustBothBeOver() {
+        Rig rig = new Rig(2);
+        rig.ready(3);
+        rig.decide.ban(rig.now, OUT, true);
+        rig.decide.list(rig.now, ListNews.CHANGES, List.of(Rig.row(0, Listed.Health.DRAINING, 0)));
+        rig.decide.ban(rig.now, OUT, false);
+        assertTrue(!used(rig, 60));
+        rig.decide.list(rig.now, ListNews.CHANGES, List.of(Rig.row(0, Listed.Health.READY, 0)));
+        rig.pass(15);
+        assertTrue(used(rig, 60));
+    }
+
+    @Test
+    void onceBackItIsColdAndWhatItWasJudgedByIsForgotten() {
+        Rig rig = new Rig(4);
+        rig.ready(3);
+        // Passed over: nobody gets through there.
+        while (!rig.sent.stream().anyMatch(each -> each.at().equals(OUT))) {
+            rig.ask("n" + rig.sent.size(), Rig.REISSUABLE, 2);
+            Rig.Sent s = rig.last();
+            rig.end(s, s.at().equals(OUT) ? Outcome.NO_CONNECTION : Outcome.HANDLED);
+        }
+        rig.decide.ban(rig.now, OUT, true);
+        rig.decide.ban(rig.now, OUT, false);
+        // A cold one gets its ramp of what a warm one gets, counted from the call.
+        int queries = 300;
+        int before = rig.sent.size();
+        for (int i = 0; i < queries; i++) {
+            rig.ask("c" + i, Rig.REISSUABLE, 2);
+            rig.pass(0.004);
+            rig.sent.subList(rig.sent.size() - 1, rig.sent.size()).forEach(s -> rig.end(s, Outcome.HANDLED));
+            rig.pass(0.006);
+        }
+        long there = rig.sent.subList(before, rig.sent.size()).stream().filter(s -> s.at().equals(OUT)).count();
+        assertTrue(there >= 1 && there < queries / 4, "sent there: " + there);
+        rig.pass(15);
+        assertTrue(used(rig, 30));
+    }
+
+    @Test
+    void whereTrafficIsThinItIsTriedWithinFiveSeconds() {
+        for (int seed = 0; seed < 50; seed++) {
+            Rig rig = new Rig(seed);
+            rig.ready(10);
+            rig.decide.ban(rig.now, OUT, true);
+            rig.pass(3);
+            rig.decide.ban(rig.now, OUT, false);
+            double back = rig.now;
+            boolean tried = false;
+            for (int i = 0; rig.now < back + 5; i++) {
+                rig.ask("t" + i, Rig.REISSUABLE, 2);
+                tried |= rig.last().at().equals(OUT);
+                rig.end(rig.last(), Outcome.HANDLED);
+                rig.pass(0.7);
+            }
+            assertTrue(tried, "seed " + seed);
+        }
+    }
+
+    @Test
+    void withAllOutAQueryIsAnsweredAtOnceAndServedAfterACallBack() {
+        Rig rig = new Rig(5);
+        rig.ready(1);
+        rig.decide.ban(rig.now, OUT, true);
+        QueryId denied = rig.ask("none", Rig.AT_MOST_ONCE, 2);
+        assertEquals(List.of(denied), rig.denied);
+        rig.decide.ban(rig.now, OUT, false);
+        rig.ask("one", Rig.AT_MOST_ONCE, 2);
+        assertEquals(OUT, rig.last().at());
+    }
+
+    @Test
+    void aBannedUpstreamIsStillOfTheGroupThatARepeatKeepsTo() {
+        Rig rig = new Rig(6);
+        rig.ready(6);
+        QueryId id = rig.ask("n", Rig.NUMBERED, 2);
+        UpstreamId first = rig.last().at();
+        rig.decide.ban(rig.now, first, true);
+        rig.end(rig.last(), Outcome.ERROR);
+        // Only its group drops a repeat, and only the two others of it may be sent one.
+        rig.sent.stream().filter(s -> s.query().equals(id))
+                .forEach(s -> assertEquals(first.value() / 3, s.at().value() / 3));
+        while (rig.writtenOff.isEmpty()) {
+            rig.end(rig.last(), Outcome.ERROR);
+        }
+        assertTrue(rig.denied.isEmpty());
+    }
+}
--- a/daemon/src/main/java/portrelay/cli/ConfigCommand.java
+++ b/daemon/src/main/java/portrelay/cli/ConfigCommand.java
@@ -44,6 +44,8 @@
     /** The file as it is now. */
     final Config read() throws BadSetting {
         Config read = Config.parse(bytes(Config.FILE, config));
+        String mgmt = System.getenv(Config.MGMT);
+        read = mgmt == null || mgmt.isEmpty() ? read : read.withMgmt(mgmt);
         return door == null ? read : read.withDoor(bytes("--door", door));
     }
 
--- a/daemon/src/main/java/portrelay/net/Clients.java
+++ b/daemon/src/main/java/portrelay/net/Clients.java
@@ -83,9 +83,9 @@
         return room.count();
     }
 
-    /** Whoever has said nothing that is unanswered. */
-    void closeQuiet() {
-        for (ClientId id : room.in(Room.Phase.SILENT, Room.Phase.IDLE)) {
+    /** Whoever has said nothing that is unanswered for so long. */
+    void closeQuiet(double atLeast) {
+        for (ClientId id : room.quiet(loop.now(), atLeast)) {
             end(new Room.Ending(id, Room.Phase.IDLE, Room.Cause.NOT_NEEDED));
         }
         forgetClosed();
--- a/daemon/src/main/java/portrelay/net/Config.java
+++ b/daemon/src/main/java/portrelay/net/Config.java
@@ -8,12 +8,17 @@
 import portrelay.settings.Fields;
 import portrelay.settings.Settings;
 
-/** What a sidecar is told at its start. Known is null where it never had a list. */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        int sockets, Fields known, Settings settings, DoorSettings door) {
+/**
+ * What a sidecar is told at its start. Known is null where it never had a list, mgmt where operators have no
+ * door.
+ */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
+        InetSocketAddress mgmt, long seed, int sockets, Fields known, Settings settings, DoorSettings door) {
 
     /** The environment variable that names the file. */
     public static final String FILE = Names.CONFIG_FILE;
+    /** The environment variable that says where operators call, whatever the file says. */
+    public static final String MGMT = Names.MGMT_ADDRESS;
 
     private static final int SOCKETS = 1024;
 
@@ -26,14 +31,23 @@
             ListPage.read(known);
         }
         return new Config(root.text(Names.NAME), address(root, Names.LISTEN), address(root, Names.DISCOVERY),
-                seed(root), (int) sockets, known, new Settings(root.section(Names.SETTINGS)),
+                root.has(Names.MGMT) ? address(root, Names.MGMT) : null, seed(root), (int) sockets, known, new Settings(root.section(Names.SETTINGS)),
                 root.has(Names.DOOR) ? DoorSettings.read(root.section(Names.DOOR)) : DoorSettings.USUAL);
     }
 
     /** With the door as a file of its own sets it: one object with the fields of the section. */
     public Config withDoor(byte[] json) throws BadSetting {
         Fields fields = Fields.of(tree(json), Names.DOOR);
-        return new Config(name, listen, discovery, seed, sockets, known, settings, DoorSettings.read(fields));
+        return new Config(name, listen, discovery, mgmt, seed, sockets, known, settings, DoorSettings.read(fields));
+    }
+
+    /** With the operators' door where the text says: it is told to one process, the file perhaps to several. */
+    public Config withMgmt(String text) throws BadSetting {
+        InetSocketAddress at = Addresses.parse(text);
+        if (at == null) {
+            throw new BadSetting(MGMT, "a numeric address and a port");
+        }
+        return new Config(name, listen, discovery, at, seed, sockets, known, settings, door);
     }
 
     private static Object tree(byte[] json) throws BadSetting {
--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -38,6 +38,9 @@
     /** More than there is room for: those are looked at, and one of least worth ends. */
     private static final int LOOKS = 8;
     private static final int BACKLOG = 1024;
+    /** What clients send by the word of their last look at us, and how long a new one may keep silent. */
+    private static final double STILL_COMING = 0.6;
+    private static final double JUST_COME = 0.2;
 
     private final Loop loop;
     private final QueryReader reader;
@@ -49,6 +52,8 @@
     private final Clients clients;
     private final DoorCounts counts;
     private boolean closing;
+    private boolean inService = true;
+    private int drains;
     private double answerBy = Double.POSITIVE_INFINITY;
 
     Front(Loop loop, ByteBufferPool buffers, QueryReader reader, DoorActor doorkeeper, RoomSettings room,
@@ -119,7 +124,30 @@
         closing = true;
         closeDoor();
         doorkeeper.close();
-        clients.closeQuiet();
+        clients.closeQuiet(0);
+    }
+
+    /**
+     * Sends clients away, or takes them again. Nobody is cut off meanwhile: queries that come are served, each
+     * answer ends its connection, and quiet ones end when what clients still sent on them has come.
+     */
+    void inService(boolean now) {
+        if (now != inService) {
+            inService = now;
+            int drain = ++drains;
+            loop.after(STILL_COMING, () -> sendAway(drain));
+        }
+    }
+
+    private void sendAway(int drain) {
+        if (!inService && drain == drains) {
+            clients.closeQuiet(JUST_COME);
+            loop.after(JUST_COME, () -> sendAway(drain));
+        }
+    }
+
+    private boolean leaving() {
+        return closing || !inService;
     }
 
     /** Clients may hold so many connections from here on. */
@@ -143,12 +171,12 @@
             clients.at(connection(done), Room.Phase.IDLE);
             next.proceed();
         });
-        if (closing) {
+        if (leaving()) {
             exchange.setPersistent(false);
         }
         boolean query = exchange.getRequestHeaders().contains(Names.OFFERING);
         if (!query && exchange.getRequestURI().equals(Names.READY)) {
-            exchange.setStatusCode(ready ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+            exchange.setStatusCode(ready && inService ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
             exchange.endExchange();
             return;
         }
@@ -322,7 +350,7 @@
             }
             over = true;
             clients.at(connection, Room.Phase.ANSWERING);
-            if (closing) {
+            if (leaving()) {
                 exchange.setPersistent(false);
             }
             exchange.setStatusCode(status);
--- a/daemon/src/main/java/portrelay/net/ListActor.java
+++ b/daemon/src/main/java/portrelay/net/ListActor.java
@@ -7,9 +7,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.xnio.XnioExecutor;
 import portrelay.json.Tree;
@@ -22,6 +24,7 @@
 /** Follows the list: owns the connection to discovery and the upstreams' actors. Keeps one watch going. */
 final class ListActor implements ModuleActor.Watch {
 
+    private static final int EVER_MOST = 4096;
     private static final int LONGEST_LIST = 4 * 1024 * 1024;
     private static final long NO_VERSION = -1;
     private static final double DIAL_WITHIN = 1;
@@ -41,6 +44,8 @@
     private int calls;
     private boolean watching;
     private boolean failing;
+    /** Ids that were ever listed, the latest last; a long day's ever new ids must not grow it. */
+    private final Set<UpstreamId> ever = new LinkedHashSet<>();
     private Link link;
     private Dialer.Dial dial;
     private XnioExecutor.Key patience;
@@ -86,6 +91,19 @@
         });
     }
 
+    /** Whether the id was ever listed, as far as that is remembered. */
+    void everListed(UpstreamId id, Consumer<Boolean> then) {
+        mailbox.post(() -> then.accept(ever.contains(id)));
+    }
+
+    private void remember(UpstreamId id) {
+        ever.remove(id);
+        ever.add(id);
+        if (ever.size() > EVER_MOST) {
+            ever.remove(ever.iterator().next());
+        }
+    }
+
     private void call() {
         int mine = ++calls;
         // What a call has to tell that may not wait is due at once, so there is less to be patient for.
@@ -179,6 +197,7 @@
         for (ListPage.Row row : page.rows()) {
             UpstreamId id = row.listed().id();
             UpstreamActor known = upstreams.get(id);
+            remember(id);
             if (row.address() == null) {
                 if (known != null) {
                     gone.add(id);
--- a/daemon/src/main/java/portrelay/net/Log.java
+++ b/daemon/src/main/java/portrelay/net/Log.java
@@ -34,6 +34,11 @@
         }
     }
 
+    /** What others sent, fit for one line: at most 80 printable characters. */
+    static String clean(String text) {
+        return text.substring(0, Math.min(80, text.length())).replaceAll("[^\\x20-\\x7e]", "?");
+    }
+
     private void line(String level, String text) {
         out.println(Instant.now() + " " + name + " " + level + " " + text);
     }
--- a/daemon/src/main/java/portrelay/net/ModuleActor.java
+++ b/daemon/src/main/java/portrelay/net/ModuleActor.java
@@ -90,6 +90,19 @@
         });
     }
 
+    /** Operators take an upstream out, or put it back; then is called once that holds. */
+    void ban(UpstreamId id, boolean isOut, Runnable then) {
+        mailbox.post(() -> {
+            decide.ban(loop.now(), id, isOut);
+            UpstreamActor at = upstreams.get(id);
+            if (at != null) {
+                at.offline(isOut);
+            }
+            then.run();
+            moved.run();
+        });
+    }
+
     boolean knows(QueryId id) {
         return open.containsKey(id);
     }
--- a/daemon/src/main/java/portrelay/net/Names.java
+++ b/daemon/src/main/java/portrelay/net/Names.java
@@ -43,7 +43,17 @@
     static final String HEALTH_DRAINING = "DRAINING";
     static final String HEALTH_GONE = "DELETED";
 
+    // The operators' door.
+    static final String CONTROL_READY = "/control/ready";
+    static final String CONTROL_OUT = "/control/out-of-service";
+    static final String CONTROL_IN = "/control/in-service";
+    static final String CONTROL_UPSTREAMS = "/control/upstreams/";
+    static final String OFFLINE = "offline";
+    static final String ONLINE = "online";
+
     // What a sidecar is told at its start.
+    static final String MGMT_ADDRESS = "LB_MGMT";
+    static final String MGMT = "mgmt";
     static final String CONFIG_FILE = "LB_CONFIG";
     static final String NAME = "name";
     static final String LISTEN = "listen";
--- /dev/null
+++ b/daemon/src/main/java/portrelay/net/Operators.java
@@ -0,0 +1,229 @@
+package portrelay.net;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.ByteBuffer;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+import portrelay.door.Room;
+import portrelay.door.RoomSettings;
+import portrelay.model.Hash;
+import portrelay.model.UpstreamId;
+
+/**
+ * The operators' door: one call to a connection, answered when what it asks for is so. Owns its connections,
+ * so many at most, which clients can't take; those that say nothing or half a call make way for others.
+ * Asks the owners of what it changes by their mailboxes and decides nothing itself.
+ */
+final class Operators implements HttpHandler {
+
+    private static final int BACKLOG = 1024;
+    private static final int LONGEST_HEAD = 8 * 1024;
+    private static final int UNFINISHED_MS = 3000;
+    /** How long what a caller still sends after its answer is read: a close on unread bytes resets it. */
+    private static final double LINGER = 0.5;
+    private static final RoomSettings ROOM = new RoomSettings(0.25, 3, 1, 0.5, 0.9, 0.9, 0, 0, 0.1);
+
+    private final Loop loop;
+    private final Log log;
+    private final Clients callers;
+    private final ListActor list;
+    private final ModuleActor module;
+    private final Front front;
+    private final HttpOpenListener http;
+    private AcceptingChannel<StreamConnection> door;
+    private boolean ready;
+
+    Operators(Loop loop, ByteBufferPool buffers, Log log, int most, ListActor list, ModuleActor module,
+            Front front) {
+        this.loop = loop;
+        this.log = log;
+        this.list = list;
+        this.module = module;
+        this.front = front;
+        callers = new Clients(loop, ROOM, new DoorCounts());
+        callers.most(most);
+        http = new HttpOpenListener(buffers, OptionMap.builder()
+                .set(UndertowOptions.DECODE_URL, false)
+                .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .set(UndertowOptions.MAX_HEADER_SIZE, LONGEST_HEAD)
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, UNFINISHED_MS)
+                .set(UndertowOptions.NO_REQUEST_TIMEOUT, UNFINISHED_MS).getMap());
+        http.setRootHandler(this);
+    }
+
+    void listen(XnioWorker worker, InetSocketAddress at) throws IOException {
+        try {
+            door = worker.createStreamConnectionServer(at, ChannelListeners.openListenerAdapter(this::accept),
+                    OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
+                            .set(Options.BACKLOG, BACKLOG).getMap());
+        } catch (IOException e) {
+            throw new IOException(Names.MGMT + " " + Addresses.text(at) + ": " + e.getMessage(), e);
+        }
+        door.resumeAccepts();
+    }
+
+    InetSocketAddress address() {
+        return door.getLocalAddress(InetSocketAddress.class);
+    }
+
+    /** Whether this process serves: apart from whether clients are sent away. */
+    void ready(boolean now) {
+        ready = now;
+    }
+
+    private void accept(StreamConnection caller) {
+        QueryGuard guard =
+                new QueryGuard(caller.getSourceChannel().getConduit(), () -> callers.heard(caller));
+        caller.getSourceChannel().setConduit(guard);
+        callers.opened(caller, guard);
+        http.handleEvent(caller);
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
+        callers.spoke(connection);
+        callers.at(connection, Room.Phase.ASKED);
+        exchange.setPersistent(false);
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> call(exchange));
+    }
+
+    private void call(HttpServerExchange exchange) {
+        String path = exchange.getRequestURI();
+        boolean upstream = path.startsWith(Names.CONTROL_UPSTREAMS);
+        int slash = path.lastIndexOf('/');
+        String verb = path.substring(slash + 1);
+        if (path.equals(Names.CONTROL_READY)) {
+            if (allowed(exchange, Methods.GET)) {
+                answer(exchange, ready ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE,
+                        ready ? "ready" : "not ready");
+            }
+        } else if (path.equals(Names.CONTROL_OUT) || path.equals(Names.CONTROL_IN)) {
+            if (allowed(exchange, Methods.PUT)) {
+                boolean in = path.equals(Names.CONTROL_IN);
+                front.inService(in);
+                done(exchange, in ? "in service" : "out of service");
+            }
+        } else if (upstream && slash >= Names.CONTROL_UPSTREAMS.length()
+                && (verb.equals(Names.OFFLINE) || verb.equals(Names.ONLINE))) {
+            if (allowed(exchange, Methods.PUT)) {
+                ban(exchange, path.substring(Names.CONTROL_UPSTREAMS.length(), slash), verb);
+            }
+        } else {
+            answer(exchange, StatusCodes.NOT_FOUND, "no such call");
+        }
+    }
+
+    private void ban(HttpServerExchange exchange, String escaped, String verb) {
+        String id;
+        try {
+            // A plus is a plus in a path.
+            id = URLDecoder.decode(escaped.replace("+", "%2B"), UTF_8);
+        } catch (IllegalArgumentException e) {
+            answer(exchange, StatusCodes.BAD_REQUEST, "an id that is not well escaped");
+            return;
+        }
+        UpstreamId upstream = new UpstreamId(Hash.of(id));
+        list.everListed(upstream, known -> {
+            if (known) {
+                module.ban(upstream, verb.equals(Names.OFFLINE),
+                        () -> done(exchange, "upstream " + Log.clean(id) + " " + verb));
+            } else {
+                answer(exchange, StatusCodes.NOT_FOUND, "no upstream of this id was ever listed");
+            }
+        });
+    }
+
+    private boolean allowed(HttpServerExchange exchange, HttpString method) {
+        if (exchange.getRequestMethod().equals(method)) {
+            return true;
+        }
+        exchange.getResponseHeaders().put(Headers.ALLOW, method.toString());
+        answer(exchange, StatusCodes.METHOD_NOT_ALLOWED, "takes " + method);
+        return false;
+    }
+
+    private void done(HttpServerExchange exchange, String what) {
+        log.info("operators: " + what);
+        answer(exchange, StatusCodes.OK, what);
+    }
+
+    /** The body, if there is one, is not waited for. */
+    private void answer(HttpServerExchange exchange, int status, String text) {
+        callers.at((HttpServerConnection) exchange.getConnection(), Room.Phase.ANSWERING);
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
+        byte[] bytes = (text + "\n").getBytes(UTF_8);
+        exchange.setResponseContentLength(bytes.length);
+        exchange.getResponseSender().send(ByteBuffer.wrap(bytes), end);
+    }
+
+    private final IoCallback end = new IoCallback() {
+        @Override
+        public void onComplete(HttpServerExchange exchange, Sender sender) {
+            HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
+            if (exchange.isRequestComplete()) {
+                IoUtils.safeClose(connection);
+            } else {
+                linger(connection);
+            }
+        }
+
+        @Override
+        public void onException(HttpServerExchange exchange, Sender sender, IOException cause) {
+            IoUtils.safeClose(exchange.getConnection());
+        }
+    };
+
+    private void linger(HttpServerConnection connection) {
+        StreamConnection socket = connection.getChannel();
+        loop.after(LINGER, () -> IoUtils.safeClose(connection));
+        try {
+            socket.getSinkChannel().shutdownWrites();
+            socket.getSinkChannel().flush();
+        } catch (IOException e) {
+            IoUtils.safeClose(connection);
+            return;
+        }
+        ConduitStreamSourceChannel source = socket.getSourceChannel();
+        source.setConduit(connection.getOriginalSourceConduit());
+        ByteBuffer unread = ByteBuffer.allocate(1024);
+        source.setReadListener(from -> {
+            try {
+                int count = from.read(unread.clear());
+                while (count > 0) {
+                    count = from.read(unread.clear());
+                }
+                if (count < 0) {
+                    IoUtils.safeClose(connection);
+                }
+            } catch (IOException e) {
+                IoUtils.safeClose(connection);
+            }
+        });
+        source.resumeReads();
+    }
+}
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -28,6 +28,9 @@
     private static final int OWN_SOCKETS = 64;
     private static final double OWN_SHARE = 0.25;
     private static final int SPARE_OF = 16;
+    /** Operators' connections: so many at most, and of all descriptors one in so many. */
+    private static final int CALLS = 48;
+    private static final int CALLS_OF = 8;
     /** Of the time after which an upstream closes an idle connection; the rest is for what is on its way. */
     private static final double IDLE_SHARE = 0.5;
     private static final double DEFAULT_IDLE = 10;
@@ -46,6 +49,8 @@
     private final double tellEvery;
     private final Front front;
     private final ListActor list;
+    /** Null where operators have no door. */
+    private final Operators operators;
     private final double longestCutOff;
     private final CountDownLatch ready = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -57,7 +62,8 @@
         var buffers = buffers();
         var settings = config.settings();
         int own = (int) Math.min(OWN_SOCKETS, OWN_SHARE * config.sockets());
-        int all = Math.max(2, config.sockets() - own);
+        int calls = config.mgmt() == null ? 0 : Math.min(CALLS, config.sockets() / CALLS_OF);
+        int all = Math.max(2, config.sockets() - own - calls);
         int lent = all - all / SPARE_OF;
         Dialer toUpstreams = new Dialer(loop, buffers, all / 2, open -> lend(lent - open));
         Dialer toDiscovery = new Dialer(loop, buffers, 2, open -> { });
@@ -70,6 +76,11 @@
         log.info("door: at most " + config.door().bound() + " bytes for what waits");
         front = new Front(loop, buffers, new QueryReader(settings), doorkeeper, config.door().room(), counts);
         front.listen(worker, config.listen(), lent);
+        operators = config.mgmt() == null ? null
+                : new Operators(loop, buffers, log, Math.max(1, calls), list, module, front);
+        if (operators != null) {
+            operators.listen(worker, config.mgmt());
+        }
         longestCutOff = settings.offerings().stream().mapToDouble(Offering::cutOff).max().orElse(0);
         onLoop(() -> {
             if (config.known() != null) {
@@ -121,6 +132,9 @@
 
     private void ready() {
         front.ready(true);
+        if (operators != null) {
+            operators.ready(true);
+        }
         log.info("ready at " + address());
         ready.countDown();
     }
@@ -144,6 +158,11 @@
         list.move(config.discovery());
     }
 
+    /** Where operators call; null where they have no door. */
+    public InetSocketAddress operatorsAt() {
+        return operators == null ? null : operators.address();
+    }
+
     /** Where it listens; tells the port where the configuration left that open with 0. */
     public InetSocketAddress address() {
         return front.address();
@@ -159,6 +178,9 @@
             loop.execute(() -> {
                 log.info("draining");
                 front.ready(false);
+                if (operators != null) {
+                    operators.ready(false);
+                }
                 double all = LEAST_DRAIN + longestCutOff - OWN_END;
                 front.answerAllBy(loop.now() + all);
                 loop.after(ACCEPT_ON, front::closeDoor);
--- a/daemon/src/main/java/portrelay/net/UpstreamActor.java
+++ b/daemon/src/main/java/portrelay/net/UpstreamActor.java
@@ -42,6 +42,7 @@
     private final Deque<Idle> idle = new ArrayDeque<>();
     private InetSocketAddress address;
     private boolean sweeping;
+    private boolean offline;
 
     UpstreamActor(Loop loop, Log log, Dialer dialer, Listener listener, double dialWithin, double idleMost,
             InetSocketAddress address) {
@@ -72,6 +73,24 @@
         });
     }
 
+    /**
+     * Operators take it out, or put it back: meanwhile nothing is kept, and what has no connection yet gets
+     * none there. What is written ends by itself.
+     */
+    void offline(boolean now) {
+        mailbox.post(() -> {
+            offline = now;
+            if (now) {
+                closeIdle();
+                Map.copyOf(running).forEach((id, one) -> {
+                    if (one.dial != null) {
+                        stopNow(id, Outcome.NO_CONNECTION);
+                    }
+                });
+            }
+        });
+    }
+
     /** It is gone: what is out there may end as it does, nothing is kept. */
     void close() {
         mailbox.post(() -> {
@@ -165,7 +184,7 @@
     // ---- Idle connections -------------------------------------------------------------------------------
 
     private void rest(Running from, Link link) {
-        if (!from.to.equals(address)) {
+        if (offline || !from.to.equals(address)) {
             link.close();
             return;
         }
