--- a/core/src/main/java/portrelay/settings/Fields.java
+++ b/core/src/main/java/portrelay/settings/Fields.java
@@ -25,6 +25,11 @@
         throw new BadSetting(place.isEmpty() ? "the whole" : place, "an object");
     }
 
+    /** The object itself, as a map. */
+    public Map<?, ?> tree() {
+        return map;
+    }
+
     public boolean has(String name) {
         return map.get(name) != null;
     }
--- a/daemon/src/main/java/portrelay/cli/ConfigCommand.java
+++ b/daemon/src/main/java/portrelay/cli/ConfigCommand.java
@@ -35,7 +35,7 @@
         } catch (BadSetting e) {
             return bad(e.getMessage());
         } catch (IOException e) {
-            return bad("listen: expected an address to listen at: " + e.getMessage());
+            return bad(e.getMessage());
         } catch (InterruptedException e) {
             return 0;
         }
--- a/daemon/src/main/java/portrelay/cli/ServeCommand.java
+++ b/daemon/src/main/java/portrelay/cli/ServeCommand.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
+import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import portrelay.net.Config;
@@ -19,7 +20,8 @@
         Log log = new Log(System.err, config.name());
         config.settings().notOnSockets().forEach(each -> log.warn("not yet on sockets: " + each));
         onHangUp(() -> serving.thenAccept(sidecar -> reload(sidecar, log)));
-        Sidecar sidecar = Sidecar.start(config, System.err);
+        String folder = System.getenv("TMPDIR");
+        Sidecar sidecar = Sidecar.start(config, System.err, folder == null ? null : Path.of(folder));
         Runtime.getRuntime().addShutdownHook(new Thread(sidecar::drain));
         serving.complete(sidecar);
         new CountDownLatch(1).await();
--- a/daemon/src/main/java/portrelay/net/Dialer.java
+++ b/daemon/src/main/java/portrelay/net/Dialer.java
@@ -38,7 +38,7 @@
 
     private final Loop loop;
     private final ByteBufferPool buffers;
-    private final int most;
+    private int most;
     private final HttpClientProvider client = new HttpClientProvider();
     private final Opening opening;
     /** Idle connections, the longest idle first. */
@@ -64,6 +64,18 @@
         return new Dial(to, within, opened, failed);
     }
 
+    int open() {
+        return open;
+    }
+
+    /** So many may be open from here on; idle ones make way at once, the others as they end. */
+    void most(int connections) {
+        most = connections;
+        while (open > most && makeRoom()) {
+            continue;
+        }
+    }
+
     /** From here on the connection may be closed where another one needs its room. */
     void rests(Link link) {
         resting.add(link);
--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -19,7 +19,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -27,6 +26,7 @@
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.nio.SharedAddress;
 import portrelay.door.Room;
 import portrelay.door.RoomSettings;
 import portrelay.model.Asked;
@@ -37,12 +37,15 @@
 
     /** More than there is room for: those are looked at, and one of least worth ends. */
     private static final int LOOKS = 8;
+    /** Taken in one turn of the loop: others have theirs between. */
+    private static final int AT_ONCE = 64;
     private static final int BACKLOG = 1024;
     /** What clients send by the word of their last look at us, and how long a new one may keep silent. */
     private static final double STILL_COMING = 0.6;
     private static final double JUST_COME = 0.2;
 
     private final Loop loop;
+    private final Log log;
     private final QueryReader reader;
     private final DoorActor doorkeeper;
     private final HttpOpenListener http;
@@ -54,11 +57,13 @@
     private boolean closing;
     private boolean inService = true;
     private int drains;
+    private boolean handedOver;
     private double answerBy = Double.POSITIVE_INFINITY;
 
-    Front(Loop loop, ByteBufferPool buffers, QueryReader reader, DoorActor doorkeeper, RoomSettings room,
-            DoorCounts counts) {
+    Front(Loop loop, Log log, ByteBufferPool buffers, QueryReader reader, DoorActor doorkeeper,
+            RoomSettings room, DoorCounts counts) {
         this.loop = loop;
+        this.log = log;
         this.reader = reader;
         this.doorkeeper = doorkeeper;
         this.counts = counts;
@@ -83,18 +88,54 @@
      */
     void listen(XnioWorker worker, InetSocketAddress at, int mostClients) throws IOException {
         clients.most(mostClients);
-        door = worker.createStreamConnectionServer(at, ChannelListeners.openListenerAdapter(this::accept),
-                OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
-                        .set(Options.BACKLOG, BACKLOG).set(Options.CONNECTION_HIGH_WATER, mostClients + LOOKS)
-                        .set(Options.CONNECTION_LOW_WATER, mostClients + LOOKS - 1).getMap());
+        door = SharedAddress.listen(worker, at, BACKLOG, from -> acceptSome(from), OptionMap.builder()
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.CONNECTION_HIGH_WATER, mostClients + LOOKS)
+                .set(Options.CONNECTION_LOW_WATER, mostClients + LOOKS - 1).getMap());
+        door.resumeAccepts();
     }
 
-    InetSocketAddress address() {
-        return door.getLocalAddress(InetSocketAddress.class);
+    private boolean acceptSome(AcceptingChannel<StreamConnection> from) {
+        int count = 0;
+        try {
+            for (StreamConnection c = from.accept(); c != null; c = count < AT_ONCE ? from.accept() : null) {
+                accept(c);
+                count++;
+            }
+        } catch (IOException e) {
+            log.warn("a client can't be taken: " + e.getMessage());
+        }
+        return count > 0;
     }
 
-    void open() {
-        door.resumeAccepts();
+    /**
+     * The successor takes who comes from here on. What the kernel has put into our queue is taken first:
+     * closed with it, it would be turned back unheard.
+     */
+    void handOver() {
+        handedOver = true;
+        try {
+            door.setOption(Options.CONNECTION_HIGH_WATER, Integer.MAX_VALUE);
+        } catch (IOException | IllegalArgumentException e) {
+            log.warn("the listener's bound stays: " + e.getMessage());
+        }
+        while (acceptSome(door)) {
+            continue;
+        }
+        closeDoor();
+        clients.closeQuiet(JUST_COME);
+        sendRestAway();
+    }
+
+    private void sendRestAway() {
+        if (!closing) {
+            clients.closeQuiet(JUST_COME);
+            loop.after(JUST_COME / 4, this::sendRestAway);
+        }
+    }
+
+    InetSocketAddress address() {
+        return door.getLocalAddress(InetSocketAddress.class);
     }
 
     void accept(StreamConnection client) {
@@ -116,7 +157,9 @@
 
     /** No new connections from here on. */
     void closeDoor() {
-        IoUtils.safeClose(door);
+        if (door != null) {
+            IoUtils.safeClose(door);
+        }
     }
 
     /** No new queries either: quiet connections end now, the others with their answer. */
@@ -128,8 +171,8 @@
     }
 
     /**
-     * Sends clients away, or takes them again. Nobody is cut off meanwhile: queries that come are served, each
-     * answer ends its connection, and quiet ones end when what clients still sent on them has come.
+     * Sends clients away, or takes them again. Nobody is cut off meanwhile: queries that come are served,
+     * each answer ends its connection, and quiet ones end when what clients still sent on them has come.
      */
     void inService(boolean now) {
         if (now != inService) {
@@ -147,7 +190,7 @@
     }
 
     private boolean leaving() {
-        return closing || !inService;
+        return closing || handedOver || !inService;
     }
 
     /** Clients may hold so many connections from here on. */
--- /dev/null
+++ b/daemon/src/main/java/portrelay/net/Handover.java
@@ -0,0 +1,385 @@
+package portrelay.net;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import portrelay.json.Tree;
+import portrelay.model.Hash;
+import portrelay.model.UpstreamId;
+import portrelay.settings.BadSetting;
+import portrelay.settings.Fields;
+
+/**
+ * What a process leaves for its successor, and takes over from the one before or beside it, as files in a
+ * folder that both see. Owns its files and works on them on a thread of its own. Each process has a number,
+ * higher than those before it, a lock that ends with it, and a state that is written whole and renamed. What
+ * another left is read with suspicion: what is torn, foreign or of another form is named once and ignored.
+ */
+final class Handover implements AutoCloseable {
+
+    private static final double EVERY_ALONE = 0.25;
+    private static final double EVERY_BESIDE = 0.1;
+    private static final long LONGEST_FILE = 4 * 1024 * 1024;
+    /** A lock file is made first and locked then: one as young as this is not taken for a dead one's. */
+    private static final double YOUNG = 5;
+    private static final double ANSWER_WITHIN = 0.3;
+
+    /** Whom news is told to, each inside the loop. */
+    interface Listener {
+
+        void ban(UpstreamId id, boolean isOut);
+
+        void inService(boolean now);
+
+        /** Whether another process lives beside this one. */
+        void beside(boolean another);
+    }
+
+    private final Path dir;
+    private final String name;
+    private final String prefix;
+    private final Pattern lockFile;
+    private final Log log;
+    private final Loop loop;
+    private final ScheduledThreadPoolExecutor owner;
+    private final HandoverState state = new HandoverState();
+    private final long number;
+    private final FileChannel lock;
+    private final Map<Long, Object> readAt = new HashMap<>();
+    private final Map<Long, HandoverState> others = new HashMap<>();
+    private final Set<Long> complained = new HashSet<>();
+    private Listener listener;
+    private boolean changed = true;
+    private boolean another;
+    private boolean successor;
+
+    private Handover(Loop loop, Log log, Path dir, String name) throws IOException {
+        this.loop = loop;
+        this.log = log;
+        this.dir = dir;
+        this.name = name;
+        this.prefix = "portrelay-" + Long.toHexString(Hash.of(name)) + "-";
+        this.lockFile = Pattern.compile(Pattern.quote(prefix) + "(\\d{1,15})\\.lock");
+        long highest = 0;
+        for (long each : numbers()) {
+            highest = Math.max(highest, each);
+        }
+        number = highest + 1;
+        // Where two start in one moment, one of them fails here and says so.
+        Path mine = file(number, "lock");
+        lock = FileChannel.open(mine, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+        if (lock.tryLock() == null) {
+            throw new IOException("the lock of process " + number + " is taken");
+        }
+        owner = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "portrelay-handover");
+            thread.setDaemon(true);
+            return thread;
+        });
+        owner.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        look();
+    }
+
+    /** Null, with a line in the log, where the folder is not there or can't be written to. */
+    static Handover open(Loop loop, Log log, Path dir, String name) {
+        if (dir == null) {
+            return null;
+        }
+        try {
+            return new Handover(loop, log, dir, name);
+        } catch (IOException | RuntimeException e) {
+            log.warn("nothing can be handed over in " + dir + ": " + e);
+            return null;
+        }
+    }
+
+    // ---- What was found at the start --------------------------------------------------------------------
+
+    Map<UpstreamId, HandoverState.Call> calls() {
+        return Map.copyOf(state.calls);
+    }
+
+    boolean outOfService() {
+        return state.service.isOut();
+    }
+
+    Set<UpstreamId> everListed() {
+        return new LinkedHashSet<>(state.ever);
+    }
+
+    /** The list of the process beside this one, null where there is none. */
+    Fields list() {
+        try {
+            return state.list == null ? null : Fields.of(state.list, "list");
+        } catch (BadSetting e) {
+            return null;
+        }
+    }
+
+    boolean besideAnother() {
+        return another;
+    }
+
+    // ---- What this process tells ------------------------------------------------------------------------
+
+    /** From here on news is told, and what this process knows is written. */
+    void start(Listener to) {
+        post(() -> {
+            listener = to;
+            turn();
+        });
+    }
+
+    /** Then is called, inside the loop, when a process beside this one could read that this one serves. */
+    void serving(Runnable then) {
+        post(() -> {
+            state.serving = true;
+            changed = true;
+            write();
+            loop.execute(then);
+        });
+    }
+
+    void banned(UpstreamId id, boolean isOut, double at) {
+        post(() -> {
+            state.call(id, new HandoverState.Call(isOut, at));
+            changed = true;
+            write();
+        });
+    }
+
+    void service(boolean isOut, double at) {
+        post(() -> {
+            state.service = new HandoverState.Call(isOut, at);
+            changed = true;
+            write();
+        });
+    }
+
+    /** Written with the next turn. */
+    void listed(Set<UpstreamId> ever, Object list) {
+        post(() -> {
+            state.ever = ever;
+            state.list = list;
+            changed = true;
+        });
+    }
+
+    /** Whether a later process lives and serves, just now. Waits for a moment; not for the loop. */
+    boolean hasSuccessor() {
+        CompletableFuture<Boolean> found = new CompletableFuture<>();
+        post(() -> {
+            look();
+            found.complete(successor);
+        });
+        try {
+            return found.get((long) (ANSWER_WITHIN * 1e3), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        } catch (ExecutionException | TimeoutException e) {
+            return false;
+        }
+    }
+
+    @Override
+    public void close() {
+        post(() -> {
+            state.serving = false;
+            changed = true;
+            write();
+            try {
+                lock.close();
+            } catch (IOException e) {
+                log.warn("the lock of process " + number + " stays: " + e);
+            }
+        });
+        owner.shutdown();
+    }
+
+    private void post(Runnable task) {
+        try {
+            owner.execute(() -> {
+                try {
+                    task.run();
+                } catch (RuntimeException e) {
+                    log.fault("a task on the handover's files failed", e);
+                }
+            });
+        } catch (RejectedExecutionException e) {
+            // The sidecar ends: what it still learns nobody takes over from it.
+        }
+    }
+
+    // ---- On the owner's thread --------------------------------------------------------------------------
+
+    private void turn() {
+        look();
+        write();
+        try {
+            long wait = (long) ((another ? EVERY_BESIDE : EVERY_ALONE) * 1e3);
+            owner.schedule(() -> post(this::turn), wait, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            // As above.
+        }
+    }
+
+    private Path file(long number, String kind) {
+        return dir.resolve(prefix + number + "." + kind);
+    }
+
+    private Set<Long> numbers() throws IOException {
+        Set<Long> numbers = new HashSet<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(dir, prefix + "*.lock")) {
+            for (Path each : files) {
+                Matcher well = lockFile.matcher(each.getFileName().toString());
+                if (well.matches()) {
+                    numbers.add(Long.parseLong(well.group(1)));
+                }
+            }
+        }
+        return numbers;
+    }
+
+    private void look() {
+        boolean any = false;
+        boolean later = false;
+        try {
+            for (long each : numbers()) {
+                if (each == number) {
+                    continue;
+                }
+                boolean lives = lives(each);
+                HandoverState its = read(each);
+                if (its != null) {
+                    merge(its, lives);
+                }
+                any |= lives;
+                later |= lives && each > number && its != null && its.serving;
+                if (!lives && age(each) > YOUNG && number > each) {
+                    forget(each);
+                }
+            }
+        } catch (IOException e) {
+            log.warn("the folder of the handover can't be read: " + e);
+        }
+        successor = later;
+        if (any != another) {
+            another = any;
+            boolean told = any;
+            log.info(told ? "another process of this sidecar lives beside this one" : "alone again");
+            tell(() -> listener.beside(told));
+        }
+    }
+
+    /** The lock ends with its process, however that ends; a number that is used again can't be mistaken. */
+    private boolean lives(long each) {
+        try (FileChannel its = FileChannel.open(file(each, "lock"), StandardOpenOption.WRITE);
+                FileLock free = its.tryLock()) {
+            return free == null;
+        } catch (OverlappingFileLockException e) {
+            // Two of one JVM.
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private double age(long each) throws IOException {
+        Path its = file(each, "lock");
+        return Files.exists(its)
+                ? (System.currentTimeMillis() - Files.getLastModifiedTime(its).toMillis()) / 1e3 : 0;
+    }
+
+    private void forget(long each) throws IOException {
+        Files.deleteIfExists(file(each, "state"));
+        Files.deleteIfExists(file(each, "lock"));
+        others.remove(each);
+        readAt.remove(each);
+    }
+
+    /** Null where there is none that makes sense. */
+    private HandoverState read(long each) {
+        Path its = file(each, "state");
+        try {
+            if (!Files.exists(its)) {
+                return null;
+            }
+            Object stamp = Files.getLastModifiedTime(its) + " " + Files.size(its);
+            if (stamp.equals(readAt.put(each, stamp))) {
+                return others.get(each);
+            }
+            others.remove(each);
+            if (Files.size(its) > LONGEST_FILE) {
+                throw new IOException("longer than " + LONGEST_FILE + " bytes");
+            }
+            others.put(each, HandoverState.read(Tree.parse(Files.readAllBytes(its)), name));
+        } catch (IOException | BadSetting | RuntimeException e) {
+            if (complained.add(each)) {
+                String why = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+                log.warn("what process " + each + " left is ignored: " + why);
+            }
+        }
+        return others.get(each);
+    }
+
+    private void merge(HandoverState its, boolean lives) {
+        its.calls.forEach((id, call) -> {
+            HandoverState.Call before = state.calls.get(id);
+            if (state.call(id, call)) {
+                tell(() -> listener.ban(id, call.isOut()));
+            }
+            changed |= !call.equals(before) && call.equals(state.calls.get(id));
+        });
+        if (its.service.at() > state.service.at()) {
+            state.service = its.service;
+            changed = true;
+            tell(() -> listener.inService(!its.service.isOut()));
+        }
+        if (listener == null) {
+            state.ever.addAll(its.ever);
+            state.list = lives && its.list != null ? its.list : state.list;
+        }
+    }
+
+    private void tell(Runnable news) {
+        if (listener != null) {
+            loop.execute(news);
+        }
+    }
+
+    /** Whole or not at all: whoever reads meanwhile finds the one before. */
+    private void write() {
+        if (!changed) {
+            return;
+        }
+        changed = false;
+        Path whole = file(number, "tmp");
+        try {
+            Files.write(whole, Tree.write(state.tree(name)));
+            Files.move(whole, file(number, "state"), StandardCopyOption.ATOMIC_MOVE,
+                    StandardCopyOption.REPLACE_EXISTING);
+        } catch (IOException e) {
+            log.warn("what a successor has to know can't be written: " + e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/portrelay/net/HandoverState.java
@@ -0,0 +1,104 @@
+package portrelay.net;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import portrelay.model.UpstreamId;
+import portrelay.settings.BadSetting;
+import portrelay.settings.Fields;
+
+/**
+ * What one process of a sidecar knows that its successor has to know, as the file has it. Of each thing that
+ * operators call the later call counts; times are Unix seconds. Bounded, whatever a long day brings.
+ */
+final class HandoverState {
+
+    private static final double FORM = 1;
+    private static final int MOST_CALLS = 4096;
+
+    /** The last call for an upstream. */
+    record Call(boolean isOut, double at) { }
+
+    boolean serving;
+    /** The last call to send clients away or take them again; at 0 where there was none. */
+    Call service = new Call(false, 0);
+    final Map<UpstreamId, Call> calls = new LinkedHashMap<>();
+    /** Ids that were ever listed, the latest last. */
+    Set<UpstreamId> ever = new LinkedHashSet<>();
+    /** The list in discovery's form; null where there is none yet. */
+    Object list;
+
+    /** Whether the call is news; the oldest calls back are forgotten, a ban never is. */
+    boolean call(UpstreamId id, Call call) {
+        Call known = calls.get(id);
+        if (known != null && known.at >= call.at) {
+            return false;
+        }
+        calls.put(id, call);
+        if (calls.size() > MOST_CALLS) {
+            calls.entrySet().stream().filter(each -> !each.getValue().isOut)
+                    .min(Comparator.comparingDouble(each -> each.getValue().at))
+                    .ifPresent(oldest -> calls.remove(oldest.getKey()));
+        }
+        return known == null ? call.isOut : known.isOut != call.isOut;
+    }
+
+    Map<String, Object> tree(String name) {
+        Map<String, Object> tree = new LinkedHashMap<>();
+        tree.put("form", FORM);
+        tree.put("name", name);
+        tree.put("serving", serving);
+        tree.put("out-of-service", service.isOut);
+        tree.put("out-of-service-at", service.at);
+        List<Object> rows = new ArrayList<>();
+        calls.forEach((id, call) -> {
+            Map<String, Object> row = new LinkedHashMap<>();
+            row.put("id", Long.toHexString(id.value()));
+            row.put("offline", call.isOut);
+            row.put("at", call.at);
+            rows.add(row);
+        });
+        tree.put("calls", rows);
+        tree.put("ever", ever.stream().map(each -> (Object) Long.toHexString(each.value())).toList());
+        tree.put("list", list);
+        return tree;
+    }
+
+    /** Names the field where it is not what {@code tree} makes for the name. */
+    static HandoverState read(Object tree, String name) throws BadSetting {
+        Fields root = Fields.of(tree, "");
+        if (root.number("form") != FORM) {
+            throw root.bad("form", "1, the only form that this version reads");
+        }
+        if (!root.text("name").equals(name)) {
+            throw root.bad("name", "this sidecar's");
+        }
+        HandoverState read = new HandoverState();
+        read.serving = root.flag("serving");
+        read.service = new Call(root.flag("out-of-service"), root.number("out-of-service-at"));
+        for (Fields each : root.rows("calls")) {
+            Call call = new Call(each.truth("offline"), each.number("at"));
+            read.calls.put(id(root, "calls", each.text("id")), call);
+        }
+        for (String each : root.texts("ever")) {
+            read.ever.add(id(root, "ever", each));
+        }
+        if (root.has("list")) {
+            ListPage.read(root.section("list"));
+            read.list = ((Map<?, ?>) tree).get("list");
+        }
+        return read;
+    }
+
+    private static UpstreamId id(Fields root, String field, String hex) throws BadSetting {
+        try {
+            return new UpstreamId(Long.parseUnsignedLong(hex, 16));
+        } catch (NumberFormatException e) {
+            throw root.bad(field, "ids of up to 16 hexadecimal digits");
+        }
+    }
+}
--- a/daemon/src/main/java/portrelay/net/ListActor.java
+++ b/daemon/src/main/java/portrelay/net/ListActor.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.xnio.XnioExecutor;
@@ -46,6 +47,8 @@
     private boolean failing;
     /** Ids that were ever listed, the latest last; a long day's ever new ids must not grow it. */
     private final Set<UpstreamId> ever = new LinkedHashSet<>();
+    private final Map<UpstreamId, Object> rows = new HashMap<>();
+    private BiConsumer<Set<UpstreamId>, Object> to = (ids, list) -> { };
     private Link link;
     private Dialer.Dial dial;
     private XnioExecutor.Key patience;
@@ -96,6 +99,12 @@
         mailbox.post(() -> then.accept(ever.contains(id)));
     }
 
+    /** From here on told of ids that were ever listed, and of the list in discovery's form. */
+    void tells(BiConsumer<Set<UpstreamId>, Object> to, Set<UpstreamId> known) {
+        this.to = to;
+        known.forEach(this::remember);
+    }
+
     private void remember(UpstreamId id) {
         ever.remove(id);
         ever.add(id);
@@ -125,8 +134,8 @@
     }
 
     private void ask(Link to) {
-        String target = version == NO_VERSION ? Names.LIST : Names.LIST + "?" + Names.AFTER + "=" + version + "&"
-                + Names.WAIT_MS + "=" + (long) (WAIT * 1e3);
+        String target = version == NO_VERSION ? Names.LIST
+                : Names.LIST + "?" + Names.AFTER + "=" + version + "&" + Names.WAIT_MS + "=" + (long) (WAIT * 1e3);
         Call call = Call.of(Methods.GET, target, Call.NO_BODY);
         call.headers().put(Headers.HOST, Addresses.text(discovery));
         to.call(call, LONGEST_LIST, result -> mailbox.post(() -> answered(to, result)));
@@ -214,6 +223,7 @@
                 known.at(row.address());
             }
             rows.add(row.listed());
+            this.rows.put(id, row.tree());
         }
         if (!rows.isEmpty()) {
             log.info("list " + version + ", " + news + ": " + count(rows, Listed.Health.READY) + " ready, "
@@ -223,6 +233,11 @@
         for (UpstreamId id : gone) {
             upstreams.remove(id).close();
         }
+        this.rows.keySet().retainAll(upstreams.keySet());
+        if (!rows.isEmpty()) {
+            to.accept(new LinkedHashSet<>(ever), Map.of(Names.VERSION, (double) version, Names.WHOLE, true,
+                    Names.ROWS, List.copyOf(this.rows.values())));
+        }
         module.list(news, rows, added, gone);
     }
 }
--- a/daemon/src/main/java/portrelay/net/ListPage.java
+++ b/daemon/src/main/java/portrelay/net/ListPage.java
@@ -15,8 +15,8 @@
 /** A list of upstreams in discovery's form. */
 record ListPage(long version, boolean whole, List<Row> rows) {
 
-    /** The address is null where the upstream is gone. */
-    record Row(Listed listed, InetSocketAddress address) { }
+    /** The address is null where the upstream is gone; the tree is the row as it came. */
+    record Row(Listed listed, InetSocketAddress address, Object tree) { }
 
     static ListPage read(Fields page) throws BadSetting {
         List<Row> rows = new ArrayList<>();
@@ -34,7 +34,7 @@
                     new GroupId((long) each.number(Names.CELL, 0)),
                     ZoneId.of(each.text(Names.ZONE, "")),
                     new ShapeId((int) Hash.of(each.text(Names.SHAPE, ""))));
-            rows.add(new Row(listed, address));
+            rows.add(new Row(listed, address, each.tree()));
         }
         return new ListPage((long) page.number(Names.VERSION), page.flag(Names.WHOLE), rows);
     }
--- a/daemon/src/main/java/portrelay/net/Operators.java
+++ b/daemon/src/main/java/portrelay/net/Operators.java
@@ -52,12 +52,15 @@
     private final ListActor list;
     private final ModuleActor module;
     private final Front front;
+    /** Null where nothing is handed over. */
+    private final Handover handover;
     private final HttpOpenListener http;
     private AcceptingChannel<StreamConnection> door;
     private boolean ready;
 
     Operators(Loop loop, ByteBufferPool buffers, Log log, int most, ListActor list, ModuleActor module,
-            Front front) {
+            Front front, Handover handover) {
+        this.handover = handover;
         this.loop = loop;
         this.log = log;
         this.list = list;
@@ -125,6 +128,9 @@
             if (allowed(exchange, Methods.PUT)) {
                 boolean in = path.equals(Names.CONTROL_IN);
                 front.inService(in);
+                if (handover != null) {
+                    handover.service(!in, loop.now());
+                }
                 done(exchange, in ? "in service" : "out of service");
             }
         } else if (upstream && slash >= Names.CONTROL_UPSTREAMS.length()
@@ -149,7 +155,11 @@
         UpstreamId upstream = new UpstreamId(Hash.of(id));
         list.everListed(upstream, known -> {
             if (known) {
-                module.ban(upstream, verb.equals(Names.OFFLINE),
+                boolean isOut = verb.equals(Names.OFFLINE);
+                if (handover != null) {
+                    handover.banned(upstream, isOut, loop.now());
+                }
+                module.ban(upstream, isOut,
                         () -> done(exchange, "upstream " + Log.clean(id) + " " + verb));
             } else {
                 answer(exchange, StatusCodes.NOT_FOUND, "no upstream of this id was ever listed");
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -14,10 +15,12 @@
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 import portrelay.model.Offering;
+import portrelay.model.UpstreamId;
 import portrelay.settings.BadSetting;
+import portrelay.settings.Fields;
 
 /** One sidecar: the decisions, its sockets and the one thread that runs them all. */
-public final class Sidecar implements AutoCloseable {
+public final class Sidecar implements Handover.Listener, AutoCloseable {
 
     private static final int BUFFER_SIZE = 16 * 1024;
     private static final int BUFFERS = 256;
@@ -52,51 +55,108 @@
     /** Null where operators have no door. */
     private final Operators operators;
     private final double longestCutOff;
-    private final CountDownLatch ready = new CountDownLatch(1);
+    private final Config config;
+    /** Null where nothing is handed over. */
+    private final Handover handover;
+    private final Dialer toUpstreams;
+    private final ModuleActor module;
+    private final CompletableFuture<Void> ready = new CompletableFuture<>();
+    private boolean shared;
     private final CountDownLatch ended = new CountDownLatch(1);
 
-    private Sidecar(Config config, PrintStream logTo) throws IOException, BadSetting {
+    private Sidecar(Config config, PrintStream logTo, Path handoverIn) throws IOException, BadSetting {
+        this.config = config;
         log = new Log(logTo, config.name());
         worker = worker();
         loop = new Loop(worker.getIoThread(), new Clock());
         var buffers = buffers();
         var settings = config.settings();
-        int own = (int) Math.min(OWN_SOCKETS, OWN_SHARE * config.sockets());
-        int calls = config.mgmt() == null ? 0 : Math.min(CALLS, config.sockets() / CALLS_OF);
-        int all = Math.max(2, config.sockets() - own - calls);
-        int lent = all - all / SPARE_OF;
-        Dialer toUpstreams = new Dialer(loop, buffers, all / 2, open -> lend(lent - open));
+        handover = Handover.open(loop, log, handoverIn, config.name());
+        shared = handover != null && handover.besideAnother();
+        toUpstreams = new Dialer(loop, buffers, connections() / 2, open -> lend());
         Dialer toDiscovery = new Dialer(loop, buffers, 2, open -> { });
-        ModuleActor module = new ModuleActor(loop, log, settings, config.seed());
+        module = new ModuleActor(loop, log, settings, config.seed());
         double idle = IDLE_SHARE * (settings.connectionIdle() > 0 ? settings.connectionIdle() : DEFAULT_IDLE);
         list = new ListActor(loop, log, toDiscovery, config.discovery(), module,
                 at -> new UpstreamActor(loop, log, toUpstreams, module, settings.dialWithin(), idle, at));
         doorkeeper = new DoorActor(loop, log, settings, config.door(), module, config.seed());
         tellEvery = config.door().tellEvery();
         log.info("door: at most " + config.door().bound() + " bytes for what waits");
-        front = new Front(loop, buffers, new QueryReader(settings), doorkeeper, config.door().room(), counts);
-        front.listen(worker, config.listen(), lent);
+        front = new Front(loop, log, buffers, new QueryReader(settings), doorkeeper, config.door().room(),
+                counts);
+        longestCutOff = settings.offerings().stream().mapToDouble(Offering::cutOff).max().orElse(0);
         operators = config.mgmt() == null ? null
-                : new Operators(loop, buffers, log, Math.max(1, calls), list, module, front);
+                : new Operators(loop, buffers, log, Math.max(1, calls()), list, module, front, handover);
         if (operators != null) {
             operators.listen(worker, config.mgmt());
         }
-        longestCutOff = settings.offerings().stream().mapToDouble(Offering::cutOff).max().orElse(0);
         onLoop(() -> {
-            if (config.known() != null) {
-                list.remembered(config.known());
-            }
+            takeOver();
             module.start(list);
-            front.open();
             tell();
-            new Warmup(loop, buffers, config).run(this::ready);
+            new Warmup(loop, buffers, config).run(this::warm);
             return null;
         });
     }
 
+    /** What the process before this one knew, then what the configuration remembers of the list. */
+    private void takeOver() throws BadSetting {
+        Fields known = config.known();
+        if (handover != null) {
+            handover.calls().forEach((id, call) -> {
+                if (call.isOut()) {
+                    module.ban(id, true, () -> { });
+                }
+            });
+            front.inService(!handover.outOfService());
+            list.tells(handover::listed, handover.everListed());
+            known = handover.list() == null ? known : handover.list();
+            handover.start(this);
+        }
+        if (known != null) {
+            list.remembered(known);
+        }
+    }
+
+    @Override
+    public void ban(UpstreamId id, boolean isOut) {
+        log.info("told by the process beside: upstream " + Long.toHexString(id.value())
+                + (isOut ? " offline" : " online"));
+        module.ban(id, isOut, () -> { });
+    }
+
+    @Override
+    public void inService(boolean now) {
+        log.info("told by the process beside: " + (now ? "in service" : "out of service"));
+        front.inService(now);
+    }
+
+    /** To limits the two are one sidecar: neither takes more than half. */
+    @Override
+    public void beside(boolean another) {
+        shared = another;
+        toUpstreams.most(connections() / 2);
+        lend();
+    }
+
+    private int sockets() {
+        return shared ? config.sockets() / 2 : config.sockets();
+    }
+
+    private int calls() {
+        return config.mgmt() == null ? 0 : Math.min(CALLS, sockets() / CALLS_OF);
+    }
+
+    /** Clients' and upstreams' together. */
+    private int connections() {
+        int own = (int) Math.min(OWN_SOCKETS, OWN_SHARE * sockets());
+        return Math.max(2, sockets() - own - calls());
+    }
+
     /** What upstreams take is given back at once, and what they no longer hold is lent with the next dial. */
-    private void lend(int connections) {
-        front.mostClients(Math.max(1, connections));
+    private void lend() {
+        int all = connections();
+        front.mostClients(Math.max(1, all - all / SPARE_OF - toUpstreams.open()));
     }
 
     private void tell() {
@@ -130,20 +190,48 @@
         return new DefaultByteBufferPool(true, BUFFER_SIZE, BUFFERS, 0);
     }
 
-    private void ready() {
+    /** Only now may clients come: what the kernel gives to one that can't serve yet lies there. */
+    private void warm() {
+        try {
+            int all = connections();
+            front.listen(worker, config.listen(), all - all / SPARE_OF);
+        } catch (IOException e) {
+            ready.completeExceptionally(new IOException("listen: " + e.getMessage(), e));
+            return;
+        }
+        if (handover == null) {
+            serves();
+        } else {
+            handover.serving(this::serves);
+        }
+    }
+
+    private void serves() {
         front.ready(true);
         if (operators != null) {
             operators.ready(true);
         }
         log.info("ready at " + address());
-        ready.countDown();
+        ready.complete(null);
     }
 
     /** Returns when the sidecar serves. */
     public static Sidecar start(Config config, PrintStream logTo) throws IOException, BadSetting {
-        Sidecar sidecar = new Sidecar(config, logTo);
+        return start(config, logTo, null);
+    }
+
+    /**
+     * The same; hands over to, and takes over from, other processes of this sidecar by files in the folder,
+     * which has to be theirs alone. Null: to nobody.
+     */
+    public static Sidecar start(Config config, PrintStream logTo, Path handoverIn)
+            throws IOException, BadSetting {
+        Sidecar sidecar = new Sidecar(config, logTo, handoverIn);
         try {
-            sidecar.ready.await();
+            sidecar.ready.get();
+        } catch (ExecutionException e) {
+            sidecar.close();
+            throw new IOException(e.getCause().getMessage(), e.getCause());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -171,21 +259,27 @@
     /**
      * Goes on as before for the connections that are open and, for half a second, for those still on their
      * way; clients have nobody else while they stay. Ends when they have gone, or when what is taken later
-     * could no longer be answered before the sidecar may be killed.
+     * could no longer be answered before the sidecar may be killed. With a successor that serves, the address
+     * is left to it at once.
      */
     public void drain() {
+        boolean succeeded = handover != null && handover.hasSuccessor();
         try {
             loop.execute(() -> {
-                log.info("draining");
-                front.ready(false);
+                log.info(succeeded ? "handing over to the successor" : "draining");
+                front.ready(succeeded);
                 if (operators != null) {
                     operators.ready(false);
                 }
                 double all = LEAST_DRAIN + longestCutOff - OWN_END;
                 front.answerAllBy(loop.now() + all);
-                loop.after(ACCEPT_ON, front::closeDoor);
+                if (succeeded) {
+                    front.handOver();
+                } else {
+                    loop.after(ACCEPT_ON, front::closeDoor);
+                }
                 loop.after(all - LAST_ANSWERS, front::close);
-                loop.after(LEAST_DRAIN, this::endWhenLeft);
+                loop.after(succeeded ? 0 : LEAST_DRAIN, this::endWhenLeft);
             });
             ended.await((long) ((LEAST_DRAIN + longestCutOff) * 1e3), TimeUnit.MILLISECONDS);
             log.info("ended");
@@ -204,6 +298,9 @@
 
     @Override
     public void close() {
+        if (handover != null) {
+            handover.close();
+        }
         loop.execute(front::close);
         worker.shutdownNow();
     }
--- a/daemon/src/main/java/portrelay/net/Warmup.java
+++ b/daemon/src/main/java/portrelay/net/Warmup.java
@@ -72,7 +72,7 @@
         this.offerings = settings.offerings();
         Log quiet = new Log(new PrintStream(OutputStream.nullOutputStream()), config.name());
         module = new ModuleActor(loop, quiet, settings, config.seed());
-        front = new Front(loop, buffers, new QueryReader(settings),
+        front = new Front(loop, quiet, buffers, new QueryReader(settings),
                 new DoorActor(loop, quiet, settings, DoorSettings.USUAL, module, config.seed()),
                 RoomSettings.USUAL, new DoorCounts());
         HttpOpenListener upstream = new HttpOpenListener(buffers);
--- /dev/null
+++ b/daemon/src/test/java/portrelay/net/HandoverNetTest.java
@@ -0,0 +1,284 @@
+package portrelay.net;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static portrelay.net.Town.answer;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.LogManager;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import portrelay.model.Hash;
+import portrelay.net.Town.Message;
+
+/** Two processes of one sidecar in turn at one address: each is a Sidecar of its own here, in one JVM. */
+class HandoverNetTest {
+
+    @TempDir
+    Path dir;
+
+    private Town.Toy discovery;
+    private Town.Toy first;
+    private Town.Toy second;
+
+    @BeforeEach
+    void open() throws Exception {
+        LogManager.getLogManager().reset();
+        discovery = new Town.Toy(Town.SILENT);
+        first = new Town.Toy(answer("200 OK", "u"));
+        second = new Town.Toy(answer("200 OK", "v"));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (Town.Toy each : List.of(discovery, first, second)) {
+            each.close();
+        }
+    }
+
+    private Sidecar start(String listen, OutputStream log) throws Exception {
+        String list = "{\"seq\":7,\"whole\":true,\"hosts\":["
+                + Town.host("s-0", first.address(), "SERVING") + "," + Town.host("s-1", second.address(), "SERVING") + "]}";
+        String json = Town.config(discovery.address(), list, 512).replace("\"listen\":\"127.0.0.1:0\"",
+                "\"listen\":\"" + listen + "\"");
+        return Sidecar.start(Config.parse(json.getBytes(UTF_8)), new PrintStream(log), dir);
+    }
+
+    private Sidecar start(String listen) throws Exception {
+        return start(listen, OutputStream.nullOutputStream());
+    }
+
+    private static String at(Sidecar sidecar) {
+        return Addresses.text(sidecar.address());
+    }
+
+    private static Message say(InetSocketAddress to, String bytes) throws IOException {
+        try (Socket s = new Socket(to.getAddress(), to.getPort())) {
+            s.setSoTimeout(5000);
+            return Town.ask(s, bytes);
+        }
+    }
+
+    private static int call(Sidecar sidecar, String line) throws IOException {
+        return say(sidecar.operatorsAt(), line + " HTTP/1.1\r\nHost: a\r\n\r\n").status();
+    }
+
+    private static void await(String what, Callable<Boolean> is) throws Exception {
+        long until = System.nanoTime() + 3_000_000_000L;
+        while (!is.call()) {
+            assertTrue(System.nanoTime() < until, what);
+            Thread.sleep(10);
+        }
+    }
+
+    private static boolean inService(Sidecar sidecar) throws Exception {
+        return say(sidecar.address(), "GET /up HTTP/1.1\r\nHost: a\r\n\r\n").status() == 200;
+    }
+
+    @Test
+    void noQueryIsTurnedBackWhileOneReplacesTheOther() throws Exception {
+        Sidecar old = start("127.0.0.1:0");
+        InetSocketAddress door = old.address();
+        AtomicBoolean over = new AtomicBoolean();
+        AtomicInteger asked = new AtomicInteger();
+        AtomicInteger turnedBack = new AtomicInteger();
+        Thread[] clients = new Thread[4];
+        for (int i = 0; i < clients.length; i++) {
+            int me = i;
+            clients[i] = new Thread(() -> {
+                while (!over.get()) {
+                    try {
+                        asked.incrementAndGet();
+                        String id = "q" + me + "-" + asked.get();
+                        assertEquals(200, say(door, Town.read(id, 900)).status());
+                        Thread.sleep(2);
+                    } catch (Exception | AssertionError e) {
+                        turnedBack.incrementAndGet();
+                    }
+                }
+            });
+            clients[i].start();
+        }
+        Thread.sleep(200);
+        Sidecar next = start(at(old));
+        assertEquals(200, call(next, "GET /control/ready"));
+        old.drain();
+        old.close();
+        Thread.sleep(200);
+        over.set(true);
+        for (Thread each : clients) {
+            each.join();
+        }
+        next.close();
+        assertTrue(asked.get() > 100, "too few to tell: " + asked);
+        // Between the last look into the kernel's queue and its close there is a moment that is not ours.
+        assertTrue(turnedBack.get() <= 1, turnedBack + " of " + asked + " were turned back");
+    }
+
+    @Test
+    void keptConnectionsMoveWithTheirNextAnswerAndIdleOnesByAndBy() throws Exception {
+        Sidecar old = start("127.0.0.1:0");
+        try (Socket kept = new Socket(old.address().getAddress(), old.address().getPort());
+                Socket idle = new Socket(old.address().getAddress(), old.address().getPort())) {
+            kept.setSoTimeout(2000);
+            idle.setSoTimeout(2000);
+            assertEquals(200, Town.ask(kept, Town.read("a", 900)).status());
+            assertEquals(200, Town.ask(idle, Town.read("b", 900)).status());
+            Sidecar next = start(at(old));
+            Thread drain = new Thread(old::drain);
+            drain.start();
+            Thread.sleep(20);
+            if (!kept.isClosed()) {
+                assertEquals(-1, idle.getInputStream().read());
+            }
+            drain.join(1000);
+            assertFalse(drain.isAlive(), "waits for nobody");
+            assertTrue(inService(next));
+            old.close();
+            next.close();
+        }
+    }
+
+    @Test
+    void whatOperatorsSaidHoldsOverAnUpgradeAndAtBothMeanwhile() throws Exception {
+        Sidecar old = start("127.0.0.1:0");
+        assertEquals(200, call(old, "PUT /control/upstreams/s-0/offline"));
+        assertEquals(200, call(old, "PUT /control/out-of-service"));
+        Sidecar next = start(at(old));
+        assertEquals(200, call(next, "GET /control/ready"));
+        // Either says so: which of them the kernel asks is not known.
+        for (int i = 0; i < 20; i++) {
+            assertFalse(inService(next));
+        }
+        first.seen.clear();
+        for (int i = 0; i < 60; i++) {
+            assertEquals(200, say(old.address(), Town.read("a" + i, 900)).status());
+        }
+        assertEquals(0, first.seen.size());
+        assertEquals(200, call(next, "PUT /control/in-service"));
+        await("the old one goes by the new one's call", () -> {
+            for (int i = 0; i < 20; i++) {
+                if (!inService(next)) {
+                    return false;
+                }
+            }
+            return true;
+        });
+        old.drain();
+        old.close();
+        for (int i = 0; i < 40; i++) {
+            assertEquals(200, say(next.address(), Town.read("b" + i, 900)).status());
+        }
+        assertEquals(0, first.seen.size());
+        assertEquals(200, call(next, "PUT /control/upstreams/s-0/online"));
+        next.close();
+        Sidecar third = start(at(next));
+        await("back at the third", () -> {
+            say(third.address(), Town.read("c" + System.nanoTime(), 900));
+            return first.seen.size() > 0;
+        });
+        third.close();
+    }
+
+    @Test
+    void anIdThatOnlyThePredecessorSawListedIsKnown() throws Exception {
+        Sidecar old = start("127.0.0.1:0");
+        discovery.next();
+        String gone = "{\"seq\":8,\"whole\":false,\"hosts\":["
+                + Town.host("s-9", second.address(), "SERVING") + "]}";
+        answer("200 OK", gone).play(null, discovery.accepted.get(0));
+        await("listed", () -> call(old, "PUT /control/upstreams/s-9/offline") == 200);
+        Thread.sleep(400);
+        Sidecar next = start(at(old));
+        assertEquals(200, call(next, "PUT /control/upstreams/s-9/offline"));
+        assertEquals(404, call(next, "PUT /control/upstreams/s-8/offline"));
+        old.close();
+        next.close();
+    }
+
+    @Test
+    void withoutASuccessorThatServesADrainIsAsEver() throws Exception {
+        Sidecar old = start("127.0.0.1:0");
+        // A killed one's files: it had served, and nobody holds its lock.
+        String prefix = "portrelay-" + Long.toHexString(Hash.of("t")) + "-7.";
+        Files.write(dir.resolve(prefix + "lock"), new byte[0]);
+        Path itsState;
+        try (Stream<Path> files = Files.list(dir)) {
+            itsState = files.filter(f -> f.toString().endsWith(".state")).findFirst().orElseThrow();
+        }
+        Files.copy(itsState, dir.resolve(prefix + "state"));
+        long start = System.nanoTime();
+        Thread drain = new Thread(old::drain);
+        drain.start();
+        Thread.sleep(300);
+        // It goes on taking connections for half a second, as clients have nobody else.
+        assertEquals(200, say(old.address(), Town.read("a", 900)).status());
+        drain.join();
+        assertTrue(System.nanoTime() - start > 0.69e9);
+        old.close();
+    }
+
+    @Test
+    void aStateThatIsTornForeignOrOfAnotherFormIsNamedOnceAndIgnored() throws Exception {
+        String prefix = "portrelay-" + Long.toHexString(Hash.of("t")) + "-";
+        List<String> bad = List.of("{\"form\":1,\"name\":\"t\",\"cal", "{\"form\":2,\"name\":\"t\"}",
+                "{\"form\":1,\"name\":\"other\",\"out-of-service\":true,\"out-of-service-at\":9}", "[]", "",
+                "{\"form\":1,\"name\":\"t\",\"out-of-service\":true,\"out-of-service-at\":\"now\"}");
+        for (int i = 0; i < bad.size(); i++) {
+            Files.write(dir.resolve(prefix + (i + 1) + ".lock"), new byte[0]);
+            Files.write(dir.resolve(prefix + (i + 1) + ".state"), bad.get(i).getBytes(UTF_8));
+        }
+        Files.write(dir.resolve(prefix + "x.lock"), new byte[0]);
+        ByteArrayOutputStream log = new ByteArrayOutputStream();
+        Sidecar one = start("127.0.0.1:0", log);
+        assertTrue(inService(one));
+        Thread.sleep(700);
+        one.close();
+        String text = log.toString(ISO_8859_1);
+        assertEquals(bad.size(), text.lines().filter(each -> each.contains("is ignored")).count(), text);
+    }
+
+    @Test
+    void aSuccessorThatCannotStartLeavesTheOldOneServing() throws Exception {
+        Sidecar old = start("127.0.0.1:0");
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            String there = "127.0.0.1:" + taken.getLocalPort();
+            String why = assertThrows(IOException.class, () -> start(there)).getMessage();
+            assertTrue(why.startsWith("listen"), why);
+        }
+        assertTrue(inService(old));
+        assertEquals(200, say(old.address(), Town.read("a", 900)).status());
+        old.close();
+    }
+
+    @Test
+    void aFolderThatIsNotThereIsSaidAndNothingElseFails() throws Exception {
+        ByteArrayOutputStream log = new ByteArrayOutputStream();
+        Path none = dir.resolve("none");
+        String json = Town.config(discovery.address(), "{\"seq\":1,\"hosts\":[]}", 512);
+        Sidecar one = Sidecar.start(Config.parse(json.getBytes(UTF_8)), new PrintStream(log), none);
+        assertTrue(inService(one));
+        one.close();
+        assertTrue(log.toString(ISO_8859_1).contains("nothing can be handed over in"));
+    }
+}
