--- a/daemon/src/main/java/portrelay/net/Handover.java
+++ b/daemon/src/main/java/portrelay/net/Handover.java
@@ -50,10 +50,13 @@
 
         void inService(boolean now);
 
-        /** Whether another process lives beside this one. */
-        void beside(boolean another);
+        /** Who lives beside this one, when that has changed. */
+        void beside(Beside now);
     }
 
+    /** STARTING: only one that is to be a successor and does not serve yet. SERVING: one that serves, or did. */
+    enum Beside { NOBODY, STARTING, SERVING }
+
     private final Path dir;
     private final String name;
     private final String prefix;
@@ -69,7 +72,7 @@
     private final Set<Long> complained = new HashSet<>();
     private Listener listener;
     private boolean changed = true;
-    private boolean another;
+    private Beside beside = Beside.NOBODY;
     private boolean successor;
 
     private Handover(Loop loop, Log log, Path dir, String name) throws IOException {
@@ -135,8 +138,8 @@
         }
     }
 
-    boolean besideAnother() {
-        return another;
+    Beside beside() {
+        return beside;
     }
 
     // ---- What this process tells ------------------------------------------------------------------------
@@ -236,7 +239,7 @@
         look();
         write();
         try {
-            long wait = (long) ((another ? EVERY_BESIDE : EVERY_ALONE) * 1e3);
+            long wait = (long) ((beside == Beside.NOBODY ? EVERY_ALONE : EVERY_BESIDE) * 1e3);
             owner.schedule(() -> post(this::turn), wait, TimeUnit.MILLISECONDS);
         } catch (RejectedExecutionException e) {
             // As above.
@@ -261,7 +264,7 @@
     }
 
     private void look() {
-        boolean any = false;
+        Beside is = Beside.NOBODY;
         boolean later = false;
         try {
             for (long each : numbers()) {
@@ -273,8 +276,11 @@
                 if (its != null) {
                     merge(its, lives);
                 }
-                any |= lives;
-                later |= lives && each > number && its != null && its.serving;
+                boolean serves = its != null && its.serving;
+                later |= lives && each > number && serves;
+                if (lives) {
+                    is = each < number || serves || is == Beside.SERVING ? Beside.SERVING : Beside.STARTING;
+                }
                 if (!lives && age(each) > YOUNG && number > each) {
                     forget(each);
                 }
@@ -283,10 +289,14 @@
             log.warn("the folder of the handover can't be read: " + e);
         }
         successor = later;
-        if (any != another) {
-            another = any;
-            boolean told = any;
-            log.info(told ? "another process of this sidecar lives beside this one" : "alone again");
+        if (is != beside) {
+            beside = is;
+            Beside told = is;
+            log.info(switch (is) {
+                case NOBODY -> "alone again";
+                case STARTING -> "a successor starts";
+                case SERVING -> "another process of this sidecar serves beside this one";
+            });
             tell(() -> listener.beside(told));
         }
     }
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -34,6 +34,8 @@
     /** Operators' connections: so many at most, and of all descriptors one in so many. */
     private static final int CALLS = 48;
     private static final int CALLS_OF = 8;
+    /** While two serve either has room for the usual clients of both: one in so many descriptors. */
+    private static final int CLIENTS_OF = 4;
     /** Of the time after which an upstream closes an idle connection; the rest is for what is on its way. */
     private static final double IDLE_SHARE = 0.5;
     private static final double DEFAULT_IDLE = 10;
@@ -61,7 +63,7 @@
     private final Dialer toUpstreams;
     private final ModuleActor module;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
-    private boolean shared;
+    private Handover.Beside beside;
     private final CountDownLatch ended = new CountDownLatch(1);
 
     private Sidecar(Config config, PrintStream logTo, Path handoverIn) throws IOException, BadSetting {
@@ -72,7 +74,7 @@
         var buffers = buffers();
         var settings = config.settings();
         handover = Handover.open(loop, log, handoverIn, config.name());
-        shared = handover != null && handover.besideAnother();
+        beside = handover == null ? Handover.Beside.NOBODY : handover.beside();
         toUpstreams = new Dialer(loop, buffers, connections() / 2, open -> lend());
         Dialer toDiscovery = new Dialer(loop, buffers, 2, open -> { });
         module = new ModuleActor(loop, log, settings, config.seed());
@@ -131,16 +133,20 @@
         front.inService(now);
     }
 
-    /** To limits the two are one sidecar: neither takes more than half. */
     @Override
-    public void beside(boolean another) {
-        shared = another;
+    public void beside(Handover.Beside now) {
+        beside = now;
         toUpstreams.most(connections() / 2);
         lend();
     }
 
+    /** To limits two are one sidecar: one that starts needs its own few, one that serves as many as we. */
     private int sockets() {
-        return shared ? config.sockets() / 2 : config.sockets();
+        return switch (beside) {
+            case NOBODY -> config.sockets();
+            case STARTING -> config.sockets() - Math.min(OWN_SOCKETS, config.sockets() / 2);
+            case SERVING -> config.sockets() / 2;
+        };
     }
 
     private int calls() {
@@ -156,7 +162,10 @@
     /** What upstreams take is given back at once, and what they no longer hold is lent with the next dial. */
     private void lend() {
         int all = connections();
-        front.mostClients(Math.max(1, all - all / SPARE_OF - toUpstreams.open()));
+        int lent = all - all / SPARE_OF - toUpstreams.open();
+        // The clients that the one beside us loses come to us, and hold no more than before at both together.
+        int moved = beside == Handover.Beside.SERVING ? config.sockets() / CLIENTS_OF : 1;
+        front.mostClients(Math.max(moved, lent));
     }
 
     private void tell() {
@@ -193,8 +202,9 @@
     /** Only now may clients come: what the kernel gives to one that can't serve yet lies there. */
     private void warm() {
         try {
-            int all = connections();
-            front.listen(worker, config.listen(), all - all / SPARE_OF);
+            // The listener's own bound stays for good, so it is that of one alone.
+            front.listen(worker, config.listen(), config.sockets());
+            lend();
         } catch (IOException e) {
             ready.completeExceptionally(new IOException("listen: " + e.getMessage(), e));
             return;
