--- a/core/src/main/java/portrelay/door/RoomSettings.java
+++ b/core/src/main/java/portrelay/door/RoomSettings.java
@@ -12,7 +12,7 @@
 public record RoomSettings(double speakWithin, double sendWithin, double readWithin, double idleMost,
         double silentShare, double sendingShare, int idleLeast, double idlePerAsked, double idleSpared) {
 
-    public static final RoomSettings USUAL = new RoomSettings(0.2, 2, 2.5, 2.1, 0.25, 0.25, 16, 1.5, 0.1);
+    public static final RoomSettings USUAL = new RoomSettings(0.2, 2.5, 2.5, 2.1, 0.25, 0.25, 16, 1.5, 0.1);
 
     static RoomSettings read(Fields f) throws BadSetting {
         f.only("speak-within-ms", "send-within-ms", "read-within-ms", "idle-most-ms", "silent-share",
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -175,7 +175,9 @@
         Query.Execution e = q.executions.get(execution);
         e.outcome = outcome;
         e.at.inFlight--;
-        health.judge(now, q, e, total);
+        if (!q.asked.once()) {
+            health.judge(now, q, e, total);
+        }
         shareEnd(q, e);
         forgetGone();
         if (ended && q.state() != State.CLOSED) {
@@ -386,7 +388,8 @@
 
     /** Guards against a second effect: where an execution may have run, only its group drops the repeat. */
     private boolean maySend(Query q, Upstream u) {
-        if (q.executions.size() >= of.permits().executions() || now >= q.asked.cutOffAt()) {
+        int most = q.asked.once() ? 1 : of.permits().executions();
+        if (q.executions.size() >= most || now >= q.asked.cutOffAt()) {
             return false;
         }
         Query.Execution first = q.firstThatMayHaveRun();
@@ -456,8 +459,9 @@
         return deaf() ? -due * Math.log(chance.nextDouble()) : due;
     }
 
+    /** Nobody of those who share our part has said a word for long: what they have in flight is not known. */
     private boolean deaf() {
-        return part != null && part.deaf(now);
+        return part != null && part.gossip.shared() && now > part.gossip.heardAt() + Part.DEAF;
     }
 
     /** In flight there as far as anybody told us. */
@@ -486,7 +490,7 @@
     }
 
     private void send(Query q, Upstream u) {
-        boolean trial = u.passedOver() && now >= u.passedUntil;
+        boolean trial = u.passedOver() && now >= u.passedUntil && !q.asked.once();
         u.trialOut |= trial;
         u.owed = false;
         double rested = part != null && u.inFlight == 0 && u.answeredAt > 0 ? now - u.answeredAt : 0;
@@ -505,7 +509,7 @@
             u.told.begun(site.me(), now);
             part.tell(Gossip.Word.BEGUN, u, TenantId.number(q.asked.tenant()));
         }
-        total.inFlight++;
+        total.inFlight += q.asked.once() ? 0 : 1;
         cold.sent(u, roster, now);
         out.send(q.asked.id(), u.id);
     }
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -19,7 +19,7 @@
     private static final double LAY_AFTER = 0.05;
     private static final double LAY_EVERY = 1;
     private static final double LEAST_ROOM = 0.01;
-    private static final double DEAF = 0.5;
+    static final double DEAF = 0.5;
     private static final int LOST_SAMPLES = 8;
     private static final double DROPPED_FOR = 20;
     private static final double AGE_SPARE = 0.95;
@@ -158,11 +158,6 @@
         return pieces.get(pieces.size() - 1);
     }
 
-    /** Nobody of those who share it has said a word for long: what they have in flight is not known. */
-    boolean deaf(double now) {
-        return gossip.shared() && now > gossip.heardAt() + DEAF;
-    }
-
     /** Whether connections are being dropped unseen these days. */
     boolean dropping(double now) {
         return now < lostUntil;
--- a/core/src/test/java/portrelay/policy/FailuresTest.java
+++ b/core/src/test/java/portrelay/policy/FailuresTest.java
@@ -7,8 +7,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import portrelay.model.Asked;
 import portrelay.model.ListNews;
 import portrelay.model.Listed;
+import portrelay.model.OfferingId;
 import portrelay.model.Outcome;
 import portrelay.model.QueryId;
 import portrelay.model.UpstreamId;
@@ -240,4 +242,25 @@
             rig.end(rig.last(), Outcome.HANDLED);
         }
     }
+
+    /** A long body passes through and is gone: no copy, no second try, and no time of it is the upstream's. */
+    @Test
+    void whatCanBeSentOnceIsSentOnceAndTeachesNothing() {
+        Rig rig = new Rig(8);
+        rig.ready(4);
+        for (int i = 0; i < 40; i++) {
+            QueryId id = new QueryId("once" + i);
+            rig.decide.arrival(rig.now, new Asked(id, new OfferingId(Rig.NUMBERED_ANYWHERE), null, null,
+                    rig.now + 30, Double.NaN, false, true));
+            rig.pass(20);
+            rig.end(rig.last(), i % 2 == 0 ? Outcome.FULL : Outcome.ERROR);
+        }
+        assertEquals(40, rig.sent.size());
+        assertEquals(40, rig.denied.size());
+        // Twenty seconds each, and there is room as on the first day.
+        for (int i = 0; i < 3; i++) {
+            rig.ask("q" + i, Rig.AT_MOST_ONCE, 2);
+        }
+        assertEquals(43, rig.sent.size());
+    }
 }
--- a/daemon/src/main/java/portrelay/net/Call.java
+++ b/daemon/src/main/java/portrelay/net/Call.java
@@ -5,19 +5,23 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.Protocols;
 
-/** What is written to an upstream or to discovery. */
-record Call(ClientRequest head, byte[] body) {
+/** What is written to an upstream or to discovery. Upload is null where the body is whole. */
+record Call(ClientRequest head, byte[] body, Upload upload) {
 
     static final byte[] NO_BODY = new byte[0];
-    /** The protocol's limit, which clients keep. */
-    static final int LONGEST_BODY = 64 * 1024;
-    /** Upstreams were seen to answer soundly with six times the protocol's limit. */
-    static final int LONGEST_ANSWER = 1024 * 1024;
+    /** A message up to this is held whole; a longer one passes through in pieces. */
+    static final int SHORT = 64 * 1024;
+    /** Longer than any message of the platform, and shorter than what broken clients announce. */
+    static final int LONGEST = 36 * 1024 * 1024;
 
     /** Target is the raw path and query. */
     static Call of(HttpString method, String target, byte[] body) {
+        return of(method, target, body, null);
+    }
+
+    static Call of(HttpString method, String target, byte[] body, Upload upload) {
         return new Call(new ClientRequest().setMethod(method).setPath(target).setProtocol(Protocols.HTTP_1_1),
-                body);
+                body, upload);
     }
 
     HeaderMap headers() {
--- a/daemon/src/main/java/portrelay/net/Clients.java
+++ b/daemon/src/main/java/portrelay/net/Clients.java
@@ -73,6 +73,12 @@
         }
     }
 
+    /** Whether the last head that came can be read in more than one way. */
+    boolean unclear(HttpServerConnection connection) {
+        ClientId id = ids.get(connection.getChannel());
+        return id != null && lines.get(id).guard.unclear();
+    }
+
     /** Whether more queries wait for answers than there is room for connections. */
     boolean full() {
         return room.count(Room.Phase.ASKED) > most;
--- a/daemon/src/main/java/portrelay/net/Dialer.java
+++ b/daemon/src/main/java/portrelay/net/Dialer.java
@@ -139,7 +139,7 @@
                 IoUtils.safeClose(opening.socket);
                 return;
             }
-            Link link = new Link(connection, opening.socket, opening.sent, opening.guard);
+            Link link = new Link(loop, connection, opening.socket, opening.sent, opening.guard);
             link.onClosed(() -> {
                 resting.remove(link);
                 giveBack();
--- a/daemon/src/main/java/portrelay/net/Framing.java
+++ b/daemon/src/main/java/portrelay/net/Framing.java
@@ -15,6 +15,7 @@
 
     private static final String CONTENT_LENGTH = "content-length";
     private static final String TRANSFER_ENCODING = "transfer-encoding";
+    private static final String CONNECTION = "connection";
     private static final int LONGEST_HEAD = 32 * 1024;
     private static final int LONGEST_SIZE_LINE = 256;
     private static final String START = "HTTP/1.";
@@ -39,6 +40,8 @@
     private String length;
     private String coding;
     private boolean unclear;
+    /** Said that the connection ends with this message. */
+    private boolean closes;
 
     private Framing(boolean answers) {
         this.answers = answers;
@@ -67,6 +70,11 @@
         return part == Part.OPAQUE;
     }
 
+    /** Whether the last head had lines that may be read in more than one way. */
+    boolean unclear() {
+        return unclear;
+    }
+
     /** Inside the head of a message, or before it. */
     boolean inHead() {
         return part == Part.FIRST_LINE || part == Part.HEADERS;
@@ -114,6 +122,7 @@
         length = null;
         coding = null;
         unclear = false;
+        closes = false;
     }
 
     private void skip(ByteBuffer bytes) {
@@ -175,6 +184,7 @@
             return Part.BROKEN;
         }
         status = Integer.parseInt(well.group(1));
+        closes = text.startsWith(START + "0");
         return Part.HEADERS;
     }
 
@@ -193,6 +203,8 @@
             String value = text.substring(colon + 1).trim();
             unclear |= coding != null || !value.equalsIgnoreCase("chunked");
             coding = value;
+        } else if (named(text, colon, CONNECTION)) {
+            closes |= text.substring(colon + 1).trim().equalsIgnoreCase("close");
         }
         return Part.HEADERS;
     }
@@ -230,9 +242,10 @@
             left = Long.parseLong(length);
             return left == 0 || status == 204 || status == 304 ? Part.END : Part.BODY;
         }
-        // An answer that only the connection's end delimits can't be told from half of one.
+        // An answer that only the connection's end delimits can't be told from half of one, unless it was
+        // announced: then all but a reset is its end.
         return !answers || status == 204 || status == 304 ? Part.END
-                : status == 200 ? Part.BROKEN : Part.OPAQUE;
+                : status == 200 && !closes ? Part.BROKEN : Part.OPAQUE;
     }
 
     private Part size(String text) {
--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -4,7 +4,6 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.io.IoCallback;
-import io.undertow.io.Receiver;
 import io.undertow.io.Sender;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -15,6 +14,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -25,6 +25,7 @@
 import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
+import org.xnio.channels.StreamSourceChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.nio.SharedAddress;
 import portrelay.door.Room;
@@ -43,6 +44,7 @@
     /** What clients send by the word of their last look at us, and how long a new one may keep silent. */
     private static final double STILL_COMING = 0.6;
     private static final double JUST_COME = 0.2;
+    private static final double STAMP_EVERY = 0.25;
 
     private final Loop loop;
     private final Log log;
@@ -54,6 +56,7 @@
     private boolean ready;
     private final Clients clients;
     private final DoorCounts counts;
+    private final Lingering lingering;
     private boolean closing;
     private boolean inService = true;
     private int drains;
@@ -68,11 +71,14 @@
         this.doorkeeper = doorkeeper;
         this.counts = counts;
         clients = new Clients(loop, room, counts);
+        lingering = new Lingering(loop);
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .set(UndertowOptions.MAX_HEADER_SIZE, 32 * 1024)
+                // Its own bound of 2 MiB would cut bodies off; ours comes first and is answered.
+                .set(UndertowOptions.MAX_ENTITY_SIZE, 2L * Call.LONGEST)
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, millis(room.sendWithin()))
                 .set(UndertowOptions.NO_REQUEST_TIMEOUT, millis(room.idleMost())).getMap());
         http.setRootHandler(new HttpContinueReadHandler(this));
@@ -218,36 +224,92 @@
             exchange.setPersistent(false);
         }
         boolean query = exchange.getRequestHeaders().contains(Names.OFFERING);
-        if (!query && exchange.getRequestURI().equals(Names.READY)) {
+        if (!query && Passing.path(exchange).equals(Names.READY)) {
             exchange.setStatusCode(ready && inService ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
             exchange.endExchange();
             return;
         }
+        long length;
         try {
-            reader.checkFraming(exchange);
+            if (clients.unclear(connection(exchange))) {
+                throw new BadQuery(StatusCodes.BAD_REQUEST, "a head that can be read in two ways");
+            }
+            length = reader.checkFraming(exchange);
         } catch (BadQuery e) {
             turnAwayAndClose(exchange, e);
             return;
         }
-        exchange.getRequestReceiver().setMaxBufferSize(Call.LONGEST_BODY);
-        exchange.getRequestReceiver().receiveFullBytes(this::whole, (broken, cause) -> {
-            boolean tooLong = cause instanceof Receiver.RequestToLargeException;
-            turnAwayAndClose(broken, tooLong ? QueryReader.tooLong()
-                    : new BadQuery(StatusCodes.BAD_REQUEST, "the body breaks off"));
-        });
+        if (length < 0) {
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> new Gather(exchange).more());
+        } else if (length > Call.SHORT) {
+            passing(exchange, exchange.getRequestChannel(), Call.NO_BODY, length);
+        } else {
+            exchange.getRequestReceiver().receiveFullBytes(this::whole, (broken, cause) -> breaksOff(broken));
+        }
+    }
+
+    private void breaksOff(HttpServerExchange exchange) {
+        turnAwayAndClose(exchange, new BadQuery(StatusCodes.BAD_REQUEST, "the body breaks off"));
+    }
+
+    /** Takes in a body of unknown length until it is whole or long. */
+    private final class Gather {
+
+        private final HttpServerExchange exchange;
+        private final StreamSourceChannel from;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final ByteBuffer some = ByteBuffer.allocate(4 * 1024);
+
+        Gather(HttpServerExchange exchange) {
+            this.exchange = exchange;
+            this.from = exchange.getRequestChannel();
+        }
+
+        void more() {
+            try {
+                while (body.size() <= Call.SHORT) {
+                    int count = from.read(some.clear());
+                    if (count < 0) {
+                        whole(exchange, body.toByteArray());
+                        return;
+                    }
+                    if (count == 0) {
+                        from.getReadSetter().set(c -> more());
+                        from.resumeReads();
+                        return;
+                    }
+                    body.write(some.array(), 0, count);
+                }
+                from.suspendReads();
+                passing(exchange, from, body.toByteArray(), -1);
+            } catch (IOException e) {
+                breaksOff(exchange);
+            }
+        }
     }
 
     private void whole(HttpServerExchange exchange, byte[] body) {
+        take(exchange, body, null);
+    }
+
+    /** A long one: what has come of it, and the rest as it comes. */
+    private void passing(HttpServerExchange exchange, StreamSourceChannel from, byte[] first, long length) {
+        ByteBufferPool pool = exchange.getConnection().getByteBufferPool();
+        take(exchange, Call.NO_BODY, new Upload(loop, pool, from, first, length));
+    }
+
+    private void take(HttpServerExchange exchange, byte[] body, Upload upload) {
         try {
-            Asked asked = reader.read(exchange, body.length, loop.now(), answerBy);
+            int length = upload == null ? body.length : 1;
+            Asked asked = reader.read(exchange, length, upload != null, loop.now(), answerBy);
             if (doorkeeper.knows(asked.id())) {
                 throw new BadQuery(StatusCodes.CONFLICT, "a query of this id is open");
             }
-            Client client = new Client(exchange, asked.id());
+            Client client = new Client(exchange, asked.id(), upload);
             String query = exchange.getQueryString();
-            String target = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
+            String target = Passing.path(exchange) + (query.isEmpty() ? "" : "?" + query);
             Incoming incoming = new Incoming(asked, exchange.getRequestMethod(), target,
-                    exchange.getRequestHeaders(), body, client);
+                    exchange.getRequestHeaders(), body, upload, client);
             clients.at(client.connection, Room.Phase.ASKED);
             if (clients.full()) {
                 // Nobody else can make way: this one is told at once, as nothing was sent for it.
@@ -257,11 +319,19 @@
                 return;
             }
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
-                client.watch();
+                if (upload == null) {
+                    client.watch();
+                } else {
+                    upload.listener(client);
+                }
                 doorkeeper.arrived(incoming, client.from());
             });
         } catch (BadQuery e) {
-            turnAway(exchange, e);
+            if (upload == null) {
+                turnAway(exchange, e);
+            } else {
+                turnAwayAndClose(exchange, e);
+            }
         }
     }
 
@@ -279,7 +349,7 @@
      */
     private void turnAwayAndClose(HttpServerExchange exchange, BadQuery why) {
         exchange.setPersistent(false);
-        turnAway(exchange, why, CLOSE);
+        turnAway(exchange, why, lingering);
     }
 
     private void turnAway(HttpServerExchange exchange, BadQuery why, IoCallback then) {
@@ -291,27 +361,20 @@
         exchange.getResponseSender().send(text, then);
     }
 
-    private static final IoCallback CLOSE = new IoCallback() {
-        @Override
-        public void onComplete(HttpServerExchange exchange, Sender sender) {
-            IoUtils.safeClose(exchange.getConnection());
-        }
-
-        @Override
-        public void onException(HttpServerExchange exchange, Sender sender, IOException cause) {
-            IoUtils.safeClose(exchange.getConnection());
-        }
-    };
 
     /** One client that waits for its answer; notices when it no longer does. */
-    private final class Client implements Incoming.Reply {
+    private final class Client implements Incoming.Reply, Upload.Listener, Pump.Ends {
 
         private final HttpServerExchange exchange;
         private final HttpServerConnection connection;
         private final QueryId id;
+        /** Null where the body came whole. */
+        private final Upload upload;
         private boolean over;
+        private double stampedAt;
 
-        Client(HttpServerExchange exchange, QueryId id) {
+        Client(HttpServerExchange exchange, QueryId id, Upload upload) {
+            this.upload = upload;
             this.exchange = exchange;
             this.connection = connection(exchange);
             this.id = id;
@@ -361,11 +424,88 @@
             }
         }
 
+        // ---- A long body ----------------------------------------------------------------------------------
+
+        @Override
+        public void uploaded() {
+            if (!over) {
+                watch();
+            }
+        }
+
+        @Override
+        public void clientBroke(boolean tooLong) {
+            if (over) {
+                return;
+            }
+            over = true;
+            doorkeeper.left(id);
+            if (tooLong) {
+                turnAwayAndClose(exchange, QueryReader.tooLong());
+            } else {
+                IoUtils.safeClose(connection);
+            }
+        }
+
+        // ---- A long answer --------------------------------------------------------------------------------
+
+        /** One that reads on, however slowly, is not taken for one that does not read. */
+        @Override
+        public void moved() {
+            if (loop.now() > stampedAt + STAMP_EVERY) {
+                stampedAt = loop.now();
+                clients.at(connection, Room.Phase.ANSWERING);
+            }
+        }
+
+        @Override
+        public void whole() {
+            // The exchange has ended with its last byte.
+        }
+
+        /** The client must see that what it has is not whole, also where only the end of it tells. */
+        @Override
+        public void sourceBroke() {
+            try {
+                connection.getChannel().setOption(Options.CLOSE_ABORT, true);
+            } catch (IOException | IllegalArgumentException e) {
+                log.warn("a broken answer ends without a reset: " + e.getMessage());
+            }
+            IoUtils.safeClose(connection);
+        }
+
+        @Override
+        public void sinkBroke() {
+            IoUtils.safeClose(connection);
+        }
+
         @Override
         public void handled(Result answer) {
-            if (begin(StatusCodes.OK)) {
-                Passing.copy(answer.headers(), exchange.getResponseHeaders());
-                exchange.getResponseSender().send(ByteBuffer.wrap(answer.body()));
+            if (!begin(StatusCodes.OK)) {
+                if (answer.rest() != null) {
+                    answer.rest().cancel();
+                }
+                return;
+            }
+            Passing.copy(answer.headers(), exchange.getResponseHeaders());
+            if (answer.rest() == null) {
+                send(answer.body());
+                return;
+            }
+            String length = answer.headers().getFirst(Headers.CONTENT_LENGTH);
+            if (length != null) {
+                exchange.setResponseContentLength(Long.parseLong(length.trim()));
+            }
+            answer.rest().passTo(exchange.getResponseChannel(), this);
+        }
+
+        /** Where not all of the body was read, the connection ends with the answer. */
+        private void send(byte[] body) {
+            if (upload == null || upload.written()) {
+                exchange.getResponseSender().send(ByteBuffer.wrap(body));
+            } else {
+                exchange.setResponseContentLength(body.length);
+                exchange.getResponseSender().send(ByteBuffer.wrap(body), lingering);
             }
         }
 
@@ -376,14 +516,14 @@
                     exchange.getResponseHeaders().put(Headers.RETRY_AFTER,
                             Double.toString(Math.ceil(coolDown * 1e3) / 1e3));
                 }
-                exchange.endExchange();
+                send(Call.NO_BODY);
             }
         }
 
         @Override
         public void writtenOff() {
             if (begin(StatusCodes.BAD_GATEWAY)) {
-                exchange.endExchange();
+                send(Call.NO_BODY);
             }
         }
 
@@ -393,7 +533,10 @@
             }
             over = true;
             clients.at(connection, Room.Phase.ANSWERING);
-            if (leaving()) {
+            if (upload != null) {
+                upload.stop();
+            }
+            if (leaving() || upload != null && !upload.written()) {
                 exchange.setPersistent(false);
             }
             exchange.setStatusCode(status);
--- a/daemon/src/main/java/portrelay/net/Incoming.java
+++ b/daemon/src/main/java/portrelay/net/Incoming.java
@@ -4,12 +4,16 @@
 import io.undertow.util.HttpString;
 import portrelay.model.Asked;
 
-/** A query as it came: what the decisions need of it, and the bytes that go on unchanged. */
-record Incoming(Asked asked, HttpString method, String target, HeaderMap headers, byte[] body, Reply reply) {
+/**
+ * A query as it came: what the decisions need of it, and the bytes that go on unchanged. Upload is null where
+ * the body is whole; else the body is empty and passes through it, once.
+ */
+record Incoming(Asked asked, HttpString method, String target, HeaderMap headers, byte[] body, Upload upload,
+        Reply reply) {
 
     /** The same query with another to tell its answer to. */
     Incoming repliedBy(Reply other) {
-        return new Incoming(asked, method, target, headers, body, other);
+        return new Incoming(asked, method, target, headers, body, upload, other);
     }
 
     /** The client's side of a query. One of these is called, once. */
--- a/daemon/src/main/java/portrelay/net/Link.java
+++ b/daemon/src/main/java/portrelay/net/Link.java
@@ -6,6 +6,7 @@
 import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -16,19 +17,29 @@
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
-/** One open connection. It carries one call at a time and buffers its answer whole. */
+/**
+ * One open connection. It carries one call at a time; short answers are buffered whole, long ones may begin
+ * before they are.
+ */
 final class Link {
 
     /** Most answers are shorter; a longer one is read in turns. */
     private static final int READ_AT_ONCE = 4 * 1024;
 
+    private static final double UPSTREAM_SILENT = 10;
+    private static final double CLIENT_UNREADING = 5;
+
+    private final Loop loop;
     private final ClientConnection connection;
     private final StreamConnection socket;
     private final AtomicLong sent;
     private final AnswerGuard guard;
     private Exchange current;
+    private Runnable free;
 
-    Link(ClientConnection connection, StreamConnection socket, AtomicLong sent, AnswerGuard guard) {
+    Link(Loop loop, ClientConnection connection, StreamConnection socket, AtomicLong sent,
+            AnswerGuard guard) {
+        this.loop = loop;
         this.connection = connection;
         this.socket = socket;
         this.sent = sent;
@@ -65,13 +76,27 @@
         return current == null || current.written();
     }
 
+    /** Called once, when the answer that has begun is whole and the link can be used again. */
+    void onFree(Runnable then) {
+        free = then;
+    }
+
     void onClosed(Runnable then) {
         connection.addCloseListener(c -> then.run());
     }
 
     /** An answer of more than the limit counts as no answer. Done is called once, inside the loop. */
     void call(Call call, int limit, Consumer<Result> done) {
-        Exchange exchange = new Exchange(call, limit, done);
+        call(call, limit, false, done);
+    }
+
+    /** The same for answers of any length: done is called when a long 200 begins. */
+    void begin(Call call, Consumer<Result> done) {
+        call(call, Call.SHORT, true, done);
+    }
+
+    private void call(Call call, int limit, boolean begins, Consumer<Result> done) {
+        Exchange exchange = new Exchange(call, limit, begins, done);
         current = exchange;
         guard.expect();
         exchange.guarded(() -> connection.sendRequest(call.head(), exchange));
@@ -90,21 +115,27 @@
 
         private final Call call;
         private final int limit;
+        private final boolean begins;
         private final Consumer<Result> done;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private final long sentBefore = sent.get();
         private final ByteBuffer unwritten;
         private ClientResponse head;
         private boolean reading;
+        private boolean begun;
 
-        Exchange(Call call, int limit, Consumer<Result> done) {
+        Exchange(Call call, int limit, boolean begins, Consumer<Result> done) {
             this.call = call;
             this.limit = limit;
+            this.begins = begins;
             this.done = done;
             this.unwritten = ByteBuffer.wrap(call.body());
         }
 
         boolean written() {
+            if (call.upload() != null) {
+                return call.upload().written();
+            }
             return call.body().length == 0 ? sent.get() > sentBefore : !unwritten.hasRemaining();
         }
 
@@ -115,8 +146,10 @@
                 public void completed(ClientExchange answered) {
                     guarded(() -> {
                         head = answered.getResponse();
-                        if (tooLong(head)) {
+                        if (length(head) > (mayBegin() ? Call.LONGEST : limit)) {
                             broken();
+                        } else if (length(head) > limit) {
+                            begin(answered.getResponseChannel());
                         } else {
                             read(answered.getResponseChannel());
                         }
@@ -128,7 +161,9 @@
                     broken();
                 }
             });
-            if (unwritten.hasRemaining()) {
+            if (call.upload() != null) {
+                call.upload().passTo(exchange.getRequestChannel(), this::broken);
+            } else if (unwritten.hasRemaining()) {
                 write(exchange.getRequestChannel());
             }
         }
@@ -147,9 +182,24 @@
             }
         }
 
-        private boolean tooLong(ClientResponse answer) {
+        /** -1 where the answer does not say. */
+        private static long length(ClientResponse answer) {
             String length = answer.getResponseHeaders().getFirst(Headers.CONTENT_LENGTH);
-            return length != null && Long.parseLong(length.trim()) > limit;
+            return length == null ? -1 : Long.parseLong(length.trim());
+        }
+
+        private boolean mayBegin() {
+            return begins && head.getResponseCode() == StatusCodes.OK;
+        }
+
+        private void begin(StreamSourceChannel from) {
+            begun = true;
+            reading = false;
+            done.accept(result(new Begun(this, from)));
+        }
+
+        private Result result(Result.Rest rest) {
+            return new Result(head.getResponseCode(), head.getResponseHeaders(), body.toByteArray(), true, rest);
         }
 
         private void write(StreamSinkChannel to) {
@@ -185,7 +235,11 @@
                     body.write(some.array(), 0, count);
                     some.clear();
                     if (body.size() > limit) {
-                        broken();
+                        if (mayBegin()) {
+                            begin(from);
+                        } else {
+                            broken();
+                        }
                         return;
                     }
                 }
@@ -206,7 +260,7 @@
          * we have them: that answer is whole.
          */
         private void closed() {
-            if (!reading) {
+            if (!reading && !begun) {
                 broken();
             }
         }
@@ -219,14 +273,17 @@
                 broken();
                 return;
             }
-            // An answer that comes before its call is written, or brings more than itself, ends the link.
+            over();
+            done.accept(result(null));
+        }
+
+        /** An answer that comes before its call is written, or brings more than itself, ends the link. */
+        private void over() {
             boolean spent = !written() || !guard.clean();
             current = null;
             if (spent) {
                 close();
             }
-            done.accept(
-                    new Result(head.getResponseCode(), head.getResponseHeaders(), body.toByteArray(), true));
         }
 
         private void broken() {
@@ -238,4 +295,62 @@
             done.accept(Result.broken(written));
         }
     }
+
+    /** A long answer whose first bytes have come. */
+    private final class Begun implements Result.Rest, Pump.Ends {
+
+        private final Exchange exchange;
+        private final StreamSourceChannel from;
+        private Pump.Ends ends;
+
+        Begun(Exchange exchange, StreamSourceChannel from) {
+            this.exchange = exchange;
+            this.from = from;
+        }
+
+        @Override
+        public void passTo(StreamSinkChannel to, Pump.Ends ends) {
+            this.ends = ends;
+            new Pump(loop, connection.getBufferPool(), from, to, exchange.body.toByteArray(), Call.LONGEST,
+                    new Pump.Patience(UPSTREAM_SILENT, 0, CLIENT_UNREADING), this).start();
+        }
+
+        @Override
+        public void cancel() {
+            close();
+        }
+
+        @Override
+        public boolean wellEnded() {
+            return guard.whole();
+        }
+
+        @Override
+        public void moved() {
+            ends.moved();
+        }
+
+        @Override
+        public void whole() {
+            if (current == exchange) {
+                exchange.over();
+            }
+            if (usable() && free != null) {
+                free.run();
+            }
+            ends.whole();
+        }
+
+        @Override
+        public void sourceBroke() {
+            close();
+            ends.sourceBroke();
+        }
+
+        @Override
+        public void sinkBroke() {
+            close();
+            ends.sinkBroke();
+        }
+    }
 }
--- a/daemon/src/main/java/portrelay/net/ModuleActor.java
+++ b/daemon/src/main/java/portrelay/net/ModuleActor.java
@@ -115,7 +115,15 @@
             return;
         }
         double now = loop.now();
-        q.cutOff = loop.after(incoming.asked().cutOffAt() - now, () -> mailbox.post(() -> cutOff(id, q)));
+        double left = incoming.asked().cutOffAt() - now;
+        if (incoming.upload() == null) {
+            q.cutOff = loop.after(left, () -> mailbox.post(() -> cutOff(id, q)));
+        } else {
+            // A query's time counts from its last byte, and that is its client's matter until then.
+            incoming.upload().onWritten(() -> mailbox.post(() -> {
+                q.cutOff = loop.after(left, () -> mailbox.post(() -> cutOff(id, q)));
+            }));
+        }
         decide.arrival(now, incoming.asked());
     }
 
@@ -156,6 +164,8 @@
             ended = true;
             answer(id, q);
             q.incoming.reply().handled(answer);
+        } else if (answer != null && answer.rest() != null) {
+            answer.rest().cancel();
         }
         forgetIfDone(id, q);
         double now = loop.now();
@@ -172,7 +182,9 @@
 
     private void answer(QueryId id, Open q) {
         q.answered = true;
-        q.cutOff.remove();
+        if (q.cutOff != null) {
+            q.cutOff.remove();
+        }
         forgetIfDone(id, q);
     }
 
--- a/daemon/src/main/java/portrelay/net/Operators.java
+++ b/daemon/src/main/java/portrelay/net/Operators.java
@@ -4,8 +4,6 @@
 
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.io.IoCallback;
-import io.undertow.io.Sender;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpOpenListener;
@@ -20,13 +18,11 @@
 import java.net.URLDecoder;
 import java.nio.ByteBuffer;
 import org.xnio.ChannelListeners;
-import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
-import org.xnio.conduits.ConduitStreamSourceChannel;
 import portrelay.door.Room;
 import portrelay.door.RoomSettings;
 import portrelay.model.Hash;
@@ -42,8 +38,6 @@
     private static final int BACKLOG = 1024;
     private static final int LONGEST_HEAD = 8 * 1024;
     private static final int UNFINISHED_MS = 3000;
-    /** How long what a caller still sends after its answer is read: a close on unread bytes resets it. */
-    private static final double LINGER = 0.5;
     private static final RoomSettings ROOM = new RoomSettings(0.25, 3, 1, 0.5, 0.9, 0.9, 0, 0, 0.1);
 
     private final Loop loop;
@@ -55,6 +49,7 @@
     /** Null where nothing is handed over. */
     private final Handover handover;
     private final HttpOpenListener http;
+    private final Lingering lingering;
     private AcceptingChannel<StreamConnection> door;
     private boolean ready;
 
@@ -68,6 +63,7 @@
         this.front = front;
         callers = new Clients(loop, ROOM, new DoorCounts());
         callers.most(most);
+        lingering = new Lingering(loop);
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
@@ -115,7 +111,7 @@
     }
 
     private void call(HttpServerExchange exchange) {
-        String path = exchange.getRequestURI();
+        String path = Passing.path(exchange);
         boolean upstream = path.startsWith(Names.CONTROL_UPSTREAMS);
         int slash = path.lastIndexOf('/');
         String verb = path.substring(slash + 1);
@@ -188,52 +184,6 @@
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
         byte[] bytes = (text + "\n").getBytes(UTF_8);
         exchange.setResponseContentLength(bytes.length);
-        exchange.getResponseSender().send(ByteBuffer.wrap(bytes), end);
-    }
-
-    private final IoCallback end = new IoCallback() {
-        @Override
-        public void onComplete(HttpServerExchange exchange, Sender sender) {
-            HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
-            if (exchange.isRequestComplete()) {
-                IoUtils.safeClose(connection);
-            } else {
-                linger(connection);
-            }
-        }
-
-        @Override
-        public void onException(HttpServerExchange exchange, Sender sender, IOException cause) {
-            IoUtils.safeClose(exchange.getConnection());
-        }
-    };
-
-    private void linger(HttpServerConnection connection) {
-        StreamConnection socket = connection.getChannel();
-        loop.after(LINGER, () -> IoUtils.safeClose(connection));
-        try {
-            socket.getSinkChannel().shutdownWrites();
-            socket.getSinkChannel().flush();
-        } catch (IOException e) {
-            IoUtils.safeClose(connection);
-            return;
-        }
-        ConduitStreamSourceChannel source = socket.getSourceChannel();
-        source.setConduit(connection.getOriginalSourceConduit());
-        ByteBuffer unread = ByteBuffer.allocate(1024);
-        source.setReadListener(from -> {
-            try {
-                int count = from.read(unread.clear());
-                while (count > 0) {
-                    count = from.read(unread.clear());
-                }
-                if (count < 0) {
-                    IoUtils.safeClose(connection);
-                }
-            } catch (IOException e) {
-                IoUtils.safeClose(connection);
-            }
-        });
-        source.resumeReads();
+        exchange.getResponseSender().send(ByteBuffer.wrap(bytes), lingering);
     }
 }
--- a/daemon/src/main/java/portrelay/net/Passing.java
+++ b/daemon/src/main/java/portrelay/net/Passing.java
@@ -1,5 +1,6 @@
 package portrelay.net;
 
+import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
@@ -31,6 +32,17 @@
         }
     }
 
+    /** The raw path, also where the whole address was sent (absolute-form). */
+    static String path(HttpServerExchange exchange) {
+        String uri = exchange.getRequestURI();
+        int authority = exchange.isHostIncludedInRequestURI() ? uri.indexOf("://") : -1;
+        if (authority < 0) {
+            return uri;
+        }
+        int path = uri.indexOf('/', authority + 3);
+        return path < 0 ? "/" : uri.substring(path);
+    }
+
     private static boolean names(String list, HttpString name) {
         for (String each : list.split(",")) {
             if (each.trim().equals(name.toString().toLowerCase(Locale.ROOT))) {
--- /dev/null
+++ b/daemon/src/main/java/portrelay/net/Pump.java
@@ -0,0 +1,245 @@
+package portrelay.net;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * Moves one body from a source to a sink in pieces as they come. Holds one buffer while it has bytes that are
+ * not yet written, and reads nothing meanwhile: the slower side sets the pace. Owns that buffer and gives it
+ * back. Tells whole, or which side broke, once; after {@code stop} nothing.
+ */
+final class Pump {
+
+    /** What becomes of it; inside the loop. */
+    interface Ends {
+
+        /** At the source's end: whether it is that of the body and not only of the bytes. */
+        default boolean wellEnded() {
+            return true;
+        }
+
+        void whole();
+
+        void sourceBroke();
+
+        void sinkBroke();
+
+        /** Bytes have gone on. */
+        void moved();
+    }
+
+    /**
+     * Seconds without a byte after which a side counts as broken, and the bytes a second that a source has to
+     * give at least, 0 for any. What one side takes because the other does is not counted against it.
+     */
+    record Patience(double source, double sourceRate, double sink) { }
+
+    /** Others have their turn after so many bytes. */
+    private static final int AT_ONCE = 256 * 1024;
+    private static final double LOOK_EVERY = 0.5;
+    private static final double RATE_OVER = 4;
+    private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
+
+    private enum Waits { NOBODY, SOURCE, SINK }
+
+    private final Loop loop;
+    private final ByteBufferPool pool;
+    private final StreamSourceChannel from;
+    private final StreamSinkChannel to;
+    private final long most;
+    private final Patience patience;
+    private final Ends ends;
+    private PooledByteBuffer held;
+    private ByteBuffer piece;
+    private Waits waits = Waits.NOBODY;
+    private boolean ended;
+    private boolean over;
+    private long count;
+    private double waitsSince;
+    /** Time spent waiting for the source, and what it gave, since the last look at its rate. */
+    private double waited;
+    private long given;
+
+    /** First is what has come already; a source of more than the most bytes is broken. */
+    Pump(Loop loop, ByteBufferPool pool, StreamSourceChannel from, StreamSinkChannel to, byte[] first,
+            long most, Patience patience, Ends ends) {
+        this.loop = loop;
+        this.pool = pool;
+        this.from = from;
+        this.to = to;
+        this.most = most;
+        this.patience = patience;
+        this.ends = ends;
+        this.piece = ByteBuffer.wrap(first);
+        this.count = first.length;
+    }
+
+    void start() {
+        from.getReadSetter().set(c -> run());
+        to.getWriteSetter().set(c -> run());
+        run();
+        look();
+    }
+
+    /** Neither side is touched from here on. */
+    void stop() {
+        if (!over) {
+            over = true;
+            giveBack();
+            from.suspendReads();
+            to.suspendWrites();
+        }
+    }
+
+    /** Whether the source gave more than there may be. */
+    boolean tooLong() {
+        return count > most;
+    }
+
+    private void run() {
+        if (over) {
+            return;
+        }
+        settle();
+        int turn = 0;
+        while (turn < AT_ONCE) {
+            try {
+                if (piece.hasRemaining()) {
+                    int written = to.write(piece);
+                    if (written == 0) {
+                        await(Waits.SINK);
+                        return;
+                    }
+                    turn += written;
+                    ends.moved();
+                    continue;
+                }
+                if (ended) {
+                    finish();
+                    return;
+                }
+            } catch (IOException e) {
+                end();
+                ends.sinkBroke();
+                return;
+            }
+            if (!fill()) {
+                return;
+            }
+        }
+        from.suspendReads();
+        to.suspendWrites();
+        loop.execute(this::run);
+    }
+
+    /** Reads a piece; false where none has come or the source broke. */
+    private boolean fill() {
+        if (held == null) {
+            held = pool.allocate();
+        }
+        ByteBuffer buffer = held.getBuffer().clear();
+        int read;
+        try {
+            read = from.read(buffer);
+        } catch (IOException | RuntimeException e) {
+            read = -2;
+        }
+        piece = read > 0 ? buffer.flip() : NOTHING;
+        count += Math.max(0, read);
+        given += Math.max(0, read);
+        if (read > 0 && count <= most) {
+            return true;
+        }
+        giveBack();
+        if (read == 0) {
+            try {
+                // What a coder still holds must not wait for the next piece.
+                to.flush();
+            } catch (IOException e) {
+                end();
+                ends.sinkBroke();
+                return false;
+            }
+            await(Waits.SOURCE);
+            return false;
+        }
+        if (read == -1 && ends.wellEnded()) {
+            ended = true;
+            return true;
+        }
+        end();
+        ends.sourceBroke();
+        return false;
+    }
+
+    private void finish() throws IOException {
+        to.shutdownWrites();
+        if (to.flush()) {
+            end();
+            ends.whole();
+        } else {
+            await(Waits.SINK);
+        }
+    }
+
+    private void await(Waits whom) {
+        waits = whom;
+        waitsSince = loop.now();
+        if (whom == Waits.SOURCE) {
+            to.suspendWrites();
+            from.resumeReads();
+        } else {
+            from.suspendReads();
+            to.resumeWrites();
+        }
+    }
+
+    private void settle() {
+        if (waits == Waits.SOURCE) {
+            waited += loop.now() - waitsSince;
+        }
+        waits = Waits.NOBODY;
+    }
+
+    private void look() {
+        if (over) {
+            return;
+        }
+        double since = loop.now() - waitsSince;
+        if (waits == Waits.SINK && since > patience.sink) {
+            end();
+            ends.sinkBroke();
+            return;
+        }
+        double all = waited + (waits == Waits.SOURCE ? since : 0);
+        boolean slow = all > RATE_OVER && given < all * patience.sourceRate;
+        if (waits == Waits.SOURCE && (since > patience.source || slow)) {
+            end();
+            ends.sourceBroke();
+            return;
+        }
+        if (all > RATE_OVER) {
+            waited = 0;
+            given = 0;
+        }
+        loop.after(LOOK_EVERY, this::look);
+    }
+
+    private void end() {
+        over = true;
+        giveBack();
+        from.suspendReads();
+    }
+
+    private void giveBack() {
+        if (held != null) {
+            held.close();
+            held = null;
+            piece = NOTHING;
+        }
+    }
+}
--- a/daemon/src/main/java/portrelay/net/QueryGuard.java
+++ b/daemon/src/main/java/portrelay/net/QueryGuard.java
@@ -36,6 +36,11 @@
         return true;
     }
 
+    /** Whether the head that was read last can be read in more than one way, as with folded lines. */
+    boolean unclear() {
+        return framing.unclear();
+    }
+
     private int readAhead(ByteBuffer to) {
         int count = Math.min(ahead.remaining(), to.remaining());
         to.put(ahead.slice().limit(count));
--- a/daemon/src/main/java/portrelay/net/QueryReader.java
+++ b/daemon/src/main/java/portrelay/net/QueryReader.java
@@ -32,9 +32,10 @@
 
     /**
      * By the header alone, before any of a body is taken in that is too long, or whose end the next in the
-     * row could see elsewhere: that would hide a second query in it.
+     * row could see elsewhere: that would hide a second query in it. Returns the length, -1 where it is not
+     * said.
      */
-    void checkFraming(HttpServerExchange exchange) throws BadQuery {
+    long checkFraming(HttpServerExchange exchange) throws BadQuery {
         HeaderMap headers = exchange.getRequestHeaders();
         String length = one(headers, Headers.CONTENT_LENGTH);
         String coding = one(headers, Headers.TRANSFER_ENCODING);
@@ -42,23 +43,26 @@
             throw new BadQuery(StatusCodes.BAD_REQUEST, Headers.TRANSFER_ENCODING.toString());
         }
         if (length == null) {
-            return;
+            return coding == null ? 0 : -1;
         }
         int bytes = whole(length);
         if (bytes < 0) {
             throw new BadQuery(StatusCodes.BAD_REQUEST, "Content-Length");
         }
-        if (bytes > Call.LONGEST_BODY) {
+        if (bytes > Call.LONGEST) {
             throw tooLong();
         }
+        return bytes;
     }
 
     static BadQuery tooLong() {
-        String why = "body over " + Call.LONGEST_BODY + " bytes";
+        String why = "body over " + Call.LONGEST + " bytes";
         return new BadQuery(StatusCodes.REQUEST_ENTITY_TOO_LARGE, why);
     }
 
-    Asked read(HttpServerExchange exchange, int body, double now, double answerBy) throws BadQuery {
+    /** Once: the body is long and passes through. */
+    Asked read(HttpServerExchange exchange, int body, boolean once, double now, double answerBy)
+            throws BadQuery {
         HeaderMap headers = exchange.getRequestHeaders();
         String id = one(headers, Names.QUERY_ID);
         if (id == null || id.isEmpty() || id.length() > LONGEST_ID) {
@@ -66,7 +70,7 @@
         }
         String word = one(headers, Names.OFFERING);
         OfferingId offering = word == null ? null : settings.offering(word);
-        if (offering == null || !word.equals(firstPart(exchange.getRequestURI()))) {
+        if (offering == null || !word.equals(firstPart(Passing.path(exchange)))) {
             throw new BadQuery(StatusCodes.NOT_FOUND, Names.OFFERING + " or the path names no offering");
         }
         checkMethod(settings.offering(offering), exchange.getRequestMethod(), headers, body);
@@ -85,7 +89,7 @@
         double cutOff = settings.offering(offering).cutOff();
         double most = Math.min(cutOff > 0 ? cutOff : Double.POSITIVE_INFINITY, answerBy - now);
         double wait = Math.max(Math.min(left / 1e3 - WAY_BACK, most), LEAST);
-        return new Asked(new QueryId(id), offering, tenant, null, now + wait, Double.NaN, again);
+        return new Asked(new QueryId(id), offering, tenant, null, now + wait, Double.NaN, again, once);
     }
 
     private static void checkMethod(Offering offering, HttpString method, HeaderMap headers, int body)
--- a/daemon/src/main/java/portrelay/net/Result.java
+++ b/daemon/src/main/java/portrelay/net/Result.java
@@ -1,14 +1,25 @@
 package portrelay.net;
 
 import io.undertow.util.HeaderMap;
+import org.xnio.channels.StreamSinkChannel;
 
 /**
  * How a call ended. Status 0: the connection broke, or what came was no whole answer; then written tells
- * whether the call's last byte had left us.
+ * whether the call's last byte had left us. Rest is null where the body is whole; else it has only begun, and
+ * whoever has this passes the rest on or cancels it.
  */
-record Result(int status, HeaderMap headers, byte[] body, boolean written) {
+record Result(int status, HeaderMap headers, byte[] body, boolean written, Rest rest) {
+
+    /** What is still to come of a long answer. One of these is called, once. */
+    interface Rest {
+
+        /** Writes what has come, and passes on what comes. */
+        void passTo(StreamSinkChannel to, Pump.Ends ends);
+
+        void cancel();
+    }
 
     static Result broken(boolean written) {
-        return new Result(0, new HeaderMap(), Call.NO_BODY, written);
+        return new Result(0, new HeaderMap(), Call.NO_BODY, written, null);
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/portrelay/net/Upload.java
@@ -0,0 +1,100 @@
+package portrelay.net;
+
+import io.undertow.connector.ByteBufferPool;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/** A long body on its way from a client to one upstream; it passes once and is not kept. */
+final class Upload implements Pump.Ends {
+
+    private static final Pump.Patience PATIENCE = new Pump.Patience(2.5, 8 * 1024, 10);
+
+    /** The client's side of it. */
+    interface Listener {
+
+        /** The last byte has come. */
+        void uploaded();
+
+        /** The client has gone, or stopped, or sent more than there may be. */
+        void clientBroke(boolean tooLong);
+    }
+
+    private final Loop loop;
+    private final ByteBufferPool pool;
+    private final StreamSourceChannel from;
+    private final byte[] first;
+    private final long length;
+    private Pump pump;
+    private Listener listener;
+    private Runnable written = () -> { };
+    private Runnable sinkBroke;
+    private boolean whole;
+    private boolean stopped;
+
+    /** Length is -1 where the client does not say; first is what has come already. */
+    Upload(Loop loop, ByteBufferPool pool, StreamSourceChannel from, byte[] first, long length) {
+        this.loop = loop;
+        this.pool = pool;
+        this.from = from;
+        this.first = first;
+        this.length = length;
+    }
+
+    long length() {
+        return length;
+    }
+
+    /** Whether the last byte has left us. */
+    boolean written() {
+        return whole;
+    }
+
+    void listener(Listener to) {
+        listener = to;
+    }
+
+    /** Called once when the last byte has left us. */
+    void onWritten(Runnable then) {
+        written = then;
+    }
+
+    /** Called at most once; broken where the upstream takes no more. */
+    void passTo(StreamSinkChannel to, Runnable broken) {
+        sinkBroke = broken;
+        if (stopped || pump != null) {
+            throw new IllegalStateException("a long body passes once");
+        }
+        pump = new Pump(loop, pool, from, to, first, Call.LONGEST, PATIENCE, this);
+        pump.start();
+    }
+
+    /** The query has its answer: no more of the body is read. */
+    void stop() {
+        stopped = true;
+        if (pump != null) {
+            pump.stop();
+        }
+    }
+
+    @Override
+    public void moved() {
+        // Nobody waits for less than the whole.
+    }
+
+    @Override
+    public void whole() {
+        whole = true;
+        written.run();
+        listener.uploaded();
+    }
+
+    @Override
+    public void sourceBroke() {
+        listener.clientBroke(pump.tooLong());
+    }
+
+    @Override
+    public void sinkBroke() {
+        sinkBroke.run();
+    }
+}
--- a/daemon/src/main/java/portrelay/net/UpstreamActor.java
+++ b/daemon/src/main/java/portrelay/net/UpstreamActor.java
@@ -128,22 +128,30 @@
     private void write(ExecutionId id, Running one, Link link) {
         one.link = link;
         Incoming query = one.query;
-        Call call = Call.of(query.method(), query.target(), query.body());
+        Upload upload = query.upload();
+        Call call = Call.of(query.method(), query.target(), query.body(), upload);
         HeaderMap headers = call.headers();
         Passing.copy(query.headers(), headers);
         long left = (long) Math.max(1, (query.asked().cutOffAt() - loop.now()) * 1e3);
         headers.put(Names.TIME_LEFT_MS, left);
-        if (query.method().equals(Methods.POST)) {
-            headers.put(Headers.CONTENT_LENGTH, query.body().length);
+        if (upload != null && upload.length() < 0) {
+            headers.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+        } else if (query.method().equals(Methods.POST)) {
+            headers.put(Headers.CONTENT_LENGTH, upload == null ? query.body().length : upload.length());
         }
-        link.call(call, Call.LONGEST_ANSWER, result -> mailbox.post(() -> answered(id, one, result)));
+        link.begin(call, result -> mailbox.post(() -> answered(id, one, result)));
     }
 
     private void answered(ExecutionId id, Running one, Result result) {
         if (running.get(id) != one) {
+            if (result.rest() != null) {
+                result.rest().cancel();
+            }
             return;
         }
-        if (one.link.usable()) {
+        if (result.rest() != null) {
+            one.link.onFree(() -> mailbox.post(() -> rest(one, one.link)));
+        } else if (one.link.usable()) {
             rest(one, one.link);
         }
         end(id, one, outcome(result), result);
--- a/daemon/src/main/java/portrelay/net/Warmup.java
+++ b/daemon/src/main/java/portrelay/net/Warmup.java
@@ -138,7 +138,7 @@
         if (!reissuable) {
             headers.put(Headers.CONTENT_LENGTH, BODY.length);
         }
-        client.call(call, Call.LONGEST_BODY, result -> loop.execute(() -> {
+        client.call(call, Call.SHORT, result -> loop.execute(() -> {
             done++;
             answered += result.status() == StatusCodes.OK ? 1 : 0;
             if (done >= QUERIES) {
--- /dev/null
+++ b/daemon/src/test/java/portrelay/net/BodiesNetTest.java
@@ -0,0 +1,361 @@
+package portrelay.net;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static portrelay.net.Town.SILENT;
+import static portrelay.net.Town.answer;
+import static portrelay.net.Town.raw;
+import static portrelay.net.Town.said;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+import portrelay.net.Town.Message;
+import portrelay.net.Town.Script;
+
+/** Long bodies and answers, slow peers, and the forms that HTTP/1.1 has for them. */
+class BodiesNetTest {
+
+    private static final byte[] LONG = new byte[3_000_000];
+
+    static {
+        new SplittableRandom(7).nextBytes(LONG);
+    }
+
+    private static String chunked(byte[] body, int each) {
+        StringBuilder text = new StringBuilder();
+        for (int from = 0; from < body.length; from += each) {
+            int count = Math.min(each, body.length - from);
+            text.append(Integer.toHexString(count)).append(";part=").append(from).append("\r\n")
+                    .append(new String(body, from, count, ISO_8859_1)).append("\r\n");
+        }
+        return text + "0\r\nX-Trailer: t\r\n\r\n";
+    }
+
+    private static byte[] dechunked(InputStream in) throws IOException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        while (true) {
+            String line = line(in);
+            int size = Integer.parseInt(line.split(";")[0].trim(), 16);
+            if (size == 0) {
+                while (!line(in).isEmpty()) {
+                    continue;
+                }
+                return body.toByteArray();
+            }
+            body.write(in.readNBytes(size));
+            assertEquals("", line(in));
+        }
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int c = in.read(); c != '\n'; c = in.read()) {
+            if (c < 0) {
+                throw new IOException("ended");
+            }
+            line.append(c == '\r' ? "" : (char) c);
+        }
+        return line.toString();
+    }
+
+    /** Writes in pieces that fall anywhere. */
+    private static Script pieces(String bytes, int each) {
+        return (message, on) -> {
+            byte[] all = bytes.getBytes(ISO_8859_1);
+            for (int from = 0; from < all.length; from += each) {
+                on.getOutputStream().write(all, from, Math.min(each, all.length - from));
+                on.getOutputStream().flush();
+            }
+        };
+    }
+
+    private static byte[] body(Message head, InputStream in) throws IOException {
+        return head.header("Transfer-Encoding") == null ? head.body() : dechunked(in);
+    }
+
+    @Test
+    void aLongAnswerComesWholeInEveryFraming() throws Exception {
+        String text = new String(LONG, ISO_8859_1);
+        String ok = "HTTP/1.1 200 OK\r\n";
+        List<Script> forms = List.of(
+                said("HTTP/1.1 102 On\r\n\r\n" + ok + "Content-Length: " + LONG.length + "\r\n\r\n" + text),
+                pieces(ok + "Transfer-Encoding: chunked\r\n\r\n" + chunked(LONG, 70_001), 33_333),
+                raw(ok + "Connection: close\r\n\r\n" + text), raw("HTTP/1.0 200 OK\r\n\r\n" + text));
+        for (Script form : forms) {
+            try (Town town = new Town(form)) {
+                Socket client = town.connect();
+                Message got = Town.ask(client, Town.read("a", 900));
+                assertEquals(200, got.status(), "form " + forms.indexOf(form));
+                byte[] body = body(got, client.getInputStream());
+                assertArrayEquals(LONG, body, "form " + forms.indexOf(form));
+                // The connection can be used again.
+                town.upstreams.get(0).script = answer("200 OK", "short");
+                assertEquals(200, Town.ask(client, Town.read("b", 900)).status());
+            }
+        }
+    }
+
+    @Test
+    void aShortAnswerThatEndsWithItsConnectionIsWholeOnlyWhereThatWasSaid() throws Exception {
+        try (Town town = new Town(raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it"))) {
+            assertEquals("all of it", new String(town.ask(Town.read("a", 900)).body(), ISO_8859_1));
+        }
+        try (Town town = new Town(raw("HTTP/1.1 200 OK\r\n\r\nhow much of it"))) {
+            assertEquals(502, town.ask(Town.issue("a", 900)).status());
+        }
+    }
+
+    @Test
+    void aLongAnswerGoesOnPastTheCutOffAsItComes() throws Exception {
+        int pieces = 20;
+        int each = 10_000;
+        Script slow = (message, on) -> {
+            OutputStream out = on.getOutputStream();
+            said("HTTP/1.1 200 OK\r\nContent-Length: " + pieces * each + "\r\n\r\n").play(message, on);
+            for (int i = 0; i < pieces; i++) {
+                out.write(new byte[each]);
+                Thread.sleep(40);
+            }
+        };
+        try (Town town = new Town(slow, slow)) {
+            Socket client = town.connect();
+            long start = System.nanoTime();
+            client.getOutputStream().write(Town.read("a", 300).getBytes(ISO_8859_1));
+            assertEquals('H', client.getInputStream().read());
+            assertTrue(System.nanoTime() - start < 0.25e9, "the first bytes wait");
+            assertEquals("TTP/1.1 200 OK", line(client.getInputStream()));
+            while (!line(client.getInputStream()).isEmpty()) {
+                continue;
+            }
+            assertEquals(pieces * each, client.getInputStream().readNBytes(pieces * each).length);
+            assertTrue(System.nanoTime() - start > 0.7e9);
+            assertEquals(1, town.sent());
+        }
+    }
+
+    @Test
+    void aLongAnswerThatBreaksIsSeenNotToBeWhole() throws Exception {
+        String half = "x".repeat(100_000);
+        List<Script> breaks = List.of(raw("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + half),
+                raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n186a0\r\n" + half + "\r\n"),
+                said("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n186a0\r\n" + half + "\r\nzz\r\n"));
+        for (Script each : breaks) {
+            try (Town town = new Town(each)) {
+                Socket client = town.connect();
+                client.getOutputStream().write(Town.issue("a", 900).getBytes(ISO_8859_1));
+                ByteArrayOutputStream got = new ByteArrayOutputStream();
+                boolean reset = false;
+                try {
+                    client.getInputStream().transferTo(got);
+                } catch (SocketException e) {
+                    reset = true;
+                }
+                String text = got.toString(ISO_8859_1);
+                assertTrue(text.isEmpty() || text.startsWith("HTTP/1.1 200 OK"), text);
+                assertTrue(reset || !text.endsWith("0\r\n\r\n") && got.size() < 200_000);
+            }
+        }
+    }
+
+    @Test
+    void theLoserOfALongAnswerIsCalledOffWhenTheFirstBegins() throws Exception {
+        Script begins = said("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + "x".repeat(70_000));
+        try (Town town = new Town(SILENT, SILENT)) {
+            Socket client = town.connect();
+            client.getOutputStream().write(Town.read("a", 600).getBytes(ISO_8859_1));
+            while (town.sent() < 1) {
+                Thread.onSpinWait();
+            }
+            town.upstreams.get(town.upstreams.get(0).seen.isEmpty() ? 0 : 1).script = begins;
+            assertEquals("HTTP/1.1 200 OK", line(client.getInputStream()));
+            Town.Toy silent = town.upstreams.get(town.upstreams.get(0).script == begins ? 1 : 0);
+            assertTrue(silent.ended.poll(2, TimeUnit.SECONDS) != null, "the other still waits");
+        }
+    }
+
+    @Test
+    void aLongBodyArrivesAsItWasSentOnce() throws Exception {
+        for (boolean chunks : new boolean[] {false, true}) {
+            ByteArrayOutputStream arrived = new ByteArrayOutputStream();
+            Script takes = (message, on) -> {
+                arrived.write(message.header("Transfer-Encoding") == null ? message.body()
+                        : dechunked(on.getInputStream()));
+                answer("200 OK", "u").play(message, on);
+            };
+            try (Town town = new Town(takes)) {
+                Socket client = town.connect();
+                String head = Town.head("POST /issue/x", "id", "issue", 900);
+                String sent = chunks ? head + "Transfer-Encoding: chunked\r\n\r\n" + chunked(LONG, 50_000)
+                        : head + "Content-Length: " + LONG.length + "\r\n\r\n" + new String(LONG, ISO_8859_1);
+                assertEquals(200, Town.ask(client, sent).status());
+                assertArrayEquals(LONG, arrived.toByteArray());
+                assertEquals(1, town.sent());
+                assertEquals(200, Town.ask(client, Town.issue("b", 900)).status());
+            }
+        }
+    }
+
+    @Test
+    void aLongBodyIsContinuedWhenTheClientAsksFirst() throws Exception {
+        try (Town town = new Town(answer("200 OK", "u"))) {
+            Socket client = town.connect();
+            String head = Town.head("POST /issue/x", "id", "issue", 900) + "Expect: 100-continue\r\n"
+                    + "Content-Length: 100000\r\n\r\n";
+            client.getOutputStream().write(head.getBytes(ISO_8859_1));
+            assertEquals("HTTP/1.1 100 Continue", line(client.getInputStream()));
+            while (!line(client.getInputStream()).isEmpty()) {
+                continue;
+            }
+            client.getOutputStream().write(new byte[100_000]);
+            assertEquals(200, Message.read(client.getInputStream()).status());
+            assertNull(town.upstreams.get(0).next().header("Expect"));
+        }
+    }
+
+    @Test
+    void aSlowLongBodyIsNotCutAndItsTimeCountsFromItsLastByte() throws Exception {
+        try (Town town = new Town(answer("200 OK", "u"))) {
+            Socket client = town.connect();
+            String head = Town.head("POST /issue/x", "id", "issue", 300) + "Content-Length: 100000\r\n\r\n";
+            client.getOutputStream().write(head.getBytes(ISO_8859_1));
+            for (int i = 0; i < 10; i++) {
+                Thread.sleep(100);
+                client.getOutputStream().write(new byte[10_000]);
+            }
+            assertEquals(200, Message.read(client.getInputStream()).status());
+        }
+        try (Town town = new Town(SILENT)) {
+            Socket client = town.connect();
+            String head = Town.head("POST /issue/x", "id", "issue", 300) + "Content-Length: 100000\r\n\r\n";
+            client.getOutputStream().write(head.getBytes(ISO_8859_1));
+            client.getOutputStream().write(new byte[100_000]);
+            long start = System.nanoTime();
+            assertEquals(502, Message.read(client.getInputStream()).status());
+            assertTrue(System.nanoTime() - start < 0.5e9, "answered late");
+        }
+    }
+
+    @Test
+    void aLongBodyIsSentOnceThoughItNeverRan() throws Exception {
+        Script full = answer("503 No\r\nX-Never-Ran: 1", "");
+        try (Town town = new Town(full, full)) {
+            Socket client = town.connect();
+            String head = Town.head("POST /issue/x", "id", "issue", 900) + "Content-Length: 100000\r\n\r\n";
+            assertEquals(429, Town.ask(client, head + "x".repeat(100_000)).status());
+            assertEquals(1, town.sent());
+        }
+    }
+
+    @Test
+    void aClientThatStopsInALongBodyEndsAndNothingRuns() throws Exception {
+        try (Town town = new Town(answer("200 OK", "u"))) {
+            Socket client = town.connect();
+            String head = Town.head("POST /issue/x", "id", "issue", 900) + "Content-Length: 100000\r\n\r\n";
+            client.getOutputStream().write((head + "x".repeat(80_000)).getBytes(ISO_8859_1));
+            long start = System.nanoTime();
+            assertEquals(-1, client.getInputStream().read());
+            double took = (System.nanoTime() - start) / 1e9;
+            assertTrue(took > 2 && took < 3.5, "took " + took);
+            assertTrue(town.upstreams.get(0).next().body().length < 100_000, "it has run");
+            assertTrue(town.upstreams.get(0).ended.poll(1, TimeUnit.SECONDS) != null, "waits on");
+        }
+    }
+
+    @Test
+    void aClientThatStopsReadingEndsAndOneThatReadsSlowlyDoesNot() throws Exception {
+        byte[] body = new byte[20_000_000];
+        Script big = (message, on) -> {
+            on.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n")
+                    .getBytes(ISO_8859_1));
+            on.getOutputStream().write(body);
+        };
+        try (Town town = new Town(big)) {
+            Socket slow = town.connect();
+            Socket stuck = town.connect();
+            slow.getOutputStream().write(Town.read("a", 900).getBytes(ISO_8859_1));
+            stuck.getOutputStream().write(Town.read("b", 900).getBytes(ISO_8859_1));
+            long got = 0;
+            byte[] some = new byte[16_384];
+            long start = System.nanoTime();
+            while (System.nanoTime() - start < 6.5e9) {
+                got += Math.max(0, slow.getInputStream().read(some));
+                Thread.sleep(20);
+            }
+            Town.Toy upstream = town.upstreams.get(0);
+            assertTrue(upstream.ended.poll(1, TimeUnit.SECONDS) != null, "still written to one that is stuck");
+            for (int count = 0; count >= 0 && got < body.length; count = slow.getInputStream().read(some)) {
+                got += count;
+            }
+            assertTrue(got >= body.length, "cut after " + got);
+        }
+    }
+
+    @Test
+    void aBodyOverTheLargestIsTurnedAwayAtOnceWhateverSaysSo() throws Exception {
+        AtomicBoolean whole = new AtomicBoolean();
+        try (Town town = new Town((message, on) -> {
+            dechunked(on.getInputStream());
+            whole.set(true);
+        })) {
+            Socket client = town.connect();
+            String head = Town.head("POST /issue/x", "id", "issue", 900);
+            assertEquals(413, Town.ask(client, head + "Content-Length: 60000000\r\n\r\nabc").status());
+            Socket endless = town.connect();
+            endless.getOutputStream()
+                    .write((head + "Transfer-Encoding: chunked\r\n\r\n").getBytes(ISO_8859_1));
+            byte[] chunk = ("10000\r\n" + "x".repeat(65536) + "\r\n").getBytes(ISO_8859_1);
+            long until = System.nanoTime() + 5_000_000_000L;
+            boolean ended = false;
+            try {
+                while (System.nanoTime() < until) {
+                    endless.getOutputStream().write(chunk);
+                }
+            } catch (SocketException e) {
+                ended = true;
+            }
+            assertTrue(ended, "takes it without end");
+            assertTrue(!whole.get(), "it has run");
+        }
+    }
+
+    @Test
+    void aHeadMayTakeTwoSeconds() throws Exception {
+        try (Town town = new Town(answer("200 OK", "u"))) {
+            Socket client = town.connect();
+            byte[] head = Town.read("a", 900).getBytes(ISO_8859_1);
+            for (int i = 0; i < 10; i++) {
+                int from = head.length * i / 10;
+                client.getOutputStream().write(head, from, head.length * (i + 1) / 10 - from);
+                Thread.sleep(i < 9 ? 220 : 0);
+            }
+            assertEquals(200, Message.read(client.getInputStream()).status());
+        }
+    }
+
+    @Test
+    void absoluteFormOldClientsAndRepeatedHeadersPass() throws Exception {
+        try (Town town = new Town(answer("200 OK\r\nX-A: 1\r\nX-A: 2", "u"))) {
+            String absolute = Town.head("GET http://app.svc/read/x?n=%2F", "a", "read", 900);
+            assertEquals(200, town.ask(absolute + "X-B: 1\r\nX-B: 2\r\n\r\n").status());
+            Message sent = town.upstreams.get(0).next();
+            assertEquals("GET /read/x?n=%2F HTTP/1.1", sent.first());
+            assertEquals("2", sent.header("X-B"));
+            Socket old = town.connect();
+            Message got = Town.ask(old, Town.read("b", 900).replace("HTTP/1.1", "HTTP/1.0"));
+            assertEquals(200, got.status());
+            assertEquals(-1, old.getInputStream().read());
+        }
+    }
+}
