A successor warms up for up to 3 s; open at once where nobody else has the address

Checked: 1,000 queries of the warm-up cost 1.9 s of a core, 0.79 of it the compiler's (CITime, 2,265 methods), so 1.5 s at half a core play a quarter of them; one compiler thread, higher thresholds, both compilers and the interpreter alone cost as much or more (2.21, 2.79, 4.65 and 8.87 s against 2.28). To blame: Warmup's 1.5 s for all; Sidecar bound the clients' address after it also where nobody shared the address. Change: Warmup.Length.SUCCESSOR; early open without another process.

--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -140,6 +140,10 @@
         }
     }
 
+    boolean listens() {
+        return door != null;
+    }
+
     InetSocketAddress address() {
         return door.getLocalAddress(InetSocketAddress.class);
     }
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -92,11 +92,16 @@
         if (operators != null) {
             operators.listen(worker, config.mgmt());
         }
+        if (beside != Handover.Beside.SERVING) {
+            // Nobody else has the address: who comes early is served as well as cold code can.
+            open();
+        }
         onLoop(() -> {
             takeOver();
             module.start(list);
             tell();
-            new Warmup(loop, buffers, config).run(this::warm);
+            var length = beside == Handover.Beside.SERVING ? Warmup.Length.SUCCESSOR : Warmup.Length.FIRST;
+            new Warmup(loop, buffers, config, length).run(this::warm);
             return null;
         });
     }
@@ -182,7 +187,7 @@
         XnioWorker worker = worker();
         Loop loop = new Loop(worker.getIoThread(), new Clock());
         CompletableFuture<Integer> answered = new CompletableFuture<>();
-        Warmup warmup = new Warmup(loop, buffers(), config);
+        Warmup warmup = new Warmup(loop, buffers(), config, Warmup.Length.FIRST);
         loop.execute(() -> warmup.run(() -> answered.complete(warmup.answered())));
         boolean well = answered.join() > 0;
         worker.shutdownNow();
@@ -199,14 +204,24 @@
         return new DefaultByteBufferPool(true, BUFFER_SIZE, BUFFERS, 0);
     }
 
-    /** Only now may clients come: what the kernel gives to one that can't serve yet lies there. */
-    private void warm() {
+    private void open() throws IOException {
         try {
             // The listener's own bound stays for good, so it is that of one alone.
             front.listen(worker, config.listen(), config.sockets());
-            lend();
         } catch (IOException e) {
-            ready.completeExceptionally(new IOException("listen: " + e.getMessage(), e));
+            throw new IOException("listen: " + e.getMessage(), e);
+        }
+        loop.execute(this::lend);
+    }
+
+    private void warm() {
+        try {
+            if (!front.listens()) {
+                // Only now: of clients that come to an address of two, one that can't serve yet must get none.
+                open();
+            }
+        } catch (IOException e) {
+            ready.completeExceptionally(e);
             return;
         }
         if (handover == null) {
--- a/daemon/src/main/java/portrelay/net/Warmup.java
+++ b/daemon/src/main/java/portrelay/net/Warmup.java
@@ -42,16 +42,22 @@
  */
 final class Warmup {
 
-    private static final int QUERIES = 1000;
+    /** How long it may go on: clients wait for a first process, a successor's have another meanwhile. */
+    record Length(int queries, double seconds) {
+
+        static final Length FIRST = new Length(1000, 1.5);
+        static final Length SUCCESSOR = new Length(6000, 3);
+    }
+
     private static final int CLIENTS = 2;
     private static final int UPSTREAMS = 3;
     private static final int CONNECTIONS = 100;
-    private static final double LONGEST = 1.5;
     private static final byte[] BODY = new byte[256];
     private static final InetSocketAddress NOWHERE =
             new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
 
     private final Loop loop;
+    private final Length length;
     private final Settings settings;
     private final String tenant;
     private final Front front;
@@ -65,8 +71,9 @@
     private int done;
     private int answered;
 
-    Warmup(Loop loop, ByteBufferPool buffers, Config config) {
+    Warmup(Loop loop, ByteBufferPool buffers, Config config, Length length) {
         this.loop = loop;
+        this.length = length;
         this.settings = config.settings();
         this.tenant = settings.anyTenant();
         this.offerings = settings.offerings();
@@ -107,7 +114,7 @@
                 ask(client);
             }, this::end);
         }
-        loop.after(LONGEST, this::end);
+        loop.after(length.seconds, this::end);
     }
 
     /** How many queries were handled. */
@@ -116,7 +123,7 @@
     }
 
     private void ask(Link client) {
-        if (then == null || asked >= QUERIES) {
+        if (then == null || asked >= length.queries) {
             return;
         }
         Offering offering = offerings.get(asked % offerings.size());
@@ -141,7 +148,7 @@
         client.call(call, Call.SHORT, result -> loop.execute(() -> {
             done++;
             answered += result.status() == StatusCodes.OK ? 1 : 0;
-            if (done >= QUERIES) {
+            if (done >= length.queries) {
                 end();
             } else {
                 ask(client);
--- a/daemon/src/test/java/portrelay/net/HandoverNetTest.java
+++ b/daemon/src/test/java/portrelay/net/HandoverNetTest.java
@@ -18,6 +18,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -57,9 +58,13 @@
     }
 
     private Sidecar start(String listen, OutputStream log) throws Exception {
+        return start(listen, log, 512);
+    }
+
+    private Sidecar start(String listen, OutputStream log, int sockets) throws Exception {
         String list = "{\"seq\":7,\"whole\":true,\"hosts\":["
                 + Town.host("s-0", first.address(), "SERVING") + "," + Town.host("s-1", second.address(), "SERVING") + "]}";
-        String json = Town.config(discovery.address(), list, 512).replace("\"listen\":\"127.0.0.1:0\"",
+        String json = Town.config(discovery.address(), list, sockets).replace("\"listen\":\"127.0.0.1:0\"",
                 "\"listen\":\"" + listen + "\"");
         return Sidecar.start(Config.parse(json.getBytes(UTF_8)), new PrintStream(log), dir);
     }
@@ -271,6 +276,34 @@
         old.close();
     }
 
+    /** idukki-maps upgrade+hand: what was halved at the successor's start stayed halved, and clients queued. */
+    @Test
+    void onceAloneASuccessorHasRoomForAllClientsAgain() throws Exception {
+        OutputStream none = OutputStream.nullOutputStream();
+        Sidecar old = start("127.0.0.1:0", none, 128);
+        Sidecar next = start(at(old), none, 128);
+        old.drain();
+        old.close();
+        Thread.sleep(400);
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            Socket one = new Socket(next.address().getAddress(), next.address().getPort());
+            one.setSoTimeout(1500);
+            clients.add(one);
+        }
+        for (int i = 0; i < clients.size(); i++) {
+            clients.get(i).getOutputStream().write(Town.read("a" + i, 900).getBytes(ISO_8859_1));
+        }
+        for (Socket each : clients) {
+            assertTrue(Message.read(each.getInputStream()).status() > 0);
+            assertTrue(!each.isClosed());
+        }
+        for (Socket each : clients) {
+            each.close();
+        }
+        next.close();
+    }
+
     @Test
     void aFolderThatIsNotThereIsSaidAndNothingElseFails() throws Exception {
         ByteArrayOutputStream log = new ByteArrayOutputStream();
