--- a/core/src/test/java/portrelay/policy/BanTest.java
+++ b/core/src/test/java/portrelay/policy/BanTest.java
@@ -98,7 +98,8 @@
             rig.sent.subList(rig.sent.size() - 1, rig.sent.size()).forEach(s -> rig.end(s, Outcome.HANDLED));
             rig.pass(0.006);
         }
-        long there = rig.sent.subList(before, rig.sent.size()).stream().filter(s -> s.at().equals(OUT)).count();
+        long there =
+                rig.sent.subList(before, rig.sent.size()).stream().filter(s -> s.at().equals(OUT)).count();
         assertTrue(there >= 1 && there < queries / 4, "sent there: " + there);
         // Not only by the trial that one passed over gets: past the settling it has its part.
         rig.pass(1);
--- a/core/src/test/java/portrelay/policy/FailuresTest.java
+++ b/core/src/test/java/portrelay/policy/FailuresTest.java
@@ -243,7 +243,7 @@
         }
     }
 
-    /** A long body passes through and is gone: no copy, no second try, and no time of it is the upstream's. */
+    /** A long body passes through and is gone: no copy, no second try, no time of it the upstream's. */
     @Test
     void whatCanBeSentOnceIsSentOnceAndTeachesNothing() {
         Rig rig = new Rig(8);
--- a/daemon/src/main/java/portrelay/net/Config.java
+++ b/daemon/src/main/java/portrelay/net/Config.java
@@ -31,17 +31,19 @@
             ListPage.read(known);
         }
         return new Config(root.text(Names.NAME), address(root, Names.LISTEN), address(root, Names.DISCOVERY),
-                root.has(Names.MGMT) ? address(root, Names.MGMT) : null, seed(root), (int) sockets, known, new Settings(root.section(Names.SETTINGS)),
+                root.has(Names.MGMT) ? address(root, Names.MGMT) : null, seed(root), (int) sockets,
+                known, new Settings(root.section(Names.SETTINGS)),
                 root.has(Names.DOOR) ? DoorSettings.read(root.section(Names.DOOR)) : DoorSettings.USUAL);
     }
 
     /** With the door as a file of its own sets it: one object with the fields of the section. */
     public Config withDoor(byte[] json) throws BadSetting {
         Fields fields = Fields.of(tree(json), Names.DOOR);
-        return new Config(name, listen, discovery, mgmt, seed, sockets, known, settings, DoorSettings.read(fields));
+        return new Config(name, listen, discovery, mgmt, seed, sockets, known, settings,
+                DoorSettings.read(fields));
     }
 
-    /** With the operators' door where the text says: it is told to one process, the file perhaps to several. */
+    /** With the operators' door where the text says: that is told to one process, the file to several. */
     public Config withMgmt(String text) throws BadSetting {
         InetSocketAddress at = Addresses.parse(text);
         if (at == null) {
--- a/daemon/src/main/java/portrelay/net/Handover.java
+++ b/daemon/src/main/java/portrelay/net/Handover.java
@@ -55,7 +55,7 @@
         void beside(Beside now);
     }
 
-    /** STARTING: only one that is to be a successor and does not serve yet. SERVING: one that serves, or did. */
+    /** STARTING: only a successor that does not serve yet. SERVING: one that serves, or did. */
     enum Beside { NOBODY, STARTING, SERVING }
 
     private final Path dir;
--- a/daemon/src/main/java/portrelay/net/Link.java
+++ b/daemon/src/main/java/portrelay/net/Link.java
@@ -199,7 +199,8 @@
         }
 
         private Result result(Result.Rest rest) {
-            return new Result(head.getResponseCode(), head.getResponseHeaders(), body.toByteArray(), true, rest);
+            HeaderMap headers = head.getResponseHeaders();
+            return new Result(head.getResponseCode(), headers, body.toByteArray(), true, rest);
         }
 
         private void write(StreamSinkChannel to) {
--- a/daemon/src/main/java/portrelay/net/ListActor.java
+++ b/daemon/src/main/java/portrelay/net/ListActor.java
@@ -135,7 +135,8 @@
 
     private void ask(Link to) {
         String target = version == NO_VERSION ? Names.LIST
-                : Names.LIST + "?" + Names.AFTER + "=" + version + "&" + Names.WAIT_MS + "=" + (long) (WAIT * 1e3);
+                : Names.LIST + "?" + Names.AFTER + "=" + version + "&"
+                        + Names.WAIT_MS + "=" + (long) (WAIT * 1e3);
         Call call = Call.of(Methods.GET, target, Call.NO_BODY);
         call.headers().put(Headers.HOST, Addresses.text(discovery));
         to.call(call, LONGEST_LIST, result -> mailbox.post(() -> answered(to, result)));
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -217,7 +217,7 @@
     private void warm() {
         try {
             if (!front.listens()) {
-                // Only now: of clients that come to an address of two, one that can't serve yet must get none.
+                // Only now: of clients that come to two, one that can't serve yet must get none.
                 open();
             }
         } catch (IOException e) {
--- a/daemon/src/test/java/portrelay/net/BodiesNetTest.java
+++ b/daemon/src/test/java/portrelay/net/BodiesNetTest.java
@@ -294,7 +294,7 @@
                 Thread.sleep(20);
             }
             Town.Toy upstream = town.upstreams.get(0);
-            assertTrue(upstream.ended.poll(1, TimeUnit.SECONDS) != null, "still written to one that is stuck");
+            assertTrue(upstream.ended.poll(1, TimeUnit.SECONDS) != null, "still written to");
             for (int count = 0; count >= 0 && got < body.length; count = slow.getInputStream().read(some)) {
                 got += count;
             }
--- a/daemon/src/test/java/portrelay/net/HandoverNetTest.java
+++ b/daemon/src/test/java/portrelay/net/HandoverNetTest.java
@@ -63,7 +63,8 @@
 
     private Sidecar start(String listen, OutputStream log, int sockets) throws Exception {
         String list = "{\"seq\":7,\"whole\":true,\"hosts\":["
-                + Town.host("s-0", first.address(), "SERVING") + "," + Town.host("s-1", second.address(), "SERVING") + "]}";
+                + Town.host("s-0", first.address(), "SERVING") + ","
+                + Town.host("s-1", second.address(), "SERVING") + "]}";
         String json = Town.config(discovery.address(), list, sockets).replace("\"listen\":\"127.0.0.1:0\"",
                 "\"listen\":\"" + listen + "\"");
         return Sidecar.start(Config.parse(json.getBytes(UTF_8)), new PrintStream(log), dir);
@@ -295,7 +296,7 @@
         old.close();
     }
 
-    /** idukki-maps upgrade+hand: what was halved at the successor's start stayed halved, and clients queued. */
+    /** idukki-maps upgrade+hand: what was halved at the start stayed halved, and clients queued. */
     @Test
     void onceAloneASuccessorHasRoomForAllClientsAgain() throws Exception {
         OutputStream none = OutputStream.nullOutputStream();
--- a/daemon/src/test/java/portrelay/net/OperatorsNetTest.java
+++ b/daemon/src/test/java/portrelay/net/OperatorsNetTest.java
@@ -17,6 +17,7 @@
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import portrelay.net.Town.Message;
 import portrelay.settings.BadSetting;
@@ -54,7 +55,8 @@
     void aBodyIsNotWaitedForAndItsLateBytesDoNotResetTheAnswer() throws Exception {
         try (Town town = new Town(answer("200 OK", "u"))) {
             Socket caller = town.call();
-            String head = "PUT /control/out-of-service HTTP/1.1\r\nHost: a\r\nContent-Length: 50000000\r\n\r\n";
+            String head = "PUT /control/out-of-service HTTP/1.1\r\nHost: a\r\n"
+                    + "Content-Length: 50000000\r\n\r\n";
             caller.getOutputStream().write(head.getBytes(ISO_8859_1));
             Thread.sleep(20);
             caller.getOutputStream().write(new byte[100]);
@@ -107,7 +109,7 @@
             town.discovery.next();
             assertEquals(200, town.call("PUT /control/upstreams/s-0/offline").status());
             // What rested there is closed at once, though an upstream would still keep it.
-            assertTrue(town.upstreams.get(0).ended.poll(900, java.util.concurrent.TimeUnit.MILLISECONDS) != null);
+            assertTrue(town.upstreams.get(0).ended.poll(900, TimeUnit.MILLISECONDS) != null);
             town.upstreams.get(0).seen.clear();
             String list = "{\"seq\":8,\"whole\":true,\"hosts\":[" + town.host(0, "SERVING") + ","
                     + town.host(1, "SERVING") + "]}";
@@ -233,7 +235,8 @@
     void aBadOrTakenAddressOfTheDoorIsNamed() throws Exception {
         String good = Town.config("127.0.0.1:1", "{\"seq\":1,\"hosts\":[]}", 64);
         String bad = good.replace("\"mgmt\":\"127.0.0.1:0\"", "\"mgmt\":\"here:1\"");
-        String named = assertThrows(BadSetting.class, () -> Config.parse(bad.getBytes(ISO_8859_1))).getMessage();
+        byte[] json = bad.getBytes(ISO_8859_1);
+        String named = assertThrows(BadSetting.class, () -> Config.parse(json)).getMessage();
         assertTrue(named.startsWith("mgmt:"), named);
         Config config = Config.parse(good.getBytes(ISO_8859_1));
         named = assertThrows(BadSetting.class, () -> config.withMgmt("there")).getMessage();
