--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -129,7 +129,6 @@
             continue;
         }
         closeDoor();
-        clients.closeQuiet(JUST_COME);
         sendRestAway();
     }
 
--- a/daemon/src/test/java/portrelay/net/HandoverNetTest.java
+++ b/daemon/src/test/java/portrelay/net/HandoverNetTest.java
@@ -97,6 +97,18 @@
         }
     }
 
+    /** Of twenty in a row the kernel gives each process some. */
+    private static void awaitAll(String what, Sidecar at, int status) throws Exception {
+        await(what, () -> {
+            for (int i = 0; i < 20; i++) {
+                if (say(at.address(), Town.read("n" + System.nanoTime(), 900)).status() != status) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+
     private static boolean inService(Sidecar sidecar) throws Exception {
         return say(sidecar.address(), "GET /up HTTP/1.1\r\nHost: a\r\n\r\n").status() == 200;
     }
@@ -191,23 +203,9 @@
             return true;
         });
         assertEquals(200, call(old, "PUT /control/upstreams/s-1/offline"));
-        await("with both out at both every query is denied", () -> {
-            for (int i = 0; i < 20; i++) {
-                if (say(next.address(), Town.read("n" + System.nanoTime(), 900)).status() != 429) {
-                    return false;
-                }
-            }
-            return true;
-        });
+        awaitAll("with both out at both every query is denied", next, 429);
         assertEquals(200, call(next, "PUT /control/upstreams/s-1/online"));
-        await("and served again at both", () -> {
-            for (int i = 0; i < 20; i++) {
-                if (say(next.address(), Town.read("m" + System.nanoTime(), 900)).status() != 200) {
-                    return false;
-                }
-            }
-            return true;
-        });
+        awaitAll("and served again at both", next, 200);
         first.seen.clear();
         old.drain();
         old.close();
--- a/daemon/src/test/java/portrelay/net/NetTest.java
+++ b/daemon/src/test/java/portrelay/net/NetTest.java
@@ -143,7 +143,8 @@
         String other = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
         List<String> besides = List.of(good + other, chunked + other, good + "noise", chunked + "\r\n",
                 "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: a\r\n\r\n" + good,
-                good.replace("Content-Length", "Endpoint-Load-Metrics: \u0000\u0001{\u00ff=;;\r\nContent-Length"));
+                good.replace("Content-Length",
+                        "Endpoint-Load-Metrics: \u0000\u0001{\u00ff=;;\r\nContent-Length"));
         for (String each : besides) {
             try (Town town = new Town(said(each))) {
                 for (int i = 0; i < 5; i++) {
