A sidecar that cannot listen gives its lock in the folder back

Seen in review: the constructor threw with the handover's lock held. To blame: Sidecar, listen and open after Handover.open. Change: it closes first.

--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -89,12 +89,18 @@
         longestCutOff = settings.offerings().stream().mapToDouble(Offering::cutOff).max().orElse(0);
         operators = config.mgmt() == null ? null
                 : new Operators(loop, buffers, log, Math.max(1, calls()), list, module, front, handover);
-        if (operators != null) {
-            operators.listen(worker, config.mgmt());
-        }
-        if (beside != Handover.Beside.SERVING) {
-            // Nobody else has the address: who comes early is served as well as cold code can.
-            open();
+        try {
+            if (operators != null) {
+                operators.listen(worker, config.mgmt());
+            }
+            if (beside != Handover.Beside.SERVING) {
+                // Nobody else has the address: who comes early is served as well as cold code can.
+                open();
+            }
+        } catch (IOException e) {
+            // Else the lock in the folder stays with the JVM and the next one takes us for one that serves.
+            close();
+            throw e;
         }
         onLoop(() -> {
             takeOver();
--- a/daemon/src/test/java/portrelay/net/HandoverNetTest.java
+++ b/daemon/src/test/java/portrelay/net/HandoverNetTest.java
@@ -322,6 +322,16 @@
         next.close();
     }
 
+    @Test
+    void oneThatCannotListenLeavesNothingThatLooksAlive() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            assertThrows(IOException.class, () -> start("127.0.0.1:" + taken.getLocalPort()));
+        }
+        ByteArrayOutputStream log = new ByteArrayOutputStream();
+        start("127.0.0.1:0", log).close();
+        assertFalse(log.toString(ISO_8859_1).contains("beside this one"), log.toString(ISO_8859_1));
+    }
+
     @Test
     void aFolderThatIsNotThereIsSaidAndNothingElseFails() throws Exception {
         ByteArrayOutputStream log = new ByteArrayOutputStream();
