The warm-up plays as the only sidecar, so a large fleet no longer denies its queries

In n0's log all but one of the warm-up's 16 queries were denied: 1.658 DENY t=1796158872.348 q=QueryId[value=warm-up-1] arr=1796158872.1785 n=0 size=0.13 in=1 free=-Infinity 1.938 DENY t=1796158872.576 q=QueryId[value=warm-up-4] arr=1796158872.4466 n=0 size=0.26 in=0 free=1.437 Cause: Warmup starts its module with the fleet's settings, and TotalLimit.start gives each of 60 sidecars 2.5 x 3 / 60 = 0.125 of an execution at the warm-up's three upstreams. Lines at fault: Warmup's constructor, Settings.start. Change: Settings.startAlone, the same decisions with one sidecar.

--- a/core/src/main/java/portrelay/model/Site.java
+++ b/core/src/main/java/portrelay/model/Site.java
@@ -27,4 +27,9 @@
     public Site withoutTalk() {
         return new Site(me, sidecars, zone, weights, reports, false, false);
     }
+
+    /** The same place with no other sidecar. */
+    public Site alone() {
+        return new Site(0, 1, zone, weights, reports, peers, probes);
+    }
 }
--- a/core/src/main/java/portrelay/settings/Settings.java
+++ b/core/src/main/java/portrelay/settings/Settings.java
@@ -89,6 +89,14 @@
         return start(effects, seed, true, site.withoutTalk());
     }
 
+    /**
+     * As if it were the only sidecar. Guards the warm-up: by its part of a fleet of a hundred sidecars and the
+     * warm-up's few upstreams it may hold a tenth of an execution, and denies nearly all.
+     */
+    public Decide startAlone(Effects effects, long seed) {
+        return start(effects, seed, true, site.withoutTalk().alone());
+    }
+
     private Decide start(Effects effects, long seed, boolean askList, Site at) {
         ListRule list = new ListRule(askList, askWithin);
         return new Decide(effects, seed, new Deployment(offerings, tenants, permits, cold, list, at));
--- a/daemon/src/main/java/portrelay/net/ModuleActor.java
+++ b/daemon/src/main/java/portrelay/net/ModuleActor.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import org.xnio.XnioExecutor;
 import portrelay.model.Effects;
 import portrelay.model.ListNews;
@@ -13,7 +14,6 @@
 import portrelay.model.QueryId;
 import portrelay.model.UpstreamId;
 import portrelay.policy.Decide;
-import portrelay.settings.Settings;
 
 /**
  * Drives the decisions: owns the module, its alarms and the queries that are open. Decides nothing itself.
@@ -46,11 +46,12 @@
     private Watch watch;
     private Runnable moved = () -> { };
 
-    ModuleActor(Loop loop, Log log, Settings settings, long seed) {
+    /** The module is made with this as what carries out its decisions. */
+    ModuleActor(Loop loop, Log log, Function<Effects, Decide> module) {
         this.loop = loop;
         this.log = log;
         this.mailbox = new Mailbox(loop, log);
-        this.decide = settings.startOnSockets(this, seed);
+        this.decide = module.apply(this);
     }
 
     void start(Watch watch) {
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -77,7 +77,7 @@
         beside = handover == null ? Handover.Beside.NOBODY : handover.beside();
         toUpstreams = new Dialer(loop, buffers, connections() / 2, open -> lend());
         Dialer toDiscovery = new Dialer(loop, buffers, 2, open -> { });
-        module = new ModuleActor(loop, log, settings, config.seed());
+        module = new ModuleActor(loop, log, to -> settings.startOnSockets(to, config.seed()));
         double idle = IDLE_SHARE * (settings.connectionIdle() > 0 ? settings.connectionIdle() : DEFAULT_IDLE);
         list = new ListActor(loop, log, toDiscovery, config.discovery(), module,
                 at -> new UpstreamActor(loop, log, toUpstreams, module, settings.dialWithin(), idle, at));
--- a/daemon/src/main/java/portrelay/net/Warmup.java
+++ b/daemon/src/main/java/portrelay/net/Warmup.java
@@ -78,7 +78,7 @@
         this.tenant = settings.anyTenant();
         this.offerings = settings.offerings();
         Log quiet = new Log(new PrintStream(OutputStream.nullOutputStream()), config.name());
-        module = new ModuleActor(loop, quiet, settings, config.seed());
+        module = new ModuleActor(loop, quiet, to -> settings.startAlone(to, config.seed()));
         front = new Front(loop, quiet, buffers, new QueryReader(settings),
                 new DoorActor(loop, quiet, settings, DoorSettings.USUAL, module, config.seed()),
                 RoomSettings.USUAL, new DoorCounts());
@@ -117,6 +117,11 @@
         loop.after(length.seconds, this::end);
     }
 
+    /** How many queries had their answer, whatever it was. */
+    int done() {
+        return done;
+    }
+
     /** How many queries were handled. */
     int answered() {
         return answered;
--- /dev/null
+++ b/daemon/src/test/java/portrelay/net/WarmupTest.java
@@ -0,0 +1,38 @@
+package portrelay.net;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+class WarmupTest {
+
+    private static final int QUERIES = 60;
+
+    /** In a fleet of a hundred the warm-up's module denied all but two of its queries and warmed nothing. */
+    @Test
+    void inALargeFleetTheWarmUpsQueriesAreHandled() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        try {
+            Loop loop = new Loop(worker.getIoThread(), new Clock());
+            String config = Town.config("127.0.0.1:1", "{\"seq\":1,\"hosts\":[]}", 1024)
+                    .replace("\"siblings\":1", "\"siblings\":100");
+            Warmup warmup = new Warmup(loop, new DefaultByteBufferPool(true, 16384),
+                    Config.parse(config.getBytes(UTF_8)), new Warmup.Length(QUERIES, 60));
+            CompletableFuture<Integer> handled = new CompletableFuture<>();
+            loop.execute(() -> warmup.run(() -> handled.complete(warmup.answered())));
+            assertTrue(handled.get(60, TimeUnit.SECONDS) > 0);
+            assertEquals(warmup.done(), warmup.answered());
+        } finally {
+            worker.shutdownNow();
+        }
+    }
+}
