Three signs name an upstream in messages, and one datagram tells all where all share it

Upstreams 16/34, 21/39 and 8/26 share a code: Part.at finds the first, which gets the words on both; the other one looks idle to everybody and is filled by all. Ruled out: pick collisions within the messages' delay (spread stays under 2.2 of the mean once codes differ), loss (none in that play). Change: three signs, 729,000 codes, one byte a message. Where an upstream's sharers are all there are, one datagram to peers_all takes the place of one to each (Gossip.tell); what comes back of our own is not counted again.

--- a/core/src/main/java/portrelay/gossip/Gossip.java
+++ b/core/src/main/java/portrelay/gossip/Gossip.java
@@ -22,10 +22,12 @@
 
     /**
      * Where each upstream's sharers are drawn by lot everyone else has other upstreams, so they are told apart by
-     * a code of their id, that nobody has to agree on: a number below this.
+     * a code of their id, that nobody has to agree on. There are so many, since two of one code harm: what is
+     * said of either is heard of one, so the other one looks idle to all and is filled by all (8,100 codes left
+     * two and a half pairs among 200 upstreams, 729,000 one in 37 times).
      */
     public static int codeOf(UpstreamId id) {
-        return (int) Math.floorMod(id.value() * 0x9E3779B97F4A7C15L >>> 20, (long) LOT_CODES * LOT_CODES);
+        return (int) Math.floorMod(id.value() * 0x9E3779B97F4A7C15L >>> 20, (long) Math.pow(LOT_CODES, LOT_SIGNS));
     }
 
     /** What is said of an execution; LOST is said of a rested connection. */
@@ -39,6 +41,7 @@
 
     private static final int OF_EXECUTIONS = Word.LOST.ordinal();
     private static final int LOT_CODES = 90;
+    private static final int LOT_SIGNS = 3;
     private static final char FIRST_CODE = '!';
     private static final int ZONE_CODES = 90;
     private static final char OF_THE_PART = '~';
@@ -161,11 +164,18 @@
      * the offering usually takes, for each that was in flight there when it began, itself among them.
      */
     public void tell(Word word, int code, double took, List<Integer> to) {
-        String text = "" + (char) (FIRST_CODE + word.ordinal()) + (char) (FIRST_CODE + code / LOT_CODES)
-                + (char) (FIRST_CODE + code % LOT_CODES);
+        String text = "" + (char) (FIRST_CODE + word.ordinal());
+        for (int i = 0, left = code; i < LOT_SIGNS; i++, left /= LOT_CODES) {
+            text += (char) (FIRST_CODE + left % LOT_CODES);
+        }
         if (word != Word.BEGUN) {
             text += step(Math.log(took));
         }
+        if (to.size() == site.sidecars()) {
+            // One datagram where all share it, not one for each of the others.
+            out.tellAll(text);
+            return;
+        }
         for (int each : to) {
             if (each != site.me()) {
                 out.tell(each, text);
@@ -215,6 +225,10 @@
 
     /** Null for what is no news of an execution or a connection. */
     public News heard(int from, String text, double now) {
+        if (from == site.me()) {
+            // What was told to all may come back to its sender, who has counted it already.
+            return null;
+        }
         heardAt = now;
         if (site.byLot()) {
             return ofOneByLot(text);
@@ -235,13 +249,16 @@
     }
 
     private static News ofOneByLot(String text) {
-        int word = text.length() < 3 ? -1 : text.charAt(0) - FIRST_CODE;
+        int word = text.length() <= LOT_SIGNS ? -1 : text.charAt(0) - FIRST_CODE;
         boolean begun = word == Word.BEGUN.ordinal();
-        if (word < 0 || word >= OF_EXECUTIONS || text.length() != (begun ? 3 : 4)) {
+        if (word < 0 || word >= OF_EXECUTIONS || text.length() != LOT_SIGNS + (begun ? 1 : 2)) {
             return null;
         }
-        int code = (text.charAt(1) - FIRST_CODE) * LOT_CODES + text.charAt(2) - FIRST_CODE;
-        return new News(Word.values()[word], code, -1, begun ? 0 : ofStep(text.charAt(3)));
+        int code = 0;
+        for (int i = LOT_SIGNS; i > 0; i--) {
+            code = code * LOT_CODES + text.charAt(i) - FIRST_CODE;
+        }
+        return new News(Word.values()[word], code, -1, begun ? 0 : ofStep(text.charAt(LOT_SIGNS + 1)));
     }
 
     private void ofWhoIsWhere(int from, String text, double now) {
--- /dev/null
+++ b/core/src/test/java/portrelay/policy/Fleet.java
@@ -0,0 +1,250 @@
+package portrelay.policy;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import portrelay.model.ListNews;
+import portrelay.model.Listed;
+import portrelay.model.Outcome;
+import portrelay.model.QueryId;
+import portrelay.model.Site;
+import portrelay.model.UpstreamId;
+
+/**
+ * Many modules in virtual time with messages that are late or lost, before upstreams of a few cores each. All
+ * chance comes from one seed. A helper of tests: it knows what each of them asks for and no more.
+ */
+final class Fleet {
+
+    private static final double STEP = 0.005;
+    private static final double BUDGET = 2;
+    private static final int CORES = 3;
+    private static final double WORK = 0.05;
+
+    /** Something that happens at a time, the earlier asked for the first where times are equal. */
+    private record Due(double time, long order, Runnable what) { }
+
+    /** One upstream: so many cores, a queue before them, and what all sidecars sent it. */
+    final class Machine {
+        final UpstreamId id;
+        private final double[] free = new double[CORES];
+        boolean silent;
+        double since;
+        int sent;
+        /** When each query came, since the start of the present process. */
+        final List<Double> arrivals = new ArrayList<>();
+
+        Machine(int id) {
+            this.id = new UpstreamId(id);
+        }
+
+        /** When the query that comes now is done; later than any budget where nothing answers. */
+        private double takes() {
+            sent++;
+            arrivals.add(now);
+            int core = 0;
+            for (int i = 1; i < CORES; i++) {
+                core = free[i] < free[core] ? i : core;
+            }
+            double work = -WORK * Math.log(1 - chance.nextDouble());
+            free[core] = Math.max(now, free[core]) + work;
+            return silent ? Double.POSITIVE_INFINITY : free[core];
+        }
+
+        void restarts(boolean cold) {
+            silent = false;
+            since = cold ? now : 0;
+            arrivals.clear();
+            Arrays.fill(free, now);
+        }
+
+        Listed row(Listed.Health health) {
+            return Rig.row((int) id.value(), health, since);
+        }
+
+        /** The most that came within so many seconds, from the start on. */
+        int mostWithin(double seconds) {
+            int most = 0;
+            for (int i = 0, from = 0; i < arrivals.size(); i++) {
+                while (arrivals.get(from) < arrivals.get(i) - seconds) {
+                    from++;
+                }
+                most = Math.max(most, i - from + 1);
+            }
+            return most;
+        }
+    }
+
+    final List<Rig> sidecars = new ArrayList<>();
+    final Map<UpstreamId, Machine> machines = new HashMap<>();
+    final SplittableRandom chance;
+    private final PriorityQueue<Due> dues = new PriorityQueue<>(
+            (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
+    private final Map<Rig, Set<QueryId>> open = new HashMap<>();
+    private long order;
+    private int asked;
+    double now = 100;
+    double loss;
+    double doubled;
+    double slowest = 0.01;
+    int handled;
+    int copies;
+
+    Fleet(long seed, int size, int upstreams) {
+        chance = new SplittableRandom(seed);
+        for (int i = 0; i < upstreams; i++) {
+            add(i);
+        }
+        for (int i = 0; i < size; i++) {
+            sidecars.add(new Rig(seed * 1000 + i,
+                    new Site(i, size, null, Site.Weights.NOMINAL, Site.Reports.SILENT, true, false)));
+            open.put(sidecars.get(i), new HashSet<>());
+        }
+    }
+
+    Machine add(int id) {
+        Machine m = new Machine(id);
+        machines.put(m.id, m);
+        return m;
+    }
+
+    /** All hear the whole list now. */
+    void listed() {
+        sidecars.forEach(this::listed);
+    }
+
+    void listed(Rig rig) {
+        rig.now = now;
+        rig.decide.list(now, ListNews.WHOLE,
+                machines.values().stream().map(m -> m.row(Listed.Health.READY)).toList());
+    }
+
+    /** Killed and started again under its number; what it had begun breaks off unseen. */
+    void restart(int sidecar) {
+        Rig rig = sidecars.get(sidecar);
+        rig.sent.clear();
+        rig.calledOff.clear();
+        rig.told.clear();
+        open.get(rig).clear();
+        rig.now = now;
+        rig.restart(chance.nextLong());
+        listed(rig);
+    }
+
+    /** Plays so many seconds with so many queries a second at each sidecar, all reissuable. */
+    void play(double seconds, double rate) {
+        play(seconds, rate, Rig.REISSUABLE);
+    }
+
+    void play(double seconds, double rate, int offering) {
+        for (double until = now + seconds; now < until; now += STEP) {
+            for (Due due = next(); due != null; due = next()) {
+                due.what.run();
+            }
+            for (int i = 0; i < sidecars.size(); i++) {
+                Rig rig = sidecars.get(i);
+                rig.pass(now - rig.now);
+                if (chance.nextDouble() < rate * STEP) {
+                    QueryId id = rig.ask("q" + asked++, offering, BUDGET);
+                    open.get(rig).add(id);
+                }
+                carryOut(i);
+            }
+        }
+    }
+
+    private Due next() {
+        return !dues.isEmpty() && dues.peek().time <= now ? dues.poll() : null;
+    }
+
+    private void at(double time, Runnable what) {
+        dues.add(new Due(time, order++, what));
+    }
+
+    private void carryOut(int i) {
+        Rig rig = sidecars.get(i);
+        for (Rig.Sent s : List.copyOf(rig.sent)) {
+            copies += s.index() > 0 ? 1 : 0;
+            double end = Math.min(machines.get(s.at()).takes(), now + BUDGET);
+            boolean answered = end < now + BUDGET;
+            at(end, () -> {
+                if (rig.executions.containsKey(s.query())) {
+                    ends(rig, i, s, answered ? Outcome.HANDLED : Outcome.TIMED_OUT);
+                }
+            });
+        }
+        rig.sent.clear();
+        for (Rig.Sent s : List.copyOf(rig.calledOff)) {
+            at(now, () -> {
+                rig.now = now;
+                rig.decide.outcome(now, s.query(), s.index(), Outcome.CALLED_OFF, true, null);
+                carryOut(i);
+            });
+        }
+        rig.calledOff.clear();
+        rig.denied.forEach(open.get(rig)::remove);
+        rig.writtenOff.forEach(open.get(rig)::remove);
+        for (Rig.Told t : List.copyOf(rig.told)) {
+            for (int to = 0; to < sidecars.size(); to++) {
+                if (t.to() == Rig.ALL || t.to() == to) {
+                    tell(i, to, t.text());
+                }
+            }
+        }
+        rig.told.clear();
+    }
+
+    private void ends(Rig rig, int i, Rig.Sent s, Outcome outcome) {
+        rig.now = now;
+        boolean first = open.get(rig).contains(s.query());
+        if (outcome == Outcome.HANDLED) {
+            handled += first ? 1 : 0;
+            open.get(rig).remove(s.query());
+        }
+        rig.decide.outcome(now, s.query(), s.index(), outcome, !open.get(rig).contains(s.query()), null);
+        carryOut(i);
+    }
+
+    private void tell(int from, int to, String text) {
+        for (int n = chance.nextDouble() < doubled ? 2 : 1; n > 0; n--) {
+            if (chance.nextDouble() >= loss) {
+                at(now + chance.nextDouble() * slowest, () -> {
+                    sidecars.get(to).now = now;
+                    sidecars.get(to).decide.heard(now, from, text);
+                    carryOut(to);
+                });
+            }
+        }
+    }
+
+    int denied() {
+        return sidecars.stream().mapToInt(rig -> rig.denied.size()).sum();
+    }
+
+    int openQueries() {
+        return open.values().stream().mapToInt(Set::size).sum();
+    }
+
+    int asked() {
+        return asked;
+    }
+
+    /** What has been sent to each so far, from the least to the most. */
+    int[] sent() {
+        return machines.values().stream().mapToInt(m -> m.sent).sorted().toArray();
+    }
+
+    void forgetCounts() {
+        machines.values().forEach(m -> m.sent = 0);
+        sidecars.forEach(rig -> rig.denied.clear());
+        handled = 0;
+        copies = 0;
+        asked = 0;
+    }
+}
