An upstream silent to all who share it is shunned, takes no room, and a restart clears it

Causes: Ledger.LONGEST forgot after 1.5 s what hangs to its cut-off of 2 s (vast: 2.7 s), so hung ones were idle to all; what is out there filled TotalLimit; Health.took took a hung one's time for all upstreams'; and outcomes of the process before marked the new one as bad (Health.weigh after anew). Ruled out: the processor (heard 90, send 10, receive 60 ms of a second's share; picks 50), descriptors (156 of 384). Change: the ledger keeps to the longest cut-off; one silent for the longest target time is shunned like one passed over and what is out there does not count for the limit; shunned ones are used only when all are, as the design says; time-outs there do not cut the limit; a restart clears the ledger, and an end whose start is not known is no evidence.

--- a/core/src/main/java/portrelay/gossip/Ledger.java
+++ b/core/src/main/java/portrelay/gossip/Ledger.java
@@ -11,24 +11,35 @@
 
     private record Entry(int sidecar, double at) { }
 
-    private static final double LONGEST = 1.5;
-
+    private final double longest;
     private final List<Entry> entries = new ArrayList<>();
     private double handledAt = Double.NEGATIVE_INFINITY;
     private int handled;
 
+    /** Nothing can be out for longer than so many seconds: the longest cut-off there is. */
+    public Ledger(double longest) {
+        this.longest = longest;
+    }
+
     public void begun(int sidecar, double now) {
         entries.add(new Entry(sidecar, now));
     }
 
-    public void ended(int sidecar, Gossip.Word word, double now) {
-        entries.stream().filter(each -> each.sidecar == sidecar).findFirst().ifPresent(entries::remove);
+    /** Whether it was known to be out: twice told, or begun at the process before, it tells nothing more. */
+    public boolean ended(int sidecar, Gossip.Word word, double now) {
+        Entry ended = entries.stream().filter(each -> each.sidecar == sidecar).findFirst().orElse(null);
         handledAt = word == Gossip.Word.HANDLED ? now : handledAt;
         handled += word == Gossip.Word.HANDLED ? 1 : 0;
+        return entries.remove(ended);
+    }
+
+    /** All that is out breaks off: the upstream has started anew. */
+    public void clear() {
+        entries.clear();
     }
 
     public int inFlight(double now) {
-        while (!entries.isEmpty() && entries.get(0).at < now - LONGEST) {
+        while (!entries.isEmpty() && entries.get(0).at < now - longest) {
             entries.remove(0);
         }
         return entries.size();
@@ -39,6 +50,11 @@
         return handled;
     }
 
+    /** Whether it handled somebody's once and nobody's since; never where nothing is told. */
+    public boolean silentSince(double time) {
+        return handled > 0 && handledAt < time;
+    }
+
     /** Seconds for which the oldest has been out with nothing handled since; 0 where something was. */
     public double silence(double now) {
         return inFlight(now) > 0 && handledAt < entries.get(0).at ? now - entries.get(0).at : 0;
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -55,12 +55,10 @@
     private static final int MOST_DRAWS = 4;
     private static final double LOOK_WAIT = 0.004;
     private static final double LOOK_EVERY = 0.015;
-    private static final double LOOK_FRESH = 0.008;
     private static final double COPY_SHARE = 0.6;
     private static final double FIT_SHARE = 0.9;
     private static final double FIT_CROWDED = 0.3;
     private static final double FIT_TOLD = 0.5;
-    private static final int OVERTAKEN = 4;
     private static final double COME_BACK = 0.1;
     private static final double SILENT = 0.3;
     private static final double SHORTEST_BACKOFF = 0.5;
@@ -152,9 +150,9 @@
             u.told.begun(from, now);
             shares.count(news.tenant());
         } else if (u != null) {
-            u.told.ended(from, news.word(), now);
+            boolean known = u.told.ended(from, news.word(), now);
             health.took(now, u, news.word() == Gossip.Word.HANDLED, news.took());
-            if (news.word() != Gossip.Word.DROPPED) {
+            if (known && news.word() != Gossip.Word.DROPPED) {
                 health.weigh(now, u, news.word() == Gossip.Word.FAILED);
             }
             placeHeld();
@@ -171,7 +169,7 @@
         }
         Query.Execution e = q.executions.get(execution);
         e.outcome = outcome;
-        e.at.inFlight--;
+        e.as.at().inFlight--;
         if (!q.asked.once()) {
             health.judge(now, q, e, total);
         }
@@ -189,15 +187,12 @@
 
     /** Whether one that came now would find room under the limit over all, with nobody held before it. */
     public boolean hasRoom(double time) {
-        return held.isEmpty() && total.hasRoom();
+        return held.isEmpty() && room();
     }
 
     public void left(double time, QueryId id) {
         now = time;
-        Query q = queries.get(id);
-        if (q != null) {
-            step(q, Input.LEFT);
-        }
+        Optional.ofNullable(queries.get(id)).ifPresent(q -> step(q, Input.LEFT));
         armAlarm();
     }
 
@@ -211,9 +206,7 @@
             askListAt = Double.POSITIVE_INFINITY;
             out.watchList();
         }
-        if (part != null) {
-            part.turn(now);
-        }
+        Optional.ofNullable(part).ifPresent(p -> p.turn(now));
         placeHeld();
         armAlarm();
     }
@@ -238,7 +231,7 @@
         for (Listed row : rows) {
             Upstream u = known.get(row.id());
             if (u == null) {
-                u = new Upstream(row.id());
+                u = new Upstream(row.id(), of.longestCutOff());
                 u.seenAt = news == ListNews.REMEMBERED ? Double.NEGATIVE_INFINITY : now;
                 u.coldCredit = chance.nextDouble();
                 known.put(row.id(), u);
@@ -355,9 +348,7 @@
         boolean slow = !seen && total.late.mean(0) > TotalLimit.LATE_HIGH;
         boolean useless = q.anyOut() && (q.executions.size() > 1 || slow);
         Upstream u = useless ? null : pick(q, false);
-        if (u != null) {
-            send(q, u);
-        }
+        Optional.ofNullable(u).ifPresent(to -> send(q, to));
         return u == null ? Input.NOWHERE : Input.PLACED;
     }
 
@@ -392,14 +383,14 @@
         return first == null || another && switch (q.offering.repeats()) {
             case REISSUABLE -> true;
             case AT_MOST_ONCE -> false;
-            case NUMBERED -> now < first.sentAt + q.offering.window()
-                    && q.offering.sameGroup(first.at.listed, u.listed);
+            case NUMBERED -> now < first.as.sentAt() + q.offering.window()
+                    && q.offering.sameGroup(first.as.at().listed, u.listed);
         };
     }
 
     private Upstream pick(Query q, boolean first) {
         looking.remove(q);
-        if ((!seen || deaf() && crowd > 1) && !total.hasRoom()) {
+        if ((!seen || deaf() && crowd > 1) && !room()) {
             return null;
         }
         double mean = seen ? 0
@@ -410,22 +401,34 @@
                 && mayTake(q, each) && (!seen || load(each) == 0 && !blind(each))).findFirst().orElse(null);
         blindToo = site.looks() && roster.stream().noneMatch(each -> !blind(each) && mayTake(q, each));
         // Shunned while there are others: a choked upstream has to rest before it works as usual again.
-        u = u != null ? u : pickAmong(q, mean, Health.OWN_FAULT, false);
-        u = u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, false);
-        return u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, true);
+        boolean all = u == null && (part == null ? roster : part.upstreams).stream()
+                .allMatch(each -> !each.ready || each.passedOver() || silent(each));
+        u = u != null ? u : pickAmong(q, mean, Health.OWN_FAULT, all);
+        return u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, all);
+    }
+
+    /** Nobody who shares it had an answer for as long as any may take that is in time. */
+    private boolean silent(Upstream u) {
+        return site.byLot() && !deaf() && u.told.silence(now) > of.longestTarget();
+    }
+
+    /** What is out where nobody is answered is no work that the fleet does: it takes no room from the others. */
+    private boolean room() {
+        return total.hasRoom(0)
+                || total.hasRoom(roster.stream().filter(this::silent).mapToInt(u -> u.inFlight).sum());
     }
 
     private boolean mayTake(Query q, Upstream u) {
-        return u.ready && (part == null || part.upstreams.contains(u)) && !q.at(u) && maySend(q, u)
+        return u.ready && (part == null || part.ours.contains(u)) && !q.at(u) && maySend(q, u)
                 && (u.coldCredit >= 1 || cold.ramp(u, now) >= 1);
     }
 
-    private Upstream pickAmong(Query q, double mean, double worstPace, boolean passedOverToo) {
+    private Upstream pickAmong(Query q, double mean, double worstPace, boolean shunnedToo) {
         Upstream pick = null;
         double least = Double.POSITIVE_INFINITY;
         for (Upstream u : roster) {
             // The cheap questions first: in a burst a sidecar asks them of all upstreams thousands of times.
-            boolean not = u.passedOver() && !passedOverToo || seen && blind(u) && !blindToo || !mayTake(q, u);
+            boolean not = !mayTake(q, u) || !shunnedToo && (u.passedOver() || silent(u)) || seen && blind(u) && !blindToo;
             double pace = not ? worstPace : health.pace(u, now);
             double cost = pace >= worstPace ? Double.POSITIVE_INFINITY
                     : seen ? seenCost(q, u, pace) : toldInTime(q, u) ? ownCost(u, mean, pace)
@@ -474,7 +477,7 @@
 
     /** It answered no probe just now, or none of those who share it for long. */
     private boolean blind(Upstream u) {
-        return part == null ? now > u.reportedAt + LOOK_FRESH
+        return part == null ? now > u.reportedAt + 2 * LOOK_WAIT
                 : u.told.silence(now) > SILENT || u.restedOut > 0 && part.dropping(now);
     }
 
@@ -521,29 +524,29 @@
         }
         boolean handled = e.outcome == Outcome.HANDLED;
         boolean lost = !handled && !e.outcome.neverRan && e.as.rested() > 0
-                && e.at.told.handled() >= e.as.handledBefore() + e.as.among() - 1 + OVERTAKEN;
+                && e.as.at().told.handled() >= e.as.handledBefore() + e.as.among() - 1 + Upstream.FEW;
         boolean off = e.outcome == Outcome.CALLED_OFF;
         boolean failed = !lost && !handled && !e.outcome.neverRan
-                && (!off || now - e.sentAt > q.offering.targetTime() * COPY_SHARE);
+                && (!off || now - e.as.sentAt() > q.offering.targetTime() * COPY_SHARE);
         Gossip.Word word = handled ? Gossip.Word.HANDLED : failed ? Gossip.Word.FAILED : Gossip.Word.DROPPED;
-        e.at.told.ended(site.me(), word, now);
-        e.at.restedOut -= e.as.rested() > 0 ? 1 : 0;
-        e.at.answeredAt = handled ? now : e.at.answeredAt;
+        e.as.at().told.ended(site.me(), word, now);
+        e.as.at().restedOut -= e.as.rested() > 0 ? 1 : 0;
+        e.as.at().answeredAt = handled ? now : e.as.at().answeredAt;
         if (lost) {
             part.lost(e.as.rested(), now, true);
         } else if (failed && off) {
-            health.weigh(now, e.at, true);
+            health.weigh(now, e.as.at(), true);
         }
         double usual = health.usualTime(q.offering, q.offering.targetTime() / 3);
-        double took = (now - e.sentAt) / usual / e.as.among();
-        health.took(now, e.at, handled, took);
-        part.tell(word, e.at, -1, took);
+        double took = (now - e.as.sentAt()) / usual / e.as.among();
+        health.took(now, e.as.at(), handled, took);
+        part.tell(word, e.as.at(), -1, took);
     }
 
     /** What a full fleet can take goes to the query that earns most for its work, not to the oldest. */
     private void placeHeld() {
         held.removeIf(q -> q.state() != State.HELD);
-        while (!held.isEmpty() && (seen || total.hasRoom())) {
+        while (!held.isEmpty() && (seen || room())) {
             Query best = held.stream().reduce((a, b) -> value(b) > value(a) ? b : a).orElseThrow();
             step(best, Input.TURN);
             if (best.state() == State.HELD) {
--- a/core/src/main/java/portrelay/policy/Health.java
+++ b/core/src/main/java/portrelay/policy/Health.java
@@ -8,22 +8,20 @@
     private static final double PASS_OVER = 5.0;
     private static final double LEAST_BAD = 0.05;
     private static final double MOST_BAD = 0.2;
-    private static final int BAD_SAMPLES = 64;
     private static final double PACE_AGE = 5;
-    private static final double PACE_PRIOR = 1;
     private static final double PACE_MOST = 4;
     static final double OWN_FAULT = 2;
-    private static final int TIME_SAMPLES = 64;
+    private static final int SAMPLES = 64;
     private static final double LATE_SHARE = 0.45;
     private static final int ALL_TOOK = 128;
     private static final double FEW_TOOK = 2;
     private final List<Samples> times = new ArrayList<>();
-    private final Samples bads = new Samples(BAD_SAMPLES);
+    private final Samples bads = new Samples(SAMPLES);
     private final Samples allTook = new Samples(ALL_TOOK);
 
     Health(int offerings) {
         for (int i = 0; i < offerings; i++) {
-            times.add(new Samples(TIME_SAMPLES));
+            times.add(new Samples(SAMPLES));
         }
     }
 
@@ -33,33 +31,37 @@
     }
 
     void judge(double now, Query q, Query.Execution e, TotalLimit total) {
-        double spent = now - e.sentAt;
+        Upstream at = e.as.at();
+        double spent = now - e.as.sentAt();
         boolean handled = e.outcome == Outcome.HANDLED;
         double target = q.offering.targetTime();
         // One that many sent after it have overtaken promptly is lost and in no queue: no less would help it.
-        boolean lost = !handled && e.at.prompt.allAbove(e.sentAt);
+        boolean lost = !handled && at.prompt.allAbove(e.as.sentAt());
         boolean slow = spent > target * LATE_SHARE && !lost;
         if (handled && !slow) {
-            e.at.prompt.add(now, e.sentAt);
+            at.prompt.add(now, e.as.sentAt());
         }
-        total.ended(now, e.sentAt, slow, pace(e.at, now) < OWN_FAULT);
+        // Where nobody had an answer since it is that upstream that is silent, not the fleet that is full;
+        // and what the process before it took tells nothing of one that has started anew.
+        boolean alone = !handled && at.told.silentSince(e.as.sentAt());
+        total.ended(now, e.as.sentAt(), slow, !alone && pace(at, now) < OWN_FAULT);
         samplePace(now, q, e);
-        boolean failed = !handled && !e.outcome.neverRan && e.outcome != Outcome.CALLED_OFF
-                || e.outcome == Outcome.NO_CONNECTION;
-        if (handled || failed) {
-            weigh(now, e.at, failed);
-        }
         boolean noWay = e.outcome == Outcome.NO_CONNECTION;
+        boolean failed = noWay || !handled && !e.outcome.neverRan && e.outcome != Outcome.CALLED_OFF;
+        if ((handled || failed) && e.as.sentAt() >= at.seenAt) {
+            weigh(now, at, failed);
+        }
         // Nobody gets through there now, or all its connections are taken.
-        e.at.evidence = noWay ? Upstream.EVIDENCE : e.as.trial() && handled ? 0 : e.at.evidence;
-        e.at.passedUntil = noWay || e.as.trial() ? now + PASS_OVER : e.at.passedUntil;
-        e.at.trialOut &= !e.as.trial();
+        at.evidence = noWay ? Upstream.EVIDENCE : e.as.trial() && handled ? 0 : at.evidence;
+        at.passedUntil = noWay || e.as.trial() ? now + PASS_OVER : at.passedUntil;
+        at.trialOut &= !e.as.trial();
         Query.Execution primary = q.executions.get(0);
         if (handled && e == primary) {
-            e.at.copyWins = 0;
+            at.copyWins = 0;
         } else if (handled && q.state() == Decide.State.RACING && primary.outcome == null) {
-            primary.at.copyWins++;
-            primary.at.passedUntil = primary.at.passedOver() ? now + PASS_OVER : primary.at.passedUntil;
+            Upstream first = primary.as.at();
+            first.copyWins++;
+            first.passedUntil = first.passedOver() ? now + PASS_OVER : first.passedUntil;
         }
     }
 
@@ -74,21 +76,19 @@
         u.evidence += isBad ? Math.log(sick / usual) : Math.log((1 - sick) / (1 - usual));
         u.evidence = Math.max(0, Math.min(u.evidence, Upstream.EVIDENCE));
         bads.add(now, isBad ? 1 : 0);
-        if (!before && u.passedOver()) {
-            u.passedUntil = now + PASS_OVER;
-        }
+        u.passedUntil = !before && u.passedOver() ? now + PASS_OVER : u.passedUntil;
     }
 
     /** How long an upstream takes against others; a loser's time counts as far as it got. */
     private void samplePace(double now, Query q, Query.Execution e) {
         Samples usual = times.get(q.asked.offering().value());
-        double spent = now - e.sentAt;
+        double spent = now - e.as.sentAt();
         double mean = e.as.expected() * usual.mean(Double.NEGATIVE_INFINITY, 0, spent / e.as.expected());
         if (e.outcome == Outcome.HANDLED) {
             usual.add(now, spent / e.as.expected());
         }
         if (mean > 0 && (e.outcome == Outcome.HANDLED || !e.outcome.neverRan && spent > mean)) {
-            e.at.paces.add(now, Math.min(spent / mean, PACE_MOST));
+            e.as.at().paces.add(now, Math.min(spent / mean, PACE_MOST));
         }
     }
 
@@ -96,7 +96,8 @@
     void took(double now, Upstream u, boolean handled, double took) {
         if (handled || took > took(u, now)) {
             u.took.add(now, took);
-            allTook.add(took);
+            // One that hung tells of its upstream: taken for all it makes idle ones look full too.
+            allTook.add(handled ? took : allTook.mean(1));
         }
     }
 
@@ -106,6 +107,6 @@
     }
 
     double pace(Upstream u, double now) {
-        return u.paces.mean(now - PACE_AGE, PACE_PRIOR, 1);
+        return u.paces.mean(now - PACE_AGE, 1, 1);
     }
 }
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -28,6 +28,7 @@
     final Gossip gossip;
     private final Site site;
     List<Upstream> upstreams = List.of();
+    Set<Upstream> ours = Set.of();
     private List<Upstream> ready = List.of();
     /** How long those connections had rested that lost a query. */
     private final Samples lost = new Samples(LOST_SAMPLES);
@@ -47,10 +48,9 @@
     /** By lot, the same for all whatever their lists. Sets overlap: what is too much for one spreads over all. */
     private List<Integer> sharers(Upstream u) {
         if (u.sharers == null) {
-            int seed = Long.hashCode(u.id.value());
             int most = Math.max(MOST_SHARERS, LEAST_OWN * site.sidecars() / Math.max(1, ready.size()));
             u.sharers = IntStream.range(0, site.sidecars()).boxed()
-                    .sorted(Comparator.comparingDouble(i -> Gossip.lot(seed + i))).limit(most).toList();
+                    .sorted(Comparator.comparingDouble(i -> Gossip.lot(Long.hashCode(u.id.value()) + i))).limit(most).toList();
         }
         return u.sharers;
     }
@@ -65,7 +65,7 @@
     void tell(Gossip.Word word, Upstream u, int tenant, double took) {
         if (site.byLot()) {
             gossip.tell(word, Gossip.codeOf(u.id), took, sharers(u));
-        } else if (upstreams.contains(u)) {
+        } else if (ours.contains(u)) {
             gossip.tell(word, upstreams.indexOf(u), tenant);
         }
     }
@@ -89,6 +89,7 @@
             laidAt = now;
             laidBlind = gossip.fewKnown();
             lay();
+            ours = new HashSet<>(upstreams);
         }
         gossip.turn(now);
     }
--- a/core/src/main/java/portrelay/policy/Query.java
+++ b/core/src/main/java/portrelay/policy/Query.java
@@ -25,13 +25,9 @@
 
     /** One execution; its outcome is null while it is out. */
     static final class Execution {
-        final Upstream at;
-        final double sentAt;
         final Sent as;
         Outcome outcome;
         Execution(Sent as) {
-            this.at = as.at;
-            this.sentAt = as.sentAt;
             this.as = as;
         }
         /** Out and unknown counts as run: only an outcome can prove the contrary. */
@@ -52,7 +48,7 @@
     }
 
     boolean at(Upstream u) {
-        return executions.stream().anyMatch(e -> e.at == u);
+        return executions.stream().anyMatch(e -> e.as.at == u);
     }
 
     boolean anyOut() {
--- a/core/src/main/java/portrelay/policy/TotalLimit.java
+++ b/core/src/main/java/portrelay/policy/TotalLimit.java
@@ -12,8 +12,7 @@
     private static final double TOTAL_CUT_TO = 0.8;
     final Samples late = new Samples(ROUND);
     private double size = FIRST_TOTAL;
-    private double unit = 1;
-    private boolean told;
+    private double unit;
     private boolean starting = true;
     private double changedAt = Double.NEGATIVE_INFINITY;
     private int round;
@@ -22,16 +21,15 @@
 
     /** All sidecars may start in one moment: what each begins with is its part of what all may send. */
     void start(double share) {
-        if (share == 0 || told) {
+        if (share == 0 || unit > 0) {
             return;
         }
-        told = true;
         unit = Math.min(1, share);
         size = Math.max(1, Math.min(FIRST_TOTAL, FIRST_EACH * share));
     }
 
-    boolean hasRoom() {
-        return inFlight < size;
+    boolean hasRoom(int silent) {
+        return inFlight - silent < size;
     }
 
     void ended(double now, double sentAt, boolean isLate, boolean tellsOfAll) {
--- a/core/src/main/java/portrelay/policy/Upstream.java
+++ b/core/src/main/java/portrelay/policy/Upstream.java
@@ -31,7 +31,7 @@
     /** Null until drawn, where those that share it are drawn by lot. */
     List<Integer> sharers;
     /** What all that share it have in flight there. */
-    final Ledger told = new Ledger();
+    final Ledger told;
     /** In hand when it was last probed, and what we sent since. */
     double reported;
     double reportedAt = Double.NEGATIVE_INFINITY;
@@ -43,8 +43,9 @@
     int restedOut;
     final Samples prompt = new Samples(FEW);
 
-    Upstream(UpstreamId id) {
+    Upstream(UpstreamId id, double longestCutOff) {
         this.id = id;
+        this.told = new Ledger(longestCutOff);
     }
 
     /** As new: nothing is left of what it, or the process before it, was judged by. */
@@ -53,6 +54,7 @@
         copyWins = 0;
         evidence = 0;
         coldCredit = credit;
+        told.clear();
     }
 
     boolean passedOver() {
