Tests of the ledger, the silent zone, cold ones and a replaced roster that fail without their answer

Seen failing, each with its answer taken out: forgetting the gone (Decide.forgetGone), the ledger's 1.5 s, the clearing at a restart, shunning the silent (SharedByLotTest), the cold ramp (25 where the bound is 24), a first total of 100.

--- a/core/src/test/java/portrelay/policy/Fleet.java
+++ b/core/src/test/java/portrelay/policy/Fleet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -26,6 +27,7 @@
     private static final double BUDGET = 2;
     private static final int CORES = 3;
     private static final double WORK = 0.05;
+    private static final int FIRST_NEW = 1000;
 
     /** Something that happens at a time, the earlier asked for the first where times are equal. */
     private record Due(double time, long order, Runnable what) { }
@@ -91,6 +93,7 @@
     private final Map<QueryId, Double> cutOffs = new HashMap<>();
     private int asked;
     private int names;
+    private int newcomers;
     double now = 100;
     double loss;
     double doubled;
@@ -116,6 +119,15 @@
         return m;
     }
 
+    /** So many of the oldest go and as many cold ones come; heard with the next list. */
+    void replace(int upstreams) {
+        machines.keySet().stream().sorted(Comparator.comparing(UpstreamId::value)).limit(upstreams).toList()
+                .forEach(machines::remove);
+        for (int i = 0; i < upstreams; i++) {
+            add(FIRST_NEW + newcomers++).restarts(true);
+        }
+    }
+
     /** All hear the whole list now. */
     void listed() {
         sidecars.forEach(this::listed);
--- a/core/src/test/java/portrelay/policy/FleetTest.java
+++ b/core/src/test/java/portrelay/policy/FleetTest.java
@@ -3,8 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.lang.reflect.Field;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import portrelay.model.Outcome;
 import portrelay.model.Site;
@@ -60,31 +63,29 @@
     }
 
     /**
-     * zone+vast: a third of the upstreams falls silent and returns cold. Upstreams that hung looked idle
-     * again after 1.5 s, what was out there filled the limit over all, and what the old processes had not
-     * answered kept the new ones passed over for 5 s more (236 of 4,220 sent to silent ones, 171 denied;
-     * some unused when back).
+     * zone+vast: a third of the upstreams falls silent and returns cold, under queries that may not be copied
+     * and so hang to their cut-off. Forgotten after 1.5 s the silent ones looked idle again and got 149 of
+     * 4,205; what the old processes had not answered kept some new ones passed over, with nothing for 5 s.
      */
     @Test
     void aSilentZoneCostsItsOwnQueriesAndIsUsedAgainWhenItIsBack() {
         Fleet fleet = new Fleet(1, SIDECARS, UPSTREAMS);
         fleet.listed();
-        fleet.play(4, RATE);
+        fleet.play(4, RATE, Rig.AT_MOST_ONCE);
         List<Fleet.Machine> zone =
                 fleet.machines.values().stream().filter(m -> m.id.value() < UPSTREAMS / 3).toList();
         zone.forEach(m -> m.silent = true);
         fleet.forgetCounts();
-        fleet.play(5, RATE);
+        fleet.play(5, RATE, Rig.AT_MOST_ONCE);
         int toSilent = zone.stream().mapToInt(m -> m.sent).sum();
-        assertTrue(toSilent < 0.035 * fleet.asked(), toSilent + " of " + fleet.asked());
-        assertTrue(fleet.denied() < 0.025 * fleet.asked(), fleet.denied() + " of " + fleet.asked());
-        assertTrue(fleet.copies < 0.1 * fleet.asked(), fleet.copies + " of " + fleet.asked());
+        assertTrue(toSilent < 0.028 * fleet.asked(), toSilent + " of " + fleet.asked());
+        assertTrue(fleet.denied() < 0.01 * fleet.asked(), fleet.denied() + " of " + fleet.asked());
         zone.forEach(m -> m.restarts(true));
         fleet.listed();
         fleet.forgetCounts();
-        fleet.play(5, RATE);
+        fleet.play(5, RATE, Rig.AT_MOST_ONCE);
         int least = zone.stream().mapToInt(m -> m.sent).min().orElseThrow();
-        assertTrue(least >= 4, "one that is back got " + least);
+        assertTrue(least >= 10, "one that is back got " + least);
         assertTrue(fleet.denied() < 0.01 * fleet.asked(), fleet.denied() + " of " + fleet.asked());
         fleet.play(2.5, 0);
         assertEquals(0, fleet.openQueries(), "one final answer each");
@@ -132,7 +133,8 @@
                 String which = size + " sidecars, " + cold + " cold: " + most + ", handled " +
                         fleet.handled + " of "
                         + fleet.asked();
-                assertTrue(most < 36, which);
+                // Of what tips one over this is two thirds; without the ramp it gets up to 27.
+                assertTrue(most < 24, which);
                 assertTrue(fleet.handled > 0.9 * fleet.asked(), which);
             }
         }
@@ -161,4 +163,32 @@
         assertTrue(sent[0] > 0.4 * mean, Arrays.toString(sent));
         assertTrue(fleet.handled > 0.97 * fleet.asked(), fleet.handled + " of " + fleet.asked());
     }
+
+    /** join+vast, again and again: what is kept by upstream must not grow with those that have gone. */
+    @Test
+    void ofThoseThatWereReplacedNothingIsLeft() throws ReflectiveOperationException {
+        Fleet fleet = new Fleet(6, SIDECARS, UPSTREAMS);
+        fleet.listed();
+        for (int i = 0; i < 5; i++) {
+            fleet.play(1, RATE);
+            fleet.replace(36);
+            fleet.listed();
+        }
+        fleet.play(2.5, 0);
+        for (Rig rig : fleet.sidecars) {
+            assertEquals(fleet.machines.keySet(), ((Map<?, ?>) kept("known", rig.decide)).keySet());
+            assertEquals(UPSTREAMS, ((Collection<?>) kept("roster", rig.decide)).size());
+            assertEquals(Map.of(), kept("queries", rig.decide));
+            assertEquals(List.of(), kept("held", rig.decide));
+        }
+        fleet.forgetCounts();
+        fleet.play(2, RATE);
+        assertTrue(fleet.handled > 0.9 * fleet.asked(), fleet.handled + " of " + fleet.asked());
+    }
+
+    private static Object kept(String field, Decide decide) throws ReflectiveOperationException {
+        Field of = Decide.class.getDeclaredField(field);
+        of.setAccessible(true);
+        return of.get(decide);
+    }
 }
--- a/core/src/test/java/portrelay/policy/SharedByLotTest.java
+++ b/core/src/test/java/portrelay/policy/SharedByLotTest.java
@@ -142,6 +142,29 @@
         assertTrue(pair.ours.coolDown > 0);
     }
 
+    /** One that hangs holds as little as others, or less: by the fewest in flight it drew whatever came. */
+    @Test
+    void anUpstreamThatHasAnsweredNobodyForLongIsLeftAloneWhileThereAreOthers() {
+        for (int seed = 0; seed < 12; seed++) {
+            Rig ours = new Rig(seed, site(0, 2));
+            ours.ready(3);
+            Map<UpstreamId, String> begun = new HashMap<>();
+            for (int i = 0; i < 20; i++) {
+                ours.ask("learn" + i, Rig.REISSUABLE, 2);
+                begun.put(ours.last().at(), ours.told.get(ours.told.size() - 1).text());
+                ours.now += 0.05;
+                ours.end(ours.last(), Outcome.HANDLED);
+            }
+            UpstreamId hung = new UpstreamId(0);
+            ours.decide.heard(ours.now, 1, begun.get(hung));
+            ours.now += 0.45;
+            begun.values().stream().filter(text -> !text.equals(begun.get(hung)))
+                    .forEach(text -> ours.decide.heard(ours.now, 1, text));
+            ours.ask("now", Rig.REISSUABLE, 2);
+            assertTrue(!ours.last().at().equals(hung), "sent where nobody is answered");
+        }
+    }
+
     /** split+mass: silence among sidecars says nothing of upstreams, and the load that was told is old. */
     @Test
     void whoHearsNobodyForLongGoesByItsOwn() {
