--- a/core/src/main/java/portrelay/policy/Cold.java
+++ b/core/src/main/java/portrelay/policy/Cold.java
@@ -5,7 +5,6 @@
 
 /** Guards against all together pushing over a cold upstream: each sends it a ramp's share of a like warm one's. */
 record Cold(ColdRule rule) {
-
     double ramp(Upstream u, double now) {
         double since = Math.max(u.listed.onlineSince(), u.backAt);
         if (since <= 0 || now >= since + rule.time() || rule.time() <= 0) {
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -412,7 +412,7 @@
         return site.byLot() && !deaf() && u.told.silence(now) > of.longestTarget();
     }
 
-    /** What is out where nobody is answered is no work that the fleet does: it takes no room from the others. */
+    /** What is out where nobody is answered is no work that the fleet does: it takes no room. */
     private boolean room() {
         return total.hasRoom(0)
                 || total.hasRoom(roster.stream().filter(this::silent).mapToInt(u -> u.inFlight).sum());
@@ -428,7 +428,8 @@
         double least = Double.POSITIVE_INFINITY;
         for (Upstream u : roster) {
             // The cheap questions first: in a burst a sidecar asks them of all upstreams thousands of times.
-            boolean not = !mayTake(q, u) || !shunnedToo && (u.passedOver() || silent(u)) || seen && blind(u) && !blindToo;
+            boolean not = !mayTake(q, u) || !shunnedToo && (u.passedOver() || silent(u))
+                    || seen && blind(u) && !blindToo;
             double pace = not ? worstPace : health.pace(u, now);
             double cost = pace >= worstPace ? Double.POSITIVE_INFINITY
                     : seen ? seenCost(q, u, pace) : toldInTime(q, u) ? ownCost(u, mean, pace)
--- a/core/src/main/java/portrelay/policy/Health.java
+++ b/core/src/main/java/portrelay/policy/Health.java
@@ -41,8 +41,7 @@
         if (handled && !slow) {
             at.prompt.add(now, e.as.sentAt());
         }
-        // Where nobody had an answer since it is that upstream that is silent, not the fleet that is full;
-        // and what the process before it took tells nothing of one that has started anew.
+        // Where nobody had an answer since it is that upstream that is silent, not the fleet that is full.
         boolean alone = !handled && at.told.silentSince(e.as.sentAt());
         total.ended(now, e.as.sentAt(), slow, !alone && pace(at, now) < OWN_FAULT);
         samplePace(now, q, e);
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -50,7 +50,8 @@
         if (u.sharers == null) {
             int most = Math.max(MOST_SHARERS, LEAST_OWN * site.sidecars() / Math.max(1, ready.size()));
             u.sharers = IntStream.range(0, site.sidecars()).boxed()
-                    .sorted(Comparator.comparingDouble(i -> Gossip.lot(Long.hashCode(u.id.value()) + i))).limit(most).toList();
+                    .sorted(Comparator.comparingDouble(i -> Gossip.lot(Long.hashCode(u.id.value()) + i)))
+                    .limit(most).toList();
         }
         return u.sharers;
     }
