--- a/core/src/test/java/portrelay/policy/FleetTest.java
+++ b/core/src/test/java/portrelay/policy/FleetTest.java
@@ -141,19 +141,21 @@
     }
 
     /**
-     * Lost messages, a killed sidecar: what is not in flight any more counts for no longer than a
+     * Lost and doubled messages, a killed sidecar: what is not in flight any more counts for no longer than a
      * cut-off.
      */
     @Test
     void countsComeBackToTheTruthWhereMessagesAreLost() {
         Fleet fleet = new Fleet(4, SIDECARS, 20);
         fleet.loss = 0.3;
+        fleet.doubled = 0.1;
         fleet.slowest = 0.027;
         fleet.listed();
         fleet.play(3, 30);
         fleet.restart(5);
         fleet.play(2, 30);
         fleet.loss = 0;
+        fleet.doubled = 0;
         fleet.play(2.1, 0);
         fleet.forgetCounts();
         // Nothing is in flight: all are idle to all, so twenty in turn go to most of them.
