A silent watch is opened anew 0.5 s after its wait; alarms look into the kernel first

Told is 2 s after the wait of 20 s; ListActor gave up after 21.5 s, the module's back-off took up to 0.5 s, discovery 0.1 to 0.7 s. Ruled out: the list's content (both take it in the moment it comes), a send after the list (none in the log), the sidecar's own delay (2 ms at most between its lines). Lines at fault: ListActor.PATIENCE and the way of a silent watch through the module's back-off. Now 0.5 s, of the 2 s that the protocol gives a dial may take 1 and the answer 0.5; and it is opened anew at once. Beside it: 'once more round the loop' (Dialer) was none. XNIO's WorkerThread.run works off all tasks and due alarms before it selects, so a dial that was up, or a list that was there, lost to its alarm when the loop was late. Loop.afterLook goes through the selector by a pipe of its own. A dial that threw kept its place in the count. Tests: WatchCrossingsTest, the clock and the loop held; four of its five fail on the old lines (seen).

--- a/daemon/src/main/java/portrelay/net/Dialer.java
+++ b/daemon/src/main/java/portrelay/net/Dialer.java
@@ -115,13 +115,19 @@
             open++;
             counted.accept(open);
             if (within > 0) {
-                // Once more round the loop: where it was late itself the connection may be there to be seen.
-                timeOut = loop.after(within, () -> timeOut = loop.after(0, () -> failed(null)));
+                // Where the loop was late itself the connection may be there to be seen.
+                timeOut = loop.after(within, () -> loop.afterLook(() -> failed(null)));
             }
             opening.to = to;
-            client.connect(this, null, UNUSED, opening, null, buffers, OPTIONS);
+            opening.dialing = null;
+            try {
+                client.connect(this, null, UNUSED, opening, null, buffers, OPTIONS);
+            } catch (RuntimeException e) {
+                // What can't even be begun must not keep its place in the count.
+                failed(new IOException(e));
+            }
             dialing = opening.dialing;
-            if (over) {
+            if (over && dialing != null) {
                 dialing.cancel();
             }
         }
--- a/daemon/src/main/java/portrelay/net/ListActor.java
+++ b/daemon/src/main/java/portrelay/net/ListActor.java
@@ -30,8 +30,13 @@
     private static final long NO_VERSION = -1;
     private static final double DIAL_WITHIN = 1;
     private static final double WAIT = 20;
-    /** On top of the wait; what a silent watch kept from us counts as told 2 s after it. */
-    private static final double PATIENCE = 1.5;
+    /**
+     * On top of the wait. What a silent watch kept from us counts as told 2 s after its wait: of these a new
+     * dial may take 1 s, and a discovery that is asked by all at once half a second to answer on it.
+     */
+    private static final double PATIENCE = 0.5;
+    /** For a call that does not wait; what a silent one kept from us counts as told after 6 s. */
+    private static final double ANSWER_WITHIN = 1.5;
 
     private final Loop loop;
     private final Log log;
@@ -116,8 +121,9 @@
     private void call() {
         int mine = ++calls;
         // What a call has to tell that may not wait is due at once, so there is less to be patient for.
-        double wait = version == NO_VERSION ? 0 : WAIT;
-        patience = loop.after(wait + PATIENCE, () -> mailbox.post(() -> failed(mine)));
+        boolean waits = version != NO_VERSION;
+        patience = loop.after(waits ? WAIT + PATIENCE : ANSWER_WITHIN,
+                () -> loop.afterLook(() -> mailbox.post(() -> silent(mine, waits))));
         if (link != null && link.usable()) {
             ask(link);
             return;
@@ -180,6 +186,24 @@
         }
     }
 
+    /**
+     * A watch that has fallen silent is opened anew at once, as its time to tell us is nearly over: the module's
+     * wait before the next try is for a discovery that said no. The new one has to wait as long before this
+     * can come again.
+     */
+    private void silent(int call, boolean waited) {
+        if (!watching || call != calls) {
+            return;
+        }
+        if (!waited) {
+            failed(call);
+            return;
+        }
+        log.warn("a watch fell silent: opened anew");
+        hangUp();
+        call();
+    }
+
     /** Says of which call: one that was given up may still have this on its way. */
     private void failed(int call) {
         if (!watching || call != calls) {
--- a/daemon/src/main/java/portrelay/net/Loop.java
+++ b/daemon/src/main/java/portrelay/net/Loop.java
@@ -1,16 +1,26 @@
 package portrelay.net;
 
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Queue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import org.xnio.ChannelPipe;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
 
 /** The one I/O thread that all actors run on, its time and its timers. Nothing that runs here may block. */
-final class Loop implements Executor {
+class Loop implements Executor {
 
     private final XnioIoThread thread;
     private final Clock clock;
+    /** A byte in it is read in the look at the kernel that comes next, with all else that lies there. */
+    private ChannelPipe<StreamSourceChannel, StreamSinkChannel> looks;
+    private final Queue<Runnable> afterLook = new ArrayDeque<>();
 
     Loop(XnioIoThread thread, Clock clock) {
         this.thread = thread;
@@ -38,4 +48,37 @@
     XnioExecutor.Key after(double seconds, Runnable task) {
         return thread.executeAfter(task, Math.max(0, (long) Math.ceil(seconds * 1e3)), TimeUnit.MILLISECONDS);
     }
+
+    /**
+     * Runs the task when everything that lies in the kernel by now has been seen. Called on the loop. Guards
+     * alarms against what they wait for, where the loop itself was late: XNIO works off every task and every
+     * due alarm before it looks again, so one that only waits its turn comes before an answer that is there.
+     */
+    void afterLook(Runnable task) {
+        try {
+            if (looks == null) {
+                looks = thread.createHalfDuplexPipe();
+                looks.getLeftSide().getReadSetter().set(this::looked);
+                looks.getLeftSide().resumeReads();
+            }
+            if (afterLook.isEmpty()) {
+                looks.getRightSide().write(ByteBuffer.wrap(new byte[1]));
+            }
+            afterLook.add(task);
+        } catch (IOException e) {
+            // No descriptor for it: too early is better than never.
+            execute(task);
+        }
+    }
+
+    /** What was seen in the same look is worked off before it: that is on the queue of tasks by then. */
+    private void looked(StreamSourceChannel from) {
+        try {
+            from.read(ByteBuffer.allocate(8));
+        } catch (IOException e) {
+            // The process ends.
+        }
+        afterLook.forEach(this::execute);
+        afterLook.clear();
+    }
 }
--- /dev/null
+++ b/daemon/src/test/java/portrelay/net/WatchCrossingsTest.java
@@ -0,0 +1,163 @@
+package portrelay.net;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static portrelay.net.Town.answer;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.LogManager;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import portrelay.net.Town.Toy;
+
+/** docs/crossings.md, "List watches" and "Dials": real sockets, the clock and the loop under the test's hand. */
+@Timeout(20)
+class WatchCrossingsTest {
+
+    private XnioWorker worker;
+    private HandClock clock;
+    private Toy discovery;
+    private ListActor list;
+    private final ByteArrayOutputStream said = new ByteArrayOutputStream();
+
+    @BeforeEach
+    void open() throws Exception {
+        LogManager.getLogManager().reset();
+        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        clock = new HandClock(worker.getIoThread());
+        discovery = new Toy(Town.SILENT);
+        var buffers = new DefaultByteBufferPool(true, 16384);
+        Log log = new Log(new PrintStream(said, true), "t");
+        Config config = Config.parse(Town.config(discovery.address(), page(7, true, ""), 64).getBytes(UTF_8));
+        ModuleActor module = new ModuleActor(clock, log,
+                to -> config.settings().startOnSockets(to, config.seed(), false));
+        Dialer toUpstreams = new Dialer(clock, buffers, 8, n -> { });
+        list = new ListActor(clock, log, new Dialer(clock, buffers, 2, n -> { }), config.discovery(), module,
+                at -> new UpstreamActor(clock, log, toUpstreams, module, 0.1, 1, at));
+        Held.on(clock, () -> {
+            try {
+                list.remembered(config.known());
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+            module.start(list, null);
+        });
+        assertTrue(discovery.next().first().contains("index=7&wait=20000"));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        worker.shutdownNow();
+        discovery.close();
+    }
+
+    private static String page(int version, boolean whole, String rows) {
+        return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":[" + rows + "]}";
+    }
+
+    private void forward(double seconds) throws Exception {
+        Held.on(clock, () -> clock.forward(seconds));
+        Held.settled(clock);
+    }
+
+    /**
+     * Short days, seed 101, calm+brink: a watch that fell silent was given up 1.5 s after its wait and the next
+     * one begun after a back-off of up to 0.5 s; what it missed counted as told 2 s after the wait, and came later.
+     */
+    @Test
+    void aWatchThatFellSilentIsOpenedAnewWellBeforeWhatItMissedCountsAsTold() throws Exception {
+        forward(20.4);
+        assertNull(discovery.seen.poll(), "given up within its wait");
+        forward(0.2);
+        Town.Message again = discovery.seen.poll(1, TimeUnit.SECONDS);
+        assertNotNull(again, "not opened anew after 20.6 s");
+        assertTrue(again.first().contains("index=7&wait=20000"), again.first());
+        assertEquals(2, discovery.accepted.size());
+        assertNotNull(discovery.ended.poll(1, TimeUnit.SECONDS), "the silent one stays open");
+        // The one that was opened anew has its own whole wait.
+        forward(20.4);
+        assertNull(discovery.seen.poll());
+    }
+
+    /** The answer lies in the kernel when the patience is over: it was told, and must not be thrown away. */
+    @Test
+    void anAnswerThatIsThereWhenThePatienceEndsIsRead() throws Exception {
+        String row = Town.host("s-0", "127.0.0.1:9", "DRAINING");
+        try (Held held = new Held(clock)) {
+            Socket to = discovery.accepted.get(0);
+            answer("200 OK", page(9, false, row)).play(null, to);
+            Held.unread(to, 100);
+            // The alarm rings in the turn of the loop in which the answer is there to be seen.
+            clock.execute(() -> clock.forward(25));
+            held.letGo();
+            Town.Message next = discovery.next();
+            assertTrue(next.first().contains("index=9"), next.first());
+        }
+        Held.settled(clock);
+        assertEquals(1, discovery.accepted.size(), "the answered watch was hung up");
+        assertTrue(said.toString(ISO_8859_1).contains("list 9"), said.toString(ISO_8859_1));
+    }
+
+    /** The other order: the answer was read, the alarm of its call rings behind it. */
+    @Test
+    void anAlarmOfAnAnsweredCallEndsNothing() throws Exception {
+        answer("200 OK", page(9, false, "")).play(null, discovery.accepted.get(0));
+        assertTrue(discovery.next().first().contains("index=9"));
+        forward(20.4);
+        assertNull(discovery.seen.poll());
+        assertEquals(1, discovery.accepted.size());
+    }
+
+    /** A connection that came up while the loop stood still is taken, though the dial's time is over too. */
+    @Test
+    void aConnectionThatIsThereWhenTheDialsTimeEndsIsTaken() throws Exception {
+        try (ServerSocket door = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            Dialer dialer = new Dialer(clock, new DefaultByteBufferPool(true, 16384), 1, n -> { });
+            BlockingQueue<String> became = new LinkedBlockingQueue<>();
+            Held held = new Held(clock);
+            clock.execute(() -> {
+                dialer.dial((InetSocketAddress) door.getLocalSocketAddress(), 0.1,
+                        link -> became.add("opened"), () -> became.add("failed"));
+                try {
+                    // The kernel has it as open from here on.
+                    door.accept();
+                } catch (Exception e) {
+                    became.add(e.toString());
+                }
+                clock.forward(0.2);
+            });
+            held.letGo();
+            assertEquals("opened", became.poll(5, TimeUnit.SECONDS));
+            assertEquals(1, dialer.open());
+        }
+    }
+
+    /** What can't even be begun fails as any dial does, and gives its place back. */
+    @Test
+    void aDialThatCannotBeBegunIsNotCounted() throws Exception {
+        Dialer dialer = new Dialer(clock, new DefaultByteBufferPool(true, 16384), 1, n -> { });
+        BlockingQueue<String> became = new LinkedBlockingQueue<>();
+        Held.on(clock, () -> dialer.dial(null, 0.1, link -> became.add("opened"), () -> became.add("failed")));
+        assertEquals("failed", became.poll(5, TimeUnit.SECONDS));
+        assertEquals(0, dialer.open());
+    }
+}
