A query whose client has left is not sent on, and its next try is not its own

Seen by forced tests (ClientLeavesTest: the loop held until the end of the connection lies in the kernel, each as FIN and as reset, what reaches the upstream counted). Before, read from the code and seen failing there: a client's end behind a query that was read late, behind a next query sent ahead, while a dial was under way, in the turn of the copy, of a further execution, of the door's let-in, of the list that a held one waits for; a long body whole in the kernel; a next try under the same id turned away with 409. Lines at fault: UpstreamActor.write asked nobody; Front.watch looked away once bytes came ahead; ids of the clients' own in the mailboxes of door and module, and knows; ModuleActor.answer took the cut-off away, so that where nothing may be called off a hung execution stayed for ever. Now: Reply.over reads the connection in the moment before the first byte is written, and before the last of a long body; what is ahead is kept and given back to Undertow; each query has a name of its own inside; the cut-off rings while anything is out. An actor that is gone, drains, is out or has moved calls off its dials and takes nothing. Ruled out: reading at arrival too (one read more a query, nothing gained over the one before the write).

--- a/core/src/main/java/portrelay/model/Asked.java
+++ b/core/src/main/java/portrelay/model/Asked.java
@@ -12,4 +12,9 @@
             boolean again) {
         this(id, offering, tenant, key, cutOffAt, work, again, false);
     }
+
+    /** The same under another id. */
+    public Asked as(QueryId other) {
+        return new Asked(other, offering, tenant, key, cutOffAt, work, again, once);
+    }
 }
--- a/daemon/src/main/java/portrelay/net/Clients.java
+++ b/daemon/src/main/java/portrelay/net/Clients.java
@@ -79,6 +79,16 @@
         return id != null && lines.get(id).guard.unclear();
     }
 
+    /** Whether its end has come; in doubt, as when it is broken or closed, it has. */
+    boolean ended(HttpServerConnection connection) {
+        ClientId id = ids.get(connection.getChannel());
+        try {
+            return id == null || lines.get(id).guard.ended();
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     /** Whether more queries wait for answers than there is room for connections. */
     boolean full() {
         return room.count(Room.Phase.ASKED) > most;
--- a/daemon/src/main/java/portrelay/net/DoorActor.java
+++ b/daemon/src/main/java/portrelay/net/DoorActor.java
@@ -58,10 +58,6 @@
         });
     }
 
-    boolean knows(QueryId id) {
-        return door.knows(id) || module.knows(id);
-    }
-
     /** Whoever waits is told now, and so is whoever still comes. */
     void close() {
         mailbox.post(() -> door.close(loop.now()));
@@ -75,10 +71,6 @@
 
     private void arrivedNow(Incoming incoming, InetAddress from) {
         Asked asked = incoming.asked();
-        if (knows(asked.id())) {
-            incoming.reply().writtenOff();
-            return;
-        }
         waiting.put(asked.id(), incoming);
         double now = loop.now();
         double useful = now + rules.waitShare() * (asked.cutOffAt() - now);
@@ -164,26 +156,31 @@
             this.to = to;
         }
 
-        private void over() {
+        private void answered() {
             mailbox.post(() -> door.answered(loop.now(), id));
         }
 
+        @Override
+        public boolean over() {
+            return to.over();
+        }
+
         @Override
         public void handled(Result answer) {
             to.handled(answer);
-            over();
+            answered();
         }
 
         @Override
         public void denied(double coolDown) {
             to.denied(coolDown);
-            over();
+            answered();
         }
 
         @Override
         public void writtenOff() {
             to.writtenOff();
-            over();
+            answered();
         }
     }
 }
--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -12,6 +12,7 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.AttachmentKey;
 import io.undertow.util.Headers;
+import io.undertow.util.ImmediatePooledByteBuffer;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
 import java.io.ByteArrayOutputStream;
@@ -19,6 +20,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -45,6 +48,8 @@
     private static final double STILL_COMING = 0.6;
     private static final double JUST_COME = 0.2;
     private static final double STAMP_EVERY = 0.25;
+    /** What a client may send ahead while we still look whether it is there: its next query, head and body. */
+    private static final int MOST_AHEAD = 32 * 1024 + Call.SHORT;
 
     private final Loop loop;
     private final Log log;
@@ -62,6 +67,9 @@
     private int drains;
     private boolean handedOver;
     private double answerBy = Double.POSITIVE_INFINITY;
+    /** Those that wait for an answer, by the ids that they gave. */
+    private final Map<String, Client> asking = new HashMap<>();
+    private long taken;
 
     Front(Loop loop, Log log, ByteBufferPool buffers, QueryReader reader, DoorActor doorkeeper,
             RoomSettings room, DoorCounts counts) {
@@ -305,10 +313,15 @@
         try {
             int length = upload == null ? body.length : 1;
             Asked asked = reader.read(exchange, length, upload != null, loop.now(), answerBy);
-            if (doorkeeper.knows(asked.id())) {
+            String said = asked.id().value();
+            Client open = asking.get(said);
+            if (open != null && !open.over()) {
                 throw new BadQuery(StatusCodes.CONFLICT, "a query of this id is open");
             }
-            Client client = new Client(exchange, asked.id(), upload);
+            // From here on under a name of its own: what is on its way about one that its client left must not
+            // meet the same client's next try, which may come under the same id.
+            asked = asked.as(new QueryId(said + " " + ++taken));
+            Client client = new Client(exchange, said, asked.id(), upload);
             String query = exchange.getQueryString();
             String target = Passing.path(exchange) + (query.isEmpty() ? "" : "?" + query);
             Incoming incoming = new Incoming(asked, exchange.getRequestMethod(), target,
@@ -321,6 +334,7 @@
                 client.denied(0);
                 return;
             }
+            asking.put(said, client);
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
                 if (upload == null) {
                     client.watch();
@@ -370,16 +384,21 @@
 
         private final HttpServerExchange exchange;
         private final HttpServerConnection connection;
+        private final String said;
         private final QueryId id;
         /** Null where the body came whole. */
         private final Upload upload;
+        /** What came behind the query, until Undertow has it back. */
+        private final ByteArrayOutputStream ahead = new ByteArrayOutputStream(0);
+        private boolean watched;
         private boolean over;
         private double stampedAt;
 
-        Client(HttpServerExchange exchange, QueryId id, Upload upload) {
+        Client(HttpServerExchange exchange, String said, QueryId id, Upload upload) {
             this.upload = upload;
             this.exchange = exchange;
             this.connection = connection(exchange);
+            this.said = said;
             this.id = id;
         }
 
@@ -390,41 +409,80 @@
 
         /** Undertow does not read while a query is at work, so it would not see the client go. */
         void watch() {
-            if (connection.getExtraBytes() != null) {
-                // It sent its next query ahead, so it is still there; those bytes have to be read first.
-                return;
-            }
+            watched = true;
             ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
             source.setConduit(connection.getOriginalSourceConduit());
-            source.setReadListener(this::readable);
+            source.setReadListener(this::look);
             source.resumeReads();
         }
 
-        private void readable(ConduitStreamSourceChannel source) {
-            if (over) {
+        /** Reads up to the end, if it is there; what comes before it is the client's next query, sent ahead. */
+        private void look(ConduitStreamSourceChannel source) {
+            if (over || ahead.size() >= MOST_AHEAD) {
                 source.suspendReads();
                 return;
             }
-            PooledByteBuffer some = connection.getByteBufferPool().allocate();
-            int count;
-            try {
-                count = source.read(some.getBuffer());
+            try (PooledByteBuffer some = connection.getByteBufferPool().allocate()) {
+                ByteBuffer buffer = some.getBuffer();
+                int count = source.read(buffer);
+                while (count > 0 && ahead.size() < MOST_AHEAD) {
+                    byte[] bytes = new byte[buffer.flip().remaining()];
+                    buffer.get(bytes);
+                    ahead.writeBytes(bytes);
+                    count = source.read(buffer.clear());
+                }
+                if (count < 0) {
+                    leave();
+                }
+            } catch (QueryGuard.Broken e) {
+                // No query of it, but whoever sends it is still there.
+                source.suspendReads();
             } catch (IOException e) {
-                count = -1;
+                leave();
             }
-            if (count > 0) {
-                // The client's next query, sent ahead: it waits for its turn.
-                some.getBuffer().flip();
-                source.suspendReads();
-                connection.ungetRequestBytes(some);
+        }
+
+        /** Undertow reads on where the query ended: what we have read of the next one comes first there. */
+        private void giveBack() {
+            if (ahead.size() == 0) {
                 return;
             }
-            some.close();
-            if (count < 0) {
-                over = true;
-                doorkeeper.left(id);
-                IoUtils.safeClose(connection);
+            PooledByteBuffer first = connection.getExtraBytes();
+            int length = first == null ? 0 : first.getBuffer().remaining();
+            ByteBuffer all = ByteBuffer.allocate(length + ahead.size());
+            if (first != null) {
+                all.put(first.getBuffer());
+                first.close();
             }
+            connection.setExtraBytes(new ImmediatePooledByteBuffer(all.put(ahead.toByteArray()).flip()));
+            ahead.reset();
+        }
+
+        private void leave() {
+            end();
+            doorkeeper.left(id);
+            IoUtils.safeClose(connection);
+        }
+
+        private void end() {
+            over = true;
+            asking.remove(said, this);
+        }
+
+        @Override
+        public boolean over() {
+            if (!over && watched) {
+                look(connection.getChannel().getSourceChannel());
+            } else if (!over && clients.ended(connection)) {
+                leave();
+            }
+            return over;
+        }
+
+        /** The long body goes on with its last byte only while somebody waits for what comes of it. */
+        @Override
+        public boolean stays() {
+            return !over();
         }
 
         // ---- A long body ----------------------------------------------------------------------------------
@@ -441,7 +499,7 @@
             if (over) {
                 return;
             }
-            over = true;
+            end();
             doorkeeper.left(id);
             if (tooLong) {
                 turnAwayAndClose(exchange, QueryReader.tooLong());
@@ -534,7 +592,8 @@
             if (over) {
                 return false;
             }
-            over = true;
+            end();
+            giveBack();
             clients.at(connection, Room.Phase.ANSWERING);
             if (upload != null) {
                 upload.stop();
--- a/daemon/src/main/java/portrelay/net/Incoming.java
+++ b/daemon/src/main/java/portrelay/net/Incoming.java
@@ -16,9 +16,15 @@
         return new Incoming(asked, method, target, headers, body, upload, other);
     }
 
-    /** The client's side of a query. One of these is called, once. */
+    /** The client's side of a query. One of the answers is called, once. */
     interface Reply {
 
+        /**
+         * Whether nobody waits for an answer any more, as things stand in this moment: it was answered, or its
+         * client has left, be it that nobody has read so yet. Tells the door if that is how it is found out.
+         */
+        boolean over();
+
         void handled(Result answer);
 
         /** No advice where coolDown is 0. */
--- a/daemon/src/main/java/portrelay/net/Link.java
+++ b/daemon/src/main/java/portrelay/net/Link.java
@@ -312,8 +312,9 @@
         @Override
         public void passTo(StreamSinkChannel to, Pump.Ends ends) {
             this.ends = ends;
-            new Pump(loop, connection.getBufferPool(), from, to, exchange.body.toByteArray(), Call.LONGEST,
-                    new Pump.Patience(UPSTREAM_SILENT, 0, CLIENT_UNREADING), this).start();
+            new Pump(loop, connection.getBufferPool(), from, to, exchange.body.toByteArray(),
+                    new Pump.Size(-1, Call.LONGEST), new Pump.Patience(UPSTREAM_SILENT, 0, CLIENT_UNREADING),
+                    this).start();
         }
 
         @Override
--- a/daemon/src/main/java/portrelay/net/ListActor.java
+++ b/daemon/src/main/java/portrelay/net/ListActor.java
@@ -244,9 +244,8 @@
                 known = actors.apply(row.address());
                 upstreams.put(id, known);
                 added.put(id, known);
-            } else {
-                known.at(row.address());
             }
+            known.listed(row.address(), row.listed().health() == Listed.Health.DRAINING);
             rows.add(row.listed());
             this.rows.put(id, row.tree());
         }
--- a/daemon/src/main/java/portrelay/net/ModuleActor.java
+++ b/daemon/src/main/java/portrelay/net/ModuleActor.java
@@ -30,6 +30,7 @@
         private final List<UpstreamActor> sentTo = new ArrayList<>(2);
         private int out;
         private boolean answered;
+        /** Rings as long as anything is out, also for nobody: where nothing may be called off it ends that. */
         private XnioExecutor.Key cutOff;
 
         Open(Incoming incoming) {
@@ -46,6 +47,7 @@
     private Watch watch;
     private PeerActor peers;
     private Runnable moved = () -> { };
+    private double answerBy = Double.POSITIVE_INFINITY;
 
     /** The module is made with this as what carries out its decisions. */
     ModuleActor(Loop loop, Log log, Function<Effects, Decide> module) {
@@ -112,8 +114,30 @@
         });
     }
 
-    boolean knows(QueryId id) {
-        return open.containsKey(id);
+    /**
+     * The process ends at that time. Guards those that would still wait then, as their clients wait for longer
+     * than it may live on, or their long bodies are still coming.
+     */
+    void answerAllBy(double time) {
+        mailbox.post(() -> {
+            answerBy = time;
+            loop.after(time - loop.now(), () -> mailbox.post(this::answerRest));
+        });
+    }
+
+    private void answerRest() {
+        List.copyOf(open.keySet()).forEach(id -> {
+            Open q = open.get(id);
+            if (q != null && !q.answered && (q.cutOff == null || q.incoming.asked().cutOffAt() > answerBy)) {
+                decide.left(loop.now(), id);
+                writeOff(id);
+            }
+        });
+    }
+
+    /** How many queries are not forgotten yet: answered or not, something of them is still out. */
+    int open() {
+        return open.size();
     }
 
     private void arrivedNow(Incoming incoming) {
@@ -130,7 +154,8 @@
         } else {
             // A query's time counts from its last byte, and that is its client's matter until then.
             incoming.upload().onWritten(() -> mailbox.post(() -> {
-                q.cutOff = loop.after(left, () -> mailbox.post(() -> cutOff(id, q)));
+                double most = Math.min(left, answerBy - loop.now());
+                q.cutOff = loop.after(most, () -> mailbox.post(() -> cutOff(id, q)));
             }));
         }
         decide.arrival(now, incoming.asked());
@@ -138,10 +163,7 @@
 
     /** Nothing is waited for any longer; the module hears of it as time-outs and answers. */
     private void cutOff(QueryId id, Open q) {
-        if (q.answered) {
-            return;
-        }
-        if (q.out == 0) {
+        if (q.out == 0 && !q.answered) {
             // So little time was left that the module's own alarm is due in this moment too.
             decide.alarm(loop.now());
         }
@@ -161,12 +183,23 @@
         if (q != null && !q.answered) {
             answer(id, q);
             decide.left(loop.now(), id);
+            if (q.incoming.upload() != null && !q.incoming.upload().written()) {
+                // Half a body never becomes a whole one: to end that needs nobody's leave.
+                for (int i = 0; i < q.sentTo.size(); i++) {
+                    q.sentTo.get(i).stop(new ExecutionId(id, i), Outcome.CALLED_OFF);
+                }
+            }
+            moved.run();
         }
     }
 
     private void endedNow(ExecutionId execution, Outcome outcome, Result answer) {
         QueryId id = execution.query();
         Open q = open.get(id);
+        if (outcome != Outcome.HANDLED && !q.answered && q.incoming.reply().over()) {
+            // Before the module hears of the end: it would send another for nobody.
+            leftNow(id);
+        }
         q.out--;
         boolean ended = q.answered;
         if (outcome == Outcome.HANDLED && !ended) {
@@ -191,15 +224,15 @@
 
     private void answer(QueryId id, Open q) {
         q.answered = true;
-        if (q.cutOff != null) {
-            q.cutOff.remove();
-        }
         forgetIfDone(id, q);
     }
 
     private void forgetIfDone(QueryId id, Open q) {
         if (q.answered && q.out == 0) {
             open.remove(id);
+            if (q.cutOff != null) {
+                q.cutOff.remove();
+            }
         }
     }
 
--- a/daemon/src/main/java/portrelay/net/Pump.java
+++ b/daemon/src/main/java/portrelay/net/Pump.java
@@ -22,6 +22,11 @@
             return true;
         }
 
+        /** Asked once, before the last byte goes on: the source counts as broken where it may not. */
+        default boolean mayEnd() {
+            return true;
+        }
+
         void whole();
 
         void sourceBroke();
@@ -38,6 +43,9 @@
      */
     record Patience(double source, double sourceRate, double sink) { }
 
+    /** Bytes: known is -1 where it is not; a source of more than the most is broken. */
+    record Size(long known, long most) { }
+
     /** Others have their turn after so many bytes. */
     private static final int AT_ONCE = 256 * 1024;
     private static final double LOOK_EVERY = 0.5;
@@ -50,13 +58,14 @@
     private final ByteBufferPool pool;
     private final StreamSourceChannel from;
     private final StreamSinkChannel to;
-    private final long most;
+    private final Size size;
     private final Patience patience;
     private final Ends ends;
     private PooledByteBuffer held;
     private ByteBuffer piece;
     private Waits waits = Waits.NOBODY;
     private boolean ended;
+    private boolean asked;
     private boolean over;
     private long count;
     private double waitsSince;
@@ -64,14 +73,14 @@
     private double waited;
     private long given;
 
-    /** First is what has come already; a source of more than the most bytes is broken. */
+    /** First is what has come already. */
     Pump(Loop loop, ByteBufferPool pool, StreamSourceChannel from, StreamSinkChannel to, byte[] first,
-            long most, Patience patience, Ends ends) {
+            Size size, Patience patience, Ends ends) {
         this.loop = loop;
         this.pool = pool;
         this.from = from;
         this.to = to;
-        this.most = most;
+        this.size = size;
         this.patience = patience;
         this.ends = ends;
         this.piece = ByteBuffer.wrap(first);
@@ -97,7 +106,7 @@
 
     /** Whether the source gave more than there may be. */
     boolean tooLong() {
-        return count > most;
+        return count > size.most;
     }
 
     private void run() {
@@ -107,6 +116,14 @@
         settle();
         int turn = 0;
         while (turn < AT_ONCE) {
+            if (!asked && (ended || count == size.known)) {
+                asked = true;
+                if (!ends.mayEnd()) {
+                    end();
+                    ends.sourceBroke();
+                    return;
+                }
+            }
             try {
                 if (piece.hasRemaining()) {
                     int written = to.write(piece);
@@ -151,7 +168,7 @@
         piece = read > 0 ? buffer.flip() : NOTHING;
         count += Math.max(0, read);
         given += Math.max(0, read);
-        if (read > 0 && count <= most) {
+        if (read > 0 && count <= size.most) {
             return true;
         }
         giveBack();
--- a/daemon/src/main/java/portrelay/net/QueryGuard.java
+++ b/daemon/src/main/java/portrelay/net/QueryGuard.java
@@ -9,6 +9,16 @@
 
     private static final int PEEKED = 512;
 
+    /** What a client sent makes no sense; the client itself may well be there. */
+    static final class Broken extends IOException {
+
+        private static final long serialVersionUID = 1;
+
+        Broken() {
+            super("broken framing");
+        }
+    }
+
     private final Framing framing = Framing.ofQueries();
     /** What a look ahead took, until it is read; null where there is none. */
     private ByteBuffer ahead;
@@ -26,14 +36,23 @@
      * that has come would be lost with it. Whoever goes on after this has to wake the reader up.
      */
     boolean peek() throws IOException {
-        if (ahead == null) {
-            ByteBuffer some = ByteBuffer.allocate(PEEKED);
-            if (next.read(some) <= 0) {
-                return false;
-            }
-            ahead = some.flip();
+        look();
+        return ahead != null;
+    }
+
+    /** Whether the client's end is the next that would be read. */
+    boolean ended() throws IOException {
+        return look() < 0;
+    }
+
+    private int look() throws IOException {
+        if (ahead != null) {
+            return ahead.remaining();
         }
-        return true;
+        ByteBuffer some = ByteBuffer.allocate(PEEKED);
+        int count = next.read(some);
+        ahead = count > 0 ? some.flip() : null;
+        return count;
     }
 
     /** Whether the head that was read last can be read in more than one way, as with folded lines. */
@@ -54,7 +73,7 @@
     @Override
     public int read(ByteBuffer to) throws IOException {
         if (framing.broken()) {
-            throw new IOException("broken framing");
+            throw new Broken();
         }
         int from = to.position();
         int count = ahead == null ? next.read(to) : readAhead(to);
@@ -69,7 +88,7 @@
         }
         to.position(bytes.position());
         if (bytes.position() == from) {
-            throw new IOException("broken framing");
+            throw new Broken();
         }
         return bytes.position() - from;
     }
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -50,7 +50,7 @@
 
     private final Log log;
     private final XnioWorker worker;
-    private final Loop loop;
+    final Loop loop;
     private final DoorCounts counts = new DoorCounts();
     private final DoorActor doorkeeper;
     private final double tellEvery;
@@ -62,8 +62,8 @@
     private final Config config;
     /** Null where nothing is handed over. */
     private final Handover handover;
-    private final Dialer toUpstreams;
-    private final ModuleActor module;
+    final Dialer toUpstreams;
+    final ModuleActor module;
     /** Null where sidecars have no way to talk. */
     private final PeerActor peers;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
--- a/daemon/src/main/java/portrelay/net/Upload.java
+++ b/daemon/src/main/java/portrelay/net/Upload.java
@@ -15,6 +15,9 @@
         /** The last byte has come. */
         void uploaded();
 
+        /** Asked before the last byte goes on. */
+        boolean stays();
+
         /** The client has gone, or stopped, or sent more than there may be. */
         void clientBroke(boolean tooLong);
     }
@@ -64,7 +67,7 @@
         if (stopped || pump != null) {
             throw new IllegalStateException("a long body passes once");
         }
-        pump = new Pump(loop, pool, from, to, first, Call.LONGEST, PATIENCE, this);
+        pump = new Pump(loop, pool, from, to, first, new Pump.Size(length, Call.LONGEST), PATIENCE, this);
         pump.start();
     }
 
@@ -76,6 +79,11 @@
         }
     }
 
+    @Override
+    public boolean mayEnd() {
+        return listener.stays();
+    }
+
     @Override
     public void moved() {
         // Nobody waits for less than the whole.
--- a/daemon/src/main/java/portrelay/net/UpstreamActor.java
+++ b/daemon/src/main/java/portrelay/net/UpstreamActor.java
@@ -42,7 +42,9 @@
     private final Deque<Idle> idle = new ArrayDeque<>();
     private InetSocketAddress address;
     private boolean sweeping;
+    /** Out by the operators' word, draining by the list's. */
     private boolean offline;
+    private boolean drains;
 
     UpstreamActor(Loop loop, Log log, Dialer dialer, Listener listener, double dialWithin, double idleMost,
             InetSocketAddress address) {
@@ -64,44 +66,62 @@
         mailbox.post(() -> stopNow(id, as));
     }
 
-    void at(InetSocketAddress now) {
+    /** What the list says of it from here on. */
+    void listed(InetSocketAddress now, boolean isDraining) {
         mailbox.post(() -> {
-            if (!now.equals(address)) {
-                address = now;
-                closeIdle();
+            boolean moved = !now.equals(address);
+            address = now;
+            drains = isDraining;
+            if (moved || drains) {
+                keepNothing();
             }
         });
     }
 
-    /**
-     * Operators take it out, or put it back: meanwhile nothing is kept, and what has no connection yet gets
-     * none there. What is written ends by itself.
-     */
+    /** Operators take it out, or put it back. */
     void offline(boolean now) {
         mailbox.post(() -> {
             offline = now;
             if (now) {
-                closeIdle();
-                Map.copyOf(running).forEach((id, one) -> {
-                    if (one.dial != null) {
-                        stopNow(id, Outcome.NO_CONNECTION);
-                    }
-                });
+                keepNothing();
             }
         });
     }
 
-    /** It is gone: what is out there may end as it does, nothing is kept. */
+    /** It is gone. */
     void close() {
         mailbox.post(() -> {
             address = null;
-            closeIdle();
+            keepNothing();
+        });
+    }
+
+    /**
+     * Nothing is kept, and what has no connection yet gets none there: one that comes up late would be written
+     * to when the grace of a drain is over, or at an address that is another's by then. What is written ends by
+     * itself.
+     */
+    private void keepNothing() {
+        closeIdle();
+        Map.copyOf(running).forEach((id, one) -> {
+            if (one.dial != null) {
+                stopNow(id, Outcome.NO_CONNECTION);
+            }
         });
     }
 
+    /** Whether anything may go there; what was sent before its sender could know meets this too. */
+    private boolean takes(InetSocketAddress to) {
+        return !offline && !drains && to != null && to.equals(address);
+    }
+
     private void sendNow(ExecutionId id, Incoming query) {
         Running one = new Running(query, address);
         running.put(id, one);
+        if (!takes(address)) {
+            end(id, one, Outcome.NO_CONNECTION, null);
+            return;
+        }
         for (Idle newest = idle.pollFirst(); newest != null; newest = idle.pollFirst()) {
             dialer.taken(newest.link);
             if (newest.link.rested()) {
@@ -126,6 +146,12 @@
     }
 
     private void write(ExecutionId id, Running one, Link link) {
+        if (one.query.reply().over()) {
+            // Its client left while this waited for a connection: nothing of it has been sent, and nothing is.
+            rest(one, link);
+            end(id, one, Outcome.CALLED_OFF, null);
+            return;
+        }
         one.link = link;
         Incoming query = one.query;
         Upload upload = query.upload();
@@ -192,7 +218,7 @@
     // ---- Idle connections -------------------------------------------------------------------------------
 
     private void rest(Running from, Link link) {
-        if (offline || !from.to.equals(address)) {
+        if (!takes(from.to)) {
             link.close();
             return;
         }
--- /dev/null
+++ b/daemon/src/test/java/portrelay/net/ClientLeavesTest.java
@@ -0,0 +1,414 @@
+package portrelay.net;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static portrelay.net.Town.SILENT;
+import static portrelay.net.Town.answer;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import portrelay.net.Town.Message;
+import portrelay.net.Town.Script;
+import portrelay.net.Town.Toy;
+
+/**
+ * A query whose client has left while it waited is not sent on, wherever it waited: what reaches the upstreams
+ * is counted. The loop is held until the client's end lies in the kernel, so that it crosses what it waits for
+ * in one turn of the loop. docs/crossings.md, "A client that leaves".
+ */
+@Timeout(30)
+class ClientLeavesTest {
+
+    /** How the end comes. */
+    enum By { FIN, RESET }
+
+    private static final Script HANDLES = answer("200 OK", "u");
+    private static final Script NEVER_RAN = answer("503 Busy\r\nX-Never-Ran: 1", "");
+
+    private static Socket says(Town town, String bytes) throws Exception {
+        Socket client = town.connect();
+        client.getOutputStream().write(bytes.getBytes(ISO_8859_1));
+        return client;
+    }
+
+    /** Returns when the end lies at the sidecar, unread. */
+    private static void leaves(Socket client, By how) throws Exception {
+        int local = client.getLocalPort();
+        int port = client.getPort();
+        if (how == By.RESET) {
+            client.setSoLinger(true, 0);
+        }
+        client.close();
+        Held.ended(client, local, port);
+    }
+
+    /** Nothing of those that left is there any more, and so many queries reached the upstreams. */
+    private static void nothingIsLeft(Town town, int sent) throws Exception {
+        nothingIsLeft(town);
+        assertEquals(sent, town.sent());
+    }
+
+    private static void nothingIsLeft(Town town) throws Exception {
+        long until = System.nanoTime() + 5_000_000_000L;
+        AtomicInteger open = new AtomicInteger(1);
+        while (open.get() > 0) {
+            Held.on(town.sidecar.loop, () -> open.set(town.sidecar.module.open()));
+            assertTrue(System.nanoTime() < until, open + " queries are left");
+        }
+        Held.settled(town.sidecar.loop);
+    }
+
+    private static UnaryOperator<String> longTimes() {
+        return config -> config.replace("\"aim-us\":600000,\"hard-limit-us\":1000000",
+                "\"aim-us\":9000000,\"hard-limit-us\":9000000");
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void whileTheLoopWasLate(By how) throws Exception {
+        try (Town town = new Town(HANDLES)) {
+            try (Held held = new Held(town.sidecar.loop)) {
+                String query = Town.issue("a", 900);
+                Socket client = says(town, query);
+                Held.unread(client, query.length());
+                leaves(client, how);
+                held.letGo();
+            }
+            nothingIsLeft(town, 0);
+        }
+    }
+
+    /** The next query lies behind it, read in one piece with it or after it. */
+    @ParameterizedTest
+    @EnumSource
+    void withTheNextQuerySentAhead(By how) throws Exception {
+        try (Town town = new Town(HANDLES)) {
+            try (Held held = new Held(town.sidecar.loop)) {
+                String both = Town.issue("a", 900) + Town.issue("b", 900);
+                Socket client = says(town, both);
+                Held.unread(client, both.length());
+                leaves(client, how);
+                held.letGo();
+            }
+            nothingIsLeft(town, 0);
+        }
+        for (boolean apart : new boolean[] {false, true}) {
+            try (Town town = new Town(SILENT)) {
+                Socket client = says(town, Town.issue("a", 900) + (apart ? "" : Town.issue("b", 900)));
+                town.upstreams.get(0).next();
+                if (apart) {
+                    client.getOutputStream().write(Town.issue("b", 900).getBytes(ISO_8859_1));
+                    Held.settled(town.sidecar.loop);
+                }
+                leaves(client, how);
+                // Long before its cut-off.
+                assertNotNull(town.upstreams.get(0).ended.poll(500, TimeUnit.MILLISECONDS));
+                nothingIsLeft(town, 0);
+            }
+        }
+    }
+
+    /** What comes ahead is read to see the end behind it; it must be there again when its turn comes. */
+    @Test
+    void aNextQueryOfManyBytesThatWasReadAheadIsStillServed() throws Exception {
+        String long1 = "x".repeat(50_000);
+        String next = Town.head("POST /issue/x", "b", "issue", 900) + "Content-Length: 50000\r\n\r\n" + long1;
+        try (Town town = new Town((m, on) -> {
+            if (m.header("X-Trace-Id").equals("b")) {
+                HANDLES.play(m, on);
+            }
+        })) {
+            Socket client = says(town, Town.issue("a", 900) + next.substring(0, 300));
+            Message first = town.upstreams.get(0).next();
+            assertEquals("a", first.header("X-Trace-Id"));
+            client.getOutputStream().write(next.substring(300).getBytes(ISO_8859_1));
+            Held.settled(town.sidecar.loop);
+            client.getOutputStream().write(Town.issue("b2", 900).getBytes(ISO_8859_1));
+            Held.settled(town.sidecar.loop);
+            HANDLES.play(null, town.upstreams.get(0).accepted.get(0));
+            assertEquals(200, Message.read(client.getInputStream()).status());
+            assertEquals(200, Message.read(client.getInputStream()).status());
+            assertEquals(50_000, town.upstreams.get(0).next().body().length);
+            assertEquals("b2", town.upstreams.get(0).next().header("X-Trace-Id"));
+        }
+    }
+
+    /** Nonsense behind a query is no word that its client has left. */
+    @Test
+    void nonsenseBehindAQueryDoesNotTakeItsAnswer() throws Exception {
+        for (String query : List.of(Town.read("a", 900), Town.issue("a", 900))) {
+            try (Town town = new Town(SILENT)) {
+                Socket client = says(town, query + "X".repeat(40_000));
+                town.upstreams.get(0).next();
+                Held.settled(town.sidecar.loop);
+                HANDLES.play(null, town.upstreams.get(0).accepted.get(0));
+                assertEquals(200, Message.read(client.getInputStream()).status());
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void inTheDoorsQueue(By how) throws Exception {
+        for (boolean leavesFirst : new boolean[] {true, false}) {
+            try (Town town = new Town(1024, "{\"most-inside\": 1, \"wait-share\": 0.9}", SILENT)) {
+                Socket first = says(town, Town.issue("a", 900));
+                town.upstreams.get(0).next();
+                Socket second = says(town, Town.issue("b", 900));
+                Held.settled(town.sidecar.loop);
+                try (Held held = new Held(town.sidecar.loop)) {
+                    // Both orders into the kernel; both lie there when the loop goes on.
+                    if (leavesFirst) {
+                        leaves(second, how);
+                    }
+                    Socket to = town.upstreams.get(0).accepted.get(0);
+                    HANDLES.play(null, to);
+                    Held.unread(to, 30);
+                    if (!leavesFirst) {
+                        leaves(second, how);
+                    }
+                    held.letGo();
+                }
+                assertEquals(200, Message.read(first.getInputStream()).status());
+                nothingIsLeft(town, 0);
+                town.upstreams.get(0).script = HANDLES;
+                assertEquals(200, town.ask(Town.issue("c", 900)).status(), "its place is still taken");
+            }
+        }
+    }
+
+    /** It waits for the list, which comes in the turn of the loop in which its client's end does. */
+    @ParameterizedTest
+    @EnumSource
+    void heldByTheModule(By how) throws Exception {
+        try (Toy late = new Toy(HANDLES); Town town = new Town(1024, "{}", longTimes())) {
+            town.discovery.next();
+            Socket client = says(town, Town.issue("a", 9000));
+            Held.settled(town.sidecar.loop);
+            try (Held held = new Held(town.sidecar.loop)) {
+                Socket discovery = town.discovery.accepted.get(0);
+                String list = "{\"seq\":9,\"whole\":true,\"hosts\":["
+                        + Town.host("late", late.address(), "SERVING") + "]}";
+                answer("200 OK", list).play(null, discovery);
+                Held.unread(discovery, 100);
+                leaves(client, how);
+                held.letGo();
+            }
+            town.discovery.next();
+            nothingIsLeft(town, 0);
+            assertEquals(0, late.seen.size());
+            // And none of its wait is left to others.
+            assertEquals(200, town.ask(Town.issue("b", 900)).status());
+        }
+    }
+
+    /** One is on its way up to an upstream that does not take it yet; the other end comes to life as it goes. */
+    @ParameterizedTest
+    @EnumSource
+    void duringADial(By how) throws Exception {
+        for (boolean isUp : new boolean[] {false, true}) {
+            List<Socket> full = new ArrayList<>();
+            try (ServerSocket slow = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                    Town town = new Town(1024, "{}", longTimes().andThen(config -> config
+                            .replace("dial-timeout-us\":150000", "dial-timeout-us\":9000000"))::apply)) {
+                fill(slow, full);
+                town.discovery.next();
+                String list = "{\"seq\":9,\"whole\":true,\"hosts\":["
+                        + Town.host("slow", "127.0.0.1:" + slow.getLocalPort(), "SERVING") + "]}";
+                answer("200 OK", list).play(null, town.discovery.accepted.get(0));
+                town.discovery.next();
+                Socket client = says(town, Town.issue("a", 9000));
+                until(town, 1);
+                try (Held held = new Held(town.sidecar.loop)) {
+                    if (isUp) {
+                        // The kernel tries again after a second, and now there is room.
+                        int before = full.size();
+                        slow.setSoTimeout(5000);
+                        for (int i = 0; i <= before; i++) {
+                            full.add(slow.accept());
+                        }
+                    }
+                    leaves(client, how);
+                    held.letGo();
+                }
+                nothingIsLeft(town, 0);
+                if (isUp) {
+                    Socket up = full.get(full.size() - 1);
+                    up.setSoTimeout(300);
+                    assertEquals(0, up.getInputStream().available(), "bytes were sent for nobody");
+                }
+                until(town, isUp ? 1 : 0);
+            } finally {
+                for (Socket each : full) {
+                    each.close();
+                }
+            }
+        }
+    }
+
+    /** So many connections to its queue that the kernel takes no more. */
+    private static void fill(ServerSocket door, List<Socket> with) throws Exception {
+        for (int i = 0; i < 2; i++) {
+            with.add(new Socket(door.getInetAddress(), door.getLocalPort()));
+        }
+    }
+
+    private static void until(Town town, int open) throws Exception {
+        AtomicInteger is = new AtomicInteger(-1);
+        long end = System.nanoTime() + 5_000_000_000L;
+        while (is.get() != open) {
+            Held.on(town.sidecar.loop, () -> is.set(town.sidecar.toUpstreams.open()));
+            assertTrue(System.nanoTime() < end, is + " connections are open, not " + open);
+        }
+    }
+
+    /** The copy's time has come, and so has the client's end. */
+    @ParameterizedTest
+    @EnumSource
+    void beforeACopy(By how) throws Exception {
+        try (Town town = new Town(SILENT, SILENT)) {
+            Socket client = says(town, Town.read("a", 400));
+            while (town.sent() == 0) {
+                Thread.onSpinWait();
+            }
+            long sent = System.nanoTime();
+            try (Held held = new Held(town.sidecar.loop)) {
+                leaves(client, how);
+                // Past half of its time, when the copy is due; short of the cut-off.
+                while (System.nanoTime() - sent < 280_000_000L) {
+                    Thread.onSpinWait();
+                }
+                held.letGo();
+            }
+            nothingIsLeft(town, 1);
+        }
+    }
+
+    /** The first one never ran, and that and the client's end are read in one turn. */
+    @ParameterizedTest
+    @EnumSource
+    void beforeAFurtherExecution(By how) throws Exception {
+        for (boolean leavesFirst : new boolean[] {true, false}) {
+            try (Town town = new Town(SILENT, SILENT)) {
+                Socket client = says(town, Town.issue("a", 900));
+                while (town.sent() == 0) {
+                    Thread.onSpinWait();
+                }
+                Toy at = town.upstreams.get(town.upstreams.get(0).seen.isEmpty() ? 1 : 0);
+                try (Held held = new Held(town.sidecar.loop)) {
+                    if (leavesFirst) {
+                        leaves(client, how);
+                    }
+                    NEVER_RAN.play(null, at.accepted.get(0));
+                    Held.unread(at.accepted.get(0), 30);
+                    if (!leavesFirst) {
+                        leaves(client, how);
+                    }
+                    held.letGo();
+                }
+                nothingIsLeft(town, 1);
+            }
+        }
+    }
+
+    /** A long body that lies whole in the kernel, and its client's end behind it: it never becomes whole there. */
+    @ParameterizedTest
+    @EnumSource
+    void behindALongBody(By how) throws Exception {
+        String bytes = "y".repeat(100_000);
+        String head = Town.head("POST /issue/x", "a", "issue", 900);
+        List<String> queries = List.of(head + "Content-Length: 100000\r\n\r\n" + bytes,
+                head + "Transfer-Encoding: chunked\r\n\r\n186a0\r\n" + bytes + "\r\n0\r\n\r\n");
+        for (String query : queries) {
+            BlockingQueue<String> came = new LinkedBlockingQueue<>();
+            // Of a body in chunks the toy has read the head alone when its script begins.
+            Script reads = (m, on) -> came.add(m.header("Content-Length") != null ? new String(m.body(), ISO_8859_1)
+                    : new String(on.getInputStream().readAllBytes(), ISO_8859_1));
+            try (Town town = new Town(reads)) {
+                try (Held held = new Held(town.sidecar.loop)) {
+                    Socket client = says(town, query);
+                    Held.unread(client, query.length());
+                    leaves(client, how);
+                    held.letGo();
+                }
+                nothingIsLeft(town);
+                String all = came.poll(1, TimeUnit.SECONDS);
+                assertTrue(all == null || all.length() < 100_000 || !all.endsWith("0\r\n\r\n") && all.length()
+                        != 100_000, "a whole body was sent on");
+            }
+        }
+    }
+
+    /** In the middle of a body, short or long. */
+    @ParameterizedTest
+    @EnumSource
+    void withHalfABody(By how) throws Exception {
+        for (int length : new int[] {20_000, 200_000}) {
+            try (Town town = new Town(HANDLES)) {
+                String half = Town.head("POST /issue/x", "a", "issue", 900) + "Content-Length: " + length
+                        + "\r\n\r\n" + "y".repeat(length / 2);
+                Socket client = says(town, half);
+                Held.settled(town.sidecar.loop);
+                leaves(client, how);
+                nothingIsLeft(town);
+                Message sent = town.upstreams.get(0).seen.poll(300, TimeUnit.MILLISECONDS);
+                assertTrue(sent == null || sent.body().length < length, "a whole body was sent on");
+            }
+        }
+    }
+
+    /** The try that was left must neither turn the next one away nor end it, in whatever order they are read. */
+    @ParameterizedTest
+    @EnumSource
+    void theNextTryUnderTheSameIdIsServed(By how) throws Exception {
+        for (boolean nextFirst : new boolean[] {true, false}) {
+            try (Town town = new Town(SILENT)) {
+                Toy upstream = town.upstreams.get(0);
+                Socket left = says(town, Town.issue("same", 900));
+                upstream.next();
+                upstream.script = HANDLES;
+                Socket next;
+                try (Held held = new Held(town.sidecar.loop)) {
+                    if (!nextFirst) {
+                        leaves(left, how);
+                    }
+                    next = says(town, Town.issue("same", 900));
+                    Held.unread(next, Town.issue("same", 900).length());
+                    if (nextFirst) {
+                        leaves(left, how);
+                    }
+                    held.letGo();
+                }
+                assertEquals(200, Message.read(next.getInputStream()).status());
+                nothingIsLeft(town, 1);
+            }
+        }
+    }
+
+    /** Where nothing may be called off, what runs for nobody ends with its cut-off and takes no room for ever. */
+    @Test
+    void whereNothingMayBeCalledOffItEndsWithItsCutOff() throws Exception {
+        try (Town town = new Town(1024, "{}", config -> config.replace("\"cancel\":true", "\"cancel\":false"),
+                SILENT)) {
+            Socket client = says(town, Town.issue("a", 500));
+            town.upstreams.get(0).next();
+            leaves(client, By.FIN);
+            nothingIsLeft(town, 0);
+            until(town, 0);
+        }
+    }
+}
