SIGTERM counts from its signal: cold, late, queued and long-waiting queries are answered

Seen by forced tests (EndingCrossingsTest; 8 of 10 fail with the lines put back, seen): a query of a process still warming up was lost with the JVM (ServeCommand added its hook after the warm-up); one in the kernel's listen queue was reset when the door closed after 0.55 s (Front.closeDoor); one taken before SIGTERM with a cut-off of 8 s was open when SIGKILL came after 3.7 s (only later ones were held to it); a loop that was 0.9 s late gave answers 0.2 s after SIGKILL; two told to end at once handed over to each other; a successor that got warm after SIGTERM said that it serves and began to listen. Now: the hook comes first and Sidecar.open returns when it listens; closeDoor empties the queue, as handOver did; ModuleActor.answerAllBy ends what is still open; all times count from the call; Handover says 'ending'. Ruled out: keeping the listener open to the end (clients come for 0.4 s only). What the kernel takes between the last accept and the close stays open: Java has no way to stop a listener from queueing.

--- a/daemon/src/main/java/portrelay/cli/ServeCommand.java
+++ b/daemon/src/main/java/portrelay/cli/ServeCommand.java
@@ -6,6 +6,10 @@
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import portrelay.net.Config;
 import portrelay.net.Log;
 import portrelay.net.Sidecar;
@@ -14,20 +18,45 @@
 @Parameters(commandDescription = "run one sidecar until SIGTERM")
 final class ServeCommand extends ConfigCommand {
 
+    private static final int OPENS_WITHIN_S = 3;
+
     @Override
     int run(Config config) throws IOException, BadSetting, InterruptedException {
-        CompletableFuture<Sidecar> serving = new CompletableFuture<>();
+        CompletableFuture<Sidecar> opened = new CompletableFuture<>();
+        AtomicBoolean ends = new AtomicBoolean();
         Log log = new Log(System.err, config.name());
         config.inVain().forEach(each -> log.warn("not yet on sockets: " + each));
-        onHangUp(() -> serving.thenAccept(sidecar -> reload(sidecar, log)));
+        onHangUp(() -> opened.thenAccept(sidecar -> reload(sidecar, log)));
+        // Before anything listens: clients are served from then on, and SIGTERM may come while it gets warm.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(opened, ends)));
         String folder = System.getenv("TMPDIR");
-        Sidecar sidecar = Sidecar.start(config, System.err, folder == null ? null : Path.of(folder));
-        Runtime.getRuntime().addShutdownHook(new Thread(sidecar::drain));
-        serving.complete(sidecar);
+        try {
+            if (ends.get()) {
+                throw new IOException("told to end before it was opened");
+            }
+            Sidecar sidecar = Sidecar.open(config, System.err, folder == null ? null : Path.of(folder));
+            opened.complete(sidecar);
+            sidecar.awaitReady();
+        } catch (IOException | BadSetting | RuntimeException e) {
+            opened.completeExceptionally(e);
+            throw e;
+        }
         new CountDownLatch(1).await();
         return 0;
     }
 
+    /** One that is being opened is waited for: it may listen already. */
+    private static void drain(CompletableFuture<Sidecar> opened, AtomicBoolean ends) {
+        ends.set(true);
+        try {
+            opened.get(OPENS_WITHIN_S, TimeUnit.SECONDS).drain();
+        } catch (ExecutionException | TimeoutException e) {
+            // It never listened, or could not be opened in time: nobody waits for it.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /**
      * Unhandled it ends the JVM, so this comes before all else. The JDK has one class that handles signals;
      * by its name, as the compiler warns of each other use of it and can't be told that it is meant.
--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -122,20 +122,9 @@
         return count > 0;
     }
 
-    /**
-     * The successor takes who comes from here on. What the kernel has put into our queue is taken first:
-     * closed with it, it would be turned back unheard.
-     */
+    /** The successor takes who comes from here on. */
     void handOver() {
         handedOver = true;
-        try {
-            door.setOption(Options.CONNECTION_HIGH_WATER, Integer.MAX_VALUE);
-        } catch (IOException | IllegalArgumentException e) {
-            log.warn("the listener's bound stays: " + e.getMessage());
-        }
-        while (acceptSome(door)) {
-            continue;
-        }
         closeDoor();
         sendRestAway();
     }
@@ -172,11 +161,24 @@
         answerBy = time;
     }
 
-    /** No new connections from here on. */
+    /**
+     * No new connections from here on. What the kernel has put into our queue by now is taken first: closed
+     * with it, it would be turned back unheard, and its queries are taken as soon as the kernel has them. What
+     * comes between the last look and the close is not ours to see.
+     */
     void closeDoor() {
-        if (door != null) {
-            IoUtils.safeClose(door);
+        if (door == null || !door.isOpen()) {
+            return;
+        }
+        try {
+            door.setOption(Options.CONNECTION_HIGH_WATER, Integer.MAX_VALUE);
+        } catch (IOException | IllegalArgumentException e) {
+            log.warn("the listener's bound stays: " + e.getMessage());
+        }
+        while (acceptSome(door)) {
+            continue;
         }
+        IoUtils.safeClose(door);
     }
 
     /** No new queries either: quiet connections end now, the others with their answer. */
--- a/daemon/src/main/java/portrelay/net/Handover.java
+++ b/daemon/src/main/java/portrelay/net/Handover.java
@@ -188,12 +188,18 @@
         });
     }
 
-    /** Whether a later process lives and serves, just now. Waits for a moment; not for the loop. */
-    boolean hasSuccessor() {
+    /**
+     * This process ends: says so, as nobody can hand over to it from here on, and returns whether a later one
+     * lives and serves that does not end too. Waits for a moment; not for the loop.
+     */
+    boolean ends() {
         CompletableFuture<Boolean> found = new CompletableFuture<>();
         post(() -> {
             look();
             found.complete(successor);
+            state.ending = true;
+            changed = true;
+            write();
         });
         try {
             return found.get((long) (ANSWER_WITHIN * 1e3), TimeUnit.MILLISECONDS);
@@ -286,7 +292,7 @@
                     merge(its, lives);
                 }
                 boolean serves = its != null && its.serving;
-                later |= lives && each > number && serves;
+                later |= lives && each > number && serves && !its.ending;
                 if (lives) {
                     is = each < number || serves || is == Beside.SERVING ? Beside.SERVING : Beside.STARTING;
                 }
--- a/daemon/src/main/java/portrelay/net/HandoverState.java
+++ b/daemon/src/main/java/portrelay/net/HandoverState.java
@@ -24,6 +24,8 @@
     record Call(boolean isOut, double at) { }
 
     boolean serving;
+    /** Told to end: whoever ends beside it must not leave its clients to it. */
+    boolean ending;
     /** The last call to send clients away or take them again; at 0 where there was none. */
     Call service = new Call(false, 0);
     final Map<UpstreamId, Call> calls = new LinkedHashMap<>();
@@ -52,6 +54,7 @@
         tree.put("form", FORM);
         tree.put("name", name);
         tree.put("serving", serving);
+        tree.put("ending", ending);
         tree.put("out-of-service", service.isOut);
         tree.put("out-of-service-at", service.at);
         List<Object> rows = new ArrayList<>();
@@ -79,6 +82,7 @@
         }
         HandoverState read = new HandoverState();
         read.serving = root.flag("serving");
+        read.ending = root.flag("ending");
         read.service = new Call(root.flag("out-of-service"), root.number("out-of-service-at"));
         for (Fields each : root.rows("calls")) {
             Call call = new Call(each.truth("offline"), each.number("at"));
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -67,10 +67,14 @@
     /** Null where sidecars have no way to talk. */
     private final PeerActor peers;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
+    private final Warmup warmup;
+    private boolean drains;
+    private volatile boolean closed;
     private Handover.Beside beside;
     private final CountDownLatch ended = new CountDownLatch(1);
 
-    private Sidecar(Config config, PrintStream logTo, Path handoverIn) throws IOException, BadSetting {
+    private Sidecar(Config config, PrintStream logTo, Path handoverIn, Warmup.Length length)
+            throws IOException, BadSetting {
         this.config = config;
         log = new Log(logTo, config.name());
         worker = worker();
@@ -110,6 +114,9 @@
             close();
             throw e;
         }
+        boolean serves = beside == Handover.Beside.SERVING;
+        var usual = serves ? Warmup.Length.SUCCESSOR : Warmup.Length.FIRST;
+        warmup = new Warmup(loop, buffers, config, length == null ? usual : length);
         onLoop(() -> {
             takeOver();
             if (peers != null) {
@@ -117,8 +124,7 @@
             }
             module.start(list, peers);
             tell();
-            var length = beside == Handover.Beside.SERVING ? Warmup.Length.SUCCESSOR : Warmup.Length.FIRST;
-            new Warmup(loop, buffers, config, length).run(this::warm);
+            warmup.run(this::warm);
             return null;
         });
     }
@@ -236,6 +242,11 @@
     }
 
     private void warm() {
+        if (drains) {
+            // Told to end meanwhile: it must not say that it serves, nor begin to listen.
+            ready.complete(null);
+            return;
+        }
         try {
             if (!front.listens()) {
                 // Only now: of clients that come to two, one that can't serve yet must get none.
@@ -253,6 +264,10 @@
     }
 
     private void serves() {
+        if (drains) {
+            ready.complete(null);
+            return;
+        }
         front.ready(true);
         if (operators != null) {
             operators.ready(true);
@@ -261,27 +276,47 @@
         ready.complete(null);
     }
 
-    /** Returns when the sidecar serves. */
+    /** Returns when the sidecar serves, or has been told to end before it did. */
     public static Sidecar start(Config config, PrintStream logTo) throws IOException, BadSetting {
         return start(config, logTo, null);
     }
 
+    /**
+     * Returns when the sidecar listens, before it is warm: it serves from here on, and may be told to end.
+     * Whoever calls this calls {@code awaitReady} too.
+     */
+    public static Sidecar open(Config config, PrintStream logTo, Path handoverIn)
+            throws IOException, BadSetting {
+        return open(config, logTo, handoverIn, null);
+    }
+
+    /** With a warm-up of that length; of the usual one where it is null. */
+    static Sidecar open(Config config, PrintStream logTo, Path handoverIn, Warmup.Length length)
+            throws IOException, BadSetting {
+        return new Sidecar(config, logTo, handoverIn, length);
+    }
+
     /**
      * The same; hands over to, and takes over from, other processes of this sidecar by files in the folder,
      * which has to be theirs alone. Null: to nobody.
      */
     public static Sidecar start(Config config, PrintStream logTo, Path handoverIn)
             throws IOException, BadSetting {
-        Sidecar sidecar = new Sidecar(config, logTo, handoverIn);
+        Sidecar sidecar = open(config, logTo, handoverIn);
+        sidecar.awaitReady();
+        return sidecar;
+    }
+
+    /** Returns when it serves, or has been told to end before it did; closed with the cause where it can't. */
+    public void awaitReady() throws IOException {
         try {
-            sidecar.ready.get();
+            ready.get();
         } catch (ExecutionException e) {
-            sidecar.close();
+            close();
             throw new IOException(e.getCause().getMessage(), e.getCause());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        return sidecar;
     }
 
     /**
@@ -306,34 +341,42 @@
      * Goes on as before for the connections that are open and, for half a second, for those still on their
      * way; clients have nobody else while they stay. Ends when they have gone, or when what is taken later
      * could no longer be answered before the sidecar may be killed. With a successor that serves, the address
-     * is left to it at once.
+     * is left to it at once. Whoever kills counts from the call: so does all of it, however late the loop is.
      */
     public void drain() {
-        boolean succeeded = handover != null && handover.hasSuccessor();
+        double told = loop.now();
+        double end = told + LEAST_DRAIN + longestCutOff;
+        boolean succeeded = handover != null && handover.ends();
         try {
-            loop.execute(() -> {
-                log.info(succeeded ? "handing over to the successor" : "draining");
-                front.ready(succeeded);
-                if (operators != null) {
-                    operators.ready(false);
-                }
-                double all = LEAST_DRAIN + longestCutOff - OWN_END;
-                front.answerAllBy(loop.now() + all);
-                if (succeeded) {
-                    front.handOver();
-                } else {
-                    loop.after(ACCEPT_ON, front::closeDoor);
-                }
-                loop.after(all - LAST_ANSWERS, front::close);
-                loop.after(succeeded ? 0 : LEAST_DRAIN, this::endWhenLeft);
-            });
-            ended.await((long) ((LEAST_DRAIN + longestCutOff) * 1e3), TimeUnit.MILLISECONDS);
+            loop.execute(() -> drain(told, end - OWN_END, succeeded));
+            long left = closed ? 0 : (long) ((end - loop.now()) * 1e3);
+            ended.await(Math.max(0, left), TimeUnit.MILLISECONDS);
             log.info("ended");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private void drain(double told, double last, boolean succeeded) {
+        drains = true;
+        log.info(succeeded ? "handing over to the successor" : "draining");
+        front.ready(succeeded);
+        if (operators != null) {
+            operators.ready(false);
+        }
+        front.answerAllBy(last);
+        module.answerAllBy(last);
+        double since = loop.now() - told;
+        if (succeeded) {
+            front.handOver();
+        } else {
+            loop.after(ACCEPT_ON - since, front::closeDoor);
+        }
+        loop.after(last - LAST_ANSWERS - loop.now(), front::close);
+        // Where nobody could come there is nobody to wait for.
+        loop.after(succeeded || !front.listens() ? 0 : LEAST_DRAIN - since, this::endWhenLeft);
+    }
+
     private void endWhenLeft() {
         if (front.clients() == 0) {
             ended.countDown();
@@ -344,6 +387,7 @@
 
     @Override
     public void close() {
+        closed = true;
         if (handover != null) {
             handover.close();
         }
--- /dev/null
+++ b/daemon/src/test/java/portrelay/net/EndingCrossingsTest.java
@@ -0,0 +1,371 @@
+package portrelay.net;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static portrelay.net.Town.SILENT;
+import static portrelay.net.Town.answer;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import portrelay.net.Town.Message;
+import portrelay.net.Town.Toy;
+
+/** docs/crossings.md, "Shutdown" and "Hand-overs": what comes just as a process is told to end. */
+@Timeout(40)
+class EndingCrossingsTest {
+
+    /** It does not get warm while a test lasts. */
+    private static final Warmup.Length ENDLESS = new Warmup.Length(Integer.MAX_VALUE, 60);
+
+    @TempDir
+    Path dir;
+
+    private static Thread drain(Sidecar sidecar) {
+        Thread drain = new Thread(sidecar::drain);
+        drain.start();
+        return drain;
+    }
+
+    /** Returns when what it wants of the loop lies there: it waits for its end by then, and for nothing else. */
+    private static void awaitPosted(Thread drain) {
+        long until = System.nanoTime() + 5_000_000_000L;
+        while (!Arrays.toString(drain.getStackTrace()).contains("CountDownLatch.await")) {
+            assertTrue(System.nanoTime() < until, "the drain does not begin");
+            Thread.onSpinWait();
+        }
+    }
+
+    private static double since(long start) {
+        return (System.nanoTime() - start) / 1e9;
+    }
+
+    private static Config config(Toy discovery, Toy upstream, String listen) throws Exception {
+        String list = "{\"seq\":7,\"whole\":true,\"hosts\":[" + Town.host("s-0", upstream.address(), "SERVING")
+                + "]}";
+        return Config.parse(Town.config(discovery.address(), list, 512)
+                .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"" + listen + "\"").getBytes(UTF_8));
+    }
+
+    private static Socket connect(InetSocketAddress to) throws IOException {
+        Socket s = new Socket(to.getAddress(), to.getPort());
+        s.setSoTimeout(8000);
+        return s;
+    }
+
+    private static void await(String what, ByteArrayOutputStream log) throws Exception {
+        long until = System.nanoTime() + 5_000_000_000L;
+        while (!log.toString(ISO_8859_1).contains(what)) {
+            assertTrue(System.nanoTime() < until, "no " + what + " in " + log.toString(ISO_8859_1));
+            Thread.onSpinWait();
+        }
+    }
+
+    // ---- Told to end before it is ready -----------------------------------------------------------------
+
+    @Test
+    void aQueryOfAProcessThatIsNotWarmYetIsAnsweredAllTheSame() throws Exception {
+        ByteArrayOutputStream log = new ByteArrayOutputStream();
+        try (Toy discovery = new Toy(SILENT); Toy upstream = new Toy(SILENT)) {
+            Sidecar cold = Sidecar.open(config(discovery, upstream, "127.0.0.1:0"), new PrintStream(log, true),
+                    null, ENDLESS);
+            try (Socket client = connect(cold.address()); Socket looks = connect(cold.address())) {
+                client.getOutputStream().write(Town.issue("a", 900).getBytes(ISO_8859_1));
+                upstream.next();
+                Thread drain = drain(cold);
+                await("draining", log);
+                answer("200 OK", "u").play(null, upstream.accepted.get(0));
+                assertEquals(200, Message.read(client.getInputStream()).status());
+                assertEquals(503, Town.ask(looks, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n").status());
+                client.close();
+                looks.close();
+                drain.join();
+                assertFalse(log.toString(ISO_8859_1).contains("ready at"), "it said that it serves");
+            } finally {
+                cold.close();
+            }
+        }
+    }
+
+    /** The warm-up's end and the drain are met in one turn of the loop. */
+    @Test
+    void oneThatGetsWarmAsItIsToldToEndDoesNotSayThatItServes() throws Exception {
+        ByteArrayOutputStream log = new ByteArrayOutputStream();
+        try (Toy discovery = new Toy(SILENT); Toy upstream = new Toy(SILENT)) {
+            Sidecar cold = Sidecar.open(config(discovery, upstream, "127.0.0.1:0"), new PrintStream(log, true),
+                    dir, new Warmup.Length(Integer.MAX_VALUE, 2.5));
+            long opened = System.nanoTime();
+            Thread drain;
+            try (Held held = new Held(cold.loop)) {
+                drain = drain(cold);
+                awaitPosted(drain);
+                while (since(opened) < 2.7) {
+                    Thread.onSpinWait();
+                }
+                held.letGo();
+            }
+            cold.awaitReady();
+            drain.join();
+            cold.close();
+            String said = log.toString(ISO_8859_1);
+            assertTrue(said.contains("draining") && !said.contains("ready at"), said);
+        }
+    }
+
+    /** The real process and the real signal: its hook was added when it was ready, after the warm-up. */
+    @Test
+    void sigtermDuringTheWarmUpLosesNoQuery() throws Exception {
+        try (Toy discovery = new Toy(SILENT); Toy upstream = new Toy(SILENT); ServerSocket free =
+                new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            int port = free.getLocalPort();
+            free.close();
+            Path file = dir.resolve("config.json");
+            String list = "{\"seq\":7,\"whole\":true,\"hosts\":["
+                    + Town.host("s-0", upstream.address(), "SERVING") + "]}";
+            Files.writeString(file, Town.config(discovery.address(), list, 512).replace(
+                    "\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + port + "\""));
+            Process serve = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-Xint", "-cp", System.getProperty("java.class.path"), "portrelay.cli.Main", "serve",
+                    "--config", file.toString()).redirectErrorStream(true).start();
+            try (Socket client = soon(port)) {
+                client.setSoTimeout(8000);
+                client.getOutputStream().write(Town.issue("a", 900).getBytes(ISO_8859_1));
+                upstream.next();
+                new ProcessBuilder("kill", "-TERM", "" + serve.pid()).start().waitFor();
+                Message got = Message.read(client.getInputStream());
+                assertNotNull(got, "the query was lost");
+                assertEquals(502, got.status());
+            } finally {
+                assertTrue(serve.waitFor(10, TimeUnit.SECONDS), "does not end");
+            }
+        }
+    }
+
+    private static Socket soon(int port) throws Exception {
+        long until = System.nanoTime() + 20_000_000_000L;
+        while (true) {
+            try {
+                return new Socket(InetAddress.getLoopbackAddress(), port);
+            } catch (IOException e) {
+                assertTrue(System.nanoTime() < until, "nobody listens");
+                Thread.sleep(2);
+            }
+        }
+    }
+
+    // ---- The listen queue -------------------------------------------------------------------------------
+
+    /** The last moment in which it takes connections; the query lies in the queue when the door closes. */
+    @Test
+    void whoIsInTheListenQueueWhenTheDoorClosesIsServed() throws Exception {
+        try (Town town = new Town(answer("200 OK", "u"))) {
+            Socket open = town.connect();
+            assertEquals(200, Town.ask(open, Town.read("first", 900)).status());
+            long start = System.nanoTime();
+            Thread drain = drain(town.sidecar);
+            while (Town.ask(open, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n").status() != 503) {
+                Thread.onSpinWait();
+            }
+            Socket late;
+            try (Held held = new Held(town.sidecar.loop)) {
+                late = town.connect();
+                late.getOutputStream().write(Town.read("late", 900).getBytes(ISO_8859_1));
+                Held.unread(late, Town.read("late", 900).length());
+                // The alarm that closes the door is due in the turn in which the connection is to be seen.
+                while (since(start) < 0.6) {
+                    Thread.onSpinWait();
+                }
+                held.letGo();
+            }
+            Message got = Message.read(late.getInputStream());
+            assertNotNull(got, "turned back unheard");
+            assertEquals(200, got.status());
+            late.close();
+            open.close();
+            drain.join();
+        }
+    }
+
+    @Test
+    void whoIsInTheListenQueueOfOneThatHandsOverIsServed() throws Exception {
+        try (Toy discovery = new Toy(SILENT); Toy upstream = new Toy(answer("200 OK", "u"))) {
+            PrintStream none = new PrintStream(OutputStream.nullOutputStream());
+            Sidecar old = Sidecar.start(config(discovery, upstream, "127.0.0.1:0"), none, dir);
+            Sidecar next = Sidecar.start(config(discovery, upstream, Addresses.text(old.address())), none, dir);
+            List<Socket> clients = new ArrayList<>();
+            Thread drain;
+            try (Held held = new Held(old.loop)) {
+                // The kernel gives each of the two some of them.
+                for (int i = 0; i < 40; i++) {
+                    Socket one = connect(old.address());
+                    clients.add(one);
+                    one.getOutputStream().write(Town.read("q" + i, 2000).getBytes(ISO_8859_1));
+                }
+                drain = drain(old);
+                awaitPosted(drain);
+                held.letGo();
+            }
+            for (Socket each : clients) {
+                Message got = Message.read(each.getInputStream());
+                assertNotNull(got, "turned back unheard");
+                // So many at once that there need not be room for all.
+                assertTrue(got.status() == 200 || got.status() == 429, "status " + got.status());
+                each.close();
+            }
+            drain.join();
+            old.close();
+            next.close();
+        }
+    }
+
+    // ---- Whose time is longer than the process's --------------------------------------------------------
+
+    /** fjord-ferries waits for up to 8 s; SIGKILL counts 3 s of them. */
+    @Test
+    void whoWasTakenBeforeAndWaitsForLongerThanTheProcessLivesIsAnswered() throws Exception {
+        try (Town town = new Town(1024, "{}", config -> config.replace("limit-us\":1000000", "limit-us\":8000000"),
+                SILENT)) {
+            Socket one = town.connect();
+            one.getOutputStream().write(Town.issue("a", 8000).getBytes(ISO_8859_1));
+            town.upstreams.get(0).next();
+            Socket half = town.connect();
+            half.getOutputStream().write((Town.head("POST /issue/x", "b", "issue", 8000)
+                    + "Content-Length: 100000\r\n\r\n" + "y".repeat(70_000)).getBytes(ISO_8859_1));
+            Held.settled(town.sidecar.loop);
+            long start = System.nanoTime();
+            Thread drain = drain(town.sidecar);
+            Message got = Message.read(one.getInputStream());
+            assertNotNull(got, "lost at SIGKILL");
+            assertEquals(502, got.status());
+            assertTrue(since(start) < 3.7, "answered after SIGKILL");
+            drain.join();
+            assertTrue(since(start) < 3.8, "ended after SIGKILL");
+        }
+    }
+
+    /** Whoever kills counts from the signal, not from when the loop got to it. */
+    @Test
+    void aLoopThatWasLateTakesNoTimeFromWhoIsStillToBeAnswered() throws Exception {
+        try (Town town = new Town(SILENT)) {
+            Socket open = town.connect();
+            long start;
+            Thread drain;
+            try (Held held = new Held(town.sidecar.loop)) {
+                open.getOutputStream().write(Town.issue("a", 2000).getBytes(ISO_8859_1));
+                start = System.nanoTime();
+                drain = drain(town.sidecar);
+                // As a process that gets no turn: the loop comes to the signal so late.
+                while (since(start) < 0.9) {
+                    Thread.onSpinWait();
+                }
+                held.letGo();
+            }
+            assertEquals(502, Message.read(open.getInputStream()).status());
+            // The longest cut-off is 1 s.
+            assertTrue(since(start) < 1.7, "answered after SIGKILL: " + since(start));
+            open.close();
+            drain.join();
+            assertTrue(since(start) < 1.8, "ended after SIGKILL");
+        }
+    }
+
+    // ---- Several at once --------------------------------------------------------------------------------
+
+    @Test
+    void toldTwiceAndWithANewConfigurationItEndsOnceAndAnswers() throws Exception {
+        try (Town town = new Town(SILENT); Toy second = new Toy(SILENT)) {
+            Socket open = town.connect();
+            open.getOutputStream().write(Town.issue("a", 900).getBytes(ISO_8859_1));
+            town.upstreams.get(0).next();
+            Thread once = drain(town.sidecar);
+            town.reload(second.address());
+            Thread twice = drain(town.sidecar);
+            assertEquals("GET /discovery/hosts HTTP/1.1", second.next().first());
+            answer("200 OK", "u").play(null, town.upstreams.get(0).accepted.get(0));
+            assertEquals(200, Message.read(open.getInputStream()).status());
+            open.close();
+            once.join(3000);
+            twice.join(3000);
+            assertFalse(once.isAlive() || twice.isAlive(), "does not end");
+        }
+    }
+
+    /** One that ends itself is no successor: the clients would have nobody. */
+    @Test
+    void whereBothEndNobodyHandsOver() throws Exception {
+        ByteArrayOutputStream oldLog = new ByteArrayOutputStream();
+        ByteArrayOutputStream nextLog = new ByteArrayOutputStream();
+        try (Toy discovery = new Toy(SILENT); Toy upstream = new Toy(answer("200 OK", "u"))) {
+            Sidecar old = Sidecar.start(config(discovery, upstream, "127.0.0.1:0"),
+                    new PrintStream(oldLog, true), dir);
+            Sidecar next = Sidecar.start(config(discovery, upstream, Addresses.text(old.address())),
+                    new PrintStream(nextLog, true), dir);
+            Thread ends;
+            try (Held held = new Held(next.loop)) {
+                ends = drain(next);
+                // Its file says so before its loop has got to it.
+                awaitEnding();
+                Thread drain = drain(old);
+                await("draining", oldLog);
+                held.letGo();
+                drain.join();
+            }
+            ends.join();
+            assertFalse(oldLog.toString(ISO_8859_1).contains("handing over"), oldLog.toString(ISO_8859_1));
+            old.close();
+            next.close();
+        }
+    }
+
+    private void awaitEnding() throws Exception {
+        long until = System.nanoTime() + 5_000_000_000L;
+        while (true) {
+            try (var files = Files.list(dir)) {
+                for (Path each : files.filter(f -> f.toString().endsWith(".state")).toList()) {
+                    if (Files.readString(each).contains("\"ending\" : true")) {
+                        return;
+                    }
+                }
+            }
+            assertTrue(System.nanoTime() < until, "nobody says that it ends");
+        }
+    }
+
+    @Test
+    void aSuccessorThatIsToldToEndBeforeItListensEndsAtOnceAndTheOldOneServes() throws Exception {
+        try (Toy discovery = new Toy(SILENT); Toy upstream = new Toy(answer("200 OK", "u"))) {
+            PrintStream none = new PrintStream(OutputStream.nullOutputStream());
+            Sidecar old = Sidecar.start(config(discovery, upstream, "127.0.0.1:0"), none, dir);
+            Sidecar next = Sidecar.open(config(discovery, upstream, Addresses.text(old.address())), none, dir,
+                    ENDLESS);
+            long start = System.nanoTime();
+            next.drain();
+            assertTrue(since(start) < 0.6, "waits for nobody");
+            next.close();
+            for (int i = 0; i < 20; i++) {
+                try (Socket client = connect(old.address())) {
+                    assertEquals(200, Town.ask(client, Town.read("q" + i, 900)).status());
+                }
+            }
+            old.close();
+        }
+    }
+}
