--- a/daemon/src/main/java/portrelay/net/Clients.java
+++ b/daemon/src/main/java/portrelay/net/Clients.java
@@ -25,6 +25,7 @@
     private final Map<StreamConnection, ClientId> ids = new HashMap<>();
     private final Map<ClientId, Line> lines = new HashMap<>();
     private final DoorCounts counts;
+    private final double idleMost;
     private long next;
     private int most = Integer.MAX_VALUE;
     private boolean sweeping;
@@ -32,6 +33,7 @@
     Clients(Loop loop, RoomSettings settings, DoorCounts counts) {
         this.loop = loop;
         this.room = new Room(settings);
+        this.idleMost = settings.idleMost();
         this.counts = counts;
     }
 
@@ -131,12 +133,14 @@
     private void end(Room.Ending ending) {
         Line line = lines.get(ending.id());
         StreamConnection socket = line.socket;
-        if (ending.cause() != Room.Cause.TOO_LONG && speaks(line)) {
+        boolean overdue = ending.cause() == Room.Cause.TOO_LONG;
+        boolean reads = overdue && ending.phase() == Room.Phase.ANSWERING;
+        if (!reads && speaks(line)) {
             room.at(loop.now(), ending.id(), Room.Phase.SENDING);
             socket.getSourceChannel().wakeupReads();
             return;
         }
-        if (socket.isOpen()) {
+        if (socket.isOpen() && !(overdue && ending.phase() == Room.Phase.IDLE)) {
             counts.ended(ending);
         }
         IoUtils.safeClose(socket);
@@ -182,6 +186,9 @@
         for (Room.Ending e = room.overdue(loop.now()); e != null; e = room.overdue(loop.now())) {
             end(e);
         }
+        for (ClientId id : room.quiet(loop.now(), idleMost)) {
+            end(new Room.Ending(id, Room.Phase.IDLE, Room.Cause.TOO_LONG));
+        }
         endNotNeeded();
         sweepLater();
     }
--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -85,17 +85,13 @@
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .set(UndertowOptions.MAX_HEADER_SIZE, 32 * 1024)
+                // Of its times for heads and for the next query none is set: where the loop was late they end
+                // connections in which the query lies unread. Clients has both, and looks first.
                 // Its own bound of 2 MiB would cut bodies off; ours comes first and is answered.
-                .set(UndertowOptions.MAX_ENTITY_SIZE, 2L * Call.LONGEST)
-                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, millis(room.sendWithin()))
-                .set(UndertowOptions.NO_REQUEST_TIMEOUT, millis(room.idleMost())).getMap());
+                .set(UndertowOptions.MAX_ENTITY_SIZE, 2L * Call.LONGEST).getMap());
         http.setRootHandler(new HttpContinueReadHandler(this));
     }
 
-    private static int millis(double seconds) {
-        return (int) Math.round(seconds * 1e3);
-    }
-
     /**
      * Takes connections at this address. Past the number that there is room for, one of least worth ends for
      * each that comes: in the listen queue its query would age unseen, before or behind others that are dead.
--- a/daemon/src/main/java/portrelay/net/ListActor.java
+++ b/daemon/src/main/java/portrelay/net/ListActor.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -110,6 +111,11 @@
         known.forEach(this::remember);
     }
 
+    /** The list as it stands, in discovery's form. */
+    Collection<Object> rows() {
+        return List.copyOf(rows.values());
+    }
+
     private void remember(UpstreamId id) {
         ever.remove(id);
         ever.add(id);
@@ -159,6 +165,13 @@
         patience.remove();
         try {
             ListPage page = ListPage.read(Fields.of(Tree.parse(result.body()), ""));
+            if (!page.whole() && page.version() < version) {
+                // Changes up to an older list than ours would undo what came since, as that one drains.
+                log.warn("discovery went back from list " + version + " to " + page.version());
+                version = NO_VERSION;
+                call();
+                return;
+            }
             tell(page, page.whole() ? ListNews.WHOLE : ListNews.CHANGES);
         } catch (IOException | BadSetting e) {
             log.warn("discovery sent no list: " + e.getMessage().lines().findFirst().orElse(""));
@@ -249,18 +262,18 @@
             rows.add(row.listed());
             this.rows.put(id, row.tree());
         }
-        if (!rows.isEmpty()) {
+        if (!rows.isEmpty() || !gone.isEmpty()) {
             log.info("list " + version + ", " + news + ": " + count(rows, Listed.Health.READY) + " ready, "
                     + count(rows, Listed.Health.DRAINING) + " draining, "
-                    + count(rows, Listed.Health.GONE) + " gone");
+                    + gone.size() + " gone");
         }
         for (UpstreamId id : gone) {
             upstreams.remove(id).close();
         }
         this.rows.keySet().retainAll(upstreams.keySet());
-        if (!rows.isEmpty()) {
+        if (!rows.isEmpty() || !gone.isEmpty()) {
             to.accept(new LinkedHashSet<>(ever), Map.of(Names.VERSION, (double) version, Names.WHOLE, true,
-                    Names.ROWS, List.copyOf(this.rows.values())));
+                    Names.ROWS, rows()));
         }
         module.list(news, rows, added, gone);
     }
--- a/daemon/src/main/java/portrelay/net/Operators.java
+++ b/daemon/src/main/java/portrelay/net/Operators.java
@@ -38,7 +38,7 @@
     private static final int BACKLOG = 1024;
     private static final int LONGEST_HEAD = 8 * 1024;
     private static final int UNFINISHED_MS = 3000;
-    private static final RoomSettings ROOM = new RoomSettings(0.25, 3, 1, 0.5, 0.9, 0.9, 0, 0, 0.1);
+    private static final RoomSettings ROOM = new RoomSettings(0.25, 3, 1, 3, 0.9, 0.9, 0, 0, 0.1);
 
     private final Loop loop;
     private final Log log;
--- a/daemon/src/main/java/portrelay/net/UpstreamActor.java
+++ b/daemon/src/main/java/portrelay/net/UpstreamActor.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import portrelay.model.Outcome;
 
@@ -32,6 +33,12 @@
 
     private record Idle(Link link, double since) { }
 
+    /**
+     * Seconds that a connection rests at least. A second answer may come some milliseconds behind the first;
+     * to one that is written to by then it is the answer to the next query, with what nobody made for that.
+     */
+    private static final double REST = 0.01;
+
     private final Loop loop;
     private final Mailbox mailbox;
     private final Dialer dialer;
@@ -122,7 +129,7 @@
             end(id, one, Outcome.NO_CONNECTION, null);
             return;
         }
-        for (Idle newest = idle.pollFirst(); newest != null; newest = idle.pollFirst()) {
+        for (Idle newest = pollRested(); newest != null; newest = pollRested()) {
             dialer.taken(newest.link);
             if (newest.link.rested()) {
                 write(id, one, newest.link);
@@ -133,6 +140,18 @@
                 () -> mailbox.post(() -> end(id, one, Outcome.NO_CONNECTION, null)));
     }
 
+    /** The newest that has rested for long enough, null where there is none. */
+    private Idle pollRested() {
+        for (Iterator<Idle> newestFirst = idle.iterator(); newestFirst.hasNext();) {
+            Idle each = newestFirst.next();
+            if (each.since + REST <= loop.now()) {
+                newestFirst.remove();
+                return each;
+            }
+        }
+        return null;
+    }
+
     private void opened(ExecutionId id, Running one, Link link) {
         link.onClosed(() -> idle.removeIf(each -> each.link == link));
         one.dial = null;
--- a/daemon/src/test/java/portrelay/net/NetTest.java
+++ b/daemon/src/test/java/portrelay/net/NetTest.java
@@ -70,9 +70,12 @@
         try (Town town = new Town(answer("200 OK", ""))) {
             Socket client = town.connect();
             assertEquals(0, Town.ask(client, Town.read("a", 900)).body().length);
+            // It rests for 10 ms at least.
+            Thread.sleep(20);
             town.upstreams.get(0).script =
                     (m, on) -> on.getOutputStream().write(chunked.getBytes(ISO_8859_1));
             assertEquals("abc", new String(Town.ask(client, Town.read("b", 900)).body(), ISO_8859_1));
+            Thread.sleep(20);
             town.upstreams.get(0).script = answer("200 OK", longest);
             assertEquals(400_000, Town.ask(client, Town.read("c", 900)).body().length);
             assertEquals(1, town.upstreams.get(0).accepted.size());
@@ -459,6 +462,8 @@
             Toy upstream = town.upstreams.get(0);
             for (int i = 0; i < 5; i++) {
                 assertEquals(200, town.ask(Town.read("q" + i, 900)).status());
+                // It rests for 10 ms at least.
+                Thread.sleep(20);
             }
             assertEquals(1, upstream.accepted.size());
             long rests = System.nanoTime();
--- /dev/null
+++ b/daemon/src/test/java/portrelay/net/UpstreamCrossingsTest.java
@@ -0,0 +1,427 @@
+package portrelay.net;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static portrelay.net.Town.SILENT;
+import static portrelay.net.Town.answer;
+
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.LogManager;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import portrelay.model.Asked;
+import portrelay.model.OfferingId;
+import portrelay.model.Outcome;
+import portrelay.model.QueryId;
+import portrelay.net.Town.Message;
+import portrelay.net.Town.Toy;
+
+/** docs/crossings.md, "Retries and copies", "Dials" and "Idle connections": one upstream, the clock in hand. */
+@Timeout(20)
+class UpstreamCrossingsTest {
+
+    private static final InetAddress HOME = InetAddress.getLoopbackAddress();
+    private static final ExecutionId ONE = new ExecutionId(new QueryId("a 1"), 0);
+    private static final ExecutionId TWO = new ExecutionId(new QueryId("b 2"), 0);
+
+    private record Ended(ExecutionId id, Outcome outcome, String body) { }
+
+    private final BlockingQueue<Ended> ended = new LinkedBlockingQueue<>();
+    private XnioWorker worker;
+    private HandClock clock;
+    private Dialer dialer;
+
+    @BeforeEach
+    void open() throws Exception {
+        LogManager.getLogManager().reset();
+        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        clock = new HandClock(worker.getIoThread());
+        dialer = new Dialer(clock, new DefaultByteBufferPool(true, 16384), 4, n -> { });
+    }
+
+    @AfterEach
+    void close() {
+        worker.shutdownNow();
+    }
+
+    private UpstreamActor actor(int port) {
+        Log none = new Log(new PrintStream(OutputStream.nullOutputStream()), "t");
+        return new UpstreamActor(clock, none, dialer, (id, outcome, answer) -> ended.add(new Ended(id, outcome,
+                answer == null ? null : new String(answer.body(), ISO_8859_1))), 0.1, 1,
+                new InetSocketAddress(HOME, port));
+    }
+
+    private Incoming query(String id) {
+        HeaderMap headers = new HeaderMap();
+        headers.put(Headers.HOST, "app.svc");
+        headers.put(Names.QUERY_ID, id);
+        Incoming.Reply nobody = new Incoming.Reply() {
+            @Override
+            public boolean over() {
+                return false;
+            }
+
+            @Override
+            public void handled(Result answer) {
+                throw new AssertionError();
+            }
+
+            @Override
+            public void denied(double coolDown) {
+                throw new AssertionError();
+            }
+
+            @Override
+            public void writtenOff() {
+                throw new AssertionError();
+            }
+        };
+        Asked asked = new Asked(new QueryId(id), new OfferingId(0), null, null, clock.now() + 1, Double.NaN, false);
+        return new Incoming(asked, Methods.GET, "/read/x", headers, Call.NO_BODY, null, nobody);
+    }
+
+    private Ended next() throws InterruptedException {
+        Ended next = ended.poll(5, TimeUnit.SECONDS);
+        assertNotNull(next, "nothing ended");
+        return next;
+    }
+
+    private int connections() throws Exception {
+        AtomicInteger open = new AtomicInteger();
+        Held.on(clock, () -> open.set(dialer.open()));
+        return open.get();
+    }
+
+    /** What an upstream is told that takes it out of use. */
+    private List<Runnable> ends(UpstreamActor actor, int port) {
+        InetSocketAddress same = new InetSocketAddress(HOME, port);
+        InetSocketAddress other = new InetSocketAddress(HOME, port == 9 ? 10 : 9);
+        return List.of(actor::close, () -> actor.listed(same, true), () -> actor.listed(other, false),
+                () -> actor.offline(true));
+    }
+
+    /**
+     * Read from the code: the list closed an actor before the module knew, what the module sent meanwhile was
+     * dialled to no address, threw, kept its place in the count and was answered at its cut-off.
+     */
+    @Test
+    void whatIsSentToOneThatIsOutOfUseEndsAtOnceAsNeverRun() throws Exception {
+        for (int i : new int[] {0, 1, 3}) {
+            try (Toy upstream = new Toy(SILENT)) {
+                UpstreamActor actor = actor(upstream.door.getLocalPort());
+                Runnable end = ends(actor, upstream.door.getLocalPort()).get(i);
+                Held.on(clock, () -> {
+                    end.run();
+                    actor.send(ONE, query("a"));
+                });
+                assertEquals(new Ended(ONE, Outcome.NO_CONNECTION, null), next());
+                Held.settled(clock);
+                assertEquals(0, upstream.accepted.size());
+                assertEquals(0, connections());
+            }
+        }
+    }
+
+    /** The other order, with the dial under way: it is called off; what it brings up later is not written to. */
+    @Test
+    void aDialUnderWayIsCalledOffWhenItsUpstreamGoesOutOfUse() throws Exception {
+        for (int i = 0; i < 4; i++) {
+            List<Socket> full = new ArrayList<>();
+            try (ServerSocket slow = new ServerSocket(0, 1, HOME)) {
+                full.add(new Socket(HOME, slow.getLocalPort()));
+                full.add(new Socket(HOME, slow.getLocalPort()));
+                UpstreamActor actor = actor(slow.getLocalPort());
+                Runnable end = ends(actor, slow.getLocalPort()).get(i);
+                Held.on(clock, () -> actor.send(ONE, query("a")));
+                assertEquals(1, connections());
+                Held.on(clock, end);
+                assertEquals(new Ended(ONE, Outcome.NO_CONNECTION, null), next());
+                assertEquals(0, connections());
+            } finally {
+                for (Socket each : full) {
+                    each.close();
+                }
+            }
+        }
+    }
+
+    /** The connection is up in the kernel, and the word that the upstream drains comes in the same turn. */
+    @Test
+    void aConnectionThatComesUpAsItsUpstreamGoesOutOfUseIsNotWrittenTo() throws Exception {
+        for (int i = 0; i < 4; i++) {
+            try (ServerSocket door = new ServerSocket(0, 5, HOME)) {
+                UpstreamActor actor = actor(door.getLocalPort());
+                Runnable end = ends(actor, door.getLocalPort()).get(i);
+                BlockingQueue<Socket> up = new LinkedBlockingQueue<>();
+                // The first of the two begins the dial when its turn in the mailbox comes, the second follows it.
+                Held.on(clock, () -> {
+                    actor.send(ONE, query("a"));
+                    clock.execute(() -> {
+                        try {
+                            up.add(door.accept());
+                        } catch (Exception e) {
+                            throw new AssertionError(e);
+                        }
+                        end.run();
+                    });
+                });
+                assertEquals(new Ended(ONE, Outcome.NO_CONNECTION, null), next());
+                assertEquals(-1, up.poll(5, TimeUnit.SECONDS).getInputStream().read(), "written to");
+                assertEquals(0, connections());
+            }
+        }
+    }
+
+    /** join days: a second answer comes some milliseconds late, when the next query has been written. */
+    @Test
+    void aSecondAnswerThatComesLateIsNotTakenForTheNextQuerys() throws Exception {
+        try (Toy upstream = new Toy((m, on) -> {
+            boolean first = "a".equals(m.header("X-Trace-Id"));
+            answer("200 OK", first ? "first" : "second").play(m, on);
+        })) {
+            UpstreamActor actor = actor(upstream.door.getLocalPort());
+            Held.on(clock, () -> actor.send(ONE, query("a")));
+            assertEquals(new Ended(ONE, Outcome.HANDLED, "first"), next());
+            upstream.script = SILENT;
+            Held.on(clock, () -> {
+                clock.forward(0.005);
+                actor.send(TWO, query("b"));
+            });
+            upstream.next();
+            upstream.next();
+            // On the first connection, behind its answer; the second query is out by now.
+            answer("200 OK", "first").play(null, upstream.accepted.get(0));
+            Held.settled(clock);
+            assertNull(ended.poll(), "another's answer was taken");
+            answer("200 OK", "second").play(null, upstream.accepted.get(1));
+            assertEquals(new Ended(TWO, Outcome.HANDLED, "second"), next());
+            // What lies on the first is not taken for a later one's either, however long it rested.
+            upstream.accepted.get(1).close();
+            Held.settled(clock);
+            upstream.script = answer("200 OK", "third");
+            Held.on(clock, () -> {
+                clock.forward(0.02);
+                actor.send(ONE, query("c"));
+            });
+            assertEquals(new Ended(ONE, Outcome.HANDLED, "third"), next());
+            Held.settled(clock);
+            assertEquals(1, connections(), "the one that brought two answers is held");
+        }
+    }
+
+    /** And whoever has rested is used again, the newest first. */
+    @Test
+    void aConnectionThatRestedIsUsedAgain() throws Exception {
+        try (Toy upstream = new Toy(answer("200 OK", "u"))) {
+            UpstreamActor actor = actor(upstream.door.getLocalPort());
+            for (int i = 0; i < 5; i++) {
+                Held.on(clock, () -> {
+                    clock.forward(0.02);
+                    actor.send(ONE, query("a"));
+                });
+                next();
+            }
+            assertEquals(1, upstream.accepted.size());
+        }
+    }
+
+    /** An end or a reset that lies unread when the next query is to be written. */
+    @Test
+    void anIdleConnectionWhoseEndLiesInTheKernelIsNotWrittenTo() throws Exception {
+        for (boolean reset : new boolean[] {false, true}) {
+            try (Toy upstream = new Toy(answer("200 OK", "u"))) {
+                UpstreamActor actor = actor(upstream.door.getLocalPort());
+                Held.on(clock, () -> actor.send(ONE, query("a")));
+                next();
+                Held.on(clock, () -> clock.forward(0.02));
+                Socket to = upstream.accepted.get(0);
+                int local = to.getLocalPort();
+                int port = to.getPort();
+                try (Held held = new Held(clock)) {
+                    to.setSoLinger(reset, 0);
+                    to.close();
+                    Held.ended(to, local, port);
+                    // In the mailbox before the loop can look into the kernel.
+                    actor.send(TWO, query("b"));
+                    held.letGo();
+                }
+                assertEquals(new Ended(TWO, Outcome.HANDLED, "u"), next());
+                assertEquals(2, upstream.accepted.size());
+                assertEquals(1, connections());
+            }
+        }
+    }
+
+    /** The answer lies in the kernel when the stop is in the mailbox: it ends once, and as one that may have run. */
+    @Test
+    void aStopAndAnAnswerThatCrossEndItOnce() throws Exception {
+        for (boolean stopFirst : new boolean[] {true, false}) {
+            try (Toy upstream = new Toy(SILENT)) {
+                UpstreamActor actor = actor(upstream.door.getLocalPort());
+                Held.on(clock, () -> actor.send(ONE, query("a")));
+                upstream.next();
+                try (Held held = new Held(clock)) {
+                    Socket to = upstream.accepted.get(0);
+                    answer("200 OK", "u").play(null, to);
+                    Held.unread(to, 10);
+                    if (stopFirst) {
+                        actor.stop(ONE, Outcome.TIMED_OUT);
+                    } else {
+                        clock.execute(() -> clock.afterLook(() -> actor.stop(ONE, Outcome.TIMED_OUT)));
+                    }
+                    held.letGo();
+                }
+                assertEquals(stopFirst ? Outcome.TIMED_OUT : Outcome.HANDLED, next().outcome);
+                Held.settled(clock);
+                assertTrue(ended.isEmpty(), "ended twice");
+                assertEquals(stopFirst ? 0 : 1, connections());
+            }
+        }
+    }
+
+    /** Refused, timed out, given up, closed by either side, no room: the count is right after each. */
+    @Test
+    void theCountOfConnectionsIsZeroWhenAllAreGone() throws Exception {
+        int nobody;
+        try (ServerSocket free = new ServerSocket(0, 1, HOME)) {
+            nobody = free.getLocalPort();
+        }
+        UpstreamActor refused = actor(nobody);
+        Held.on(clock, () -> refused.send(ONE, query("a")));
+        assertEquals(Outcome.NO_CONNECTION, next().outcome);
+        assertEquals(0, connections());
+        List<Socket> full = new ArrayList<>();
+        try (ServerSocket slow = new ServerSocket(0, 1, HOME); Toy upstream = new Toy(answer("200 OK", "u"))) {
+            full.add(new Socket(HOME, slow.getLocalPort()));
+            full.add(new Socket(HOME, slow.getLocalPort()));
+            UpstreamActor hangs = actor(slow.getLocalPort());
+            Held.on(clock, () -> hangs.send(ONE, query("a")));
+            assertEquals(1, connections());
+            Held.on(clock, () -> clock.forward(0.2));
+            assertEquals(Outcome.NO_CONNECTION, next().outcome);
+            assertEquals(0, connections());
+            Held.on(clock, () -> {
+                hangs.send(ONE, query("a"));
+                hangs.stop(ONE, Outcome.CALLED_OFF);
+            });
+            assertEquals(Outcome.CALLED_OFF, next().outcome);
+            assertEquals(0, connections());
+            UpstreamActor usual = actor(upstream.door.getLocalPort());
+            Held.on(clock, () -> usual.send(ONE, query("a")));
+            next();
+            assertEquals(1, connections());
+            upstream.accepted.get(0).close();
+            Held.settled(clock);
+            assertEquals(0, connections());
+            // Five at once, and room for four.
+            upstream.script = SILENT;
+            for (int i = 0; i < 5; i++) {
+                ExecutionId each = new ExecutionId(new QueryId("q" + i), 0);
+                Held.on(clock, () -> usual.send(each, query("q")));
+            }
+            assertEquals(Outcome.NO_CONNECTION, next().outcome);
+            assertEquals(4, connections());
+            for (int i = 0; i < 5; i++) {
+                ExecutionId each = new ExecutionId(new QueryId("q" + i), 0);
+                Held.on(clock, () -> usual.stop(each, Outcome.TIMED_OUT));
+            }
+            Held.settled(clock);
+            assertEquals(0, connections());
+        } finally {
+            for (Socket each : full) {
+                each.close();
+            }
+        }
+    }
+
+    /** In the whole sidecar: it waits for a dial to one that now drains, and goes elsewhere at once. */
+    @Test
+    void aQueryThatWaitsForADialGoesElsewhereWhenItsUpstreamDrains() throws Exception {
+        List<Socket> full = new ArrayList<>();
+        try (ServerSocket slow = new ServerSocket(0, 1, HOME);
+                Toy other = new Toy(answer("200 OK", "other"));
+                Town town = new Town(1024, "{}", config -> config.replace("dial-timeout-us\":150000",
+                        "dial-timeout-us\":900000"))) {
+            full.add(new Socket(HOME, slow.getLocalPort()));
+            full.add(new Socket(HOME, slow.getLocalPort()));
+            String at = "127.0.0.1:" + slow.getLocalPort();
+            town.discovery.next();
+            answer("200 OK", "{\"seq\":9,\"whole\":true,\"hosts\":[" + Town.host("slow", at, "SERVING") + "]}")
+                    .play(null, town.discovery.accepted.get(0));
+            town.discovery.next();
+            Socket client = town.connect();
+            client.getOutputStream().write(Town.issue("a", 900).getBytes(ISO_8859_1));
+            AtomicInteger open = new AtomicInteger();
+            while (open.get() == 0) {
+                Held.on(town.sidecar.loop, () -> open.set(town.sidecar.toUpstreams.open()));
+            }
+            String rows = Town.host("slow", at, "DRAINING") + "," + Town.host("other", other.address(), "SERVING");
+            answer("200 OK", "{\"seq\":10,\"whole\":false,\"hosts\":[" + rows + "]}")
+                    .play(null, town.discovery.accepted.get(0));
+            long start = System.nanoTime();
+            Message got = Message.read(client.getInputStream());
+            assertEquals("other", new String(got.body(), ISO_8859_1));
+            assertTrue(System.nanoTime() - start < 0.5e9, "waited for the dial");
+        } finally {
+            for (Socket each : full) {
+                each.close();
+            }
+        }
+    }
+
+    /** A client's query lies unread in the kernel when its connection has rested for too long. */
+    @Test
+    void aRestingClientsConnectionIsLookedIntoBeforeItIsClosed() throws Exception {
+        String door = "{\"connections\":{\"idle-most-ms\":150,\"send-within-ms\":150,\"idle-least\":64}}";
+        try (Town town = new Town(1024, door, answer("200 OK", "u"))) {
+            Socket idle = town.connect();
+            Socket silent = town.connect();
+            Socket half = town.connect();
+            assertEquals(200, Town.ask(idle, Town.read("a", 900)).status());
+            half.getOutputStream().write(Town.read("h", 900).substring(0, 40).getBytes(ISO_8859_1));
+            Held.settled(town.sidecar.loop);
+            try (Held held = new Held(town.sidecar.loop)) {
+                long start = System.nanoTime();
+                idle.getOutputStream().write(Town.read("b", 900).getBytes(ISO_8859_1));
+                silent.getOutputStream().write(Town.read("c", 900).getBytes(ISO_8859_1));
+                half.getOutputStream().write(Town.read("h", 900).substring(40).getBytes(ISO_8859_1));
+                Held.unread(silent, Town.read("c", 900).length());
+                while (System.nanoTime() - start < 400_000_000L) {
+                    Thread.onSpinWait();
+                }
+                held.letGo();
+            }
+            for (Socket each : List.of(idle, silent, half)) {
+                Message got = Message.read(each.getInputStream());
+                assertNotNull(got, "closed unread");
+                assertEquals(200, got.status());
+            }
+            // And one that says nothing does end.
+            assertEquals(-1, idle.getInputStream().read());
+        }
+    }
+}
--- a/daemon/src/test/java/portrelay/net/WatchCrossingsTest.java
+++ b/daemon/src/test/java/portrelay/net/WatchCrossingsTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -15,6 +16,9 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -160,4 +164,82 @@
         assertEquals("failed", became.poll(5, TimeUnit.SECONDS));
         assertEquals(0, dialer.open());
     }
+
+    /** Changes up to an older list would undo what came since, as that one drains. */
+    @Test
+    void aListThatGoesBackIsNotTakenAndTheWholeOneIsAskedForAtOnce() throws Exception {
+        answer("200 OK", page(9, false, Town.host("s-0", "127.0.0.1:9", "DRAINING")))
+                .play(null, discovery.accepted.get(0));
+        assertTrue(discovery.next().first().contains("index=9"));
+        answer("200 OK", page(8, false, Town.host("s-0", "127.0.0.1:9", "SERVING")))
+                .play(null, discovery.accepted.get(0));
+        assertEquals("GET /discovery/hosts HTTP/1.1", discovery.next().first());
+        assertEquals(1, discovery.accepted.size());
+        assertFalse(said.toString(ISO_8859_1).contains("list 8"), said.toString(ISO_8859_1));
+        // A whole one is what discovery holds now, whatever its number.
+        answer("200 OK", page(8, true, Town.host("s-1", "127.0.0.1:9", "SERVING")))
+                .play(null, discovery.accepted.get(0));
+        assertTrue(discovery.next().first().contains("index=8"));
+        assertTrue(said.toString(ISO_8859_1).contains("list 8, WHOLE: 1 ready, 0 draining, 1 gone"));
+    }
+
+    /** Gone and back on one page, in either order: the last word holds. A whole list of no rows is one too. */
+    @Test
+    void ofOneIdOnOnePageTheLastWordHolds() throws Exception {
+        String serves = Town.host("s-0", "127.0.0.1:9", "SERVING");
+        String gone = Town.host("s-0", "127.0.0.1:9", "DELETED");
+        Socket to = discovery.accepted.get(0);
+        answer("200 OK", page(9, false, serves)).play(null, to);
+        discovery.next();
+        answer("200 OK", page(10, false, gone + "," + serves)).play(null, to);
+        discovery.next();
+        assertEquals(List.of("s-0"), upstreams());
+        answer("200 OK", page(11, false, serves + "," + gone)).play(null, to);
+        discovery.next();
+        assertEquals(List.of(), upstreams());
+        answer("200 OK", page(12, false, serves)).play(null, to);
+        discovery.next();
+        answer("200 OK", "\n  " + page(13, true, "").replace(",", " ,\n\t")).play(null, to);
+        assertTrue(discovery.next().first().contains("index=13"));
+        assertEquals(List.of(), upstreams());
+    }
+
+    /** As whoever takes over would be told. */
+    private List<String> upstreams() throws Exception {
+        List<String> ids = new ArrayList<>();
+        Held.on(clock, () -> list.rows().forEach(each -> ids.add((String) ((Map<?, ?>) each).get("host"))));
+        return ids;
+    }
+
+    /** The list of the new discovery and the silence of the old one, in one turn. */
+    @Test
+    void aMoveThatCrossesTheOldWatchsAnswerOrItsSilenceFollowsTheNewOne() throws Exception {
+        for (boolean answered : new boolean[] {true, false}) {
+            try (Toy second = new Toy(Town.SILENT)) {
+                try (Held held = new Held(clock)) {
+                    if (answered) {
+                        Socket to = discovery.accepted.get(discovery.accepted.size() - 1);
+                        answer("200 OK", page(20, false, "")).play(null, to);
+                        Held.unread(to, 30);
+                    }
+                    if (!answered) {
+                        // Rings, and waits for its look into the kernel: the move comes before it.
+                        clock.execute(() -> clock.forward(20.6));
+                    }
+                    list.move(new InetSocketAddress(InetAddress.getLoopbackAddress(), second.door.getLocalPort()));
+                    held.letGo();
+                }
+                assertEquals("GET /discovery/hosts HTTP/1.1", second.next().first());
+                answer("200 OK", page(3, true, "")).play(null, second.accepted.get(0));
+                assertTrue(second.next().first().contains("index=3"));
+                Held.settled(clock);
+                assertTrue(discovery.seen.isEmpty(), "the old one was asked again");
+                list.move((InetSocketAddress) discovery.door.getLocalSocketAddress());
+                discovery.next();
+                answer("200 OK", page(5, true, "")).play(null,
+                        discovery.accepted.get(discovery.accepted.size() - 1));
+                discovery.next();
+            }
+        }
+    }
 }
