Hand-overs are for processes of the same sidecar: another customer's of that name is a stranger

Read from the code, then shown by a forced test (EndingCrossingsTest): files went by the hash of the name alone, so a second customer's sidecar of that name in one folder inherited bans, list and out of service, halved its limits, and drained as if it had a successor. A state says its address and its offerings now; the same sidecar shares the address, and at least one offering where both say some. A file of the version before says neither and is taken by its name, as an upgrade from it has to keep its bans. A process writes its state before it looks at others; one with a lock and no state is nobody. Beside it: a tmp file of a process that died between its files stayed for ever in a folder that counts as memory; a state rewritten in one tick of the file system's clock with the same length was not read again (its key counts too).

--- a/core/src/main/java/portrelay/settings/Settings.java
+++ b/core/src/main/java/portrelay/settings/Settings.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import portrelay.model.ColdRule;
 import portrelay.model.Deployment;
 import portrelay.model.Effects;
@@ -146,6 +147,10 @@
         return List.copyOf(offerings);
     }
 
+    public Set<String> offeringNames() {
+        return Set.copyOf(offeringIds.keySet());
+    }
+
     public String name(OfferingId id) {
         return nameOf(offeringIds, id);
     }
--- a/daemon/src/main/java/portrelay/net/Handover.java
+++ b/daemon/src/main/java/portrelay/net/Handover.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -64,7 +65,7 @@
     private final Pattern lockFile;
     private final Log log;
     private final Loop loop;
-    private final ScheduledThreadPoolExecutor owner;
+    private final ScheduledThreadPoolExecutor thread;
     private final HandoverState state = new HandoverState();
     private final long number;
     private final FileChannel lock;
@@ -76,11 +77,12 @@
     private Beside beside = Beside.NOBODY;
     private boolean successor;
 
-    private Handover(Loop loop, Log log, Path dir, String name) throws IOException {
+    private Handover(Loop loop, Log log, Path dir, HandoverState.Owner owner) throws IOException {
         this.loop = loop;
         this.log = log;
         this.dir = dir;
-        this.name = name;
+        this.name = owner.name();
+        state.owner = owner;
         this.prefix = "portrelay-" + Long.toHexString(Hash.of(name)) + "-";
         this.lockFile = Pattern.compile(Pattern.quote(prefix) + "(\\d{1,15})\\.lock");
         long highest = 0;
@@ -94,22 +96,24 @@
         if (lock.tryLock() == null) {
             throw new IOException("the lock of process " + number + " is taken");
         }
-        owner = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread thread = new Thread(task, "portrelay-handover");
-            thread.setDaemon(true);
-            return thread;
+        thread = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread its = new Thread(task, "portrelay-handover");
+            its.setDaemon(true);
+            return its;
         });
-        owner.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        thread.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        // Before all else: a process whose lock is there and that says nothing of itself is a stranger.
+        write();
         look();
     }
 
     /** Null, with a line in the log, where the folder is not there or can't be written to. */
-    static Handover open(Loop loop, Log log, Path dir, String name) {
+    static Handover open(Loop loop, Log log, Path dir, HandoverState.Owner owner) {
         if (dir == null) {
             return null;
         }
         try {
-            return new Handover(loop, log, dir, name);
+            return new Handover(loop, log, dir, owner);
         } catch (IOException | RuntimeException e) {
             log.warn("nothing can be handed over in " + dir + ": " + e);
             return null;
@@ -153,9 +157,13 @@
         });
     }
 
-    /** Then is called, inside the loop, when a process beside this one could read that this one serves. */
-    void serving(Runnable then) {
+    /**
+     * At that address. Then is called, inside the loop, when a process beside this one could read that this one
+     * serves.
+     */
+    void serving(String listen, Runnable then) {
         post(() -> {
+            state.owner = new HandoverState.Owner(name, listen, state.owner.offerings());
             state.serving = true;
             changed = true;
             write();
@@ -224,9 +232,9 @@
                 log.warn("the lock of process " + number + " stays: " + e);
             }
         });
-        owner.shutdown();
+        thread.shutdown();
         try {
-            if (!owner.awaitTermination(CLOSE_WITHIN, TimeUnit.SECONDS)) {
+            if (!thread.awaitTermination(CLOSE_WITHIN, TimeUnit.SECONDS)) {
                 log.warn("what a successor has to know may not be written");
             }
         } catch (InterruptedException e) {
@@ -236,7 +244,7 @@
 
     private void post(Runnable task) {
         try {
-            owner.execute(() -> {
+            thread.execute(() -> {
                 try {
                     task.run();
                 } catch (RuntimeException e) {
@@ -255,7 +263,7 @@
         write();
         try {
             long wait = (long) ((beside == Beside.NOBODY ? EVERY_ALONE : EVERY_BESIDE) * 1e3);
-            owner.schedule(() -> post(this::turn), wait, TimeUnit.MILLISECONDS);
+            thread.schedule(() -> post(this::turn), wait, TimeUnit.MILLISECONDS);
         } catch (RejectedExecutionException e) {
             // As above.
         }
@@ -288,12 +296,16 @@
                 }
                 boolean lives = lives(each);
                 HandoverState its = read(each);
+                if (its != null && !state.owner.isSame(its.owner)) {
+                    // Another's, or one of ours that does not say yet where it will listen.
+                    continue;
+                }
                 if (its != null) {
                     merge(its, lives);
                 }
                 boolean serves = its != null && its.serving;
                 later |= lives && each > number && serves && !its.ending;
-                if (lives) {
+                if (lives && its != null) {
                     is = each < number || serves || is == Beside.SERVING ? Beside.SERVING : Beside.STARTING;
                 }
                 if (!lives && age(each) > YOUNG && number > each) {
@@ -336,6 +348,7 @@
     }
 
     private void forget(long each) throws IOException {
+        Files.deleteIfExists(file(each, "tmp"));
         Files.deleteIfExists(file(each, "state"));
         Files.deleteIfExists(file(each, "lock"));
         others.remove(each);
@@ -349,7 +362,9 @@
             if (!Files.exists(its)) {
                 return null;
             }
-            Object stamp = Files.getLastModifiedTime(its) + " " + Files.size(its);
+            // Two writes within one tick of the file system's clock may be of one length: not of one file.
+            var file = Files.readAttributes(its, BasicFileAttributes.class);
+            Object stamp = file.lastModifiedTime() + " " + file.size() + " " + file.fileKey();
             if (stamp.equals(readAt.put(each, stamp))) {
                 return others.get(each);
             }
@@ -400,7 +415,7 @@
         changed = false;
         Path whole = file(number, "tmp");
         try {
-            Files.write(whole, Tree.write(state.tree(name)));
+            Files.write(whole, Tree.write(state.tree()));
             Files.move(whole, file(number, "state"), StandardCopyOption.ATOMIC_MOVE,
                     StandardCopyOption.REPLACE_EXISTING);
         } catch (IOException e) {
--- a/daemon/src/main/java/portrelay/net/HandoverState.java
+++ b/daemon/src/main/java/portrelay/net/HandoverState.java
@@ -1,6 +1,7 @@
 package portrelay.net;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -23,6 +24,28 @@
     /** The last call for an upstream. */
     record Call(boolean isOut, double at) { }
 
+    /**
+     * Whose state it is: the sidecar's name, the address that its processes share, as text, and its offerings.
+     * The address is empty as long as it is open, null where an older version wrote the file, which does not
+     * say.
+     */
+    record Owner(String name, String listen, Set<String> offerings) {
+
+        /**
+         * Whether the other is a process of the same sidecar of the same deployment. An upgrade may change
+         * what it offers, but not all of it; two customers have a name and a folder in common at most.
+         */
+        boolean isSame(Owner other) {
+            return name.equals(other.name) && other.listen != null && !other.listen.isEmpty()
+                    && other.listen.equals(listen) && (offerings.isEmpty() || other.offerings.isEmpty()
+                    || !Collections.disjoint(offerings, other.offerings))
+                    || name.equals(other.name) && other.listen == null;
+        }
+    }
+
+    /** Null until it is read or written. */
+    Owner owner;
+
     boolean serving;
     /** Told to end: whoever ends beside it must not leave its clients to it. */
     boolean ending;
@@ -49,10 +72,12 @@
         return known == null ? call.isOut : known.isOut != call.isOut;
     }
 
-    Map<String, Object> tree(String name) {
+    Map<String, Object> tree() {
         Map<String, Object> tree = new LinkedHashMap<>();
         tree.put("form", FORM);
-        tree.put("name", name);
+        tree.put("name", owner.name);
+        tree.put("listen", owner.listen);
+        tree.put("offerings", List.copyOf(owner.offerings));
         tree.put("serving", serving);
         tree.put("ending", ending);
         tree.put("out-of-service", service.isOut);
@@ -71,7 +96,7 @@
         return tree;
     }
 
-    /** Names the field where it is not what {@code tree} makes for the name. */
+    /** Names the field where it is not what {@code tree} makes for the name. Whose it is says its owner. */
     static HandoverState read(Object tree, String name) throws BadSetting {
         Fields root = Fields.of(tree, "");
         if (root.number("form") != FORM) {
@@ -81,6 +106,8 @@
             throw root.bad("name", "this sidecar's");
         }
         HandoverState read = new HandoverState();
+        read.owner = new Owner(name, root.text("listen", null),
+                root.has("offerings") ? Set.copyOf(root.texts("offerings")) : Set.of());
         read.serving = root.flag("serving");
         read.ending = root.flag("ending");
         read.service = new Call(root.flag("out-of-service"), root.number("out-of-service-at"));
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -81,7 +81,9 @@
         loop = new Loop(worker.getIoThread(), new Clock());
         var buffers = buffers();
         var settings = config.settings();
-        handover = Handover.open(loop, log, handoverIn, config.name());
+        String shared = config.listen().getPort() == 0 ? "" : Addresses.text(config.listen());
+        handover = Handover.open(loop, log, handoverIn,
+                new HandoverState.Owner(config.name(), shared, settings.offeringNames()));
         beside = handover == null ? Handover.Beside.NOBODY : handover.beside();
         toUpstreams = new Dialer(loop, buffers, connections() / 2, open -> lend());
         Dialer toDiscovery = new Dialer(loop, buffers, 2, open -> { });
@@ -259,7 +261,7 @@
         if (handover == null) {
             serves();
         } else {
-            handover.serving(this::serves);
+            handover.serving(Addresses.text(address()), this::serves);
         }
     }
 
--- a/daemon/src/test/java/portrelay/net/EndingCrossingsTest.java
+++ b/daemon/src/test/java/portrelay/net/EndingCrossingsTest.java
@@ -19,6 +19,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -368,4 +369,68 @@
             old.close();
         }
     }
+
+    // ---- Strangers in one folder ------------------------------------------------------------------------
+
+    /** Files go by the name's hash: two customers' sidecars of one name took each other for one. */
+    @Test
+    void anotherCustomersSidecarOfTheSameNameIsAStranger() throws Exception {
+        ByteArrayOutputStream ourLog = new ByteArrayOutputStream();
+        ByteArrayOutputStream theirLog = new ByteArrayOutputStream();
+        try (Toy discovery = new Toy(SILENT); Toy upstream = new Toy(answer("200 OK", "u"))) {
+            Sidecar ours = Sidecar.start(config(discovery, upstream, "127.0.0.1:0"),
+                    new PrintStream(ourLog, true), dir);
+            assertEquals(200, call(ours, "PUT /control/upstreams/s-0/offline"));
+            assertEquals(200, call(ours, "PUT /control/out-of-service"));
+            // At another address, and at ours where nothing of what it offers is the same.
+            Config elsewhere = config(discovery, upstream, "127.0.0.1:0");
+            String other = Town.config(discovery.address(), "{\"seq\":1,\"hosts\":[]}", 512)
+                    .replace("127.0.0.1:0\",\"mgmt", Addresses.text(ours.address()) + "\",\"mgmt")
+                    .replace("\"read\"", "\"level\"").replace("\"save\"", "\"valve\"")
+                    .replace("\"issue\"", "\"dose\"");
+            for (Config each : List.of(elsewhere, Config.parse(other.getBytes(UTF_8)))) {
+                Sidecar theirs = Sidecar.start(each, new PrintStream(theirLog, true), dir);
+                Thread.sleep(600);
+                try (Socket client = connect(theirs.address())) {
+                    if (each == elsewhere) {
+                        assertEquals(200, Town.ask(client, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n").status());
+                        assertEquals(200, Town.ask(client, Town.read("a", 900)).status(), "a ban of another");
+                    }
+                }
+                Thread drain = drain(theirs);
+                drain.join();
+                theirs.close();
+            }
+            ours.drain();
+            ours.close();
+            String all = ourLog.toString(ISO_8859_1) + theirLog.toString(ISO_8859_1);
+            assertFalse(all.contains("beside") || all.contains("handing over") || all.contains("successor"), all);
+        }
+    }
+
+    /** What a killed one left half written goes with the rest of it, and is read by nobody. */
+    @Test
+    void whatAProcessLeftThatDiedBetweenTwoFilesIsCleanedUp() throws Exception {
+        try (Toy discovery = new Toy(SILENT); Toy upstream = new Toy(answer("200 OK", "u"))) {
+            String prefix = "portrelay-" + Long.toHexString(portrelay.model.Hash.of("t")) + "-";
+            Files.write(dir.resolve(prefix + "3.lock"), new byte[0]);
+            Files.writeString(dir.resolve(prefix + "3.tmp"), "{\"form\":1,\"na");
+            Files.setLastModifiedTime(dir.resolve(prefix + "3.lock"), FileTime.fromMillis(1));
+            Sidecar one = Sidecar.start(config(discovery, upstream, "127.0.0.1:0"),
+                    new PrintStream(OutputStream.nullOutputStream()), dir);
+            try (var left = Files.list(dir)) {
+                assertEquals(0, left.filter(f -> f.getFileName().toString().startsWith(prefix + "3.")).count());
+            }
+            try (Socket client = connect(one.address())) {
+                assertEquals(200, Town.ask(client, Town.read("a", 900)).status());
+            }
+            one.close();
+        }
+    }
+
+    private static int call(Sidecar sidecar, String line) throws IOException {
+        try (Socket s = connect(sidecar.operatorsAt())) {
+            return Town.ask(s, line + " HTTP/1.1\r\nHost: a\r\n\r\n").status();
+        }
+    }
 }
