Doubled, negative and impossible settings are named by their place

Read from the code: an offering or a tenant that stood twice, a name twice in one object, negative credit, shares and limits, half an execution and minus five sockets were taken and went unnoticed. Lists from discovery are read as before.

--- a/core/src/main/java/portrelay/settings/Settings.java
+++ b/core/src/main/java/portrelay/settings/Settings.java
@@ -33,6 +33,8 @@
 
     private static final int MOST_SIDECARS = 1_000_000;
     private static final int MOST_STREAMS = 1_000_000;
+    private static final int MOST_EXECUTIONS = 1_000;
+    private static final double LARGEST = 1e15;
     private static final double LONGEST_US = 1e15;
 
     private final Map<String, OfferingId> offeringIds = new HashMap<>();
@@ -51,25 +53,29 @@
     public Settings(Fields root) throws BadSetting {
         for (Fields each : root.rows("classes")) {
             OfferingId id = new OfferingId(offerings.size());
-            offeringIds.put(each.text("name"), id);
+            if (offeringIds.put(each.text("name"), id) != null) {
+                throw each.bad("name", "a name of its own");
+            }
             offerings.add(new Offering(id, repeats(each), group(each), time(each, "aim-us"),
-                    time(each, "hard-limit-us"), time(each, "dedup-window-us"), each.number("worth", 1),
-                    each.number("late-worth", 0), each.flag("streaming")));
+                    time(each, "hard-limit-us"), time(each, "dedup-window-us"), amount(each, "worth", 1),
+                    amount(each, "late-worth", 0), each.flag("streaming")));
         }
         for (Fields each : root.rows("tenants")) {
             TenantId id = new TenantId(tenants.size());
-            tenantIds.put(each.text("name"), id);
-            tenants.add(new Tenant(id, each.number("share", 0), each.number("quota-per-s", 0)));
+            if (tenantIds.put(each.text("name"), id) != null) {
+                throw each.bad("name", "a name of its own");
+            }
+            tenants.add(new Tenant(id, amount(each, "share", 0), amount(each, "quota-per-s", 0)));
         }
         Fields allowed = root.section("allowed");
         Fields rules = root.section("invariants");
-        permits = new Permits((int) allowed.number("max-attempts", 1), allowed.flag("cancel"),
+        permits = new Permits(allowed.whole("max-attempts", 1, 1, MOST_EXECUTIONS), allowed.flag("cancel"),
                 allowed.flag("parallel-tries"), allowed.flag("probes"),
                 allowed.flag("retry-after") ? time(allowed, "max-retry-after-us") : 0);
         dialWithin = time(allowed, "dial-timeout-us");
         connectionIdle = time(allowed, "conn-idle-us");
-        cold = new ColdRule(rules.number("cold-share", 1), time(rules, "cold-us"),
-                rules.number("overload-factor", 1), time(rules, "tip-after-us"));
+        cold = new ColdRule(rules.within("cold-share", 1, 0, 1), time(rules, "cold-us"),
+                amount(rules, "overload-factor", 1), time(rules, "tip-after-us"));
         listMustBeAsked = mustBeAsked(root);
         askWithin = time(rules, "ask-within-us");
         int sidecars = root.whole("siblings", 1, 1, MOST_SIDECARS);
@@ -265,6 +271,10 @@
         };
     }
 
+    private static double amount(Fields map, String name, double absent) throws BadSetting {
+        return map.within(name, absent, 0, LARGEST);
+    }
+
     private static double time(Fields map, String name) throws BadSetting {
         return map.within(name, 0, 0, LONGEST_US) / 1e6;
     }
--- a/daemon/src/main/java/portrelay/json/Tree.java
+++ b/daemon/src/main/java/portrelay/json/Tree.java
@@ -21,7 +21,16 @@
 
     /** One value and nothing behind it. */
     public static Object parse(byte[] json) throws IOException {
-        try (JsonParser parser = new JsonFactory().createParser(json)) {
+        return parse(new JsonFactory(), json);
+    }
+
+    /** The same; a name that stands twice in one object is a mistake, as one of the two would go unnoticed. */
+    public static Object parseOnce(byte[] json) throws IOException {
+        return parse(new JsonFactory().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION), json);
+    }
+
+    private static Object parse(JsonFactory factory, byte[] json) throws IOException {
+        try (JsonParser parser = factory.createParser(json)) {
             Object value = read(parser, parser.nextToken());
             if (parser.nextToken() != null) {
                 throw new JsonParseException(parser, "more than one value");
--- a/daemon/src/main/java/portrelay/net/Config.java
+++ b/daemon/src/main/java/portrelay/net/Config.java
@@ -23,17 +23,18 @@
     public static final String MGMT = Names.MGMT_ADDRESS;
 
     private static final int SOCKETS = 1024;
+    private static final int MOST_SOCKETS = 10_000_000;
 
     public static Config parse(byte[] json) throws BadSetting {
         Fields root = Fields.of(tree(json), "");
-        double sockets =
-                root.has(Names.LIMITS) ? root.section(Names.LIMITS).number(Names.SOCKETS, SOCKETS) : SOCKETS;
+        int sockets = root.has(Names.LIMITS)
+                ? root.section(Names.LIMITS).whole(Names.SOCKETS, SOCKETS, 1, MOST_SOCKETS) : SOCKETS;
         Fields known = root.has(Names.KNOWN) ? root.section(Names.KNOWN) : null;
         if (known != null) {
             ListPage.read(known);
         }
         return new Config(root.text(Names.NAME), address(root, Names.LISTEN), address(root, Names.DISCOVERY),
-                root.has(Names.MGMT) ? address(root, Names.MGMT) : null, seed(root), (int) sockets,
+                root.has(Names.MGMT) ? address(root, Names.MGMT) : null, seed(root), sockets,
                 known, new Settings(root.section(Names.SETTINGS)),
                 root.has(Names.DOOR) ? DoorSettings.read(root.section(Names.DOOR)) : DoorSettings.USUAL,
                 Peers.read(root));
@@ -62,7 +63,7 @@
 
     private static Object tree(byte[] json) throws BadSetting {
         try {
-            return Tree.parse(json);
+            return Tree.parseOnce(json);
         } catch (IOException e) {
             String why = e.getMessage().lines().findFirst().orElse("");
             throw new BadSetting("the whole", "well-formed JSON, but " + why);
