--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -187,7 +187,7 @@
 
     /** Whether one that came now would find room under the limit over all, with nobody held before it. */
     public boolean hasRoom(double time) {
-        return held.isEmpty() && room();
+        return held.stream().noneMatch(q -> q.state() == State.HELD) && room();
     }
 
     public void left(double time, QueryId id) {
@@ -384,7 +384,7 @@
             case REISSUABLE -> true;
             case AT_MOST_ONCE -> false;
             case NUMBERED -> now < first.as.sentAt() + q.offering.window()
-                    && q.offering.sameGroup(first.as.at().listed, u.listed);
+                    && q.offering.sameGroup(first.as.row(), u.listed);
         };
     }
 
@@ -504,7 +504,7 @@
             out.letGo(u.id);
             rested = 0;
         }
-        q.executions.add(new Query.Execution(new Query.Sent(u, now, trial, expected(u), rested,
+        q.executions.add(new Query.Execution(new Query.Sent(u, u.listed, now, trial, expected(u), rested,
                 u.told.handled(), (int) load(u) + 1)));
         u.inFlight++;
         u.restedOut += rested > 0 ? 1 : 0;
--- a/core/src/main/java/portrelay/policy/Query.java
+++ b/core/src/main/java/portrelay/policy/Query.java
@@ -16,12 +16,12 @@
     Execution winner;
 
     /**
-     * How an execution went out. Expected is the work's multiple that we expected it to take, 1 where nothing is
-     * known of the load; rested how long its connection had rested, 0 for a new one or one in use; among how many
-     * were in flight there then, itself too, and handledBefore how many had been handled.
+     * How an execution went out. Row is what the list said then, as a group may change meanwhile; expected the
+     * multiple of the work that we expected it to take, 1 where no load is known; rested how long its connection
+     * had, 0 for a new or busy one; among how many were in flight there, itself too, handledBefore how many ended.
      */
-    record Sent(Upstream at, double sentAt, boolean trial, double expected, double rested, int handledBefore,
-            int among) { }
+    record Sent(Upstream at, Listed row, double sentAt, boolean trial, double expected, double rested,
+            int handledBefore, int among) { }
 
     /** One execution; its outcome is null while it is out. */
     static final class Execution {
--- a/core/src/test/java/portrelay/policy/FailuresTest.java
+++ b/core/src/test/java/portrelay/policy/FailuresTest.java
@@ -1,6 +1,7 @@
 package portrelay.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,6 +9,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import portrelay.model.Asked;
+import portrelay.model.GroupId;
 import portrelay.model.ListNews;
 import portrelay.model.Listed;
 import portrelay.model.OfferingId;
@@ -247,4 +249,33 @@
         }
         assertEquals(43, rig.sent.size());
     }
+
+    /** The list moves the first one to another group while it is out: its mark against a repeat stays behind. */
+    @Test
+    void aNumberedQueryIsRepeatedInTheGroupThatItsFirstWasSentTo() {
+        Rig rig = new Rig(1);
+        rig.ready(6);
+        QueryId id = rig.ask("a", Rig.NUMBERED, 1.4);
+        Rig.Sent first = rig.last();
+        int cell = (int) (first.at().value() / 3);
+        Listed row = Rig.row((int) first.at().value(), Listed.Health.READY, 0);
+        rig.decide.list(rig.now, ListNews.CHANGES, List.of(new Listed(row.id(), row.health(), 0, 1,
+                new GroupId(1 - cell), row.zone(), row.shape())));
+        rig.pass(0.1);
+        rig.end(first, Outcome.BROKEN);
+        Rig.Sent second = rig.last();
+        assertEquals(1, second.index(), "not repeated");
+        assertEquals(id, second.query());
+        assertEquals(cell, second.at().value() / 3, "repeated in another group");
+    }
+
+    /** It waits for a place, its client leaves: nothing of it may keep the next one out. */
+    @Test
+    void aHeldQueryThatIsLeftTakesNoRoom() {
+        Rig rig = new Rig(1);
+        QueryId id = rig.ask("a", Rig.AT_MOST_ONCE, 1.4);
+        assertFalse(rig.decide.hasRoom(rig.now));
+        rig.decide.left(rig.now, id);
+        assertTrue(rig.decide.hasRoom(rig.now));
+    }
 }
