A successor that is not warm yet listens as soon as the one that served has ended

Read from the code, shown by a forced test (failed before, seen): with the old process gone, clients were refused until the successor's warm-up of 3 s was over.

--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -168,6 +168,14 @@
         beside = now;
         toUpstreams.most(connections() / 2);
         lend();
+        if (now == Handover.Beside.NOBODY && !front.listens() && !drains) {
+            try {
+                // The one that served has ended: who comes is better served by cold code than by nobody.
+                open();
+            } catch (IOException e) {
+                log.warn("does not listen before it is warm: " + e.getMessage());
+            }
+        }
     }
 
     /** To limits two are one sidecar: one that starts needs its own few, one that serves as many as we. */
--- a/daemon/src/test/java/portrelay/net/EndingCrossingsTest.java
+++ b/daemon/src/test/java/portrelay/net/EndingCrossingsTest.java
@@ -17,6 +17,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
@@ -370,6 +371,34 @@
         }
     }
 
+    /** The one that serves dies while its successor gets warm: clients had nobody until that was over. */
+    @Test
+    void aSuccessorThatIsNotWarmYetServesWhenTheOtherHasDied() throws Exception {
+        try (Toy discovery = new Toy(SILENT); Toy upstream = new Toy(answer("200 OK", "u"))) {
+            PrintStream none = new PrintStream(OutputStream.nullOutputStream());
+            Sidecar old = Sidecar.start(config(discovery, upstream, "127.0.0.1:0"), none, dir);
+            InetSocketAddress at = old.address();
+            Sidecar next = Sidecar.open(config(discovery, upstream, Addresses.text(at)), none, dir, ENDLESS);
+            old.close();
+            Message got = null;
+            for (int i = 0; got == null; i++) {
+                // The old one's listener may still be there for a moment, with nobody behind it.
+                try (Socket client = soon(at.getPort())) {
+                    client.setSoTimeout(5000);
+                    got = Town.ask(client, Town.read("a" + i, 900));
+                    if (got != null) {
+                        String up = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n";
+                        assertEquals(503, Town.ask(client, up).status());
+                    }
+                } catch (SocketException e) {
+                    // Reset with it.
+                }
+            }
+            assertEquals(200, got.status());
+            next.close();
+        }
+    }
+
     // ---- Strangers in one folder ------------------------------------------------------------------------
 
     /** Files go by the name's hash: two customers' sidecars of one name took each other for one. */
