--- a/daemon/src/test/java/portrelay/net/EndingCrossingsTest.java
+++ b/daemon/src/test/java/portrelay/net/EndingCrossingsTest.java
@@ -254,10 +254,15 @@
             Held.settled(town.sidecar.loop);
             long start = System.nanoTime();
             Thread drain = drain(town.sidecar);
-            Message got = Message.read(one.getInputStream());
-            assertNotNull(got, "lost at SIGKILL");
-            assertEquals(502, got.status());
-            assertTrue(since(start) < 3.7, "answered after SIGKILL");
+            awaitPosted(drain);
+            // Taken with its last byte, and that comes after the signal.
+            half.getOutputStream().write("y".repeat(30_000).getBytes(ISO_8859_1));
+            for (Socket each : List.of(one, half)) {
+                Message got = Message.read(each.getInputStream());
+                assertNotNull(got, "lost at SIGKILL");
+                assertEquals(502, got.status());
+                assertTrue(since(start) < 3.7, "answered after SIGKILL");
+            }
             drain.join();
             assertTrue(since(start) < 3.8, "ended after SIGKILL");
         }
