--- a/daemon/src/test/java/portrelay/net/ClientLeavesTest.java
+++ b/daemon/src/test/java/portrelay/net/ClientLeavesTest.java
@@ -147,6 +147,31 @@
         }
     }
 
+    /** A part of the next query was read ahead when the answer comes, the rest comes after it. */
+    @Test
+    void aNextQueryThatWasReadAheadInPartIsReadOnWhenItIsItsTurn() throws Exception {
+        String next = Town.issue("b", 900);
+        for (boolean together : new boolean[] {true, false}) {
+            for (int cut : new int[] {1, 40, next.length() - 4, next.length() - 1}) {
+                try (Town town = new Town(SILENT)) {
+                    String part = next.substring(0, cut);
+                    Socket client = says(town, Town.issue("a", 900) + (together ? part : ""));
+                    town.upstreams.get(0).next();
+                    if (!together) {
+                        client.getOutputStream().write(part.getBytes(ISO_8859_1));
+                    }
+                    Held.settled(town.sidecar.loop);
+                    HANDLES.play(null, town.upstreams.get(0).accepted.get(0));
+                    assertEquals(200, Message.read(client.getInputStream()).status());
+                    town.upstreams.get(0).script = HANDLES;
+                    client.getOutputStream().write(next.substring(cut).getBytes(ISO_8859_1));
+                    assertEquals(200, Message.read(client.getInputStream()).status(), "cut at " + cut);
+                    assertEquals("b", town.upstreams.get(0).next().header("X-Trace-Id"));
+                }
+            }
+        }
+    }
+
     /** Nonsense behind a query is no word that its client has left. */
     @Test
     void nonsenseBehindAQueryDoesNotTakeItsAnswer() throws Exception {
