--- a/core/src/main/java/portrelay/policy/Query.java
+++ b/core/src/main/java/portrelay/policy/Query.java
@@ -16,9 +16,9 @@
     Execution winner;
 
     /**
-     * How an execution went out. Row is what the list said then, as a group may change meanwhile; expected the
-     * multiple of the work that we expected it to take, 1 where no load is known; rested how long its connection
-     * had, 0 for a new or busy one; among how many were in flight there, itself too, handledBefore how many ended.
+     * How an execution went out. Row is what the list said then, as a group may change; expected the work's
+     * multiple that it should take, 1 where no load is known; rested how long its connection had, 0 for a new
+     * or busy one; among how many were in flight there, itself too, handledBefore how many had been handled.
      */
     record Sent(Upstream at, Listed row, double sentAt, boolean trial, double expected, double rested,
             int handledBefore, int among) { }
--- a/core/src/test/java/portrelay/policy/FailuresTest.java
+++ b/core/src/test/java/portrelay/policy/FailuresTest.java
@@ -250,7 +250,9 @@
         assertEquals(43, rig.sent.size());
     }
 
-    /** The list moves the first one to another group while it is out: its mark against a repeat stays behind. */
+    /**
+     * The list moves the first one to another group while it is out: its mark against a repeat stays behind.
+     */
     @Test
     void aNumberedQueryIsRepeatedInTheGroupThatItsFirstWasSentTo() {
         Rig rig = new Rig(1);
--- a/daemon/src/main/java/portrelay/json/Tree.java
+++ b/daemon/src/main/java/portrelay/json/Tree.java
@@ -24,7 +24,9 @@
         return parse(new JsonFactory(), json);
     }
 
-    /** The same; a name that stands twice in one object is a mistake, as one of the two would go unnoticed. */
+    /**
+     * The same; a name that stands twice in one object is a mistake, as one of the two would go unnoticed.
+     */
     public static Object parseOnce(byte[] json) throws IOException {
         return parse(new JsonFactory().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION), json);
     }
--- a/daemon/src/main/java/portrelay/net/AnswerGuard.java
+++ b/daemon/src/main/java/portrelay/net/AnswerGuard.java
@@ -41,8 +41,8 @@
     public int read(ByteBuffer to) throws IOException {
         while (!ready.hasRemaining()) {
             if (framing == null || framing.ended()) {
-                // At rest: whatever comes now belongs to no call. As a failure, since a connection that Undertow
-                // ends the clean way stays for 10 s where the other side does not end it too.
+                // At rest: whatever comes now belongs to no call. As a failure, since a connection that
+                // Undertow ends the clean way stays for 10 s where the other side does not end it too.
                 int count = next.read(to);
                 if (count > 0) {
                     throw new IOException("an answer that nobody asked for");
--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -48,7 +48,9 @@
     private static final double STILL_COMING = 0.6;
     private static final double JUST_COME = 0.2;
     private static final double STAMP_EVERY = 0.25;
-    /** What a client may send ahead while we still look whether it is there: its next query, head and body. */
+    /**
+     * What a client may send ahead while we still look whether it is there: its next query, head and body.
+     */
     private static final int MOST_AHEAD = 32 * 1024 + Call.SHORT;
 
     private final Loop loop;
@@ -159,8 +161,8 @@
 
     /**
      * No new connections from here on. What the kernel has put into our queue by now is taken first: closed
-     * with it, it would be turned back unheard, and its queries are taken as soon as the kernel has them. What
-     * comes between the last look and the close is not ours to see.
+     * with it, it would be turned back unheard, and its queries are taken as soon as the kernel has them.
+     * What comes between the last look and the close is not ours to see.
      */
     void closeDoor() {
         if (door == null || !door.isOpen()) {
@@ -316,8 +318,8 @@
             if (open != null && !open.over()) {
                 throw new BadQuery(StatusCodes.CONFLICT, "a query of this id is open");
             }
-            // From here on under a name of its own: what is on its way about one that its client left must not
-            // meet the same client's next try, which may come under the same id.
+            // From here on under a name of its own: what is on its way about one that its client left must
+            // not meet the same client's next try, which may come under the same id.
             asked = asked.as(new QueryId(said + " " + ++taken));
             Client client = new Client(exchange, said, asked.id(), upload);
             String query = exchange.getQueryString();
@@ -414,7 +416,9 @@
             source.resumeReads();
         }
 
-        /** Reads up to the end, if it is there; what comes before it is the client's next query, sent ahead. */
+        /**
+         * Reads up to the end, if it is there; what comes before it is the client's next query, sent ahead.
+         */
         private void look(ConduitStreamSourceChannel source) {
             if (over || ahead.size() >= MOST_AHEAD) {
                 source.suspendReads();
--- a/daemon/src/main/java/portrelay/net/Handover.java
+++ b/daemon/src/main/java/portrelay/net/Handover.java
@@ -158,8 +158,8 @@
     }
 
     /**
-     * At that address. Then is called, inside the loop, when a process beside this one could read that this one
-     * serves.
+     * At that address. Then is called, inside the loop, when a process beside this one could read that this
+     * one serves.
      */
     void serving(String listen, Runnable then) {
         post(() -> {
--- a/daemon/src/main/java/portrelay/net/HandoverState.java
+++ b/daemon/src/main/java/portrelay/net/HandoverState.java
@@ -25,9 +25,9 @@
     record Call(boolean isOut, double at) { }
 
     /**
-     * Whose state it is: the sidecar's name, the address that its processes share, as text, and its offerings.
-     * The address is empty as long as it is open, null where an older version wrote the file, which does not
-     * say.
+     * Whose state it is: the sidecar's name, the address that its processes share, as text, and its
+     * offerings. The address is empty as long as it is open, null where an older version wrote the file,
+     * which does not say.
      */
     record Owner(String name, String listen, Set<String> offerings) {
 
--- a/daemon/src/main/java/portrelay/net/Incoming.java
+++ b/daemon/src/main/java/portrelay/net/Incoming.java
@@ -20,8 +20,9 @@
     interface Reply {
 
         /**
-         * Whether nobody waits for an answer any more, as things stand in this moment: it was answered, or its
-         * client has left, be it that nobody has read so yet. Tells the door if that is how it is found out.
+         * Whether nobody waits for an answer any more, as things stand in this moment: it was answered, or
+         * its client has left, be it that nobody has read so yet. Tells the door if that is how it is found
+         * out.
          */
         boolean over();
 
--- a/daemon/src/main/java/portrelay/net/ListActor.java
+++ b/daemon/src/main/java/portrelay/net/ListActor.java
@@ -200,9 +200,9 @@
     }
 
     /**
-     * A watch that has fallen silent is opened anew at once, as its time to tell us is nearly over: the module's
-     * wait before the next try is for a discovery that said no. The new one has to wait as long before this
-     * can come again.
+     * A watch that has fallen silent is opened anew at once, as its time to tell us is nearly over: the
+     * module's wait before the next try is for a discovery that said no. The new one has to wait as long
+     * before this can come again.
      */
     private void silent(int call, boolean waited) {
         if (!watching || call != calls) {
--- a/daemon/src/main/java/portrelay/net/ModuleActor.java
+++ b/daemon/src/main/java/portrelay/net/ModuleActor.java
@@ -30,7 +30,9 @@
         private final List<UpstreamActor> sentTo = new ArrayList<>(2);
         private int out;
         private boolean answered;
-        /** Rings as long as anything is out, also for nobody: where nothing may be called off it ends that. */
+        /**
+         * Rings as long as anything is out, also for nobody: where nothing may be called off it ends that.
+         */
         private XnioExecutor.Key cutOff;
 
         Open(Incoming incoming) {
@@ -115,8 +117,8 @@
     }
 
     /**
-     * The process ends at that time. Guards those that would still wait then, as their clients wait for longer
-     * than it may live on, or their long bodies are still coming.
+     * The process ends at that time. Guards those that would still wait then, as their clients wait for
+     * longer than it may live on, or their long bodies are still coming.
      */
     void answerAllBy(double time) {
         mailbox.post(() -> {
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -317,7 +317,9 @@
         return sidecar;
     }
 
-    /** Returns when it serves, or has been told to end before it did; closed with the cause where it can't. */
+    /**
+     * Returns when it serves, or has been told to end before it did; closed with the cause where it can't.
+     */
     public void awaitReady() throws IOException {
         try {
             ready.get();
--- a/daemon/src/main/java/portrelay/net/UpstreamActor.java
+++ b/daemon/src/main/java/portrelay/net/UpstreamActor.java
@@ -104,9 +104,9 @@
     }
 
     /**
-     * Nothing is kept, and what has no connection yet gets none there: one that comes up late would be written
-     * to when the grace of a drain is over, or at an address that is another's by then. What is written ends by
-     * itself.
+     * Nothing is kept, and what has no connection yet gets none there: one that comes up late would be
+     * written to when the grace of a drain is over, or at an address that is another's by then. What is
+     * written ends by itself.
      */
     private void keepNothing() {
         closeIdle();
@@ -166,7 +166,8 @@
 
     private void write(ExecutionId id, Running one, Link link) {
         if (one.query.reply().over()) {
-            // Its client left while this waited for a connection: nothing of it has been sent, and nothing is.
+            // Its client left while this waited for a connection: nothing of it has been sent, and nothing
+            // is.
             rest(one, link);
             end(id, one, Outcome.CALLED_OFF, null);
             return;
--- a/daemon/src/test/java/portrelay/net/ClientLeavesTest.java
+++ b/daemon/src/test/java/portrelay/net/ClientLeavesTest.java
@@ -26,9 +26,9 @@
 import portrelay.net.Town.Toy;
 
 /**
- * A query whose client has left while it waited is not sent on, wherever it waited: what reaches the upstreams
- * is counted. The loop is held until the client's end lies in the kernel, so that it crosses what it waits for
- * in one turn of the loop. docs/crossings.md, "A client that leaves".
+ * A query whose client has left while it waited is not sent on, wherever it waited: what reaches the
+ * upstreams is counted. The loop is held until the client's end lies in the kernel, so that it crosses what
+ * it waits for in one turn of the loop. docs/crossings.md, "A client that leaves".
  */
 @Timeout(30)
 class ClientLeavesTest {
@@ -241,7 +241,9 @@
         }
     }
 
-    /** One is on its way up to an upstream that does not take it yet; the other end comes to life as it goes. */
+    /**
+     * One is on its way up to an upstream that does not take it yet; the other end comes to life as it goes.
+     */
     @ParameterizedTest
     @EnumSource
     void duringADial(By how) throws Exception {
@@ -350,7 +352,10 @@
         }
     }
 
-    /** A long body that lies whole in the kernel, and its client's end behind it: it never becomes whole there. */
+    /**
+     * A long body that lies whole in the kernel, and its client's end behind it: it never becomes whole
+     * there.
+     */
     @ParameterizedTest
     @EnumSource
     void behindALongBody(By how) throws Exception {
@@ -361,8 +366,8 @@
         for (String query : queries) {
             BlockingQueue<String> came = new LinkedBlockingQueue<>();
             // Of a body in chunks the toy has read the head alone when its script begins.
-            Script reads = (m, on) -> came.add(m.header("Content-Length") != null ? new String(m.body(), ISO_8859_1)
-                    : new String(on.getInputStream().readAllBytes(), ISO_8859_1));
+            Script reads = (m, on) -> came.add(new String(m.header("Content-Length") != null ? m.body()
+                    : on.getInputStream().readAllBytes(), ISO_8859_1));
             try (Town town = new Town(reads)) {
                 try (Held held = new Held(town.sidecar.loop)) {
                     Socket client = says(town, query);
@@ -396,7 +401,9 @@
         }
     }
 
-    /** The try that was left must neither turn the next one away nor end it, in whatever order they are read. */
+    /**
+     * The try that was left must neither turn the next one away nor end it, in whatever order they are read.
+     */
     @ParameterizedTest
     @EnumSource
     void theNextTryUnderTheSameIdIsServed(By how) throws Exception {
@@ -424,7 +431,9 @@
         }
     }
 
-    /** Where nothing may be called off, what runs for nobody ends with its cut-off and takes no room for ever. */
+    /**
+     * Where nothing may be called off, what runs for nobody ends with its cut-off and takes no room for ever.
+     */
     @Test
     void whereNothingMayBeCalledOffItEndsWithItsCutOff() throws Exception {
         try (Town town = new Town(1024, "{}", config -> config.replace("\"cancel\":true", "\"cancel\":false"),
--- a/daemon/src/test/java/portrelay/net/EndingCrossingsTest.java
+++ b/daemon/src/test/java/portrelay/net/EndingCrossingsTest.java
@@ -47,7 +47,9 @@
         return drain;
     }
 
-    /** Returns when what it wants of the loop lies there: it waits for its end by then, and for nothing else. */
+    /**
+     * Returns when what it wants of the loop lies there: it waits for its end by then, and for nothing else.
+     */
     private static void awaitPosted(Thread drain) {
         long until = System.nanoTime() + 5_000_000_000L;
         while (!Arrays.toString(drain.getStackTrace()).contains("CountDownLatch.await")) {
@@ -61,8 +63,8 @@
     }
 
     private static Config config(Toy discovery, Toy upstream, String listen) throws Exception {
-        String list = "{\"seq\":7,\"whole\":true,\"hosts\":[" + Town.host("s-0", upstream.address(), "SERVING")
-                + "]}";
+        String list = "{\"seq\":7,\"whole\":true,\"hosts\":["
+                + Town.host("s-0", upstream.address(), "SERVING") + "]}";
         return Config.parse(Town.config(discovery.address(), list, 512)
                 .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"" + listen + "\"").getBytes(UTF_8));
     }
@@ -87,8 +89,8 @@
     void aQueryOfAProcessThatIsNotWarmYetIsAnsweredAllTheSame() throws Exception {
         ByteArrayOutputStream log = new ByteArrayOutputStream();
         try (Toy discovery = new Toy(SILENT); Toy upstream = new Toy(SILENT)) {
-            Sidecar cold = Sidecar.open(config(discovery, upstream, "127.0.0.1:0"), new PrintStream(log, true),
-                    null, ENDLESS);
+            Sidecar cold = Sidecar.open(config(discovery, upstream, "127.0.0.1:0"),
+                    new PrintStream(log, true), null, ENDLESS);
             try (Socket client = connect(cold.address()); Socket looks = connect(cold.address())) {
                 client.getOutputStream().write(Town.issue("a", 900).getBytes(ISO_8859_1));
                 upstream.next();
@@ -112,8 +114,8 @@
     void oneThatGetsWarmAsItIsToldToEndDoesNotSayThatItServes() throws Exception {
         ByteArrayOutputStream log = new ByteArrayOutputStream();
         try (Toy discovery = new Toy(SILENT); Toy upstream = new Toy(SILENT)) {
-            Sidecar cold = Sidecar.open(config(discovery, upstream, "127.0.0.1:0"), new PrintStream(log, true),
-                    dir, new Warmup.Length(Integer.MAX_VALUE, 2.5));
+            Sidecar cold = Sidecar.open(config(discovery, upstream, "127.0.0.1:0"),
+                    new PrintStream(log, true), dir, new Warmup.Length(Integer.MAX_VALUE, 2.5));
             long opened = System.nanoTime();
             Thread drain;
             try (Held held = new Held(cold.loop)) {
@@ -144,8 +146,9 @@
                     + Town.host("s-0", upstream.address(), "SERVING") + "]}";
             Files.writeString(file, Town.config(discovery.address(), list, 512).replace(
                     "\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + port + "\""));
-            Process serve = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-Xint", "-cp", System.getProperty("java.class.path"), "portrelay.cli.Main", "serve",
+            String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+            Process serve = new ProcessBuilder(java, "-Xint", "-cp",
+                    System.getProperty("java.class.path"), "portrelay.cli.Main", "serve",
                     "--config", file.toString()).redirectErrorStream(true).start();
             try (Socket client = soon(port)) {
                 client.setSoTimeout(8000);
@@ -211,7 +214,8 @@
         try (Toy discovery = new Toy(SILENT); Toy upstream = new Toy(answer("200 OK", "u"))) {
             PrintStream none = new PrintStream(OutputStream.nullOutputStream());
             Sidecar old = Sidecar.start(config(discovery, upstream, "127.0.0.1:0"), none, dir);
-            Sidecar next = Sidecar.start(config(discovery, upstream, Addresses.text(old.address())), none, dir);
+            String at = Addresses.text(old.address());
+            Sidecar next = Sidecar.start(config(discovery, upstream, at), none, dir);
             List<Socket> clients = new ArrayList<>();
             Thread drain;
             try (Held held = new Held(old.loop)) {
@@ -243,8 +247,8 @@
     /** fjord-ferries waits for up to 8 s; SIGKILL counts 3 s of them. */
     @Test
     void whoWasTakenBeforeAndWaitsForLongerThanTheProcessLivesIsAnswered() throws Exception {
-        try (Town town = new Town(1024, "{}", config -> config.replace("limit-us\":1000000", "limit-us\":8000000"),
-                SILENT)) {
+        try (Town town = new Town(1024, "{}",
+                config -> config.replace("limit-us\":1000000", "limit-us\":8000000"), SILENT)) {
             Socket one = town.connect();
             one.getOutputStream().write(Town.issue("a", 8000).getBytes(ISO_8859_1));
             town.upstreams.get(0).next();
@@ -438,7 +442,9 @@
             ours.drain();
             ours.close();
             String all = ourLog.toString(ISO_8859_1) + theirLog.toString(ISO_8859_1);
-            assertFalse(all.contains("beside") || all.contains("handing over") || all.contains("successor"), all);
+            for (String each : List.of("beside", "handing over", "successor")) {
+                assertFalse(all.contains(each), all);
+            }
         }
     }
 
@@ -453,7 +459,8 @@
             Sidecar one = Sidecar.start(config(discovery, upstream, "127.0.0.1:0"),
                     new PrintStream(OutputStream.nullOutputStream()), dir);
             try (var left = Files.list(dir)) {
-                assertEquals(0, left.filter(f -> f.getFileName().toString().startsWith(prefix + "3.")).count());
+                String its = prefix + "3.";
+                assertEquals(0, left.filter(f -> f.getFileName().toString().startsWith(its)).count());
             }
             try (Socket client = connect(one.address())) {
                 assertEquals(200, Town.ask(client, Town.read("a", 900)).status());
--- a/daemon/src/test/java/portrelay/net/HandClock.java
+++ b/daemon/src/test/java/portrelay/net/HandClock.java
@@ -6,7 +6,9 @@
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
-/** The real I/O thread with a clock under the test's hand: its alarms ring when the test says that it is time. */
+/**
+ * The real I/O thread with a clock under the test's hand: its alarms ring when the test says that it is time.
+ */
 final class HandClock extends Loop {
 
     private static final class Alarm implements XnioExecutor.Key {
--- a/daemon/src/test/java/portrelay/net/Held.java
+++ b/daemon/src/test/java/portrelay/net/Held.java
@@ -10,8 +10,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Holds a sidecar's one I/O thread: what comes meanwhile lies in the kernel or in a mailbox, and is met in one
- * turn of the loop once that is let go. Knows by the kernel's own table of connections that it lies there.
+ * Holds a sidecar's one I/O thread: what comes meanwhile lies in the kernel or in a mailbox, and is met in
+ * one turn of the loop once that is let go. Knows by the kernel's own table of connections that it lies
+ * there.
  */
 final class Held implements AutoCloseable {
 
@@ -89,7 +90,7 @@
         long until = System.nanoTime() + PATIENCE;
         while (!look.is(end(itsPort, ourPort))) {
             if (System.nanoTime() > until) {
-                throw new AssertionError("the kernel has not " + what + " from " + ourPort + " at " + itsPort);
+                throw new AssertionError("no " + what + " from " + ourPort + " in the kernel at " + itsPort);
             }
             Thread.onSpinWait();
         }
--- a/daemon/src/test/java/portrelay/net/SettingsCrossingsTest.java
+++ b/daemon/src/test/java/portrelay/net/SettingsCrossingsTest.java
@@ -19,7 +19,9 @@
 import portrelay.model.Effects;
 import portrelay.settings.BadSetting;
 
-/** Settings of one customer stay with that customer, and bad ones are named and never a crash at the start. */
+/**
+ * Settings of one customer stay with that customer, and bad ones are named and never a crash at the start.
+ */
 @Timeout(30)
 class SettingsCrossingsTest {
 
@@ -49,7 +51,8 @@
                     named++;
                     String at = e.getMessage().split(":")[0];
                     // It is what was changed, what is in it, or what goes by it.
-                    boolean fits = at.equals("the whole") || at.startsWith(each.path) || each.path.startsWith(at)
+                    boolean fits = at.equals("the whole") || at.startsWith(each.path)
+                            || each.path.startsWith(at)
                             || each.path.startsWith("settings.") && at.startsWith("settings.");
                     if (!fits || e.getMessage().contains("\n")) {
                         wrong.add(each.path + "=" + bad + " is called " + e.getMessage());
@@ -117,7 +120,8 @@
         try (Town one = new Town(answer("200 OK", "one"));
                 Town other = new Town(1024, "{}", config -> config.replace("\"read\"", "\"level\"")
                         .replace("\"acme\"", "\"lithium\"").replace("\"cell\"", "\"all\"")
-                        .replace("\"retry-after\":true", "\"retry-after\":false"), answer("200 OK", "other"))) {
+                        .replace("\"retry-after\":true", "\"retry-after\":false"),
+                        answer("200 OK", "other"))) {
             String level = Town.read("same", 900).replace("read", "level").replace("acme", "lithium");
             assertEquals("one", new String(one.ask(Town.read("same", 900)).body(), ISO_8859_1));
             assertEquals("other", new String(other.ask(level).body(), ISO_8859_1));
--- a/daemon/src/test/java/portrelay/net/UpstreamCrossingsTest.java
+++ b/daemon/src/test/java/portrelay/net/UpstreamCrossingsTest.java
@@ -40,7 +40,9 @@
 import portrelay.net.Town.Message;
 import portrelay.net.Town.Toy;
 
-/** docs/crossings.md, "Retries and copies", "Dials" and "Idle connections": one upstream, the clock in hand. */
+/**
+ * docs/crossings.md, "Retries and copies", "Dials" and "Idle connections": one upstream, the clock in hand.
+ */
 @Timeout(20)
 class UpstreamCrossingsTest {
 
@@ -70,9 +72,9 @@
 
     private UpstreamActor actor(int port) {
         Log none = new Log(new PrintStream(OutputStream.nullOutputStream()), "t");
-        return new UpstreamActor(clock, none, dialer, (id, outcome, answer) -> ended.add(new Ended(id, outcome,
-                answer == null ? null : new String(answer.body(), ISO_8859_1))), 0.1, 1,
-                new InetSocketAddress(HOME, port));
+        UpstreamActor.Listener tells = (id, outcome, answer) -> ended.add(new Ended(id, outcome,
+                answer == null ? null : new String(answer.body(), ISO_8859_1)));
+        return new UpstreamActor(clock, none, dialer, tells, 0.1, 1, new InetSocketAddress(HOME, port));
     }
 
     private Incoming query(String id) {
@@ -100,7 +102,8 @@
                 throw new AssertionError();
             }
         };
-        Asked asked = new Asked(new QueryId(id), new OfferingId(0), null, null, clock.now() + 1, Double.NaN, false);
+        double cutOffAt = clock.now() + 1;
+        Asked asked = new Asked(new QueryId(id), new OfferingId(0), null, null, cutOffAt, Double.NaN, false);
         return new Incoming(asked, Methods.GET, "/read/x", headers, Call.NO_BODY, null, nobody);
     }
 
@@ -146,7 +149,9 @@
         }
     }
 
-    /** The other order, with the dial under way: it is called off; what it brings up later is not written to. */
+    /**
+     * The other order, with the dial under way: it is called off; what it brings up later is not written to.
+     */
     @Test
     void aDialUnderWayIsCalledOffWhenItsUpstreamGoesOutOfUse() throws Exception {
         for (int i = 0; i < 4; i++) {
@@ -177,7 +182,8 @@
                 UpstreamActor actor = actor(door.getLocalPort());
                 Runnable end = ends(actor, door.getLocalPort()).get(i);
                 BlockingQueue<Socket> up = new LinkedBlockingQueue<>();
-                // The first of the two begins the dial when its turn in the mailbox comes, the second follows it.
+                // The first of the two begins the dial when its turn in the mailbox comes, the second follows
+                // it.
                 Held.on(clock, () -> {
                     actor.send(ONE, query("a"));
                     clock.execute(() -> {
@@ -276,7 +282,10 @@
         }
     }
 
-    /** The answer lies in the kernel when the stop is in the mailbox: it ends once, and as one that may have run. */
+    /**
+     * The answer lies in the kernel when the stop is in the mailbox: it ends once, and as one that may have
+     * run.
+     */
     @Test
     void aStopAndAnAnswerThatCrossEndItOnce() throws Exception {
         for (boolean stopFirst : new boolean[] {true, false}) {
@@ -315,7 +324,8 @@
         assertEquals(Outcome.NO_CONNECTION, next().outcome);
         assertEquals(0, connections());
         List<Socket> full = new ArrayList<>();
-        try (ServerSocket slow = new ServerSocket(0, 1, HOME); Toy upstream = new Toy(answer("200 OK", "u"))) {
+        try (ServerSocket slow = new ServerSocket(0, 1, HOME);
+                Toy upstream = new Toy(answer("200 OK", "u"))) {
             full.add(new Socket(HOME, slow.getLocalPort()));
             full.add(new Socket(HOME, slow.getLocalPort()));
             UpstreamActor hangs = actor(slow.getLocalPort());
@@ -370,8 +380,8 @@
             full.add(new Socket(HOME, slow.getLocalPort()));
             String at = "127.0.0.1:" + slow.getLocalPort();
             town.discovery.next();
-            answer("200 OK", "{\"seq\":9,\"whole\":true,\"hosts\":[" + Town.host("slow", at, "SERVING") + "]}")
-                    .play(null, town.discovery.accepted.get(0));
+            String list = "{\"seq\":9,\"whole\":true,\"hosts\":[" + Town.host("slow", at, "SERVING") + "]}";
+            answer("200 OK", list).play(null, town.discovery.accepted.get(0));
             town.discovery.next();
             Socket client = town.connect();
             client.getOutputStream().write(Town.issue("a", 900).getBytes(ISO_8859_1));
@@ -379,7 +389,8 @@
             while (open.get() == 0) {
                 Held.on(town.sidecar.loop, () -> open.set(town.sidecar.toUpstreams.open()));
             }
-            String rows = Town.host("slow", at, "DRAINING") + "," + Town.host("other", other.address(), "SERVING");
+            String rows = Town.host("slow", at, "DRAINING") + ","
+                    + Town.host("other", other.address(), "SERVING");
             answer("200 OK", "{\"seq\":10,\"whole\":false,\"hosts\":[" + rows + "]}")
                     .play(null, town.discovery.accepted.get(0));
             long start = System.nanoTime();
--- a/daemon/src/test/java/portrelay/net/WatchCrossingsTest.java
+++ b/daemon/src/test/java/portrelay/net/WatchCrossingsTest.java
@@ -33,7 +33,9 @@
 import org.xnio.XnioWorker;
 import portrelay.net.Town.Toy;
 
-/** docs/crossings.md, "List watches" and "Dials": real sockets, the clock and the loop under the test's hand. */
+/**
+ * docs/crossings.md, "List watches" and "Dials": real sockets, the clock and the loop under the test's hand.
+ */
 @Timeout(20)
 class WatchCrossingsTest {
 
@@ -84,8 +86,9 @@
     }
 
     /**
-     * Short days, seed 101, calm+brink: a watch that fell silent was given up 1.5 s after its wait and the next
-     * one begun after a back-off of up to 0.5 s; what it missed counted as told 2 s after the wait, and came later.
+     * Short days, seed 101, calm+brink: a watch that fell silent was given up 1.5 s after its wait and the
+     * next one begun after a back-off of up to 0.5 s; what it missed counted as told 2 s after the wait, and
+     * came later.
      */
     @Test
     void aWatchThatFellSilentIsOpenedAnewWellBeforeWhatItMissedCountsAsTold() throws Exception {
@@ -160,7 +163,8 @@
     void aDialThatCannotBeBegunIsNotCounted() throws Exception {
         Dialer dialer = new Dialer(clock, new DefaultByteBufferPool(true, 16384), 1, n -> { });
         BlockingQueue<String> became = new LinkedBlockingQueue<>();
-        Held.on(clock, () -> dialer.dial(null, 0.1, link -> became.add("opened"), () -> became.add("failed")));
+        Held.on(clock, () -> dialer.dial(null, 0.1, link -> became.add("opened"),
+                () -> became.add("failed")));
         assertEquals("failed", became.poll(5, TimeUnit.SECONDS));
         assertEquals(0, dialer.open());
     }
@@ -183,7 +187,9 @@
         assertTrue(said.toString(ISO_8859_1).contains("list 8, WHOLE: 1 ready, 0 draining, 1 gone"));
     }
 
-    /** Gone and back on one page, in either order: the last word holds. A whole list of no rows is one too. */
+    /**
+     * Gone and back on one page, in either order: the last word holds. A whole list of no rows is one too.
+     */
     @Test
     void ofOneIdOnOnePageTheLastWordHolds() throws Exception {
         String serves = Town.host("s-0", "127.0.0.1:9", "SERVING");
@@ -226,7 +232,7 @@
                         // Rings, and waits for its look into the kernel: the move comes before it.
                         clock.execute(() -> clock.forward(20.6));
                     }
-                    list.move(new InetSocketAddress(InetAddress.getLoopbackAddress(), second.door.getLocalPort()));
+                    list.move((InetSocketAddress) second.door.getLocalSocketAddress());
                     held.letGo();
                 }
                 assertEquals("GET /discovery/hosts HTTP/1.1", second.next().first());
