A repeat of a numbered query is not written once its window is over, however late its dial

Now: ModuleActor gives each repeat the time of the first that may have run and its window, UpstreamActor does not write from then on: NOT_SENT, which never ran. Test: aRepeatWhoseConnectionComesUpAfterItsWindowIsNotWritten.

--- a/daemon/src/main/java/portrelay/net/ModuleActor.java
+++ b/daemon/src/main/java/portrelay/net/ModuleActor.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
 import org.xnio.XnioExecutor;
+import portrelay.model.Asked;
 import portrelay.model.Effects;
 import portrelay.model.ListNews;
 import portrelay.model.Listed;
@@ -28,6 +30,8 @@
     private static final class Open {
         private final Incoming incoming;
         private final List<UpstreamActor> sentTo = new ArrayList<>(2);
+        /** When each was sent, NaN once it provably never ran. */
+        private final List<Double> sentAt = new ArrayList<>(2);
         private int out;
         private boolean answered;
         /**
@@ -46,6 +50,7 @@
     private final Decide decide;
     private final Map<QueryId, Open> open = new HashMap<>();
     private final Map<UpstreamId, UpstreamActor> upstreams = new HashMap<>();
+    private ToDoubleFunction<Asked> window = asked -> Double.POSITIVE_INFINITY;
     private Watch watch;
     private PeerActor peers;
     private Runnable moved = () -> { };
@@ -71,6 +76,11 @@
         moved = then;
     }
 
+    /** From here on nothing is written again later than so many seconds after the first that may have run. */
+    void windows(ToDoubleFunction<Asked> window) {
+        this.window = window;
+    }
+
     boolean hasRoom() {
         return decide.hasRoom(loop.now());
     }
@@ -202,6 +212,9 @@
             // Before the module hears of the end: it would send another for nobody.
             leftNow(id);
         }
+        if (outcome.neverRan) {
+            q.sentAt.set(execution.index(), Double.NaN);
+        }
         q.out--;
         boolean ended = q.answered;
         if (outcome == Outcome.HANDLED && !ended) {
@@ -247,7 +260,11 @@
         ExecutionId id = new ExecutionId(query, q.sentTo.size());
         q.sentTo.add(to);
         q.out++;
-        to.send(id, q.incoming);
+        // The module asked when it decided; a dial may take longer than the mark against a repeat is kept.
+        double first = q.sentAt.stream().filter(each -> !each.isNaN()).findFirst()
+                .orElse(Double.POSITIVE_INFINITY);
+        q.sentAt.add(loop.now());
+        to.send(id, q.incoming, first + window.applyAsDouble(q.incoming.asked()));
     }
 
     @Override
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -89,6 +89,8 @@
         Dialer toDiscovery = new Dialer(loop, buffers, 2, open -> { });
         boolean messages = config.peers() != null && settings.site().peers();
         module = new ModuleActor(loop, log, to -> settings.startOnSockets(to, config.seed(), messages));
+        module.windows(asked -> settings.offering(asked.offering()).repeats() == Offering.Repeats.NUMBERED
+                ? settings.offering(asked.offering()).window() : Double.POSITIVE_INFINITY);
         peers = messages ? new PeerActor(loop, log, worker, config.peers(), settings.site().sidecars(),
                 module::heard) : null;
         double idle = IDLE_SHARE * (settings.connectionIdle() > 0 ? settings.connectionIdle() : DEFAULT_IDLE);
--- a/daemon/src/main/java/portrelay/net/UpstreamActor.java
+++ b/daemon/src/main/java/portrelay/net/UpstreamActor.java
@@ -22,10 +22,12 @@
     private static final class Running {
         private final Incoming query;
         private final InetSocketAddress to;
+        private final double by;
         private Dialer.Dial dial;
         private Link link;
 
-        Running(Incoming query, InetSocketAddress to) {
+        Running(Incoming query, InetSocketAddress to, double by) {
+            this.by = by;
             this.query = query;
             this.to = to;
         }
@@ -65,7 +67,12 @@
     }
 
     void send(ExecutionId id, Incoming query) {
-        mailbox.post(() -> sendNow(id, query));
+        send(id, query, Double.POSITIVE_INFINITY);
+    }
+
+    /** The same; not written from that time on. */
+    void send(ExecutionId id, Incoming query, double by) {
+        mailbox.post(() -> sendNow(id, query, by));
     }
 
     /** Stops waiting; the execution ends as the outcome says, unless it has ended. */
@@ -122,8 +129,8 @@
         return !offline && !drains && to != null && to.equals(address);
     }
 
-    private void sendNow(ExecutionId id, Incoming query) {
-        Running one = new Running(query, address);
+    private void sendNow(ExecutionId id, Incoming query, double by) {
+        Running one = new Running(query, address, by);
         running.put(id, one);
         if (!takes(address)) {
             end(id, one, Outcome.NO_CONNECTION, null);
@@ -172,6 +179,12 @@
             end(id, one, Outcome.CALLED_OFF, null);
             return;
         }
+        if (loop.now() >= one.by) {
+            // The connection came up when the mark against a repeat may be forgotten: it would run twice.
+            rest(one, link);
+            end(id, one, Outcome.NOT_SENT, null);
+            return;
+        }
         one.link = link;
         Incoming query = one.query;
         Upload upload = query.upload();
--- a/daemon/src/test/java/portrelay/net/UpstreamCrossingsTest.java
+++ b/daemon/src/test/java/portrelay/net/UpstreamCrossingsTest.java
@@ -239,6 +239,21 @@
         }
     }
 
+    /** salar-pumps, zone+brink: the repeat's connection came up when its window was over. */
+    @Test
+    void aRepeatWhoseConnectionComesUpAfterItsWindowIsNotWritten() throws Exception {
+        try (Toy upstream = new Toy(answer("200 OK", "u"))) {
+            UpstreamActor actor = actor(upstream.door.getLocalPort());
+            Held.on(clock, () -> {
+                actor.send(ONE, query("a"), clock.now() + 0.05);
+                clock.execute(() -> clock.forward(0.06));
+            });
+            assertEquals(new Ended(ONE, Outcome.NOT_SENT, null), next());
+            Held.settled(clock);
+            assertEquals(0, upstream.seen.size());
+        }
+    }
+
     /** And whoever has rested is used again, the newest first. */
     @Test
     void aConnectionThatRestedIsUsedAgain() throws Exception {
