--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -426,15 +426,19 @@
             }
             try (PooledByteBuffer some = connection.getByteBufferPool().allocate()) {
                 ByteBuffer buffer = some.getBuffer();
-                int count = source.read(buffer);
-                while (count > 0 && ahead.size() < MOST_AHEAD) {
+                for (int count = source.read(buffer); count != 0; count = source.read(buffer.clear())) {
+                    if (count < 0) {
+                        leave();
+                        return;
+                    }
                     byte[] bytes = new byte[buffer.flip().remaining()];
                     buffer.get(bytes);
                     ahead.writeBytes(bytes);
-                    count = source.read(buffer.clear());
-                }
-                if (count < 0) {
-                    leave();
+                    if (ahead.size() >= MOST_AHEAD) {
+                        // What is read has to be kept: so nothing more is.
+                        source.suspendReads();
+                        return;
+                    }
                 }
             } catch (QueryGuard.Broken e) {
                 // No query of it, but whoever sends it is still there.
--- a/daemon/src/test/java/portrelay/net/ClientLeavesTest.java
+++ b/daemon/src/test/java/portrelay/net/ClientLeavesTest.java
@@ -147,6 +147,27 @@
         }
     }
 
+    /** More lies behind the query than is read ahead: no byte of it may be lost at the bound. */
+    @Test
+    void aNextQueryLongerThanWhatIsReadAheadComesWhole() throws Exception {
+        String body = "x".repeat(400_000);
+        String next = Town.head("POST /issue/x", "b", "issue", 900) + "Content-Length: 400000\r\n\r\n" + body;
+        try (Town town = new Town(1024, "{}", longTimes(), SILENT)) {
+            Socket client = says(town, Town.issue("a", 9000));
+            town.upstreams.get(0).next();
+            try (Held held = new Held(town.sidecar.loop)) {
+                client.getOutputStream().write(next.getBytes(ISO_8859_1));
+                Held.unread(client, 50_000);
+            }
+            Held.settled(town.sidecar.loop);
+            HANDLES.play(null, town.upstreams.get(0).accepted.get(0));
+            town.upstreams.get(0).script = HANDLES;
+            assertEquals(200, Message.read(client.getInputStream()).status());
+            assertEquals(200, Message.read(client.getInputStream()).status());
+            assertEquals(body, new String(town.upstreams.get(0).next().body(), ISO_8859_1));
+        }
+    }
+
     /** A part of the next query was read ahead when the answer comes, the rest comes after it. */
     @Test
     void aNextQueryThatWasReadAheadInPartIsReadOnWhenItIsItsTurn() throws Exception {
