A change is read within 6 s after a failed call to discovery; calls kept beside it

Cause, read and then shown by AskingTest: (a) the longest back-off was a quarter of ask-within (Decide.list), 7.5 s at 30 s; (b) after a failure the next call was a watch of 20 s with 20.5 s of patience (ListActor.call): one that discovery took and never answered hid every change for 20 s; (c) a whole list was given up after 1.5 s, so that a discovery with a queue worked for callers that had gone. Ruled out: a dial that never comes up (1 s) fits with the new back-off.

Change: back-off 0.5 s, then at most 0.75 s, halved by lot (ListRule); the first watch after a failure waits 3 s; a late call keeps its place and another begins beside it, two at most (sources.Asking, pure; ListActor carries it out). WatchCrossingsTest.aWatchThatFellSilent now wants the stricter first watch (wait=3000) after one that was given up, and an answer before the next long one; it was wrong under the new term, which counts 6 s from there.

Tests of core and net that touch the list passed; whole verify not run.

--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -61,7 +61,6 @@
     private static final double FIT_TOLD = 0.5;
     private static final double COME_BACK = 0.1;
     private static final double SILENT = 0.3;
-    private static final double SHORTEST_BACKOFF = 0.5;
     private final Effects out;
     private final SplittableRandom chance;
     private final Deployment of;
@@ -214,10 +213,7 @@
     public void list(double time, ListNews news, List<Listed> rows) {
         now = time;
         if (news == ListNews.FAILED) {
-            // One service for all sidecars: those that failed together must not come back together.
-            double longest = Math.max(SHORTEST_BACKOFF, of.list().askWithin() / 4);
-            double backoff = Math.min(longest, SHORTEST_BACKOFF * (1 << Math.min(listFailures++, 8)));
-            askListAt = now + backoff * (0.5 + chance.nextDouble() / 2);
+            askListAt = now + of.list().backOff(listFailures++, chance.nextDouble());
             armAlarm();
             return;
         }
--- a/daemon/src/main/java/portrelay/net/ListActor.java
+++ b/daemon/src/main/java/portrelay/net/ListActor.java
@@ -22,22 +22,25 @@
 import portrelay.model.UpstreamId;
 import portrelay.settings.BadSetting;
 import portrelay.settings.Fields;
+import portrelay.sources.Asking;
 
-/** Follows the list: owns the connection to discovery and the upstreams' actors. Keeps one watch going. */
-final class ListActor implements ModuleActor.Watch {
+/**
+ * Follows the list: owns the connections to discovery and the upstreams' actors. Keeps one watch going; which calls
+ * that takes is {@link Asking}'s to say.
+ */
+final class ListActor implements ModuleActor.Watch, Asking.Calls {
 
     private static final int EVER_MOST = 4096;
     private static final int LONGEST_LIST = 4 * 1024 * 1024;
     private static final long NO_VERSION = -1;
     private static final double DIAL_WITHIN = 1;
-    private static final double WAIT = 20;
-    /**
-     * On top of the wait. What a silent watch kept from us counts as told 2 s after its wait: of these a new
-     * dial may take 1 s, and a discovery that is asked by all at once half a second to answer on it.
-     */
-    private static final double PATIENCE = 0.5;
-    /** For a call that does not wait; what a silent one kept from us counts as told after 6 s. */
-    private static final double ANSWER_WITHIN = 1.5;
+
+    /** One call that is out, and the connection that it has or is to get. */
+    private static final class Line {
+        private Dialer.Dial dial;
+        private Link link;
+        private XnioExecutor.Key patience;
+    }
 
     private final Loop loop;
     private final Log log;
@@ -48,16 +51,15 @@
     private final Function<InetSocketAddress, UpstreamActor> actors;
     private final Map<UpstreamId, UpstreamActor> upstreams = new HashMap<>();
     private long version = NO_VERSION;
-    private int calls;
-    private boolean watching;
+    private final Asking asking = new Asking(this);
+    private final Map<Integer, Line> lines = new HashMap<>();
+    /** The connection that the last answer came on, until the next call has it. */
+    private Link free;
     private boolean failing;
     /** Ids that were ever listed, the latest last; a long day's ever new ids must not grow it. */
     private final Set<UpstreamId> ever = new LinkedHashSet<>();
     private final Map<UpstreamId, Object> rows = new HashMap<>();
     private BiConsumer<Set<UpstreamId>, Object> to = (ids, list) -> { };
-    private Link link;
-    private Dialer.Dial dial;
-    private XnioExecutor.Key patience;
 
     ListActor(Loop loop, Log log, Dialer dialer, InetSocketAddress discovery, ModuleActor module,
             Function<InetSocketAddress, UpstreamActor> actors) {
@@ -78,8 +80,7 @@
     @Override
     public void watch() {
         mailbox.post(() -> {
-            if (!watching) {
-                watching = true;
+            if (!asking.isOut()) {
                 call();
             }
         });
@@ -95,7 +96,6 @@
             discovery = to;
             version = NO_VERSION;
             hangUp();
-            watching = true;
             call();
         });
     }
@@ -125,59 +125,79 @@
     }
 
     private void call() {
-        int mine = ++calls;
-        // What a call has to tell that may not wait is due at once, so there is less to be patient for.
-        boolean waits = version != NO_VERSION;
-        patience = loop.after(waits ? WAIT + PATIENCE : ANSWER_WITHIN,
-                () -> loop.afterLook(() -> mailbox.post(() -> silent(mine, waits))));
-        if (link != null && link.usable()) {
-            ask(link);
+        asking.ask(version == NO_VERSION);
+    }
+
+    @Override
+    public void begin(int call, double wait, double patience) {
+        Line line = new Line();
+        lines.put(call, line);
+        line.patience = loop.after(patience, () -> loop.afterLook(() -> mailbox.post(() -> late(call))));
+        Link to = free;
+        free = null;
+        if (to != null && to.usable()) {
+            ask(call, line, to, wait);
             return;
         }
-        dial = dialer.dial(discovery, DIAL_WITHIN, opened -> mailbox.post(() -> {
-            if (mine != calls || !watching) {
+        line.dial = dialer.dial(discovery, DIAL_WITHIN, opened -> mailbox.post(() -> {
+            if (lines.get(call) == line) {
+                line.dial = null;
+                ask(call, line, opened, wait);
+            } else {
                 opened.close();
-                return;
             }
-            dial = null;
-            link = opened;
-            ask(opened);
-        }), () -> mailbox.post(() -> failed(mine)));
+        }), () -> mailbox.post(() -> failed(call)));
     }
 
-    private void ask(Link to) {
-        String target = version == NO_VERSION ? Names.LIST
-                : Names.LIST + "?" + Names.AFTER + "=" + version + "&"
-                        + Names.WAIT_MS + "=" + (long) (WAIT * 1e3);
+    @Override
+    public void end(int call) {
+        Line line = lines.remove(call);
+        line.patience.remove();
+        if (line.dial != null) {
+            line.dial.giveUp();
+        }
+        if (line.link != null) {
+            line.link.close();
+        }
+    }
+
+    private void ask(int number, Line line, Link to, double wait) {
+        line.link = to;
+        String target = wait == 0 ? Names.LIST
+                : Names.LIST + "?" + Names.AFTER + "=" + version + "&" + Names.WAIT_MS + "=" + (long) (wait * 1e3);
         Call call = Call.of(Methods.GET, target, Call.NO_BODY);
         call.headers().put(Headers.HOST, Addresses.text(discovery));
-        to.call(call, LONGEST_LIST, result -> mailbox.post(() -> answered(to, result)));
+        to.call(call, LONGEST_LIST, result -> mailbox.post(() -> answered(number, line, result)));
     }
 
-    private void answered(Link from, Result result) {
-        if (from != link || !watching) {
+    private void answered(int call, Line line, Result result) {
+        if (lines.get(call) != line) {
             return;
         }
         if (result.status() != 200) {
-            failed(calls);
+            failed(call);
             return;
         }
-        patience.remove();
+        ListPage page;
         try {
-            ListPage page = ListPage.read(Fields.of(Tree.parse(result.body()), ""));
-            if (!page.whole() && page.version() < version) {
-                // Changes up to an older list than ours would undo what came since, as that one drains.
-                log.warn("discovery went back from list " + version + " to " + page.version());
-                version = NO_VERSION;
-                call();
-                return;
-            }
-            tell(page, page.whole() ? ListNews.WHOLE : ListNews.CHANGES);
+            page = ListPage.read(Fields.of(Tree.parse(result.body()), ""));
         } catch (IOException | BadSetting e) {
             log.warn("discovery sent no list: " + e.getMessage().lines().findFirst().orElse(""));
-            failed(calls);
+            failed(call);
+            return;
+        }
+        lines.remove(call);
+        line.patience.remove();
+        free = line.link;
+        asking.answered(call);
+        if (!page.whole() && page.version() < version) {
+            // Changes up to an older list than ours would undo what came since, as that one drains.
+            log.warn("discovery went back from list " + version + " to " + page.version());
+            version = NO_VERSION;
+            call();
             return;
         }
+        tell(page, page.whole() ? ListNews.WHOLE : ListNews.CHANGES);
         if (failing) {
             failing = false;
             log.info("discovery answers again");
@@ -186,43 +206,31 @@
     }
 
     private void hangUp() {
-        if (patience != null) {
-            patience.remove();
-        }
-        if (dial != null) {
-            dial.giveUp();
-            dial = null;
-        }
-        if (link != null) {
-            link.close();
-            link = null;
+        asking.endAll();
+        if (free != null) {
+            free.close();
+            free = null;
         }
     }
 
-    /**
-     * A watch that has fallen silent is opened anew at once, as its time to tell us is nearly over: the
-     * module's wait before the next try is for a discovery that said no. The new one has to wait as long
-     * before this can come again.
-     */
-    private void silent(int call, boolean waited) {
-        if (!watching || call != calls) {
+    private void late(int call) {
+        if (!asking.isOut(call)) {
             return;
         }
-        if (!waited) {
-            failed(call);
-            return;
+        if (!failing) {
+            failing = true;
+            log.warn("a call to discovery fell silent: another is begun");
         }
-        log.warn("a watch fell silent: opened anew");
-        hangUp();
-        call();
+        asking.late(call);
     }
 
     /** Says of which call: one that was given up may still have this on its way. */
     private void failed(int call) {
-        if (!watching || call != calls) {
+        if (!asking.isOut(call)) {
             return;
         }
-        watching = false;
+        end(call);
+        asking.failed(call);
         hangUp();
         if (!failing) {
             failing = true;
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -86,7 +86,7 @@
                 new HandoverState.Owner(config.name(), shared, settings.offeringNames()));
         beside = handover == null ? Handover.Beside.NOBODY : handover.beside();
         toUpstreams = new Dialer(loop, buffers, connections() / 2, open -> lend());
-        Dialer toDiscovery = new Dialer(loop, buffers, 2, open -> { });
+        Dialer toDiscovery = new Dialer(loop, buffers, 3, open -> { });
         boolean messages = config.peers() != null && settings.site().peers();
         module = new ModuleActor(loop, log, to -> settings.startOnSockets(to, config.seed(), messages));
         module.windows(asked -> settings.offering(asked.offering()).repeats() == Offering.Repeats.NUMBERED
--- a/daemon/src/test/java/portrelay/net/WatchCrossingsTest.java
+++ b/daemon/src/test/java/portrelay/net/WatchCrossingsTest.java
@@ -57,7 +57,7 @@
         ModuleActor module = new ModuleActor(clock, log,
                 to -> config.settings().startOnSockets(to, config.seed(), false));
         Dialer toUpstreams = new Dialer(clock, buffers, 8, n -> { });
-        list = new ListActor(clock, log, new Dialer(clock, buffers, 2, n -> { }), config.discovery(), module,
+        list = new ListActor(clock, log, new Dialer(clock, buffers, 3, n -> { }), config.discovery(), module,
                 at -> new UpstreamActor(clock, log, toUpstreams, module, 0.1, 1, at));
         Held.on(clock, () -> {
             try {
@@ -97,12 +97,46 @@
         forward(0.2);
         Town.Message again = discovery.seen.poll(1, TimeUnit.SECONDS);
         assertNotNull(again, "not opened anew after 20.6 s");
-        assertTrue(again.first().contains("index=7&wait=20000"), again.first());
+        // A call was given up: from here on 6 s count, so the next one may not be silent for a whole wait too.
+        assertTrue(again.first().contains("index=7&wait=3000"), again.first());
         assertEquals(2, discovery.accepted.size());
         assertNotNull(discovery.ended.poll(1, TimeUnit.SECONDS), "the silent one stays open");
-        // The one that was opened anew has its own whole wait.
+        answer("200 OK", page(7, false, "")).play(null, discovery.accepted.get(1));
+        assertTrue(discovery.next().first().contains("index=7&wait=20000"));
+        // The one after an answer has its own whole wait.
         forward(20.4);
         assertNull(discovery.seen.poll());
+        assertEquals(2, discovery.accepted.size());
+    }
+
+    /**
+     * Discovery is away, takes the first call after that and never answers it: it has a change a moment later. The
+     * old code waited 20.5 s for the answer of that call.
+     */
+    @Test
+    void aCallThatIsTakenAfterAFailureAndNeverAnsweredKeepsNoChangeForSixSeconds() throws Exception {
+        Town.RESET.play(null, discovery.accepted.get(0));
+        discovery.ended.poll(5, TimeUnit.SECONDS);
+        Held.settled(clock);
+        double back = 0;
+        for (; discovery.seen.isEmpty() && back < 0.5; back += 0.05) {
+            forward(0.05);
+        }
+        assertTrue(discovery.next().first().contains("index=7&wait=3000"), "not asked again after " + back);
+        forward(3.4);
+        assertNull(discovery.seen.poll(), "given up within its wait");
+        forward(0.2);
+        assertTrue(discovery.next().first().contains("index=7&wait=3000"));
+        assertEquals(3, discovery.accepted.size(), "on a connection of its own");
+        // Its answer comes, well within the six seconds; the call before it keeps its place until then.
+        assertNull(discovery.ended.poll(50, TimeUnit.MILLISECONDS));
+        answer("200 OK", page(9, false, Town.host("s-0", "127.0.0.1:9", "DRAINING")))
+                .play(null, discovery.accepted.get(2));
+        assertTrue(discovery.next().first().contains("index=9&wait=20000"));
+        assertNotNull(discovery.ended.poll(5, TimeUnit.SECONDS), "the silent one stays open");
+        assertTrue(said.toString(ISO_8859_1).contains("list 9"), said.toString(ISO_8859_1));
+        forward(20.4);
+        assertNull(discovery.seen.poll(), "more than one watch is out");
     }
 
     /** The answer lies in the kernel when the patience is over: it was told, and must not be thrown away. */
--- a/kit/src/test/java/portrelay/kit/BordersTest.java
+++ b/kit/src/test/java/portrelay/kit/BordersTest.java
@@ -16,7 +16,7 @@
 class BordersTest {
 
     private static final String[] CORE = {"portrelay.policy..", "portrelay.model..", "portrelay.settings..",
-            "portrelay.door..", "portrelay.gossip.."};
+            "portrelay.door..", "portrelay.gossip..", "portrelay.sources.."};
     private static final JavaClasses ALL = new ClassFileImporter().importPackages("portrelay");
 
     private static final DescribedPredicate<JavaClass> OUTSIDE_WORLD =
@@ -44,7 +44,7 @@
     void coreKnowsOnlyItselfAndTheJdk() {
         classes().that().resideInAnyPackage(CORE).should().onlyDependOnClassesThat()
                 .resideInAnyPackage("portrelay.policy..", "portrelay.model..", "portrelay.settings..",
-                        "portrelay.door..", "portrelay.gossip..", "java..")
+                        "portrelay.door..", "portrelay.gossip..", "portrelay.sources..", "java..")
                 .check(ALL);
     }
 
