Cold upstreams earn by answers and get their ramp from any number of processes

(d) Up to 2 lay unspent at each process.

Change: answers earn, not sends, against the warm ones of our part; a first send goes to an idle cold one that is due; over 16 processes most drop a credit that was passed by; without a warm one time earns 4 in all in the rule's time; late answers of cold ones do not cut the limit over all (Health.judge).

--- a/core/src/main/java/portrelay/model/ListRule.java
+++ b/core/src/main/java/portrelay/model/ListRule.java
@@ -11,8 +11,9 @@
     private static final double LONGEST = 0.75;
 
     /**
-     * Seconds from a failure to the next call, so many failures in a row before it; lot is drawn from 0 to 1 by
-     * each sidecar: discovery is one service for all, and those that failed together must not come back together.
+     * Seconds from a failure to the next call, so many failures in a row before it; lot is drawn from 0 to 1
+     * by each sidecar: discovery is one service for all, and those that failed together must not come back
+     * together.
      */
     public double backOff(int failures, double lot) {
         double longest = Math.min(LONGEST, Math.max(FIRST, askWithin / 4));
--- a/core/src/main/java/portrelay/policy/Cold.java
+++ b/core/src/main/java/portrelay/policy/Cold.java
@@ -3,29 +3,61 @@
 import java.util.List;
 import portrelay.model.ColdRule;
 
-/** Guards against all together pushing over a cold upstream: each sends it a ramp's share of a like warm one's. */
-record Cold(ColdRule rule) {
+/**
+ * Guards against all together pushing over a cold upstream: each sends it a ramp's share of a like warm
+ * one's.
+ */
+record Cold(ColdRule rule, int sidecars) {
+    /**
+     * Of all sidecars together in the rule's time, where nothing is warm; so many are chance whatever it
+     * allows.
+     */
+    private static final double TO_BEGIN = 4;
+    /** What all of them may hold unspent: a burst would spend it in one moment. */
+    private static final double UNSPENT = 16;
+
     double ramp(Upstream u, double now) {
-        double since = Math.max(u.listed.onlineSince(), u.backAt);
-        if (since <= 0 || now >= since + rule.time() || rule.time() <= 0) {
-            return 1;
+        return rule.ramp(Math.max(u.listed.onlineSince(), u.backAt), now);
+    }
+
+    /**
+     * Answers, not sends, earn credit: they stay within what upstreams can do, in a burst and where some are
+     * lost.
+     */
+    void served(Upstream by, List<Upstream> ours, double now) {
+        double warm = ours.stream().filter(u -> u.ready && ramp(u, now) >= 1).mapToDouble(u -> u.size).sum();
+        if (warm == 0 || ramp(by, now) >= 1) {
+            double all = warm > 0 ? warm
+                    : ours.stream().filter(u -> u.ready).mapToDouble(u -> ramp(u, now) * u.size).sum();
+            // Halfway, in ratio, between what it can surely do and what pushes it over.
+            ours.forEach(u -> earn(u, ramp(u, now) * u.size / all * Math.sqrt(rule.overloadFactor()), now));
+        }
+    }
+
+    /** Where nothing is warm, time earns a little: nothing answers yet, and nobody would begin. */
+    void waited(double seconds, List<Upstream> ours, double now) {
+        if (ours.stream().noneMatch(u -> u.ready && ramp(u, now) >= 1)) {
+            double part = rule.tipAfter() > 0 ? Math.min(1, seconds / rule.tipAfter()) : 1;
+            ours.forEach(u -> earn(u, part * TO_BEGIN / senders(u), now));
         }
-        return rule.share() + (1 - rule.share()) * Math.max(0, now - since) / rule.time();
     }
 
-    /** Every send to a warm upstream, or any where none is, earns each cold one its part of a send. */
-    void sent(Upstream to, List<Upstream> roster, double now) {
-        List<Upstream> ready = roster.stream().filter(u -> u.ready).toList();
-        double warm = ready.stream().filter(u -> ramp(u, now) >= 1).mapToDouble(u -> u.size).sum();
-        boolean toWarm = ramp(to, now) >= 1;
-        to.coldCredit -= toWarm ? 0 : 1;
-        for (Upstream u : ready) {
-            double f = ramp(u, now);
-            if (f < 1 && (toWarm || warm == 0)) {
-                double each = warm > 0 ? f * u.size / warm : 1.0 / ready.size();
-                // Halfway, in ratio, between what it can surely do and what pushes it over.
-                u.coldCredit = Math.min(2, u.coldCredit + each * Math.sqrt(rule.overloadFactor()));
-            }
+    private void earn(Upstream u, double credit, double now) {
+        if (u.ready && ramp(u, now) < 1) {
+            u.coldCredit = Math.min(1 + 1.0 / senders(u), u.coldCredit + credit);
         }
     }
+
+    void sent(Upstream to, double now) {
+        to.coldCredit -= ramp(to, now) < 1 ? 1 : 0;
+    }
+
+    /** It could have been sent to and was not: of many sidecars few keep what they did not spend. */
+    void passedBy(Upstream u, double lot) {
+        u.coldCredit -= lot >= UNSPENT / senders(u) ? 1 : 0;
+    }
+
+    private int senders(Upstream u) {
+        return u.sharers == null ? sidecars : u.sharers.size();
+    }
 }
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -85,6 +85,7 @@
     private double askListAt = Double.POSITIVE_INFINITY;
     private int listFailures;
     private double now;
+    private double askedAt;
 
     public Decide(Effects out, long seed, Deployment of) {
         this.out = out;
@@ -94,7 +95,7 @@
         this.seen = site.looks() || site.shares() && !site.byLot();
         this.shares = new Shares(of.tenants(), TENANT_SAMPLES);
         this.health = new Health(of.offerings().size());
-        this.cold = new Cold(of.cold());
+        this.cold = new Cold(of.cold(), of.site().sidecars());
     }
 
     public void start(double time) {
@@ -106,7 +107,8 @@
     }
 
     public void arrival(double time, Asked asked) {
-        now = time;
+        cold.waited(time - askedAt, ours(), time);
+        now = askedAt = time;
         Query q = new Query(asked, of.offerings().get(asked.offering().value()), time);
         queries.put(asked.id(), q);
         shares.count(TenantId.number(asked.tenant()));
@@ -169,8 +171,11 @@
         Query.Execution e = q.executions.get(execution);
         e.outcome = outcome;
         e.as.at().inFlight--;
+        if (outcome == Outcome.HANDLED) {
+            cold.served(e.as.at(), ours(), now);
+        }
         if (!q.asked.once()) {
-            health.judge(now, q, e, total);
+            health.judge(now, q, e, total, cold.ramp(e.as.at(), now) >= 1);
         }
         shareEnd(q, e);
         forgetGone();
@@ -397,10 +402,26 @@
                 && mayTake(q, each) && (!seen || load(each) == 0 && !blind(each))).findFirst().orElse(null);
         blindToo = site.looks() && roster.stream().noneMatch(each -> !blind(each) && mayTake(q, each));
         // Shunned while there are others: a choked upstream has to rest before it works as usual again.
-        boolean all = u == null && (part == null ? roster : part.upstreams).stream()
+        boolean all = u == null && ours().stream()
                 .allMatch(each -> !each.ready || each.passedOver() || silent(each));
+        List<Upstream> due = seen || !first ? List.of() : ours().stream()
+                .filter(each -> each.coldCredit >= 1 && cold.ramp(each, now) < 1 && mayTake(q, each)).toList();
+        // By lot each of many would draw a cold one so rarely that it got nothing, or all would keep its due.
+        u = u != null ? u : due.stream().filter(each -> ownLoad(each) == 0 && !each.passedOver()
+                && !silent(each)).findFirst().orElse(null);
         u = u != null ? u : pickAmong(q, mean, Health.OWN_FAULT, all);
-        return u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, all);
+        Upstream pick = u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, all);
+        due.stream().filter(each -> pick != null && pick != each)
+                .forEach(each -> cold.passedBy(each, chance.nextDouble()));
+        return pick;
+    }
+
+    private double ownLoad(Upstream u) {
+        return part == null ? u.inFlight : load(u);
+    }
+
+    private List<Upstream> ours() {
+        return part == null ? roster : part.upstreams;
     }
 
     /** Nobody who shares it had an answer for as long as any may take that is in time. */
@@ -440,11 +461,14 @@
 
     /** The idle ones draw lots, all before those that are not; the slow and small with less luck. */
     private double ownCost(Upstream u, double mean, double pace) {
-        double load = (part == null ? u.inFlight : load(u)) + (now < u.seenAt + SETTLING ? mean : 0);
+        double load = ownLoad(u) + (now < u.seenAt + SETTLING ? mean : 0);
         return load > 0 ? load * pace / u.size : u.size / (Math.log(chance.nextDouble()) * pace * pace);
     }
 
-    /** Guards against all filling queues until upstreams choke: what the last took for each in flight, for all. */
+    /**
+     * Guards against all filling queues until upstreams choke: what the last took for each in flight, for
+     * all.
+     */
     private boolean toldInTime(Query q, Upstream u) {
         return !site.byLot() || deaf() || load(u) == 0
                 || inTime(q, health.took(u, now) * (load(u) + 1) / cold.ramp(u, now), FIT_TOLD);
@@ -510,7 +534,7 @@
             part.tell(Gossip.Word.BEGUN, u, TenantId.number(q.asked.tenant()), 0);
         }
         total.inFlight += q.asked.once() ? 0 : 1;
-        cold.sent(u, roster, now);
+        cold.sent(u, now);
         out.send(q.asked.id(), u.id);
     }
 
--- a/core/src/main/java/portrelay/policy/Health.java
+++ b/core/src/main/java/portrelay/policy/Health.java
@@ -30,7 +30,7 @@
         return times.get(offering.id().value()).mean(Double.NEGATIVE_INFINITY, 1, prior);
     }
 
-    void judge(double now, Query q, Query.Execution e, TotalLimit total) {
+    void judge(double now, Query q, Query.Execution e, TotalLimit total, boolean warm) {
         Upstream at = e.as.at();
         double spent = now - e.as.sentAt();
         boolean handled = e.outcome == Outcome.HANDLED;
@@ -43,7 +43,7 @@
         }
         // Where nobody had an answer since it is that upstream that is silent, not the fleet that is full.
         boolean alone = !handled && at.told.silentSince(e.as.sentAt());
-        total.ended(now, e.as.sentAt(), slow, !alone && pace(at, now) < OWN_FAULT);
+        total.ended(now, e.as.sentAt(), slow, warm && !alone && pace(at, now) < OWN_FAULT);
         samplePace(now, q, e);
         boolean noWay = e.outcome == Outcome.NO_CONNECTION;
         boolean failed = noWay || !handled && !e.outcome.neverRan && e.outcome != Outcome.CALLED_OFF;
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -1,9 +1,8 @@
 package portrelay.policy;
 
 import java.util.*;
-import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
-import portrelay.gossip.Gossip;
+import portrelay.gossip.*;
 import portrelay.model.*;
 
 /**
@@ -12,14 +11,10 @@
  * connections. Parts are cut from the list and from zones that were told, or drawn; nobody decides for others.
  */
 final class Part {
-    private record Piece(char zone, List<Upstream> upstreams, double size) { }
-
     private static final int MOST_SHARERS = 14;
     private static final int LEAST_OWN = 6;
-    private static final int FEWEST = 2;
     private static final double LAY_AFTER = 0.05;
     private static final double LAY_EVERY = 1;
-    private static final double LEAST_ROOM = 0.01;
     static final double DEAF = 0.5;
     private static final int LOST_SAMPLES = 8;
     private static final double DROPPED_FOR = 20;
@@ -106,79 +101,19 @@
             upstreams = mine.isEmpty() ? ready : mine;
             return;
         }
-        List<Piece> pieces = cut();
-        Map<Integer, Piece> homes = place(pieces);
-        Piece mine = homes.getOrDefault(site.me(), pieces.get(0));
+        Homes laid = new Homes(ready.stream().map(u -> new Homes.Seat(u.listed, u.size)).toList(),
+                site.sidecars(), MOST_SHARERS);
+        Map<Integer, Homes.Piece> homes = laid.place(gossip.members(), gossip.fewKnown());
+        Homes.Piece mine = homes.getOrDefault(site.me(), laid.pieces().get(0));
         homes.remove(site.me());
         gossip.sharers(homes.keySet().stream().filter(each -> homes.get(each) == mine).toList());
-        upstreams = mine.upstreams();
-    }
-
-    /** By group, as numbered copies stay in one; a group that too many would share is cut in equal parts. */
-    private List<Piece> cut() {
-        TreeMap<Long, List<Upstream>> groups = new TreeMap<>();
-        ready.forEach(u -> groups.computeIfAbsent(u.listed.cell().value(), k -> new ArrayList<>()).add(u));
-        List<Piece> pieces = new ArrayList<>();
-        groups.forEach((cell, group) -> {
-            group.sort(Comparator.comparingDouble((Upstream u) -> -u.size).thenComparing(u -> u.id.value()));
-            double sharing = site.sidecars() * size(group) / size(ready);
-            int n = (int) Math.min(Math.ceil(sharing / MOST_SHARERS), group.size() / FEWEST);
-            n = Math.max(Math.max(1, n), (group.size() + Gossip.CODES - 1) / Gossip.CODES);
-            for (int i = 0; i < n; i++) {
-                List<Upstream> part = new ArrayList<>();
-                for (int j = i; j < group.size(); j += n) {
-                    part.add(group.get(j));
-                }
-                char zone = Gossip.sign(group.get(0).listed.zone().value());
-                pieces.add(new Piece(zone, part, size(part)));
-            }
-        });
-        return pieces;
+        upstreams = mine.seats().stream().map(ready::get).toList();
     }
 
     private static double size(List<Upstream> upstreams) {
         return upstreams.stream().mapToDouble(u -> u.size).sum();
     }
 
-    /** As many stay in a zone as it has room for, in an order that all know, all while few are known. */
-    private Map<Integer, Piece> place(List<Piece> pieces) {
-        Map<Integer, Character> members = gossip.members();
-        Map<Character, Double> room = new TreeMap<>();
-        pieces.forEach(p -> room.merge(p.zone(), members.size() * p.size() / size(ready), Double::sum));
-        Map<Character, Integer> count = new TreeMap<>();
-        members.values().forEach(zone -> count.merge(zone, 1, Integer::sum));
-        Map<Character, Integer> ranks = new HashMap<>();
-        Map<Integer, Piece> homes = new LinkedHashMap<>();
-        List<Integer> away = new ArrayList<>();
-        members.forEach((id, zone) -> {
-            int rank = ranks.merge(zone, 1, Integer::sum) - 1;
-            double stay = Math.min(Math.floor(room.getOrDefault(zone, 0.0)), count.get(zone));
-            if (room.containsKey(zone) && (gossip.fewKnown() || rank < stay)) {
-                double share = gossip.fewKnown() ? Gossip.lot(id) : (rank + 0.5) / stay;
-                homes.put(id, at(pieces, share, p -> p.zone() == zone ? p.size() : 0));
-            } else {
-                away.add(id);
-            }
-        });
-        for (int i = 0; i < away.size(); i++) {
-            homes.put(away.get(i), at(pieces, (i + 0.5) / away.size(), p -> p.size() * Math.max(LEAST_ROOM,
-                    1 - count.getOrDefault(p.zone(), 0) / room.get(p.zone()))));
-        }
-        return homes;
-    }
-
-    /** Where a share of the pieces' weights, laid end to end, comes to. */
-    private static Piece at(List<Piece> pieces, double share, ToDoubleFunction<Piece> weight) {
-        double left = share * pieces.stream().mapToDouble(weight).sum();
-        for (Piece p : pieces) {
-            left -= weight.applyAsDouble(p);
-            if (left < 0) {
-                return p;
-            }
-        }
-        return pieces.get(pieces.size() - 1);
-    }
-
     /** Whether connections are being dropped unseen these days. */
     boolean dropping(double now) {
         return now < lostUntil;
--- a/core/src/test/java/portrelay/policy/Fleet.java
+++ b/core/src/test/java/portrelay/policy/Fleet.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import portrelay.model.ColdRule;
 import portrelay.model.ListNews;
 import portrelay.model.Listed;
 import portrelay.model.Outcome;
@@ -54,7 +55,8 @@
             for (int i = 1; i < CORES; i++) {
                 core = free[i] < free[core] ? i : core;
             }
-            double work = -WORK * Math.log(1 - chance.nextDouble());
+            // A cold one does its ramp's part in the same time.
+            double work = -WORK * Math.log(1 - chance.nextDouble()) / ramp(Rig.COLD, now);
             free[core] = Math.max(now, free[core]) + work;
             return silent ? Double.POSITIVE_INFINITY : free[core];
         }
@@ -66,10 +68,39 @@
             Arrays.fill(free, now);
         }
 
+        /** Its cores are taken for so long by what was there before. */
+        void isFull(double seconds) {
+            Arrays.fill(free, now + seconds);
+        }
+
         Listed row(Listed.Health health) {
             return Rig.row((int) id.value(), health, since);
         }
 
+        /**
+         * By how much the most that came within the rule's time was over what it bears then and what is
+         * chance: N + 2 x root N + 2, N being what the ramp allows three cores in that time. Under 0 it
+         * stands.
+         */
+        double over(ColdRule rule) {
+            double over = Double.NEGATIVE_INFINITY;
+            for (int i = 0, from = 0; i < arrivals.size(); i++) {
+                while (arrivals.get(from) < arrivals.get(i) - rule.tipAfter()) {
+                    from++;
+                }
+                double begins = arrivals.get(i) - rule.tipAfter();
+                double allowed = rule.overloadFactor() * CORES / WORK * rule.tipAfter()
+                        * ramp(rule, Math.max(since, begins) + rule.tipAfter() / 2);
+                over = Math.max(over, i - from + 1 - allowed - 2 * Math.sqrt(allowed) - 2);
+            }
+            return over;
+        }
+
+        double ramp(ColdRule rule, double time) {
+            double part = Math.min(1, Math.max(0, time - since) / rule.time());
+            return since <= 0 ? 1 : rule.share() + (1 - rule.share()) * part;
+        }
+
         /** The most that came within so many seconds, from the start on. */
         int mostWithin(double seconds) {
             int most = 0;
@@ -100,15 +131,27 @@
     double slowest = 0.01;
     int handled;
     int copies;
+    /** How many times the mean each sidecar asks; all the mean where it is null. */
+    double[] uneven;
 
     Fleet(long seed, int size, int upstreams) {
+        this(seed, size, upstreams, true);
+    }
+
+    Fleet(long seed, int size, int upstreams, boolean messages) {
+        this(seed, size, upstreams, messages, size);
+    }
+
+    /** The settings tell each of so many sidecars, whether that is true or not. */
+    Fleet(long seed, int size, int upstreams, boolean messages, int told) {
         chance = new SplittableRandom(seed);
         for (int i = 0; i < upstreams; i++) {
             add(i);
         }
         for (int i = 0; i < size; i++) {
             sidecars.add(new Rig(seed * 1000 + i,
-                    new Site(i, size, null, Site.Weights.NOMINAL, Site.Reports.SILENT, true, false)));
+                    new Site(i % told, told, null, Site.Weights.NOMINAL, Site.Reports.SILENT, messages,
+                            false)));
             open.put(sidecars.get(i), new HashSet<>());
         }
     }
@@ -164,7 +207,10 @@
             for (int i = 0; i < sidecars.size(); i++) {
                 Rig rig = sidecars.get(i);
                 rig.pass(now - rig.now);
-                if (chance.nextDouble() < rate * STEP) {
+                double expected = rate * STEP * (uneven == null ? 1 : uneven[i]);
+                // Many in one step where one sidecar carries a fleet's traffic.
+                int count = (int) (expected + chance.nextDouble());
+                for (int n = 0; n < count; n++) {
                     QueryId id = new QueryId("q" + names++);
                     open.get(rig).add(id);
                     cutOffs.put(id, now + BUDGET);
--- a/core/src/test/java/portrelay/sources/AskingTest.java
+++ b/core/src/test/java/portrelay/sources/AskingTest.java
@@ -16,8 +16,8 @@
 import portrelay.model.ListRule;
 
 /**
- * A change counts as told 6 s after discovery had it and could be reached, whatever went before: callers in virtual
- * time before one discovery that takes its calls in turn.
+ * A change counts as told 6 s after discovery had it and could be reached, whatever went before: callers in
+ * virtual time before one discovery that takes its calls in turn.
  */
 class AskingTest {
 
@@ -203,7 +203,10 @@
         }
     }
 
-    /** A hundred and twenty answers a six seconds: a hundred callers who were all turned away are told in them. */
+    /**
+     * A hundred and twenty answers a six seconds: a hundred callers who were all turned away are told in
+     * them.
+     */
     @Test
     void aHundredThatWereTurnedAwayAreToldInTimeByOneThatAnswersTwentyASecond() {
         for (Away each : Away.values()) {
--- a/daemon/src/main/java/portrelay/net/ListActor.java
+++ b/daemon/src/main/java/portrelay/net/ListActor.java
@@ -25,8 +25,8 @@
 import portrelay.sources.Asking;
 
 /**
- * Follows the list: owns the connections to discovery and the upstreams' actors. Keeps one watch going; which calls
- * that takes is {@link Asking}'s to say.
+ * Follows the list: owns the connections to discovery and the upstreams' actors. Keeps one watch going; which
+ * calls that takes is {@link Asking}'s to say.
  */
 final class ListActor implements ModuleActor.Watch, Asking.Calls {
 
@@ -164,7 +164,8 @@
     private void ask(int number, Line line, Link to, double wait) {
         line.link = to;
         String target = wait == 0 ? Names.LIST
-                : Names.LIST + "?" + Names.AFTER + "=" + version + "&" + Names.WAIT_MS + "=" + (long) (wait * 1e3);
+                : Names.LIST + "?" + Names.AFTER + "=" + version + "&"
+                        + Names.WAIT_MS + "=" + (long) (wait * 1e3);
         Call call = Call.of(Methods.GET, target, Call.NO_BODY);
         call.headers().put(Headers.HOST, Addresses.text(discovery));
         to.call(call, LONGEST_LIST, result -> mailbox.post(() -> answered(number, line, result)));
--- a/daemon/src/test/java/portrelay/net/WatchCrossingsTest.java
+++ b/daemon/src/test/java/portrelay/net/WatchCrossingsTest.java
@@ -97,7 +97,8 @@
         forward(0.2);
         Town.Message again = discovery.seen.poll(1, TimeUnit.SECONDS);
         assertNotNull(again, "not opened anew after 20.6 s");
-        // A call was given up: from here on 6 s count, so the next one may not be silent for a whole wait too.
+        // A call was given up: from here on 6 s count, so the next one may not be silent for a whole wait
+        // too.
         assertTrue(again.first().contains("index=7&wait=3000"), again.first());
         assertEquals(2, discovery.accepted.size());
         assertNotNull(discovery.ended.poll(1, TimeUnit.SECONDS), "the silent one stays open");
@@ -110,8 +111,8 @@
     }
 
     /**
-     * Discovery is away, takes the first call after that and never answers it: it has a change a moment later. The
-     * old code waited 20.5 s for the answer of that call.
+     * Discovery is away, takes the first call after that and never answers it: it has a change a moment
+     * later. The old code waited 20.5 s for the answer of that call.
      */
     @Test
     void aCallThatIsTakenAfterAFailureAndNeverAnsweredKeepsNoChangeForSixSeconds() throws Exception {
