A client's end is found behind a flood and behind bytes that are no request

Ruled out: a short request sent ahead (withTheNextQuerySentAhead passed before too).

Change: bytes that are no request are read on and thrown away, as the connection ends with the answer anyway; past 96 KiB the same happens in the moment in which an attempt is to begin (not before: a long next request behind one that is at work stays whole, aNextQueryLongerThanWhatIsReadAheadComesWhole). The answer lingers, so that no close on unread bytes overtakes it.

--- a/daemon/src/main/java/portrelay/net/Clients.java
+++ b/daemon/src/main/java/portrelay/net/Clients.java
@@ -91,6 +91,14 @@
         }
     }
 
+    /** What comes from it from here on is no request: it is read up to its end, and that is all. */
+    void letThrough(HttpServerConnection connection) {
+        ClientId id = ids.get(connection.getChannel());
+        if (id != null) {
+            lines.get(id).guard.letThrough();
+        }
+    }
+
     /** Whether more queries wait for answers than there is room for connections. */
     boolean full() {
         return room.count(Room.Phase.ASKED) > most;
--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -64,6 +64,8 @@
     private final Clients clients;
     private final DoorCounts counts;
     private final Lingering lingering;
+    /** Where bytes may come behind a request that came whole. */
+    private final Lingering lingersOn;
     private boolean closing;
     private boolean inService = true;
     private int drains;
@@ -81,7 +83,8 @@
         this.doorkeeper = doorkeeper;
         this.counts = counts;
         clients = new Clients(loop, room, counts);
-        lingering = new Lingering(loop);
+        lingering = new Lingering(loop, false);
+        lingersOn = new Lingering(loop, true);
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
@@ -391,6 +394,8 @@
         /** What came behind the query, until Undertow has it back. */
         private final ByteArrayOutputStream ahead = new ByteArrayOutputStream(0);
         private boolean watched;
+        /** What comes behind the request is no use any more: it is read for the client's end alone. */
+        private boolean discards;
         private boolean over;
         private double stampedAt;
 
@@ -420,7 +425,7 @@
          * Reads up to the end, if it is there; what comes before it is the client's next query, sent ahead.
          */
         private void look(ConduitStreamSourceChannel source) {
-            if (over || ahead.size() >= MOST_AHEAD) {
+            if (over || !discards && ahead.size() >= MOST_AHEAD) {
                 source.suspendReads();
                 return;
             }
@@ -431,6 +436,9 @@
                         leave();
                         return;
                     }
+                    if (discards) {
+                        continue;
+                    }
                     byte[] bytes = new byte[buffer.flip().remaining()];
                     buffer.get(bytes);
                     ahead.writeBytes(bytes);
@@ -441,13 +449,21 @@
                     }
                 }
             } catch (QueryGuard.Broken e) {
-                // No query of it, but whoever sends it is still there.
-                source.suspendReads();
+                // No request of it, but whoever sends it is still there, until its end comes behind it.
+                discard();
+                look(source);
             } catch (IOException e) {
                 leave();
             }
         }
 
+        /** The connection ends with the answer, so nothing that lies behind the request is owed anything. */
+        private void discard() {
+            discards = true;
+            ahead.reset();
+            clients.letThrough(connection);
+        }
+
         /** Undertow reads on where the query ended: what we have read of the next one comes first there. */
         private void giveBack() {
             if (ahead.size() == 0) {
@@ -478,6 +494,10 @@
         @Override
         public boolean over() {
             if (!over && watched) {
+                // An attempt is to begin: its client's end may lie behind more than is kept.
+                if (ahead.size() >= MOST_AHEAD) {
+                    discard();
+                }
                 look(connection.getChannel().getSourceChannel());
             } else if (!over && clients.ended(connection)) {
                 leave();
@@ -568,11 +588,11 @@
 
         /** Where not all of the body was read, the connection ends with the answer. */
         private void send(byte[] body) {
-            if (upload == null || upload.written()) {
+            if (!discards && (upload == null || upload.written())) {
                 exchange.getResponseSender().send(ByteBuffer.wrap(body));
             } else {
                 exchange.setResponseContentLength(body.length);
-                exchange.getResponseSender().send(ByteBuffer.wrap(body), lingering);
+                exchange.getResponseSender().send(ByteBuffer.wrap(body), discards ? lingersOn : lingering);
             }
         }
 
@@ -599,7 +619,11 @@
                 return false;
             }
             end();
-            giveBack();
+            if (discards) {
+                exchange.setPersistent(false);
+            } else {
+                giveBack();
+            }
             clients.at(connection, Room.Phase.ANSWERING);
             if (upload != null) {
                 upload.stop();
--- a/daemon/src/main/java/portrelay/net/Lingering.java
+++ b/daemon/src/main/java/portrelay/net/Lingering.java
@@ -20,15 +20,18 @@
     private static final int MOST_READS = 64;
 
     private final Loop loop;
+    private final boolean always;
 
-    Lingering(Loop loop) {
+    /** Always: also where the request came whole, as more may lie behind it. */
+    Lingering(Loop loop, boolean always) {
         this.loop = loop;
+        this.always = always;
     }
 
     @Override
     public void onComplete(HttpServerExchange exchange, Sender sender) {
         HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
-        if (exchange.isRequestComplete()) {
+        if (exchange.isRequestComplete() && !always) {
             IoUtils.safeClose(connection);
             return;
         }
--- a/daemon/src/main/java/portrelay/net/Operators.java
+++ b/daemon/src/main/java/portrelay/net/Operators.java
@@ -63,7 +63,7 @@
         this.front = front;
         callers = new Clients(loop, ROOM, new DoorCounts());
         callers.most(most);
-        lingering = new Lingering(loop);
+        lingering = new Lingering(loop, false);
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
--- a/daemon/src/main/java/portrelay/net/QueryGuard.java
+++ b/daemon/src/main/java/portrelay/net/QueryGuard.java
@@ -22,6 +22,7 @@
     private final Framing framing = Framing.ofQueries();
     /** What a look ahead took, until it is read; null where there is none. */
     private ByteBuffer ahead;
+    private boolean letsThrough;
 
     private final Runnable heard;
 
@@ -45,6 +46,11 @@
         return look() < 0;
     }
 
+    /** From here on all that comes is let through: whoever reads it throws it away and waits for the end. */
+    void letThrough() {
+        letsThrough = true;
+    }
+
     private int look() throws IOException {
         if (ahead != null) {
             return ahead.remaining();
@@ -72,12 +78,12 @@
 
     @Override
     public int read(ByteBuffer to) throws IOException {
-        if (framing.broken()) {
+        if (framing.broken() && !letsThrough) {
             throw new Broken();
         }
         int from = to.position();
         int count = ahead == null ? next.read(to) : readAhead(to);
-        if (count <= 0) {
+        if (count <= 0 || letsThrough) {
             return count;
         }
         heard.run();
--- a/daemon/src/test/java/portrelay/net/ClientLeavesTest.java
+++ b/daemon/src/test/java/portrelay/net/ClientLeavesTest.java
@@ -193,6 +193,53 @@
         }
     }
 
+    /**
+     * More than is kept of what was sent ahead, or what is no request at all, must not hide the end behind
+     * it.
+     */
+    @ParameterizedTest
+    @EnumSource
+    void behindWhatIsNoRequestOrMany(By how) throws Exception {
+        for (String behind : List.of("X".repeat(40_000), Town.issue("b", 900).repeat(200))) {
+            try (Town town = new Town(HANDLES)) {
+                try (Held held = new Held(town.sidecar.loop)) {
+                    String first = Town.issue("a", 900);
+                    Socket client = says(town, first + behind);
+                    Held.unread(client, first.length() + behind.length());
+                    leaves(client, how);
+                    held.letGo();
+                }
+                nothingIsLeft(town, 0);
+            }
+        }
+    }
+
+    /**
+     * It is there while its first attempt fails, floods and leaves then: no further attempt is for anybody.
+     */
+    @ParameterizedTest
+    @EnumSource
+    void behindAFloodBeforeAFurtherAttempt(By how) throws Exception {
+        for (String flood : List.of("X".repeat(150_000), Town.issue("b", 900).repeat(900))) {
+            try (Town town = new Town(1024, "{}", longTimes(), SILENT, SILENT)) {
+                Socket client = says(town, Town.issue("a", 9000));
+                while (town.sent() == 0) {
+                    Thread.onSpinWait();
+                }
+                Toy at = town.upstreams.get(town.upstreams.get(0).seen.isEmpty() ? 1 : 0);
+                client.getOutputStream().write(flood.getBytes(ISO_8859_1));
+                Held.settled(town.sidecar.loop);
+                try (Held held = new Held(town.sidecar.loop)) {
+                    leaves(client, how);
+                    NEVER_RAN.play(null, at.accepted.get(0));
+                    Held.unread(at.accepted.get(0), 30);
+                    held.letGo();
+                }
+                nothingIsLeft(town, 1);
+            }
+        }
+    }
+
     /** Nonsense behind a query is no word that its client has left. */
     @Test
     void nonsenseBehindAQueryDoesNotTakeItsAnswer() throws Exception {
