Test: descriptors at the system's limit, full of clients, while discovery is away

Idle clients may fill the descriptors while discovery is down (standing test). A child process at ulimit -n 192 with 300 clients that only connect; discovery away for 3 s and back with another list: its call, a dial to a new upstream, an operators' call and usual clients each get a descriptor.

--- a/daemon/src/test/java/portrelay/net/Town.java
+++ b/daemon/src/test/java/portrelay/net/Town.java
@@ -94,13 +94,19 @@
     /** A server on loopback that does what its script says and remembers what it was sent. */
     static final class Toy implements AutoCloseable {
 
-        final ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final ServerSocket door;
         final BlockingQueue<Message> seen = new LinkedBlockingQueue<>();
         final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
         final List<Socket> accepted = new CopyOnWriteArrayList<>();
         volatile Script script;
 
         Toy(Script script) throws IOException {
+            this(script, 0);
+        }
+
+        /** At that port, where another one was. */
+        Toy(Script script, int port) throws IOException {
+            door = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
             this.script = script;
             Thread thread = new Thread(this::accept);
             thread.setDaemon(true);
