--- a/kit/src/main/java/portrelay/kit/cli/KitMain.java
+++ b/kit/src/main/java/portrelay/kit/cli/KitMain.java
@@ -10,6 +10,6 @@
     }
 
     public static void main(String[] args) {
-        System.exit(Main.run("portrelay-kit", Map.of(), args));
+        System.exit(Main.run("portrelay-kit", Map.of("ready", new ReadyCommand()), args));
     }
 }
