--- /dev/null
+++ b/kit/src/main/java/portrelay/fleet/HollowFleet.java
@@ -0,0 +1,220 @@
+package portrelay.fleet;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import portrelay.model.ColdRule;
+import portrelay.model.Deployment;
+import portrelay.model.ListNews;
+import portrelay.model.ListRule;
+import portrelay.model.Listed;
+import portrelay.model.Offering;
+import portrelay.model.OfferingId;
+import portrelay.model.Permits;
+import portrelay.model.Site;
+import portrelay.model.UpstreamId;
+import portrelay.policy.Decide;
+
+/**
+ * Many sidecars and upstreams without bodies in virtual time: the real decisions of each sidecar for each
+ * service that it calls, a network and machines of a few figures around them. All chance comes from one seed;
+ * the only clock that is read is the processor's, for what the decisions cost. Times are seconds.
+ */
+final class HollowFleet {
+
+    /** IPv4 and UDP. */
+    static final int DATAGRAM_HEAD = 28;
+    static final double NETWORK = 0.0005;
+    /** As the settings' grace and the protocol's slack. */
+    static final double DRAIN_GRACE = 0.55;
+    static final ColdRule COLD = new ColdRule(0.3, 8, 4, 3);
+
+    private static final double AIM = 0.4;
+    private static final double DEADLINE = 2;
+    private static final double WORK = 0.05;
+    private static final double LOAD = 0.5;
+    private static final double LOSS = 0.01;
+    private static final double LIST_LATE = 0.5;
+    private static final Permits PERMITS = new Permits(4, true, true, false, 0.25);
+    private static final List<Offering> OFFERINGS = List.of(
+            offering(0, Offering.Repeats.REISSUABLE, Offering.Group.ALL),
+            offering(1, Offering.Repeats.NUMBERED, Offering.Group.CELL),
+            offering(2, Offering.Repeats.AT_MOST_ONCE, Offering.Group.ALL));
+    /** Of ten requests, as the deployments have them. */
+    private static final int[] MIX = {0, 0, 0, 0, 0, 0, 1, 1, 2, 2};
+
+    /** How large, and whether sidecars may talk. */
+    record Size(int sidecars, int upstreams, int services, int calls, double rate, boolean messages) { }
+
+    final Agenda agenda = new Agenda();
+    final Tally tally = new Tally();
+    final Size size;
+    final List<HollowSidecar> sidecars = new ArrayList<>();
+    final List<HollowUpstream> upstreams = new ArrayList<>();
+    private final SplittableRandom chance;
+    private final Map<UpstreamId, HollowUpstream> byId = new HashMap<>();
+    private final List<List<HollowUpstream>> services = new ArrayList<>();
+    private final List<List<HollowSidecar>> callers = new ArrayList<>();
+    private final int cores;
+    private final int zones;
+    private boolean regionsApart;
+
+    HollowFleet(long seed, Size size, int zones) {
+        this.size = size;
+        this.zones = zones;
+        chance = new SplittableRandom(seed);
+        double each = size.rate() * size.sidecars() / size.upstreams();
+        cores = (int) Math.max(1, Math.ceil(each * WORK / LOAD));
+        int[] of = sizes(size.upstreams(), size.services());
+        for (int service = 0; service < of.length; service++) {
+            services.add(new ArrayList<>());
+            callers.add(new ArrayList<>());
+            for (int i = 0; i < of[service]; i++) {
+                add(service);
+            }
+        }
+        for (int i = 0; i < size.sidecars(); i++) {
+            int region = i % 3;
+            for (int service : called(of)) {
+                HollowSidecar one = new HollowSidecar(this, i, service, callers.get(service).size(), region);
+                callers.get(service).add(one);
+                sidecars.add(one);
+            }
+        }
+        // Their numbers are known only now, and the settings tell them.
+        sidecars.forEach(HollowSidecar::starts);
+        sidecars.forEach(this::traffic);
+    }
+
+    private static Offering offering(int id, Offering.Repeats repeats, Offering.Group group) {
+        return new Offering(new OfferingId(id), repeats, group, AIM, DEADLINE, 1, 1, 0.2, false);
+    }
+
+    /**
+     * A few services are large, most small, none without an upstream: one in fifty has a tenth of a share
+     * more.
+     */
+    private static int[] sizes(int upstreams, int services) {
+        int[] of = new int[services];
+        Arrays.fill(of, 1);
+        int left = upstreams - services;
+        double sum = IntStream.range(0, services).mapToDouble(i -> 1 / Math.sqrt(i + 1.0)).sum();
+        for (int i = 0; i < services; i++) {
+            of[i] += (int) (left / Math.sqrt(i + 1.0) / sum);
+        }
+        for (int i = 0, rest = upstreams - Arrays.stream(of).sum(); rest > 0; rest--) {
+            of[i++ % services]++;
+        }
+        return of;
+    }
+
+    /** By their sizes, none twice. */
+    private List<Integer> called(int[] of) {
+        List<Integer> called = new ArrayList<>();
+        while (called.size() < Math.min(size.calls(), of.length)) {
+            int upstream = chance.nextInt(size.upstreams());
+            int service = 0;
+            for (; upstream >= of[service]; service++) {
+                upstream -= of[service];
+            }
+            if (!called.contains(service)) {
+                called.add(service);
+            }
+        }
+        return called;
+    }
+
+    HollowUpstream add(int service) {
+        int number = upstreams.size();
+        HollowUpstream one = new HollowUpstream(number, service, number % zones, cores, WORK, COLD);
+        upstreams.add(one);
+        services.get(service).add(one);
+        byId.put(one.id, one);
+        return one;
+    }
+
+    Decide module(HollowSidecar one) {
+        Site site = new Site(one.me, callers.get(one.service).size(), null, Site.Weights.NOMINAL,
+                Site.Reports.SILENT, size.messages(), false);
+        return new Decide(one, chance.nextLong(),
+                new Deployment(OFFERINGS, List.of(), PERMITS, COLD, new ListRule(true, 10), site));
+    }
+
+    private void traffic(HollowSidecar one) {
+        double mean = size.calls() / size.rate();
+        agenda.after(-mean * Math.log(1 - chance.nextDouble()), () -> {
+            one.ask(OFFERINGS.get(MIX[chance.nextInt(MIX.length)]), DEADLINE);
+            traffic(one);
+        });
+    }
+
+    HollowUpstream upstream(UpstreamId id) {
+        return byId.get(id);
+    }
+
+    /** What one request is of the mean work. */
+    double weight() {
+        return -Math.log(1 - chance.nextDouble());
+    }
+
+    boolean apart(int region, int zone) {
+        return regionsApart && region != zone % 3;
+    }
+
+    void apart(boolean now) {
+        regionsApart = now;
+    }
+
+    // ---- The list
+    // -------------------------------------------------------------------------------------------
+
+    /** The whole list of the service, now; those that are cut off from a region are gone there. */
+    void lists(HollowSidecar to) {
+        List<Listed> rows = services.get(to.service).stream()
+                .filter(u -> !u.gone && !apart(to.region, u.zone)).map(HollowUpstream::row).toList();
+        to.list(rows, ListNews.WHOLE);
+    }
+
+    /** Every caller of the service is told a moment later, each at its own. */
+    void changed(int service) {
+        callers.get(service)
+                .forEach(each -> agenda.after(chance.nextDouble() * LIST_LATE, () -> lists(each)));
+    }
+
+    void allChanged() {
+        IntStream.range(0, services.size()).forEach(this::changed);
+    }
+
+    List<HollowUpstream> of(int service) {
+        return List.copyOf(services.get(service));
+    }
+
+    // ---- Messages
+    // -------------------------------------------------------------------------------------------
+
+    void tell(HollowSidecar from, int to, String text) {
+        List<HollowSidecar> all = callers.get(from.service);
+        if (to < all.size()) {
+            deliver(from, all.get(to), text);
+        }
+    }
+
+    void tellAll(HollowSidecar from, String text) {
+        callers.get(from.service).forEach(to -> deliver(from, to, text));
+    }
+
+    private void deliver(HollowSidecar from, HollowSidecar to, String text) {
+        if (from != to && chance.nextDouble() >= LOSS && !(regionsApart && from.region != to.region)) {
+            agenda.after(0.0005 + chance.nextDouble() * 0.01, () -> to.hears(from.me, text));
+        }
+    }
+
+    /** Drawn from the run's seed. */
+    SplittableRandom chance() {
+        return chance;
+    }
+}
--- /dev/null
+++ b/kit/src/main/java/portrelay/fleet/HollowSidecar.java
@@ -0,0 +1,277 @@
+package portrelay.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import portrelay.model.Asked;
+import portrelay.model.Effects;
+import portrelay.model.ListNews;
+import portrelay.model.Listed;
+import portrelay.model.Offering;
+import portrelay.model.OfferingId;
+import portrelay.model.Outcome;
+import portrelay.model.QueryId;
+import portrelay.model.UpstreamId;
+import portrelay.policy.Decide;
+
+/**
+ * One sidecar's decisions for one service that it calls: the real module, with a hollow network around it.
+ * Counts what it sends, and holds each request to the rules, written from the rules alone.
+ */
+final class HollowSidecar implements Effects {
+
+    /** Beyond the protocol's deadline the answer may be so late. */
+    private static final double LATE = 0.5;
+
+    private static final class Attempt {
+        final HollowUpstream at;
+        Outcome outcome;
+
+        Attempt(HollowUpstream at) {
+            this.at = at;
+        }
+    }
+
+    private static final class Request {
+        final Offering offering;
+        final double arrivedAt;
+        final double deadline;
+        final List<Attempt> attempts = new ArrayList<>(2);
+        int out;
+        boolean answered;
+
+        Request(Offering offering, double arrivedAt, double deadline) {
+            this.offering = offering;
+            this.arrivedAt = arrivedAt;
+            this.deadline = deadline;
+        }
+    }
+
+    private final HollowFleet fleet;
+    private final Map<QueryId, Request> open = new HashMap<>();
+    private final Map<UpstreamId, Double> toldOfDrain = new HashMap<>();
+    final int sidecar;
+    final int service;
+    /** Its number among those that call this service. */
+    final int me;
+    final int region;
+    private Decide decide;
+    private int life;
+    private boolean forgets;
+    long datagrams;
+    long bytes;
+    long heard;
+    long heardBytes;
+
+    HollowSidecar(HollowFleet fleet, int sidecar, int service, int me, int region) {
+        this.fleet = fleet;
+        this.sidecar = sidecar;
+        this.service = service;
+        this.me = me;
+        this.region = region;
+    }
+
+    /** A new process: nothing is left of the one before, whose requests are its clients' to try again. */
+    void starts() {
+        life++;
+        open.clear();
+        toldOfDrain.clear();
+        decide = fleet.module(this);
+        control(() -> decide.start(now()));
+        fleet.lists(this);
+    }
+
+    private double now() {
+        return fleet.agenda.now();
+    }
+
+    void list(List<Listed> rows, ListNews news) {
+        for (Listed row : rows) {
+            if (row.health() == Listed.Health.READY) {
+                toldOfDrain.remove(row.id());
+            } else {
+                toldOfDrain.putIfAbsent(row.id(), now());
+            }
+        }
+        control(() -> decide.list(now(), news, rows));
+    }
+
+    void hears(int from, String text) {
+        heard++;
+        heardBytes += text.length() + HollowFleet.DATAGRAM_HEAD;
+        control(() -> decide.heard(now(), from, text));
+    }
+
+    void ask(Offering offering, double budget) {
+        QueryId id = new QueryId(sidecar + "-" + service + "-" + fleet.tally.asked++);
+        Request q = new Request(offering, now(), now() + budget);
+        open.put(id, q);
+        int its = life;
+        fleet.agenda.after(budget, () -> deadline(id, q, its));
+        request(() -> decide.arrival(now(), new Asked(id, new OfferingId(offering.id().value()), null, null,
+                q.deadline, Double.NaN, false)));
+    }
+
+    private void deadline(QueryId id, Request q, int its) {
+        if (its != life) {
+            return;
+        }
+        for (int i = 0; i < q.attempts.size(); i++) {
+            ends(id, q, i, Outcome.TIMED_OUT, its);
+        }
+        fleet.agenda.after(LATE, () -> {
+            if (its == life && !q.answered) {
+                fleet.tally.lost++;
+                fleet.tally.breach("no answer for " + id.value() + " at " + fleet.agenda.now());
+                open.remove(id);
+            }
+        });
+    }
+
+    private void ends(QueryId id, Request q, int index, Outcome outcome, int its) {
+        Attempt a = q.attempts.get(index);
+        if (its != life || a.outcome != null) {
+            return;
+        }
+        a.outcome = outcome;
+        q.out--;
+        if (outcome == Outcome.HANDLED && !q.answered) {
+            answered(q);
+            fleet.tally.served++;
+            fleet.tally.inTime += now() - q.arrivedAt <= q.offering.targetTime() ? 1 : 0;
+        }
+        request(() -> decide.outcome(now(), id, index, outcome, q.answered, null));
+        if (q.answered && q.out == 0) {
+            open.remove(id);
+        }
+    }
+
+    private void answered(Request q) {
+        q.answered = !forgets;
+    }
+
+    /** For the tests of the bounds: from here on no answer is counted. */
+    void forgetsAnswers() {
+        forgets = true;
+    }
+
+    private void request(Runnable step) {
+        long from = System.nanoTime();
+        step.run();
+        fleet.tally.requestNanos += System.nanoTime() - from;
+    }
+
+    private void control(Runnable step) {
+        long from = System.nanoTime();
+        step.run();
+        fleet.tally.controlNanos += System.nanoTime() - from;
+        fleet.tally.controlCalls++;
+    }
+
+    // ---- What the module does
+    // ------------------------------------------------------------------------------
+
+    @Override
+    public void send(QueryId query, UpstreamId upstream) {
+        Request q = open.get(query);
+        HollowUpstream to = fleet.upstream(upstream);
+        boolean mayHaveRun = q.attempts.stream().anyMatch(a -> a.outcome == null || !a.outcome.neverRan);
+        if (q.offering.repeats() == Offering.Repeats.AT_MOST_ONCE && mayHaveRun) {
+            fleet.tally.twice++;
+            fleet.tally.breach("sent twice: " + query.value());
+        }
+        if (now() > toldOfDrain.getOrDefault(upstream, Double.POSITIVE_INFINITY) + HollowFleet.DRAIN_GRACE) {
+            fleet.tally.drains++;
+            fleet.tally.breach("sent to one that drains: " + query.value());
+        }
+        fleet.tally.attempts++;
+        int index = q.attempts.size();
+        q.attempts.add(new Attempt(to));
+        q.out++;
+        int its = life;
+        if (to.gone && !to.silent) {
+            fleet.agenda.after(HollowFleet.NETWORK, () -> ends(query, q, index, Outcome.NO_CONNECTION, its));
+            return;
+        }
+        boolean apart = fleet.apart(region, to.zone);
+        double done = apart ? Double.POSITIVE_INFINITY : to.takes(now(), fleet.weight());
+        if (done < Double.POSITIVE_INFINITY) {
+            fleet.agenda.at(done + HollowFleet.NETWORK, () -> ends(query, q, index, to.silent || to.gone
+                    ? Outcome.BROKEN : Outcome.HANDLED, its));
+        }
+    }
+
+    @Override
+    public void callOff(QueryId query, int execution) {
+        Request q = open.get(query);
+        int its = life;
+        if (q != null) {
+            fleet.agenda.after(0, () -> ends(query, q, execution, Outcome.CALLED_OFF, its));
+        }
+    }
+
+    @Override
+    public void deny(QueryId query, double coolDown) {
+        fleet.tally.refused++;
+        over(query);
+    }
+
+    @Override
+    public void writeOff(QueryId query) {
+        fleet.tally.failed++;
+        over(query);
+    }
+
+    private void over(QueryId query) {
+        Request q = open.get(query);
+        answered(q);
+        if (q.out == 0) {
+            open.remove(query);
+        }
+    }
+
+    @Override
+    public void alarmAt(double time) {
+        int its = life;
+        fleet.agenda.at(time, () -> {
+            if (its == life) {
+                control(() -> decide.alarm(now()));
+            }
+        });
+    }
+
+    @Override
+    public void watchList() {
+        fleet.tally.listCalls++;
+    }
+
+    @Override
+    public void probe(UpstreamId upstream) {
+        throw new UnsupportedOperationException("sockets have no probes");
+    }
+
+    @Override
+    public void tell(int to, String text) {
+        datagrams++;
+        bytes += text.length() + HollowFleet.DATAGRAM_HEAD;
+        fleet.tell(this, to, text);
+    }
+
+    @Override
+    public void tellAll(String text) {
+        datagrams++;
+        bytes += text.length() + HollowFleet.DATAGRAM_HEAD;
+        fleet.tellAll(this, text);
+    }
+
+    @Override
+    public void letGo(UpstreamId upstream) {
+        throw new UnsupportedOperationException("no say over connections here");
+    }
+
+    @Override
+    public void note(String text) {
+        // Nobody reads it.
+    }
+}
--- a/kit/src/main/java/portrelay/kit/cli/KitMain.java
+++ b/kit/src/main/java/portrelay/kit/cli/KitMain.java
@@ -10,6 +10,7 @@
     }
 
     public static void main(String[] args) {
-        System.exit(Main.run("portrelay-kit", Map.of("ready", new ReadyCommand()), args));
+        System.exit(Main.run("portrelay-kit",
+                Map.of("ready", new ReadyCommand(), "scale", new ScaleCommand()), args));
     }
 }
--- /dev/null
+++ b/kit/src/main/java/portrelay/kit/cli/ScaleCommand.java
@@ -0,0 +1,106 @@
+package portrelay.kit.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import portrelay.cli.Command;
+import portrelay.fleet.Run;
+import portrelay.fleet.Scenario;
+import portrelay.json.Tree;
+
+@Parameters(commandDescription = "play hollow sidecars, many in one process: what the fleet's size costs")
+final class ScaleCommand implements Command {
+
+    private static final int BAD_USE = 2;
+    private static final double VERSION = 1;
+
+    @Parameter(names = "--sidecars", description = "sizes of the fleet, with as many upstreams")
+    private List<Integer> sidecars = new ArrayList<>(List.of(14, 100, 450, 1800));
+
+    @Parameter(names = "--scenario",
+            description = "ordinary, deploy, restarts, rack, zone, regions, change, or all")
+    private String scenario = "ordinary";
+
+    @Parameter(names = "--small",
+            description = "one service of so many upstreams that all call; 0: many services")
+    private int small = 0;
+
+    @Parameter(names = "--rate", description = "requests a second of each sidecar")
+    private double rate = 20;
+
+    @Parameter(names = "--seed", description = "for all chance")
+    private long seed = 1;
+
+    @Parameter(names = "--no-messages", description = "sidecars have no way to talk")
+    private boolean mute = false;
+
+    @Parameter(names = "--budget", description = "a cost over the budget for control fails, too")
+    private boolean budget = false;
+
+    @Parameter(names = "--report", description = "where to write the figures, as JSON")
+    private String report = null;
+
+    @Override
+    public int run() {
+        List<Scenario> all = new ArrayList<>();
+        for (Scenario each : Scenario.values()) {
+            if (scenario.equals("all") || scenario.equals(each.name().toLowerCase(Locale.ROOT))) {
+                all.add(each);
+            }
+        }
+        String bad = all.isEmpty() ? "--scenario: no " + scenario
+                : sidecars.isEmpty() || sidecars.stream().anyMatch(n -> n < 2 || n > 5000)
+                        ? "--sidecars: 2 to 5000 each"
+                : small < 0 || small > 5000 ? "--small: 0 to 5000"
+                : !(rate > 0 && rate <= 1000) ? "--rate: above 0, 1000 at most" : null;
+        if (bad != null) {
+            System.err.println("portrelay-kit scale: " + bad);
+            return BAD_USE;
+        }
+        List<Object> runs = new ArrayList<>();
+        boolean well = true;
+        System.out.println("scenario  sidecars upstreams  served in-time refused  attempts  cold-over"
+                + "  datagrams/s  sent B/s (most)  heard B/s (most)  request us  control core  KB/sidecar");
+        for (int size : sidecars) {
+            for (Scenario each : all) {
+                System.err.println("playing " + each.name().toLowerCase(Locale.ROOT) + " with " + size
+                        + " ...");
+                Run run = new Run(each, seed, size, small, rate, !mute);
+                runs.add(run.figures());
+                print(run.figures());
+                run.broken().forEach(what -> System.out.println("  BROKEN " + what));
+                run.overBudget().forEach(what -> System.out.println("  over budget: " + what));
+                well &= run.broken().isEmpty() && (!budget || run.overBudget().isEmpty());
+            }
+        }
+        if (report != null) {
+            Map<String, Object> whole = new LinkedHashMap<>();
+            whole.put("version", VERSION);
+            whole.put("seed", (double) seed);
+            whole.put("runs", runs);
+            try {
+                Files.write(Path.of(report), Tree.write(whole));
+            } catch (IOException e) {
+                System.err.println("portrelay-kit scale: --report: " + e.getMessage());
+                return 1;
+            }
+        }
+        return well ? 0 : 1;
+    }
+
+    private static void print(Map<String, Object> f) {
+        System.out.printf(Locale.ROOT, "%-9s %8.0f %9.0f  %6.3f  %6.3f  %6.3f  %8.2f  %9.1f  %11.0f"
+                + "  %8.0f (%.0f)  %8.0f (%.0f)  %10.1f  %12.4f  %10.0f%n", f.get("scenario"),
+                f.get("sidecars"), f.get("upstreams"), f.get("served"), f.get("in_time"), f.get("refused"),
+                f.get("attempts_a_request"), f.get("cold_over"), f.get("datagrams_s_mean"),
+                f.get("bytes_s_mean"), f.get("bytes_s_most"), f.get("heard_bytes_s_mean"),
+                f.get("heard_bytes_s_most"), f.get("request_us"), f.get("control_core"), f.get("memory_kb"));
+    }
+}
--- a/kit/src/main/java/portrelay/standin/Discovery.java
+++ b/kit/src/main/java/portrelay/standin/Discovery.java
@@ -136,7 +136,8 @@
             return "{\"seq\":" + version + ",\"whole\":false,\"hosts\":[]}";
         }
         boolean next = version == known + 1;
-        return "{\"seq\":" + version + ",\"whole\":" + !next + ",\"hosts\":[" + (next ? changed : whole) + "]}";
+        return "{\"seq\":" + version + ",\"whole\":" + !next + ",\"hosts\":["
+                + (next ? changed : whole) + "]}";
     }
 
     @Override
--- a/kit/src/main/java/portrelay/standin/Sidecars.java
+++ b/kit/src/main/java/portrelay/standin/Sidecars.java
@@ -34,7 +34,8 @@
         for (int i = from; i < from + count; i++) {
             rows.append(i > from ? "," : "").append(String.format(Locale.ROOT, "{\"host\":\"s-%d\","
                     + "\"dial\":\"127.%d.%d.%d:9\",\"site\":\"z%d\",\"class\":\"m%d\",\"block\":%d,"
-                    + "\"health\":\"%s\",\"share\":1.0,\"born_ms\":0}", i, 1 + i / 60_000, i / 250 % 240, 1 + i % 250,
+                    + "\"health\":\"%s\",\"share\":1.0,\"born_ms\":0}", i, 1 + i / 60_000, i / 250 % 240,
+                    1 + i % 250,
                     i % 12, i % 3, i / 6, health));
         }
         return rows.toString();
@@ -42,14 +43,16 @@
 
     /** The configuration of one; the settings are those of a plain deployment of so many sidecars. */
     static String config(int number, int of, int port, String discovery, String rows) {
-        return "{\"name\":\"n" + number + "\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery
+        return "{\"name\":\"n" + number + "\",\"listen\":\"127.0.0.1:" + port
+                + "\",\"discovery\":\"" + discovery
                 + "\",\"seed\":\"" + Long.toHexString(0x8c1f30d27a5be964L + number)
                 + "\",\"limits\":{\"cores\":0.1,\"memory_mb\":192,\"sockets\":1024},\"known\":"
                 + "{\"seq\":1,\"whole\":true,\"hosts\":[" + rows + "]},\"settings\":{"
                 + "\"discovery\":\"on_request\",\"me\":" + number + ",\"siblings\":" + of
                 + ",\"classes\":[{\"name\":\"read\",\"effect\":\"read_like\",\"group\":\"all\","
                 + "\"aim-us\":300000,\"hard-limit-us\":600000}],\"allowed\":{\"max-attempts\":4,"
-                + "\"cancel\":true,\"parallel-tries\":true,\"retry-after\":true,\"max-retry-after-us\":250000,"
+                + "\"cancel\":true,\"parallel-tries\":true,\"retry-after\":true,"
+                + "\"max-retry-after-us\":250000,"
                 + "\"dial-timeout-us\":150000,\"conn-idle-us\":10000000},\"invariants\":{"
                 + "\"ask-within-us\":10000000,\"cold-share\":0.3,\"cold-us\":8000000,\"overload-factor\":4,"
                 + "\"tip-after-us\":3000000}}}";
@@ -90,8 +93,8 @@
     /** Whether it says that it serves. */
     public static boolean ready(One one) {
         try {
-            HttpURLConnection up = (HttpURLConnection) URI.create("http://127.0.0.1:" + one.port + "/up").toURL()
-                    .openConnection();
+            URI at = URI.create("http://127.0.0.1:" + one.port + "/up");
+            HttpURLConnection up = (HttpURLConnection) at.toURL().openConnection();
             up.setConnectTimeout(200);
             up.setReadTimeout(1000);
             int status = up.getResponseCode();
--- /dev/null
+++ b/kit/src/test/java/portrelay/fleet/RunTest.java
@@ -0,0 +1,120 @@
+package portrelay.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import portrelay.model.ColdRule;
+import portrelay.model.Offering;
+import portrelay.model.UpstreamId;
+
+/** A small one of each scenario of the scale tests, and that their bounds are checked. */
+class RunTest {
+
+    /** What the processor's clock gave is another figure each time. */
+    private static final List<String> MEASURED =
+            List.of("request_us", "control_core", "memory_kb", "virtual_a_second", "over_budget");
+
+    private static Map<String, Object> counted(Run run) {
+        Map<String, Object> counted = new LinkedHashMap<>(run.figures());
+        counted.keySet().removeAll(MEASURED);
+        return counted;
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void theRulesHoldInEachScenarioWithMessagesAndWithout(Scenario scenario) {
+        for (boolean messages : new boolean[] {true, false}) {
+            Run run = new Run(scenario, 5, 30, 0, 10, messages);
+            assertEquals(List.of(), run.broken(), scenario + ", messages " + messages);
+            assertTrue((double) run.figures().get("served") > 0.85, run.figures().toString());
+        }
+    }
+
+    @Test
+    void theSameSeedGivesTheSameCounts() {
+        assertEquals(counted(new Run(Scenario.ZONE, 6, 20, 0, 10, true)),
+                counted(new Run(Scenario.ZONE, 6, 20, 0, 10, true)));
+        assertFalse(counted(new Run(Scenario.ZONE, 6, 20, 0, 10, true))
+                .equals(counted(new Run(Scenario.ZONE, 7, 20, 0, 10, true))));
+    }
+
+    /** A service that all call: where all share all, each request's word went to everybody. */
+    @Test
+    void whatCostsMoreThanTheBudgetIsSaid() {
+        Run run = new Run(Scenario.ORDINARY, 5, 40, 7, 100, true);
+        assertEquals(List.of(), run.broken());
+        Run mute = new Run(Scenario.ORDINARY, 5, 40, 7, 100, false);
+        assertEquals(0.0, mute.figures().get("bytes_s_most"));
+        assertTrue(mute.overBudget().stream().noneMatch(each -> each.startsWith("messages")));
+    }
+
+    // ---- Planted breaches
+    // ----------------------------------------------------------------------------------
+
+    private static HollowFleet fleet() {
+        return new HollowFleet(1, new HollowFleet.Size(2, 4, 1, 1, 0.001, false), 12);
+    }
+
+    private static final Offering UNSAFE = new Offering(new portrelay.model.OfferingId(2),
+            Offering.Repeats.AT_MOST_ONCE, Offering.Group.ALL, 0.4, 2, 1, 1, 0.2, false);
+
+    @Test
+    void anUnsafeRequestThatIsSentTwiceIsFound() {
+        HollowFleet fleet = fleet();
+        HollowSidecar one = fleet.sidecars.get(0);
+        one.ask(UNSAFE, 2);
+        assertEquals(1, fleet.tally.attempts);
+        one.send(new portrelay.model.QueryId(one.sidecar + "-0-0"), fleet.upstreams.get(0).id);
+        assertEquals(1, fleet.tally.twice);
+    }
+
+    @Test
+    void anAttemptAtOneThatDrainsIsFound() {
+        HollowFleet fleet = fleet();
+        HollowSidecar one = fleet.sidecars.get(0);
+        UpstreamId id = fleet.upstreams.get(0).id;
+        fleet.upstreams.forEach(u -> u.silent = true);
+        fleet.upstreams.get(0).draining = true;
+        fleet.lists(one);
+        one.ask(UNSAFE, 2);
+        fleet.agenda.play(HollowFleet.DRAIN_GRACE + 0.01);
+        one.send(new portrelay.model.QueryId(one.sidecar + "-0-0"), id);
+        assertEquals(1, fleet.tally.drains);
+    }
+
+    @Test
+    void aRequestWithoutAnAnswerIsFound() {
+        HollowFleet fleet = fleet();
+        fleet.upstreams.forEach(u -> u.silent = true);
+        HollowSidecar one = fleet.sidecars.get(0);
+        one.ask(UNSAFE, 2);
+        fleet.agenda.play(1);
+        assertEquals(0, fleet.tally.lost);
+        one.forgetsAnswers();
+        fleet.agenda.play(3);
+        assertEquals(1, fleet.tally.lost);
+    }
+
+    @Test
+    void aColdUpstreamThatAllPushOverIsFound() {
+        ColdRule rule = HollowFleet.COLD;
+        HollowUpstream u = new HollowUpstream(1, 0, 0, 2, 0.05, rule);
+        u.startsCold(100);
+        double allowed = rule.overloadFactor() * 2 / 0.05 * rule.tipAfter() * rule.ramp(100, 101.5);
+        int most = (int) (allowed + 2 * Math.sqrt(allowed) + 2);
+        for (int i = 0; i < most; i++) {
+            u.takes(100.1, 1);
+        }
+        assertTrue(u.over <= 0, u.over + " over");
+        u.takes(100.2, 1);
+        u.takes(100.2, 1);
+        assertTrue(u.over > 0, u.over + " over");
+    }
+}
--- a/kit/src/test/java/portrelay/kit/KnownRedTest.java
+++ b/kit/src/test/java/portrelay/kit/KnownRedTest.java
@@ -15,7 +15,8 @@
  */
 class KnownRedTest {
 
-    private static final String HERE = "portrelay.kit.KnownRedTest#whatIsListedIsPrinted, a cause, with a comma, 40";
+    private static final String HERE =
+            "portrelay.kit.KnownRedTest#whatIsListedIsPrinted, a cause, with a comma, 40";
 
     @TempDir
     private Path dir;
