--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -406,7 +406,7 @@
                 .allMatch(each -> !each.ready || each.passedOver() || silent(each));
         List<Upstream> due = seen || !first ? List.of() : ours().stream()
                 .filter(each -> each.coldCredit >= 1 && cold.ramp(each, now) < 1 && mayTake(q, each)).toList();
-        // By lot each of many would draw a cold one so rarely that it got nothing, or all would keep its due.
+        // Drawn by lot from many sidecars a cold one gets nothing, unless all keep what it is due.
         u = u != null ? u : due.stream().filter(each -> ownLoad(each) == 0 && !each.passedOver()
                 && !silent(each)).findFirst().orElse(null);
         u = u != null ? u : pickAmong(q, mean, Health.OWN_FAULT, all);
@@ -524,13 +524,16 @@
             out.letGo(u.id);
             rested = 0;
         }
+        boolean told = part != null && part.tells(u, now);
         q.executions.add(new Query.Execution(new Query.Sent(u, u.listed, now, trial, expected(u), rested,
-                u.told.handled(), (int) load(u) + 1)));
+                u.told.handled(), (int) load(u) + 1, told)));
         u.inFlight++;
         u.restedOut += rested > 0 ? 1 : 0;
         u.reported++;
         if (part != null) {
             u.told.begun(site.me(), now);
+        }
+        if (told) {
             part.tell(Gossip.Word.BEGUN, u, TenantId.number(q.asked.tenant()), 0);
         }
         total.inFlight += q.asked.once() ? 0 : 1;
@@ -561,7 +564,9 @@
         double usual = health.usualTime(q.offering, q.offering.targetTime() / 3);
         double took = (now - e.as.sentAt()) / usual / e.as.among();
         health.took(now, e.as.at(), handled, took);
-        part.tell(word, e.as.at(), -1, took);
+        if (e.as.told()) {
+            part.tell(word, e.as.at(), -1, took);
+        }
     }
 
     /** What a full fleet can take goes to the query that earns most for its work, not to the oldest. */
--- a/kit/src/main/java/portrelay/fleet/Run.java
+++ b/kit/src/main/java/portrelay/fleet/Run.java
@@ -27,13 +27,14 @@
      *
      * @param sidecars how many, with as many upstreams
      * @param smallFor 0, or a service of so many upstreams that all of them call, and no other
+     * @param called how many services each of them calls, each through decisions of its own
      * @param rate requests a second of each sidecar
      */
-    public Run(Scenario scenario, long seed, int sidecars, int smallFor, double rate,
+    public Run(Scenario scenario, long seed, int sidecars, int smallFor, int called, double rate,
             boolean messages) {
         int upstreams = smallFor > 0 ? smallFor : sidecars;
         int services = smallFor > 0 ? 1 : Math.max(1, sidecars * 280 / 1800);
-        int calls = smallFor > 0 ? 1 : Math.min(4, services);
+        int calls = smallFor > 0 ? 1 : Math.min(called, services);
         long memoryBefore = used();
         long from = System.nanoTime();
         HollowFleet fleet = new HollowFleet(seed,
--- a/kit/src/main/java/portrelay/kit/cli/ScaleCommand.java
+++ b/kit/src/main/java/portrelay/kit/cli/ScaleCommand.java
@@ -32,6 +32,10 @@
             description = "one service of so many upstreams that all call; 0: many services")
     private int small = 0;
 
+    @Parameter(names = "--calls",
+            description = "services that each calls, with decisions of its own for each")
+    private int calls = 1;
+
     @Parameter(names = "--rate", description = "requests a second of each sidecar")
     private double rate = 20;
 
@@ -59,6 +63,7 @@
                 : sidecars.isEmpty() || sidecars.stream().anyMatch(n -> n < 2 || n > 5000)
                         ? "--sidecars: 2 to 5000 each"
                 : small < 0 || small > 5000 ? "--small: 0 to 5000"
+                : calls < 1 || calls > 50 ? "--calls: 1 to 50"
                 : !(rate > 0 && rate <= 1000) ? "--rate: above 0, 1000 at most" : null;
         if (bad != null) {
             System.err.println("portrelay-kit scale: " + bad);
@@ -72,7 +77,7 @@
             for (Scenario each : all) {
                 System.err.println("playing " + each.name().toLowerCase(Locale.ROOT) + " with " + size
                         + " ...");
-                Run run = new Run(each, seed, size, small, rate, !mute);
+                Run run = new Run(each, seed, size, small, calls, rate, !mute);
                 runs.add(run.figures());
                 print(run.figures());
                 run.broken().forEach(what -> System.out.println("  BROKEN " + what));
