--- a/kit/src/main/java/portrelay/standin/Sidecars.java
+++ b/kit/src/main/java/portrelay/standin/Sidecars.java
@@ -75,7 +75,7 @@
         if (core >= 0) {
             command.addAll(List.of("taskset", "-c", Integer.toString(core)));
         }
-        command.addAll(List.of("sh", root.resolve("deploy/run.sh").toAbsolutePath().toString()));
+        command.addAll(List.of("bash", root.resolve("deploy/run.sh").toAbsolutePath().toString()));
         Path log = own.resolve("log");
         ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile())
                 .redirectErrorStream(true).redirectOutput(log.toFile());
