--- a/daemon/src/main/java/portrelay/cli/ServeCommand.java
+++ b/daemon/src/main/java/portrelay/cli/ServeCommand.java
@@ -79,10 +79,14 @@
 
     /** In the order of the signals: the file as the last one found it is what holds. */
     private synchronized void reload(Sidecar sidecar, Log log) {
+        log.info("told to read the configuration again");
         try {
             sidecar.reload(read());
         } catch (BadSetting e) {
             log.warn("the old configuration stays: " + e.getMessage());
+        } catch (RuntimeException e) {
+            // Thrown on, it would be nobody's: whoever told us to read it has only the log.
+            log.fault("the old configuration stays", e);
         }
     }
 }
