--- /dev/null
+++ b/kit/src/main/java/portrelay/fleet/Slopes.java
@@ -0,0 +1,194 @@
+package portrelay.fleet;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import portrelay.model.Asked;
+import portrelay.model.ColdRule;
+import portrelay.model.Deployment;
+import portrelay.model.Effects;
+import portrelay.model.GroupId;
+import portrelay.model.ListNews;
+import portrelay.model.ListRule;
+import portrelay.model.Listed;
+import portrelay.model.Offering;
+import portrelay.model.OfferingId;
+import portrelay.model.Outcome;
+import portrelay.model.Permits;
+import portrelay.model.QueryId;
+import portrelay.model.ShapeId;
+import portrelay.model.Site;
+import portrelay.model.UpstreamId;
+import portrelay.model.ZoneId;
+import portrelay.policy.Decide;
+
+/**
+ * What one sidecar's real decisions cost by the length of its list: the first list, a row that changes, a
+ * request, a word that is heard, and memory. The median of several goes, after some that are not counted.
+ */
+public final class Slopes {
+
+    private static final int GOES = 7;
+    private static final int UNCOUNTED = 3;
+    private static final int REQUESTS = 400;
+    private static final int CHANGES = 10;
+    private static final List<Offering> OFFERINGS = List.of(new Offering(new OfferingId(0),
+            Offering.Repeats.REISSUABLE, Offering.Group.ALL, 0.4, 2, 0, 1, 0, false));
+
+    /** Takes what the decisions do, and answers nothing. */
+    private static final class Sink implements Effects {
+        UpstreamId last;
+        String said;
+        int datagrams;
+
+        @Override
+        public void send(QueryId query, UpstreamId upstream) {
+            last = upstream;
+        }
+
+        @Override
+        public void callOff(QueryId query, int execution) {
+            last = null;
+        }
+
+        @Override
+        public void deny(QueryId query, double coolDown) {
+            last = null;
+        }
+
+        @Override
+        public void writeOff(QueryId query) {
+            last = null;
+        }
+
+        @Override
+        public void alarmAt(double time) {
+            // Time stands still between the steps.
+        }
+
+        @Override
+        public void watchList() {
+            // The lists come by hand.
+        }
+
+        @Override
+        public void probe(UpstreamId upstream) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void tell(int sidecar, String text) {
+            datagrams++;
+            said = text;
+        }
+
+        @Override
+        public void tellAll(String text) {
+            datagrams++;
+            said = text;
+        }
+
+        @Override
+        public void letGo(UpstreamId upstream) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void note(String text) {
+            // Nobody reads it.
+        }
+    }
+
+    private Slopes() {
+    }
+
+    private static Listed row(int i, double since) {
+        return new Listed(new UpstreamId(i * 0x9E3779B97F4A7C15L), Listed.Health.READY, since, 1,
+                new GroupId(i / 6), new ZoneId(i % 12), new ShapeId(i % 3));
+    }
+
+    /**
+     * Microseconds and bytes with a list of so many upstreams, shared by so many sidecars that talk or do
+     * not.
+     */
+    public static Map<String, Object> of(int upstreams, int sidecars, boolean messages) {
+        List<Listed> rows = new ArrayList<>();
+        for (int i = 0; i < upstreams; i++) {
+            rows.add(row(i, 0));
+        }
+        double[][] took = new double[5][GOES];
+        for (int go = -UNCOUNTED; go < GOES; go++) {
+            double[] one = go(rows, go, sidecars, messages);
+            for (int i = 0; i < one.length && go >= 0; i++) {
+                took[i][go] = one[i];
+            }
+        }
+        Map<String, Object> figures = new LinkedHashMap<>();
+        figures.put("upstreams", (double) upstreams);
+        figures.put("sidecars", (double) sidecars);
+        figures.put("messages", messages);
+        figures.put("first_list_us", median(took[0]));
+        figures.put("changed_row_us", median(took[1]));
+        figures.put("request_us", median(took[2]));
+        figures.put("word_us", median(took[3]));
+        figures.put("memory_bytes", median(took[4]));
+        return figures;
+    }
+
+    /** One sidecar from its start on; in a frame of its own, so that none before it is weighed with it. */
+    private static double[] go(List<Listed> rows, int seed, int sidecars, boolean messages) {
+        Sink sink = new Sink();
+        long before = used();
+        Decide decide = new Decide(sink, seed, new Deployment(OFFERINGS, List.of(),
+                new Permits(4, true, true, false, 0.25), new ColdRule(0.3, 8, 4, 3), new ListRule(true, 10),
+                new Site(0, sidecars, null, Site.Weights.NOMINAL, Site.Reports.SILENT, messages, false)));
+        decide.start(100);
+        double first = micros(() -> decide.list(100, ListNews.WHOLE, rows));
+        double changed = micros(() -> {
+            for (int i = 0; i < CHANGES; i++) {
+                decide.list(100.1, ListNews.CHANGES, List.of(row(i % rows.size(), 0)));
+            }
+        }) / CHANGES;
+        double[] now = {101};
+        double request = micros(() -> {
+            for (int i = 0; i < REQUESTS; i++) {
+                QueryId id = new QueryId("q" + i);
+                sink.last = null;
+                decide.arrival(now[0], new Asked(id, new OfferingId(0), null, null, now[0] + 2, 0, false));
+                now[0] += 0.02;
+                if (sink.last != null) {
+                    decide.outcome(now[0], id, 0, Outcome.HANDLED, true, null);
+                }
+                now[0] += 0.005;
+            }
+        }) / REQUESTS;
+        String said = sink.said;
+        double word = said == null ? 0 : micros(() -> {
+            for (int i = 0; i < REQUESTS; i++) {
+                decide.heard(now[0], 1 + i % Math.max(1, sidecars - 1), said);
+            }
+        }) / REQUESTS;
+        double memory = Math.max(0, used() - before);
+        // Held until it has been weighed.
+        decide.hasRoom(now[0]);
+        return new double[] {first, changed, request, word, memory};
+    }
+
+    private static double micros(Runnable step) {
+        long from = System.nanoTime();
+        step.run();
+        return (System.nanoTime() - from) / 1e3;
+    }
+
+    private static double median(double[] of) {
+        Arrays.sort(of);
+        return of[of.length / 2];
+    }
+
+    private static long used() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+}
--- a/kit/src/main/java/portrelay/kit/cli/ScaleCommand.java
+++ b/kit/src/main/java/portrelay/kit/cli/ScaleCommand.java
@@ -6,13 +6,17 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import portrelay.cli.Command;
+import portrelay.fleet.Depth;
+import portrelay.fleet.Growth;
 import portrelay.fleet.Run;
 import portrelay.fleet.Scenario;
+import portrelay.fleet.Slopes;
 import portrelay.json.Tree;
 
 @Parameters(commandDescription = "play hollow sidecars, many in one process: what the fleet's size costs")
@@ -42,6 +46,9 @@
     @Parameter(names = "--seed", description = "for all chance")
     private long seed = 1;
 
+    @Parameter(names = "--slopes", description = "no fleet: what one sidecar's decisions cost by its list")
+    private boolean slopes = false;
+
     @Parameter(names = "--no-messages", description = "sidecars have no way to talk")
     private boolean mute = false;
 
@@ -69,6 +76,9 @@
             System.err.println("portrelay-kit scale: " + bad);
             return BAD_USE;
         }
+        if (slopes) {
+            return slopes();
+        }
         List<Object> runs = new ArrayList<>();
         boolean well = true;
         System.out.println("scenario  sidecars upstreams  served in-time refused  attempts  cold-over"
@@ -85,6 +95,50 @@
                 well &= run.broken().isEmpty() && (!budget || run.overBudget().isEmpty());
             }
         }
+        grow(runs, "request_us", "control_core", "bytes_s_mean", "heard_bytes_s_most", "memory_kb");
+        return write(runs) && well ? 0 : 1;
+    }
+
+    /** What one sidecar's decisions cost by the length of its list, and what calls many deep come to. */
+    private int slopes() {
+        List<Object> runs = new ArrayList<>();
+        System.out.println("upstreams sidecars  first list us  changed row us  request us  word us"
+                + "  memory bytes");
+        for (int size : sidecars) {
+            Map<String, Object> f = Slopes.of(small > 0 ? small : size, size, !mute);
+            runs.add(f);
+            System.out.printf(Locale.ROOT, "%9.0f %8.0f  %13.0f  %14.1f  %10.1f  %7.2f  %12.0f%n",
+                    f.get("upstreams"), f.get("sidecars"), f.get("first_list_us"), f.get("changed_row_us"),
+                    f.get("request_us"), f.get("word_us"), f.get("memory_bytes"));
+        }
+        grow(runs, "first_list_us", "changed_row_us", "request_us", "word_us", "memory_bytes");
+        for (double failing : new double[] {0.01, 0.1, 0.5, 1}) {
+            System.out.printf(Locale.ROOT, "7 deep, %.2f of the lowest fail: %.3f attempts there with up to 4"
+                    + " each, %.3f with up to 2%n", failing, Depth.workedOut(7, 4, failing),
+                    Depth.workedOut(7, 2, failing));
+        }
+        return write(runs) ? 0 : 1;
+    }
+
+    /** By size, as powers of it, where there are three sizes or more. */
+    private static void grow(List<Object> runs, String... names) {
+        for (String name : names) {
+            double[] sizes = new double[runs.size()];
+            double[] costs = new double[runs.size()];
+            for (int i = 0; i < sizes.length; i++) {
+                Map<?, ?> figures = (Map<?, ?>) runs.get(i);
+                sizes[i] = (double) figures.get("sidecars");
+                costs[i] = (double) figures.get(name);
+            }
+            if (Arrays.stream(sizes).distinct().count() >= 3 && Arrays.stream(costs).allMatch(c -> c > 0)) {
+                Growth growth = Growth.of(sizes, costs);
+                System.out.printf(Locale.ROOT, "%s grows with sidecars ^ %.2f, off by %.2f at most%n",
+                        name, growth.exponent(), growth.residual());
+            }
+        }
+    }
+
+    private boolean write(List<Object> runs) {
         if (report != null) {
             Map<String, Object> whole = new LinkedHashMap<>();
             whole.put("version", VERSION);
@@ -94,10 +148,10 @@
                 Files.write(Path.of(report), Tree.write(whole));
             } catch (IOException e) {
                 System.err.println("portrelay-kit scale: --report: " + e.getMessage());
-                return 1;
+                return false;
             }
         }
-        return well ? 0 : 1;
+        return true;
     }
 
     private static void print(Map<String, Object> f) {
