Slopes weighs memory by the most of its goes; the median was 0

Cause, by printing both weighings: on every other go the sidecar before was still weighed with what was there, so the difference was 0 as often as not. Change: the most.

--- a/kit/src/main/java/portrelay/fleet/Slopes.java
+++ b/kit/src/main/java/portrelay/fleet/Slopes.java
@@ -133,7 +133,8 @@
         figures.put("changed_row_us", median(took[1]));
         figures.put("request_us", median(took[2]));
         figures.put("word_us", median(took[3]));
-        figures.put("memory_bytes", median(took[4]));
+        // The most: the one before may still be weighed with what was there before.
+        figures.put("memory_bytes", Arrays.stream(took[4]).max().orElse(0));
         return figures;
     }
 
