deploy/run.sh started by sh hands itself to bash

Cause: a script of ours that called it by sh waited for 20 minutes for a sidecar that never came: sh ends at read -d. Change: one line hands over. Tried with sh and bash; RunScriptTest passes.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -5,6 +5,7 @@
 #
 # bash, as it reads a file by the buffer: sh reads by the byte, and the 50,000 reads of a large list's configuration
 # took a sidecar among a hundred over 20 s on a busy machine.
+[ -n "${BASH_VERSION:-}" ] || exec bash "$0" "$@"
 set -eu
 case $0 in */*) cd "${0%/*}/.." ;; *) cd .. ;; esac
 
