--- a/core/src/main/java/portrelay/policy/Cold.java
+++ b/core/src/main/java/portrelay/policy/Cold.java
@@ -3,15 +3,9 @@
 import java.util.List;
 import portrelay.model.ColdRule;
 
-/**
- * Guards against all together pushing over a cold upstream: each sends it a ramp's share of a like warm
- * one's.
- */
+/** Guards against all together pushing over a cold one: each sends it its ramp's part of a warm one's. */
 record Cold(ColdRule rule, int sidecars) {
-    /**
-     * Of all sidecars together in the rule's time, where nothing is warm; so many are chance whatever it
-     * allows.
-     */
+    /** Of all sidecars in the rule's time, where nothing is warm: so many are chance. */
     private static final double TO_BEGIN = 4;
     /** What all of them may hold unspent: a burst would spend it in one moment. */
     private static final double UNSPENT = 16;
@@ -20,10 +14,7 @@
         return rule.ramp(Math.max(u.listed.onlineSince(), u.backAt), now);
     }
 
-    /**
-     * Answers, not sends, earn credit: they stay within what upstreams can do, in a burst and where some are
-     * lost.
-     */
+    /** Answers, not sends, earn: they stay within what upstreams can do, also in a burst. */
     void served(Upstream by, List<Upstream> ours, double now) {
         double warm = ours.stream().filter(u -> u.ready && ramp(u, now) >= 1).mapToDouble(u -> u.size).sum();
         if (warm == 0 || ramp(by, now) >= 1) {
@@ -48,6 +39,10 @@
         }
     }
 
+    boolean due(Upstream u, double now) {
+        return u.coldCredit >= 1 && ramp(u, now) < 1;
+    }
+
     void sent(Upstream to, double now) {
         to.coldCredit -= ramp(to, now) < 1 ? 1 : 0;
     }
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -405,7 +405,7 @@
         boolean all = u == null && ours().stream()
                 .allMatch(each -> !each.ready || each.passedOver() || silent(each));
         List<Upstream> due = seen || !first ? List.of() : ours().stream()
-                .filter(each -> each.coldCredit >= 1 && cold.ramp(each, now) < 1 && mayTake(q, each)).toList();
+                .filter(each -> cold.due(each, now) && mayTake(q, each)).toList();
         // Drawn by lot from many sidecars a cold one gets nothing, unless all keep what it is due.
         u = u != null ? u : due.stream().filter(each -> ownLoad(each) == 0 && !each.passedOver()
                 && !silent(each)).findFirst().orElse(null);
