--- a/core/src/main/java/portrelay/gossip/Gossip.java
+++ b/core/src/main/java/portrelay/gossip/Gossip.java
@@ -21,10 +21,10 @@
     public static final int CODES = 23;
 
     /**
-     * Where each upstream's sharers are drawn by lot everyone else has other upstreams, so they are told
-     * apart by a code of their id, that nobody has to agree on. There are so many, since two of one code
-     * harm: what is said of either is heard of one, so the other one looks idle to all and is filled by all
-     * (8,100 codes left two and a half pairs among 200 upstreams, 729,000 one in 37 times).
+     * Where each upstream's sharers are drawn by lot everyone else has other upstreams, so they are told apart by
+     * a code of their id, that nobody has to agree on. There are so many, since two of one code harm: what is
+     * said of either is heard of one, so the other one looks idle to all and is filled by all (8,100 codes left
+     * two and a half pairs among 200 upstreams, 729,000 one in 37 times).
      */
     public static int codeOf(UpstreamId id) {
         return (int) Math.floorMod(id.value() * 0x9E3779B97F4A7C15L >>> 20, CODES_BY_LOT);
@@ -34,14 +34,11 @@
     public enum Word { BEGUN, HANDLED, FAILED, DROPPED, LOST }
 
     /**
-     * Code is the upstream's within the part, or by lot; tenant -1 for none. Took is seconds at rest for
-     * LOST, for ends by lot the multiple of the usual time for each in flight.
+     * Code is the upstream's within the part, or by lot; tenant -1 for none. Took is seconds at rest for LOST, for
+     * ends by lot the multiple of the usual time for each in flight.
      */
     public record News(Word word, int code, int tenant, double took) { }
 
-    /** Characters of an attempt's start and its end by lot, together. */
-    public static final int LENGTH_BY_LOT = 2 * 4 + 1;
-
     private static final int OF_EXECUTIONS = Word.LOST.ordinal();
     private static final int LOT_CODES = 90;
     private static final int LOT_SIGNS = 3;
@@ -164,8 +161,8 @@
     // ---- What is said -------------------------------------------------------------------------------------
 
     /**
-     * By lot, to those that share an upstream: its code, and with an end the time it took as a multiple of
-     * what the offering usually takes, for each that was in flight there when it began, itself among them.
+     * By lot, to those that share an upstream: its code, and with an end the time it took as a multiple of what
+     * the offering usually takes, for each that was in flight there when it began, itself among them.
      */
     public void tell(Word word, int code, double took, List<Integer> to) {
         String text = "" + (char) (FIRST_CODE + word.ordinal());
@@ -187,11 +184,6 @@
         }
     }
 
-    /** In how many datagrams a word goes to these: one where all share it, not one for each of the others. */
-    public int datagrams(List<Integer> to) {
-        return to.size() == site.sidecars() ? 1 : to.size() - (to.contains(site.me()) ? 1 : 0);
-    }
-
     /** To those of our part. */
     public void tell(Word word, int code, int tenant) {
         char said = (char) (FIRST_CODE + word.ordinal() * CODES + code);
@@ -209,8 +201,7 @@
     }
 
     private static char step(double log) {
-        long steps = Math.round(log * AGE_STEPS) + AGE_OF_ONE;
-        return (char) (FIRST_CODE + Math.max(0, Math.min(AGE_CODES, steps)));
+        return (char) (FIRST_CODE + Math.max(0, Math.min(AGE_CODES, Math.round(log * AGE_STEPS) + AGE_OF_ONE)));
     }
 
     private static double ofStep(char step) {
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -524,16 +524,13 @@
             out.letGo(u.id);
             rested = 0;
         }
-        boolean told = part != null && part.tells(u, now);
         q.executions.add(new Query.Execution(new Query.Sent(u, u.listed, now, trial, expected(u), rested,
-                u.told.handled(), (int) load(u) + 1, told)));
+                u.told.handled(), (int) load(u) + 1)));
         u.inFlight++;
         u.restedOut += rested > 0 ? 1 : 0;
         u.reported++;
         if (part != null) {
             u.told.begun(site.me(), now);
-        }
-        if (told) {
             part.tell(Gossip.Word.BEGUN, u, TenantId.number(q.asked.tenant()), 0);
         }
         total.inFlight += q.asked.once() ? 0 : 1;
@@ -564,9 +561,7 @@
         double usual = health.usualTime(q.offering, q.offering.targetTime() / 3);
         double took = (now - e.as.sentAt()) / usual / e.as.among();
         health.took(now, e.as.at(), handled, took);
-        if (e.as.told()) {
-            part.tell(word, e.as.at(), -1, took);
-        }
+        part.tell(word, e.as.at(), -1, took);
     }
 
     /** What a full fleet can take goes to the query that earns most for its work, not to the oldest. */
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -2,15 +2,13 @@
 
 import java.util.*;
 import java.util.stream.IntStream;
-import portrelay.budget.Telling;
 import portrelay.gossip.*;
 import portrelay.model.*;
 
 /**
- * The part of the roster that this sidecar keeps to. Those that share upstreams tell each other of
- * executions: a quiet sidecar then knows what is in flight there, meets them often enough to judge them, and
- * needs few connections. Parts are cut from the list and from zones that were told, or drawn; nobody decides
- * for others.
+ * The part of the roster that this sidecar keeps to. Those that share upstreams tell each other of executions: a
+ * quiet sidecar then knows what is in flight there, meets them often enough to judge them, and needs few
+ * connections. Parts are cut from the list and from zones that were told, or drawn; nobody decides for others.
  */
 final class Part {
     private static final int MOST_SHARERS = 14;
@@ -23,7 +21,6 @@
     private static final double AGE_SPARE = 0.95;
     private static final double TOLD_EVERY = 1;
     final Gossip gossip;
-    private final Telling telling = new Telling();
     private final Site site;
     List<Upstream> upstreams = List.of();
     Set<Upstream> ours = Set.of();
@@ -43,9 +40,7 @@
         this.layAt = now;
     }
 
-    /**
-     * By lot, the same for all whatever their lists. Sets overlap: what is too much for one spreads over all.
-     */
+    /** By lot, the same for all whatever their lists. Sets overlap: what is too much for one spreads over all. */
     private List<Integer> sharers(Upstream u) {
         if (u.sharers == null) {
             int most = Math.max(MOST_SHARERS, LEAST_OWN * site.sidecars() / Math.max(1, ready.size()));
@@ -63,11 +58,6 @@
         return code < 0 || code >= upstreams.size() ? null : upstreams.get(code);
     }
 
-    /** Whether an attempt there is told of: its start and its end, or neither. */
-    boolean tells(Upstream u, double now) {
-        return !site.byLot() || telling.takes(now, Gossip.LENGTH_BY_LOT, gossip.datagrams(sharers(u)));
-    }
-
     void tell(Gossip.Word word, Upstream u, int tenant, double took) {
         if (site.byLot()) {
             gossip.tell(word, Gossip.codeOf(u.id), took, sharers(u));
--- a/core/src/main/java/portrelay/policy/Query.java
+++ b/core/src/main/java/portrelay/policy/Query.java
@@ -21,7 +21,7 @@
      * or busy one; among how many were in flight there, itself too, handledBefore how many had been handled.
      */
     record Sent(Upstream at, Listed row, double sentAt, boolean trial, double expected, double rested,
-            int handledBefore, int among, boolean told) { }
+            int handledBefore, int among) { }
 
     /** One execution; its outcome is null while it is out. */
     static final class Execution {
--- a/kit/src/test/java/portrelay/fleet/RunTest.java
+++ b/kit/src/test/java/portrelay/fleet/RunTest.java
@@ -50,6 +50,8 @@
     void whatCostsMoreThanTheBudgetIsSaid() {
         Run run = new Run(Scenario.ORDINARY, 5, 40, 7, 1, 100, true);
         assertEquals(List.of(), run.broken());
+        assertTrue(run.overBudget().stream().anyMatch(each -> each.startsWith("messages")),
+                run.figures().toString());
         Run mute = new Run(Scenario.ORDINARY, 5, 40, 7, 1, 100, false);
         assertEquals(0.0, mute.figures().get("bytes_s_most"));
         assertTrue(mute.overBudget().stream().noneMatch(each -> each.startsWith("messages")));
