--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -6,9 +6,10 @@
 import portrelay.model.*;
 
 /**
- * The part of the roster that this sidecar keeps to. Those that share upstreams tell each other of executions: a
- * quiet sidecar then knows what is in flight there, meets them often enough to judge them, and needs few
- * connections. Parts are cut from the list and from zones that were told, or drawn; nobody decides for others.
+ * The part of the roster that this sidecar keeps to. Those that share upstreams tell each other of
+ * executions: a quiet sidecar then knows what is in flight there, meets them often enough to judge them, and
+ * needs few connections. Parts are cut from the list and from zones that were told, or drawn; nobody decides
+ * for others.
  */
 final class Part {
     private static final int MOST_SHARERS = 14;
@@ -40,7 +41,9 @@
         this.layAt = now;
     }
 
-    /** By lot, the same for all whatever their lists. Sets overlap: what is too much for one spreads over all. */
+    /**
+     * By lot, the same for all whatever their lists. Sets overlap: what is too much for one spreads over all.
+     */
     private List<Integer> sharers(Upstream u) {
         if (u.sharers == null) {
             int most = Math.max(MOST_SHARERS, LEAST_OWN * site.sidecars() / Math.max(1, ready.size()));
