A long answer that waits for its upstream no longer counts as one its client leaves unread

Cause: `Room.overdue` and `Room.pressed` count ANSWERING from the last bytes that moved and do not know which side is waited for. Seen on sockets: a stand-in upstream that rests 3.5 s in the middle of 200,000 bytes cost its client the rest, after 2.5 s, or 1.25 s with clients crowding in (`Clients.end`, closed without a look). `Link.UPSTREAM_SILENT` (10 s) never came to act.

Change: `Pump` tells which side it begins to wait for; the connection is at ASKED while that is the upstream and at ANSWERING only while the client has bytes to read.

Measured: both new tests of BodiesNetTest fail on the build before (100,000 of 200,000 bytes) and pass on this one.

--- a/core/src/main/java/portrelay/door/Room.java
+++ b/core/src/main/java/portrelay/door/Room.java
@@ -18,7 +18,11 @@
  */
 public final class Room {
 
-    /** What a connection is at. SILENT has never said a byte; IDLE has, and has no query open. */
+    /**
+     * What a connection is at. SILENT has never said a byte; IDLE has, and has no query open. ASKED waits for
+     * its upstream, for the answer's first byte or for a further one; ANSWERING has bytes that its client has
+     * not read.
+     */
     public enum Phase { SILENT, SENDING, ASKED, ANSWERING, IDLE }
 
     /** Why a connection ends, for whoever reads the counts. */
--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -397,6 +397,8 @@
         /** What comes behind the request is no use any more: it is read for the client's end alone. */
         private boolean discards;
         private boolean over;
+        /** Whether the answer waits for its client to read and not for its upstream to give. */
+        private boolean waitsForClient = true;
         private double stampedAt;
 
         Client(HttpServerExchange exchange, String said, QueryId id, Upload upload) {
@@ -539,12 +541,26 @@
         /** One that reads on, however slowly, is not taken for one that does not read. */
         @Override
         public void moved() {
-            if (loop.now() > stampedAt + STAMP_EVERY) {
+            if (waitsForClient && loop.now() > stampedAt + STAMP_EVERY) {
                 stampedAt = loop.now();
                 clients.at(connection, Room.Phase.ANSWERING);
             }
         }
 
+        /**
+         * Only a client that does not read may be ended for it: what the upstream still has to give is waited
+         * for as long as {@code Link} has patience with the upstream.
+         */
+        @Override
+        public void waitsFor(Pump.Side side) {
+            boolean client = side == Pump.Side.SINK;
+            if (client != waitsForClient) {
+                waitsForClient = client;
+                stampedAt = loop.now();
+                clients.at(connection, client ? Room.Phase.ANSWERING : Room.Phase.ASKED);
+            }
+        }
+
         @Override
         public void whole() {
             // The exchange has ended with its last byte.
--- a/daemon/src/main/java/portrelay/net/Link.java
+++ b/daemon/src/main/java/portrelay/net/Link.java
@@ -332,6 +332,11 @@
             ends.moved();
         }
 
+        @Override
+        public void waitsFor(Pump.Side side) {
+            ends.waitsFor(side);
+        }
+
         @Override
         public void whole() {
             if (current == exchange) {
--- a/daemon/src/main/java/portrelay/net/Pump.java
+++ b/daemon/src/main/java/portrelay/net/Pump.java
@@ -35,8 +35,15 @@
 
         /** Bytes have gone on. */
         void moved();
+
+        /** Nothing can go on until that side gives or takes more; called each time the pump begins to wait. */
+        default void waitsFor(Side side) {
+        }
     }
 
+    /** The two sides of a body on its way. */
+    enum Side { SOURCE, SINK }
+
     /**
      * Seconds without a byte after which a side counts as broken, and the bytes a second that a source has to
      * give at least, 0 for any. What one side takes because the other does is not counted against it.
@@ -213,6 +220,7 @@
             from.suspendReads();
             to.resumeWrites();
         }
+        ends.waitsFor(whom == Waits.SOURCE ? Side.SOURCE : Side.SINK);
     }
 
     private void settle() {
--- a/daemon/src/test/java/portrelay/net/BodiesNetTest.java
+++ b/daemon/src/test/java/portrelay/net/BodiesNetTest.java
@@ -145,6 +145,42 @@
         }
     }
 
+    /** Sends half of a long answer, rests for longer than a client may leave one unread, sends the rest. */
+    private static Script pauses(String half) {
+        return (message, on) -> {
+            said("HTTP/1.1 200 OK\r\nContent-Length: " + 2 * half.length() + "\r\n\r\n" + half)
+                    .play(message, on);
+            Thread.sleep(3_500);
+            said(half).play(message, on);
+        };
+    }
+
+    /** Issue "Zone days": the client was ended 2.5 s after the last byte, though its upstream was the slow one. */
+    @Test
+    void anUpstreamThatPausesInALongAnswerDoesNotCostItsClientTheRest() throws Exception {
+        try (Town town = new Town(pauses("x".repeat(100_000)))) {
+            Message got = Town.ask(town.connect(), Town.read("a", 900));
+            assertEquals(200, got.status());
+            assertEquals(200_000, got.body().length);
+        }
+    }
+
+    /** The same where clients crowd in: half of that time was enough then. */
+    @Test
+    void aCrowdOfClientsDoesNotEndALongAnswerWhoseUpstreamPauses() throws Exception {
+        try (Town town = new Town(16, pauses("x".repeat(100_000)))) {
+            Socket client = town.connect();
+            client.getOutputStream().write(Town.read("a", 900).getBytes(ISO_8859_1));
+            for (int i = 0; i < 60; i++) {
+                town.connect();
+                Thread.sleep(50);
+            }
+            Message got = Message.read(client.getInputStream());
+            assertEquals(200, got.status());
+            assertEquals(200_000, got.body().length);
+        }
+    }
+
     @Test
     void aLongAnswerThatBreaksIsSeenNotToBeWhole() throws Exception {
         String half = "x".repeat(100_000);
