--- a/core/src/main/java/portrelay/door/Room.java
+++ b/core/src/main/java/portrelay/door/Room.java
@@ -126,6 +126,12 @@
         }
     }
 
+    /** Null for one that is not known. */
+    public Phase phase(ClientId id) {
+        Line line = lines.get(id);
+        return line == null ? null : line.phase;
+    }
+
     public int count() {
         return lines.size();
     }
--- a/daemon/src/main/java/portrelay/net/Clients.java
+++ b/daemon/src/main/java/portrelay/net/Clients.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import portrelay.door.ClientId;
@@ -18,9 +19,20 @@
 
     private static final double EVERY = 0.05;
 
-    private record Line(StreamConnection socket, QueryGuard guard) { }
+    private static final class Line {
+        private final StreamConnection socket;
+        private final QueryGuard guard;
+        /** Null while there is none. */
+        private OpenRequest request;
+
+        Line(StreamConnection socket, QueryGuard guard) {
+            this.socket = socket;
+            this.guard = guard;
+        }
+    }
 
     private final Loop loop;
+    private final Log log;
     private final Room room;
     private final Map<StreamConnection, ClientId> ids = new HashMap<>();
     private final Map<ClientId, Line> lines = new HashMap<>();
@@ -30,8 +42,9 @@
     private int most = Integer.MAX_VALUE;
     private boolean sweeping;
 
-    Clients(Loop loop, RoomSettings settings, DoorCounts counts) {
+    Clients(Loop loop, Log log, RoomSettings settings, DoorCounts counts) {
         this.loop = loop;
+        this.log = log;
         this.room = new Room(settings);
         this.idleMost = settings.idleMost();
         this.counts = counts;
@@ -58,9 +71,46 @@
         ClientId id = ids.get(socket);
         if (id != null) {
             room.heard(loop.now(), id);
+            OpenRequest request = lines.get(id).request;
+            if (request != null) {
+                request.received(loop.now());
+            }
+        }
+    }
+
+    /** A request of that id is open from here on until it is told to be over. */
+    void began(HttpServerConnection connection, String request, LongSupplier bytesOut) {
+        ClientId id = ids.get(connection.getChannel());
+        if (id != null) {
+            lines.get(id).request = new OpenRequest(request, bytesOut, loop.now());
+        }
+    }
+
+    /** The answer to the open request has been given whole, to the last byte. */
+    void over(HttpServerConnection connection) {
+        ClientId id = ids.get(connection.getChannel());
+        if (id != null) {
+            lines.get(id).request = null;
+        }
+    }
+
+    /** Bytes of the answer have been written. */
+    void sent(HttpServerConnection connection) {
+        ClientId id = ids.get(connection.getChannel());
+        if (id != null && lines.get(id).request != null) {
+            lines.get(id).request.sent(loop.now());
         }
     }
 
+    /** Ends it, whatever is open there. */
+    void close(HttpServerConnection connection, OpenRequest.EndCause cause) {
+        ClientId id = ids.get(connection.getChannel());
+        if (id != null && lines.get(id).request != null) {
+            lines.get(id).request.endsBy(cause);
+        }
+        IoUtils.safeClose(connection);
+    }
+
     /** Undertow has made its own of the socket and tells when it closes. */
     void spoke(HttpServerConnection connection) {
         StreamConnection socket = connection.getChannel();
@@ -151,6 +201,9 @@
         if (socket.isOpen() && !(overdue && ending.phase() == Room.Phase.IDLE)) {
             counts.ended(ending);
         }
+        if (line.request != null) {
+            line.request.endsBy(OpenRequest.EndCause.ROOM);
+        }
         IoUtils.safeClose(socket);
         gone(socket);
     }
@@ -166,8 +219,12 @@
     private void gone(StreamConnection socket) {
         ClientId id = ids.remove(socket);
         if (id != null) {
-            lines.remove(id);
+            Line line = lines.remove(id);
+            Room.Phase phase = room.phase(id);
             room.closed(id);
+            if (line.request != null) {
+                log.debug(() -> line.request.line(phase, line.guard.bytes(), loop.now()));
+            }
         }
     }
 
--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -82,9 +82,9 @@
         this.reader = reader;
         this.doorkeeper = doorkeeper;
         this.counts = counts;
-        clients = new Clients(loop, room, counts);
-        lingering = new Lingering(loop, false);
-        lingersOn = new Lingering(loop, true);
+        clients = new Clients(loop, log, room, counts);
+        lingering = new Lingering(loop, clients, false);
+        lingersOn = new Lingering(loop, clients, true);
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
@@ -232,6 +232,9 @@
         clients.at(connection(exchange), Room.Phase.SENDING);
         exchange.addExchangeCompleteListener((done, next) -> {
             clients.at(connection(done), Room.Phase.IDLE);
+            if (done.isResponseComplete()) {
+                clients.over(connection(done));
+            }
             next.proceed();
         });
         if (leaving()) {
@@ -330,6 +333,7 @@
             Incoming incoming = new Incoming(asked, exchange.getRequestMethod(), target,
                     exchange.getRequestHeaders(), body, upload, client);
             clients.at(client.connection, Room.Phase.ASKED);
+            clients.began(client.connection, said, exchange::getResponseBytesSent);
             if (clients.full()) {
                 // Nobody else can make way: this one is told at once, as nothing was sent for it.
                 counts.full++;
@@ -485,7 +489,7 @@
         private void leave() {
             end();
             doorkeeper.left(id);
-            IoUtils.safeClose(connection);
+            clients.close(connection, OpenRequest.EndCause.CLIENT_LEFT);
         }
 
         private void end() {
@@ -532,7 +536,7 @@
             if (tooLong) {
                 turnAwayAndClose(exchange, QueryReader.tooLong());
             } else {
-                IoUtils.safeClose(connection);
+                clients.close(connection, OpenRequest.EndCause.BODY_BROKE_OFF);
             }
         }
 
@@ -541,6 +545,7 @@
         /** One that reads on, however slowly, is not taken for one that does not read. */
         @Override
         public void moved() {
+            clients.sent(connection);
             if (waitsForClient && loop.now() > stampedAt + STAMP_EVERY) {
                 stampedAt = loop.now();
                 clients.at(connection, Room.Phase.ANSWERING);
@@ -574,12 +579,12 @@
             } catch (IOException | IllegalArgumentException e) {
                 log.warn("a broken answer ends without a reset: " + e.getMessage());
             }
-            IoUtils.safeClose(connection);
+            clients.close(connection, OpenRequest.EndCause.UPSTREAM_BROKE_OFF);
         }
 
         @Override
         public void sinkBroke() {
-            IoUtils.safeClose(connection);
+            clients.close(connection, OpenRequest.EndCause.CLIENT_UNREADING);
         }
 
         @Override
--- a/daemon/src/main/java/portrelay/net/Lingering.java
+++ b/daemon/src/main/java/portrelay/net/Lingering.java
@@ -6,7 +6,6 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
@@ -20,11 +19,13 @@
     private static final int MOST_READS = 64;
 
     private final Loop loop;
+    private final Clients clients;
     private final boolean always;
 
     /** Always: also where the request came whole, as more may lie behind it. */
-    Lingering(Loop loop, boolean always) {
+    Lingering(Loop loop, Clients clients, boolean always) {
         this.loop = loop;
+        this.clients = clients;
         this.always = always;
     }
 
@@ -32,16 +33,16 @@
     public void onComplete(HttpServerExchange exchange, Sender sender) {
         HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
         if (exchange.isRequestComplete() && !always) {
-            IoUtils.safeClose(connection);
+            close(connection);
             return;
         }
         StreamConnection socket = connection.getChannel();
-        loop.after(LINGER, () -> IoUtils.safeClose(connection));
+        loop.after(LINGER, () -> close(connection));
         try {
             socket.getSinkChannel().shutdownWrites();
             socket.getSinkChannel().flush();
         } catch (IOException e) {
-            IoUtils.safeClose(connection);
+            close(connection);
             return;
         }
         ConduitStreamSourceChannel source = socket.getSourceChannel();
@@ -51,7 +52,7 @@
         source.resumeReads();
     }
 
-    private static void discard(HttpServerConnection connection, ConduitStreamSourceChannel from,
+    private void discard(HttpServerConnection connection, ConduitStreamSourceChannel from,
             ByteBuffer unread) {
         try {
             int count = 1;
@@ -59,15 +60,19 @@
                 count = from.read(unread.clear());
             }
             if (count < 0) {
-                IoUtils.safeClose(connection);
+                close(connection);
             }
         } catch (IOException e) {
-            IoUtils.safeClose(connection);
+            close(connection);
         }
     }
 
+    private void close(HttpServerConnection connection) {
+        clients.close(connection, OpenRequest.EndCause.LINGER_OVER);
+    }
+
     @Override
     public void onException(HttpServerExchange exchange, Sender sender, IOException cause) {
-        IoUtils.safeClose(exchange.getConnection());
+        close((HttpServerConnection) exchange.getConnection());
     }
 }
--- a/daemon/src/main/java/portrelay/net/Log.java
+++ b/daemon/src/main/java/portrelay/net/Log.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintStream;
 import java.time.Instant;
+import java.util.function.Supplier;
 
 /**
  * One line for each thing that on-call staff would want to know of; never one for a query, which would cost
@@ -9,12 +10,28 @@
  */
 public final class Log {
 
+    /** With the value {@code debug} the log has lines of that level too. */
+    private static final String LEVEL = "LB_LOG";
+
     private final PrintStream out;
     private final String name;
+    private final boolean debug;
 
     public Log(PrintStream out, String name) {
+        this(out, name, "debug".equals(System.getenv(LEVEL)));
+    }
+
+    Log(PrintStream out, String name, boolean debug) {
         this.out = out;
         this.name = name;
+        this.debug = debug;
+    }
+
+    /** The text is made only where it is wanted. */
+    public void debug(Supplier<String> text) {
+        if (debug) {
+            line("debug", text.get());
+        }
     }
 
     public void info(String text) {
--- a/daemon/src/main/java/portrelay/net/Operators.java
+++ b/daemon/src/main/java/portrelay/net/Operators.java
@@ -61,9 +61,9 @@
         this.list = list;
         this.module = module;
         this.front = front;
-        callers = new Clients(loop, ROOM, new DoorCounts());
+        callers = new Clients(loop, log, ROOM, new DoorCounts());
         callers.most(most);
-        lingering = new Lingering(loop, false);
+        lingering = new Lingering(loop, callers, false);
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
--- a/daemon/src/main/java/portrelay/net/QueryGuard.java
+++ b/daemon/src/main/java/portrelay/net/QueryGuard.java
@@ -23,6 +23,7 @@
     /** What a look ahead took, until it is read; null where there is none. */
     private ByteBuffer ahead;
     private boolean letsThrough;
+    private long bytes;
 
     private final Runnable heard;
 
@@ -46,6 +47,11 @@
         return look() < 0;
     }
 
+    /** How many bytes have come. */
+    long bytes() {
+        return bytes;
+    }
+
     /** From here on all that comes is let through: whoever reads it throws it away and waits for the end. */
     void letThrough() {
         letsThrough = true;
@@ -83,6 +89,7 @@
         }
         int from = to.position();
         int count = ahead == null ? next.read(to) : readAhead(to);
+        bytes += Math.max(0, count);
         if (count <= 0 || letsThrough) {
             return count;
         }
--- /dev/null
+++ b/daemon/src/test/java/portrelay/net/OpenRequestTest.java
@@ -0,0 +1,36 @@
+package portrelay.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import org.junit.jupiter.api.Test;
+import portrelay.door.Room;
+
+/** The debug line of a client's connection that ends before its answer is whole. */
+class OpenRequestTest {
+
+    @Test
+    void theLineNamesTheFirstCauseAndTheTimesSinceTheLastBytes() {
+        OpenRequest request = new OpenRequest("a\nb", () -> 70_000, 10);
+        request.received(10.5);
+        request.sent(12);
+        request.endsBy(OpenRequest.EndCause.UPSTREAM_BROKE_OFF);
+        request.endsBy(OpenRequest.EndCause.ROOM);
+        assertEquals("client connection ended with a request open: request=a?b phase=ASKED"
+                + " cause=UPSTREAM_BROKE_OFF since-in=2.500 since-out=1.000 bytes-in=132 bytes-out=70000",
+                request.line(Room.Phase.ASKED, 132, 13));
+    }
+
+    @Test
+    void debugLinesAreWrittenOnlyWhereTheyAreWanted() {
+        ByteArrayOutputStream said = new ByteArrayOutputStream();
+        new Log(new PrintStream(said, true), "n", false).debug(() -> {
+            throw new AssertionError("made for nobody");
+        });
+        assertEquals(0, said.size());
+        new Log(new PrintStream(said, true), "n", true).debug(() -> "seen");
+        assertTrue(said.toString().endsWith(" n debug seen" + System.lineSeparator()), said.toString());
+    }
+}
