What is no decision leaves policy: list schedule, alarm, sequential test, hashing, samples

Change: ListSchedule, Alarm, UsualTimes, SequentialTest, DroppedConnections, AdaptiveLimit (was TotalLimit), RequestState and RequestInput are classes of portrelay.model, Rendezvous one of portrelay.gossip; the files of policy call them. The increase and decrease of the limit over all is arithmetic on samples; whether something is refused for it stays in Decide.room. Nothing changes in what is decided.

--- a/core/src/main/java/portrelay/policy/TotalLimit.java
+++ b/core/src/main/java/portrelay/model/AdaptiveLimit.java
@@ -1,26 +1,39 @@
-package portrelay.policy;
+package portrelay.model;
 
-import portrelay.model.Samples;
-
-/** Guards against a fleet that all overfill together: only a sum over our upstreams can hold under one at each. */
-final class TotalLimit {
+/**
+ * How many attempts may be out at once over all upstreams: additive increase while rounds of outcomes are prompt and
+ * the limit was reached, multiplicative decrease when too many are late. Each process adapts its own, so that a fleet
+ * stays within what all upstreams do together.
+ */
+public final class AdaptiveLimit {
     private static final double FIRST_TOTAL = 3;
     private static final double FIRST_EACH = 2.5;
     private static final int ROUND = 16;
-    static final double LATE_HIGH = 0.25;
+    /** The share of late outcomes above which the limit is cut. */
+    private static final double LATE_HIGH = 0.25;
     private static final double LATE_LOW = 0.15;
     private static final double TOTAL_CUT_TO = 0.8;
-    final Samples late = new Samples(ROUND);
+    private final Samples late = new Samples(ROUND);
     private double size = FIRST_TOTAL;
     private double unit;
     private boolean starting = true;
     private double changedAt = Double.NEGATIVE_INFINITY;
     private int round;
     private boolean full;
-    int inFlight;
+    private int inFlight;
+
+    /** An attempt goes out. */
+    public void began() {
+        inFlight++;
+    }
+
+    /** Whether the last round had so many late outcomes that the limit is cut. */
+    public boolean overloaded() {
+        return late.mean(0) > LATE_HIGH;
+    }
 
     /** All sidecars may start in one moment: what each begins with is its part of what all may send. */
-    void start(double share) {
+    public void start(double share) {
         if (share == 0 || unit > 0) {
             return;
         }
@@ -28,11 +41,13 @@
         size = Math.max(1, Math.min(FIRST_TOTAL, FIRST_EACH * share));
     }
 
-    boolean hasRoom(int silent) {
+    /** Whether one more may go out; those that are out at silent upstreams do not count. */
+    public boolean hasRoom(int silent) {
         return inFlight - silent < size;
     }
 
-    void ended(double now, double sentAt, boolean isLate, boolean tellsOfAll) {
+    /** An attempt has ended. TellsOfAll: a late one is not the fault of its upstream alone. Times are seconds. */
+    public void ended(double now, double sentAt, boolean isLate, boolean tellsOfAll) {
         boolean wasFull = inFlight-- + 1 > size;
         full |= wasFull;
         // At the start nothing is known: each prompt outcome makes room until a round goes wrong.
--- /dev/null
+++ b/core/src/main/java/portrelay/model/ListSchedule.java
@@ -0,0 +1,45 @@
+package portrelay.model;
+
+/**
+ * When the upstream list is to be asked for next. Times are seconds; the next call is at infinity while one is out
+ * or none is needed.
+ */
+public final class ListSchedule {
+
+    private final ListRule rule;
+    private double nextAt = Double.POSITIVE_INFINITY;
+    private int failures;
+
+    public ListSchedule(ListRule rule) {
+        this.rule = rule;
+    }
+
+    /** The first call is due at once where the list comes only on request. */
+    public void start(double now) {
+        nextAt = rule.onRequest() ? now : nextAt;
+    }
+
+    /** Whether a call is due; it counts as begun then. */
+    public boolean takeDue(double now) {
+        if (now < nextAt) {
+            return false;
+        }
+        nextAt = Double.POSITIVE_INFINITY;
+        return true;
+    }
+
+    /** The call failed: the next one follows after a back-off; lot is drawn from 0 to 1. */
+    public void failed(double now, double lot) {
+        nextAt = now + rule.backOff(failures++, lot);
+    }
+
+    /** Discovery has answered. */
+    public void answered() {
+        failures = 0;
+        nextAt = Double.POSITIVE_INFINITY;
+    }
+
+    public double nextAt() {
+        return nextAt;
+    }
+}
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -1,47 +1,70 @@
 package portrelay.policy;
 
-import java.util.*;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
 import portrelay.gossip.Gossip;
-import portrelay.model.*;
+import portrelay.model.AdaptiveLimit;
+import portrelay.model.Alarm;
+import portrelay.model.Asked;
+import portrelay.model.Deployment;
+import portrelay.model.Dues;
+import portrelay.model.Effects;
+import portrelay.model.ListNews;
+import portrelay.model.ListSchedule;
+import portrelay.model.Listed;
+import portrelay.model.LoadReport;
+import portrelay.model.Offering;
+import portrelay.model.Outcome;
+import portrelay.model.QueryId;
+import portrelay.model.RequestInput;
+import portrelay.model.RequestState;
+import portrelay.model.ShapeId;
+import portrelay.model.Shares;
+import portrelay.model.Site;
+import portrelay.model.Table;
+import portrelay.model.TenantId;
+import portrelay.model.UpstreamId;
 
 /**
  * The decisions of one sidecar (docs/design.md): its events are called in the order in which things happen,
  * each with the time in seconds, and answered through {@link Effects}. No call waits.
  */
 public final class Decide {
-    /** HELD has nothing out and waits for a place; BARE has nothing out after one that did not help. */
-    enum State { FRESH, LOOKING, HELD, ALONE, RACING, BARE, CLOSED }
-
-    enum Input { ARRIVED, SEEN, AGAIN, NOWHERE, TURN, WAITED, PLACED, COPY_DUE, COPY_SEEN, ENDED, WON, LEFT }
-
-    private static final Table<State, Input, Decide, Query> TABLE =
-            new Table<State, Input, Decide, Query>(State.class, Input.class)
-            .row(State.FRESH, Input.ARRIVED, State.LOOKING, Decide::look)
-            .row(State.LOOKING, Input.SEEN, State.ALONE, Decide::sendFirst)
-            .row(State.LOOKING, Input.LEFT, State.CLOSED)
-            .row(State.ALONE, Input.AGAIN, State.LOOKING, Decide::look)
-            .row(State.ALONE, Input.NOWHERE, State.HELD, Decide::hold)
-            .row(State.ALONE, Input.COPY_DUE, State.ALONE, Decide::look)
-            .row(State.ALONE, Input.COPY_SEEN, State.RACING, Decide::sendAnother)
-            .row(State.ALONE, Input.ENDED, State.BARE, Decide::look)
-            .row(State.ALONE, Input.WON, State.CLOSED, Decide::callOffRest)
-            .row(State.ALONE, Input.LEFT, State.CLOSED, Decide::callOffRest)
-            .row(State.RACING, Input.NOWHERE, State.ALONE)
-            .row(State.RACING, Input.ENDED, State.ALONE)
-            .row(State.RACING, Input.WON, State.CLOSED, Decide::callOffRest)
-            .row(State.RACING, Input.LEFT, State.CLOSED, Decide::callOffRest)
-            .row(State.BARE, Input.SEEN, State.BARE, Decide::sendAnother)
-            .row(State.BARE, Input.LEFT, State.CLOSED)
-            .row(State.BARE, Input.PLACED, State.ALONE)
-            .row(State.BARE, Input.NOWHERE, State.CLOSED, Decide::giveUp)
-            .row(State.HELD, Input.TURN, State.LOOKING, Decide::look)
-            .row(State.HELD, Input.WAITED, State.CLOSED, Decide::giveUp)
-            .row(State.HELD, Input.LEFT, State.CLOSED);
+    private static final Table<RequestState, RequestInput, Decide, Query> TABLE =
+            new Table<RequestState, RequestInput, Decide, Query>(RequestState.class, RequestInput.class)
+            .row(RequestState.FRESH, RequestInput.ARRIVED, RequestState.LOOKING, Decide::look)
+            .row(RequestState.LOOKING, RequestInput.SEEN, RequestState.ALONE, Decide::sendFirst)
+            .row(RequestState.LOOKING, RequestInput.LEFT, RequestState.CLOSED)
+            .row(RequestState.ALONE, RequestInput.AGAIN, RequestState.LOOKING, Decide::look)
+            .row(RequestState.ALONE, RequestInput.NOWHERE, RequestState.HELD, Decide::hold)
+            .row(RequestState.ALONE, RequestInput.COPY_DUE, RequestState.ALONE, Decide::look)
+            .row(RequestState.ALONE, RequestInput.COPY_SEEN, RequestState.RACING, Decide::sendAnother)
+            .row(RequestState.ALONE, RequestInput.ENDED, RequestState.BARE, Decide::look)
+            .row(RequestState.ALONE, RequestInput.WON, RequestState.CLOSED, Decide::callOffRest)
+            .row(RequestState.ALONE, RequestInput.LEFT, RequestState.CLOSED, Decide::callOffRest)
+            .row(RequestState.RACING, RequestInput.NOWHERE, RequestState.ALONE)
+            .row(RequestState.RACING, RequestInput.ENDED, RequestState.ALONE)
+            .row(RequestState.RACING, RequestInput.WON, RequestState.CLOSED, Decide::callOffRest)
+            .row(RequestState.RACING, RequestInput.LEFT, RequestState.CLOSED, Decide::callOffRest)
+            .row(RequestState.BARE, RequestInput.SEEN, RequestState.BARE, Decide::sendAnother)
+            .row(RequestState.BARE, RequestInput.LEFT, RequestState.CLOSED)
+            .row(RequestState.BARE, RequestInput.PLACED, RequestState.ALONE)
+            .row(RequestState.BARE, RequestInput.NOWHERE, RequestState.CLOSED, Decide::giveUp)
+            .row(RequestState.HELD, RequestInput.TURN, RequestState.LOOKING, Decide::look)
+            .row(RequestState.HELD, RequestInput.WAITED, RequestState.CLOSED, Decide::giveUp)
+            .row(RequestState.HELD, RequestInput.LEFT, RequestState.CLOSED);
 
     /** A query is kept until its last execution has ended: a late outcome still tells of the upstream. */
-    private void step(Query q, Input input) {
+    private void step(Query q, RequestInput input) {
         TABLE.step(this, q, input);
-        if (q.state() == State.CLOSED && !q.anyOut()) {
+        if (q.state() == RequestState.CLOSED && !q.anyOut()) {
             queries.remove(q.asked.id());
         }
     }
@@ -77,13 +100,12 @@
     private final List<Upstream> roster = new ArrayList<>();
     private final Set<UpstreamId> banned = new HashSet<>();
     private final List<Query> held = new ArrayList<>();
-    private final Dues<Query, Input> dues = new Dues<>();
+    private final Dues<Query, RequestInput> dues = new Dues<>();
     private final Shares shares;
     private final Health health;
-    private final TotalLimit total = new TotalLimit();
-    private double alarmAt = Double.POSITIVE_INFINITY;
-    private double askListAt = Double.POSITIVE_INFINITY;
-    private int listFailures;
+    private final AdaptiveLimit total = new AdaptiveLimit();
+    private final Alarm alarm = new Alarm();
+    private final ListSchedule listSchedule;
     private double now;
     private double askedAt;
 
@@ -91,6 +113,7 @@
         this.out = out;
         this.of = of;
         this.chance = new SplittableRandom(seed);
+        this.listSchedule = new ListSchedule(of.list());
         this.site = of.site();
         this.seen = site.looks() || site.shares() && !site.byLot();
         this.shares = new Shares(of.tenants(), TENANT_SAMPLES);
@@ -102,7 +125,7 @@
         now = time;
         part = site.shares() ? new Part(out, site, now) : null;
         Optional.ofNullable(part).ifPresent(p -> p.listed(roster, now));
-        askListAt = of.list().onRequest() ? now : askListAt;
+        listSchedule.start(now);
         alarm(now);
     }
 
@@ -112,7 +135,7 @@
         Query q = new Query(asked, of.offerings().get(asked.offering().value()), time);
         queries.put(asked.id(), q);
         shares.count(TenantId.number(asked.tenant()));
-        step(q, Input.ARRIVED);
+        step(q, RequestInput.ARRIVED);
         armAlarm();
     }
 
@@ -179,11 +202,11 @@
         }
         shareEnd(q, e);
         forgetGone();
-        if (ended && q.state() != State.CLOSED) {
+        if (ended && q.state() != RequestState.CLOSED) {
             q.winner = e;
-            step(q, outcome == Outcome.HANDLED ? Input.WON : Input.LEFT);
+            step(q, outcome == Outcome.HANDLED ? RequestInput.WON : RequestInput.LEFT);
         } else {
-            step(q, Input.ENDED);
+            step(q, RequestInput.ENDED);
         }
         placeHeld();
         armAlarm();
@@ -191,23 +214,22 @@
 
     /** Whether one that came now would find room under the limit over all, with nobody held before it. */
     public boolean hasRoom(double time) {
-        return held.stream().noneMatch(q -> q.state() == State.HELD) && room();
+        return held.stream().noneMatch(q -> q.state() == RequestState.HELD) && room();
     }
 
     public void left(double time, QueryId id) {
         now = time;
-        Optional.ofNullable(queries.get(id)).ifPresent(q -> step(q, Input.LEFT));
+        Optional.ofNullable(queries.get(id)).ifPresent(q -> step(q, RequestInput.LEFT));
         armAlarm();
     }
 
     public void alarm(double time) {
         now = time;
-        alarmAt = now >= alarmAt ? Double.POSITIVE_INFINITY : alarmAt;
-        for (Dues.Due<Query, Input> due = dues.next(now); due != null; due = dues.next(now)) {
+        alarm.rang(now);
+        for (Dues.Due<Query, RequestInput> due = dues.next(now); due != null; due = dues.next(now)) {
             step(due.subject(), due.input());
         }
-        if (now >= askListAt) {
-            askListAt = Double.POSITIVE_INFINITY;
+        if (listSchedule.takeDue(now)) {
             out.watchList();
         }
         Optional.ofNullable(part).ifPresent(p -> p.turn(now));
@@ -218,13 +240,12 @@
     public void list(double time, ListNews news, List<Listed> rows) {
         now = time;
         if (news == ListNews.FAILED) {
-            askListAt = now + of.list().backOff(listFailures++, chance.nextDouble());
+            listSchedule.failed(now, chance.nextDouble());
             armAlarm();
             return;
         }
         if (news != ListNews.REMEMBERED) {
-            listFailures = 0;
-            askListAt = Double.POSITIVE_INFINITY;
+            listSchedule.answered();
         }
         if (news != ListNews.CHANGES) {
             roster.forEach(u -> u.ready = !(u.gone = true));
@@ -287,42 +308,42 @@
         }
     }
 
-    private Input sendFirst(Query q) {
+    private RequestInput sendFirst(Query q) {
         Upstream u = pick(q, true);
         boolean lookAgain = site.looks() && q.looks < MOST_LOOKS && !q.asked.again();
         if (u == null || lookAgain && load(u) >= 1) {
-            return lookAgain ? Input.AGAIN : Input.NOWHERE;
+            return lookAgain ? RequestInput.AGAIN : RequestInput.NOWHERE;
         }
         double threshold = Math.min(LONGEST_THRESHOLD, (q.asked.cutOffAt() - q.arrivedAt) / 2);
         threshold = seen ? Math.min(threshold, q.offering.targetTime() * COPY_SHARE) : threshold;
         send(q, u);
         if (q.offering.repeats() != Offering.Repeats.AT_MOST_ONCE && of.permits().copies()) {
-            dues.add(now + threshold, q, Input.COPY_DUE);
+            dues.add(now + threshold, q, RequestInput.COPY_DUE);
         }
         return null;
     }
 
     /** A query that no upstream may take now waits a while: cold ones take little, the list is late. */
-    private Input hold(Query q) {
+    private RequestInput hold(Query q) {
         double budget = Math.min(q.offering.targetTime(), q.asked.cutOffAt() - q.arrivedAt);
         double until = q.arrivedAt + budget * LONGEST_WAIT_SHARE;
         if (!banned.isEmpty() && roster.stream().allMatch(u -> banned.contains(u.id))) {
-            return Input.WAITED;
+            return RequestInput.WAITED;
         } else if (site.looks()) {
-            dues.add(now + LOOK_EVERY, q, Input.TURN);
-            return now + LOOK_EVERY < until && !q.asked.again() ? null : Input.WAITED;
+            dues.add(now + LOOK_EVERY, q, RequestInput.TURN);
+            return now + LOOK_EVERY < until && !q.asked.again() ? null : RequestInput.WAITED;
         } else if (!held.contains(q)) {
             held.add(q);
-            dues.add(until, q, Input.WAITED);
+            dues.add(until, q, RequestInput.WAITED);
         }
         return null;
     }
 
     /** Where upstreams tell their load to probes alone, a few are asked; the first idle one ends the wait. */
-    private Input look(Query q) {
-        q.then = q.state() == State.ALONE ? Input.COPY_SEEN : Input.SEEN;
+    private RequestInput look(Query q) {
+        q.then = q.state() == RequestState.ALONE ? RequestInput.COPY_SEEN : RequestInput.SEEN;
         q.looks = q.executions.isEmpty() ? q.looks + 1 : MOST_LOOKS;
-        boolean copied = q.state() == State.ALONE && q.executions.size() > 1;
+        boolean copied = q.state() == RequestState.ALONE && q.executions.size() > 1;
         if (!site.looks() || now + LOOK_WAIT >= q.asked.cutOffAt() || copied) {
             return q.then;
         }
@@ -344,23 +365,23 @@
     }
 
     /** A copy, or a further one at once where nothing is out any more, while budget and rules allow. */
-    private Input sendAnother(Query q) {
+    private RequestInput sendAnother(Query q) {
         // When the whole fleet is slow a copy only doubles the load.
-        boolean slow = !seen && total.late.mean(0) > TotalLimit.LATE_HIGH;
+        boolean slow = !seen && total.overloaded();
         boolean useless = q.anyOut() && (q.executions.size() > 1 || slow);
         Upstream u = useless ? null : pick(q, false);
         Optional.ofNullable(u).ifPresent(to -> send(q, to));
-        return u == null ? Input.NOWHERE : Input.PLACED;
+        return u == null ? RequestInput.NOWHERE : RequestInput.PLACED;
     }
 
-    private Input callOffRest(Query q) {
+    private RequestInput callOffRest(Query q) {
         q.executions.stream().filter(e -> e.outcome == null && e != q.winner && of.permits().cancel())
                 .forEach(e -> out.callOff(q.asked.id(), q.executions.indexOf(e)));
         return null;
     }
 
     /** Answered at once: a client that is told early can still be served elsewhere or come back later. */
-    private Input giveUp(Query q) {
+    private RequestInput giveUp(Query q) {
         Offering o = q.offering;
         boolean anywhere = o.repeats() == Offering.Repeats.NUMBERED && o.group() == Offering.Group.ALL;
         if (o.repeats() == Offering.Repeats.REISSUABLE || anywhere || q.firstThatMayHaveRun() == null) {
@@ -499,7 +520,7 @@
     /** It answered no probe just now, or none of those who share it for long. */
     private boolean blind(Upstream u) {
         return part == null ? now > u.reportedAt + 2 * LOOK_WAIT
-                : u.told.silence(now) > SILENT || u.restedOut > 0 && part.dropping(now);
+                : u.told.silence(now) > SILENT || u.restedOut > 0 && part.drops.dropping(now);
     }
 
     /** How long a query takes there, with those before it, as a multiple of the usual time alone. */
@@ -520,7 +541,7 @@
         u.trialOut |= trial;
         u.owed = false;
         double rested = part != null && seen && u.inFlight == 0 && u.answeredAt > 0 ? now - u.answeredAt : 0;
-        if (rested > 0 && part.tooOld(rested, now)) {
+        if (rested > 0 && part.drops.tooOld(rested, now)) {
             out.letGo(u.id);
             rested = 0;
         }
@@ -533,7 +554,9 @@
             u.told.begun(site.me(), now);
             part.tell(Gossip.Word.BEGUN, u, TenantId.number(q.asked.tenant()), 0);
         }
-        total.inFlight += q.asked.once() ? 0 : 1;
+        if (!q.asked.once()) {
+            total.began();
+        }
         cold.sent(u, now);
         out.send(q.asked.id(), u.id);
     }
@@ -566,11 +589,11 @@
 
     /** What a full fleet can take goes to the query that earns most for its work, not to the oldest. */
     private void placeHeld() {
-        held.removeIf(q -> q.state() != State.HELD);
+        held.removeIf(q -> q.state() != RequestState.HELD);
         while (!held.isEmpty() && (seen || room())) {
             Query best = held.stream().reduce((a, b) -> value(b) > value(a) ? b : a).orElseThrow();
-            step(best, Input.TURN);
-            if (best.state() == State.HELD) {
+            step(best, RequestInput.TURN);
+            if (best.state() == RequestState.HELD) {
                 return;
             }
             held.remove(best);
@@ -583,11 +606,7 @@
     }
 
     private void armAlarm() {
-        double next = Math.min(askListAt, dues.nextAt(q -> q.state() != State.CLOSED));
-        next = part == null ? next : Math.min(next, part.nextAt());
-        if (next < alarmAt) {
-            alarmAt = next;
-            out.alarmAt(next);
-        }
+        double next = Math.min(listSchedule.nextAt(), dues.nextAt(q -> q.state() != RequestState.CLOSED));
+        alarm.arm(part == null ? next : Math.min(next, part.nextAt()), out::alarmAt);
     }
 }
--- a/core/src/main/java/portrelay/policy/Health.java
+++ b/core/src/main/java/portrelay/policy/Health.java
@@ -1,7 +1,12 @@
 package portrelay.policy;
 
-import java.util.*;
-import portrelay.model.*;
+import portrelay.model.AdaptiveLimit;
+import portrelay.model.Offering;
+import portrelay.model.Outcome;
+import portrelay.model.RequestState;
+import portrelay.model.Samples;
+import portrelay.model.SequentialTest;
+import portrelay.model.UsualTimes;
 
 /** What outcomes tell of upstreams: the win counter, the sequential test and the pace. */
 final class Health {
@@ -15,22 +20,21 @@
     private static final double LATE_SHARE = 0.45;
     private static final int ALL_TOOK = 128;
     private static final double FEW_TOOK = 2;
-    private final List<Samples> times = new ArrayList<>();
+    private static final SequentialTest TEST = new SequentialTest(Upstream.EVIDENCE, LEAST_BAD, MOST_BAD);
+    private final UsualTimes times;
     private final Samples bads = new Samples(SAMPLES);
     private final Samples allTook = new Samples(ALL_TOOK);
 
     Health(int offerings) {
-        for (int i = 0; i < offerings; i++) {
-            times.add(new Samples(SAMPLES));
-        }
+        times = new UsualTimes(offerings);
     }
 
     /** Seconds that a handled query of the offering takes; the prior counts as one sample. */
     double usualTime(Offering offering, double prior) {
-        return times.get(offering.id().value()).mean(Double.NEGATIVE_INFINITY, 1, prior);
+        return times.mean(offering.id(), 1, prior);
     }
 
-    void judge(double now, Query q, Query.Execution e, TotalLimit total, boolean warm) {
+    void judge(double now, Query q, Query.Execution e, AdaptiveLimit total, boolean warm) {
         Upstream at = e.as.at();
         double spent = now - e.as.sentAt();
         boolean handled = e.outcome == Outcome.HANDLED;
@@ -57,7 +61,7 @@
         Query.Execution primary = q.executions.get(0);
         if (handled && e == primary) {
             at.copyWins = 0;
-        } else if (handled && q.state() == Decide.State.RACING && primary.outcome == null) {
+        } else if (handled && q.state() == RequestState.RACING && primary.outcome == null) {
             Upstream first = primary.as.at();
             first.copyWins++;
             first.passedUntil = first.passedOver() ? now + PASS_OVER : first.passedUntil;
@@ -69,22 +73,18 @@
      * little traffic, whose win counter is cleared by each answer between two bad ones.
      */
     void weigh(double now, Upstream u, boolean isBad) {
-        double usual = Math.min(MOST_BAD, Math.max(LEAST_BAD, bads.mean(0)));
-        double sick = (9 + usual) / 10;
         boolean before = u.passedOver();
-        u.evidence += isBad ? Math.log(sick / usual) : Math.log((1 - sick) / (1 - usual));
-        u.evidence = Math.max(0, Math.min(u.evidence, Upstream.EVIDENCE));
+        u.evidence = TEST.after(u.evidence, bads.mean(0), isBad);
         bads.add(now, isBad ? 1 : 0);
         u.passedUntil = !before && u.passedOver() ? now + PASS_OVER : u.passedUntil;
     }
 
     /** How long an upstream takes against others; a loser's time counts as far as it got. */
     private void samplePace(double now, Query q, Query.Execution e) {
-        Samples usual = times.get(q.asked.offering().value());
         double spent = now - e.as.sentAt();
-        double mean = e.as.expected() * usual.mean(Double.NEGATIVE_INFINITY, 0, spent / e.as.expected());
+        double mean = e.as.expected() * times.mean(q.asked.offering(), 0, spent / e.as.expected());
         if (e.outcome == Outcome.HANDLED) {
-            usual.add(now, spent / e.as.expected());
+            times.add(q.asked.offering(), now, spent / e.as.expected());
         }
         if (mean > 0 && (e.outcome == Outcome.HANDLED || !e.outcome.neverRan && spent > mean)) {
             e.as.at().paces.add(now, Math.min(spent / mean, PACE_MOST));
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -1,9 +1,15 @@
 package portrelay.policy;
 
-import java.util.*;
-import java.util.stream.IntStream;
-import portrelay.gossip.*;
-import portrelay.model.*;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import portrelay.gossip.Gossip;
+import portrelay.gossip.Homes;
+import portrelay.gossip.Rendezvous;
+import portrelay.model.DroppedConnections;
+import portrelay.model.Effects;
+import portrelay.model.Site;
 
 /**
  * The part of the roster that this sidecar keeps to. Those that share upstreams tell each other of
@@ -17,19 +23,12 @@
     private static final double LAY_AFTER = 0.05;
     private static final double LAY_EVERY = 1;
     static final double DEAF = 0.5;
-    private static final int LOST_SAMPLES = 8;
-    private static final double DROPPED_FOR = 20;
-    private static final double AGE_SPARE = 0.95;
-    private static final double TOLD_EVERY = 1;
     final Gossip gossip;
     private final Site site;
     List<Upstream> upstreams = List.of();
     Set<Upstream> ours = Set.of();
     private List<Upstream> ready = List.of();
-    /** How long those connections had rested that lost a query. */
-    private final Samples lost = new Samples(LOST_SAMPLES);
-    private double lostUntil = Double.NEGATIVE_INFINITY;
-    private double lostToldAt = Double.NEGATIVE_INFINITY;
+    final DroppedConnections drops = new DroppedConnections();
     private double sized;
     private double layAt;
     private boolean laidBlind;
@@ -47,9 +46,7 @@
     private List<Integer> sharers(Upstream u) {
         if (u.sharers == null) {
             int most = Math.max(MOST_SHARERS, LEAST_OWN * site.sidecars() / Math.max(1, ready.size()));
-            u.sharers = IntStream.range(0, site.sidecars()).boxed()
-                    .sorted(Comparator.comparingDouble(i -> Gossip.lot(Long.hashCode(u.id.value()) + i)))
-                    .limit(most).toList();
+            u.sharers = Rendezvous.choose(Long.hashCode(u.id.value()), site.sidecars(), most);
         }
         return u.sharers;
     }
@@ -117,27 +114,12 @@
         return upstreams.stream().mapToDouble(u -> u.size).sum();
     }
 
-    /** Whether connections are being dropped unseen these days. */
-    boolean dropping(double now) {
-        return now < lostUntil;
-    }
-
-    /** Whether a connection that rested so long is better not used. */
-    boolean tooOld(double rested, double now) {
-        return dropping(now) && rested > lost.secondLeast() * AGE_SPARE;
-    }
-
-    /** One was lost after so long a rest. A single odd one sets no age: until two are known all are told. */
+    /** A connection was lost after so long a rest, here or at a peer. */
     void lost(double rested, double now, boolean ours) {
-        boolean few = !dropping(now) || lost.kept() < 2;
-        if (ours && (few || rested < lost.secondLeast() || now > lostToldAt + TOLD_EVERY)) {
-            lostToldAt = now;
+        boolean few = drops.few(now);
+        if (ours && drops.takeTelling(rested, now)) {
             gossip.tellLost(rested, few);
         }
-        if (!dropping(now)) {
-            lost.clear();
-        }
-        lost.add(rested);
-        lostUntil = now + DROPPED_FOR;
+        drops.lost(rested, now);
     }
 }
--- a/core/src/main/java/portrelay/policy/Query.java
+++ b/core/src/main/java/portrelay/policy/Query.java
@@ -1,17 +1,26 @@
 package portrelay.policy;
 
-import java.util.*;
-import portrelay.model.*;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import portrelay.model.Asked;
+import portrelay.model.Listed;
+import portrelay.model.Offering;
+import portrelay.model.Outcome;
+import portrelay.model.RequestInput;
+import portrelay.model.RequestState;
+import portrelay.model.Table;
 
 /** A query that has not been forgotten: what was asked, what was sent, what state it is in. */
-final class Query extends Table.Subject<Decide.State> {
+final class Query extends Table.Subject<RequestState> {
     final Asked asked;
     final Offering offering;
     final double arrivedAt;
     final List<Execution> executions = new ArrayList<>(2);
     /** Upstreams that were asked for their load on its behalf, and what to do when they have told. */
     final Set<Upstream> sought = new HashSet<>();
-    Decide.Input then;
+    RequestInput then;
     int looks;
     Execution winner;
 
@@ -37,7 +46,7 @@
     }
 
     Query(Asked asked, Offering offering, double arrivedAt) {
-        super(Decide.State.FRESH);
+        super(RequestState.FRESH);
         this.asked = asked;
         this.offering = offering;
         this.arrivedAt = arrivedAt;
--- a/core/src/main/java/portrelay/policy/Upstream.java
+++ b/core/src/main/java/portrelay/policy/Upstream.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 import portrelay.gossip.Ledger;
-import portrelay.model.*;
+import portrelay.model.Listed;
+import portrelay.model.LiveWeight;
+import portrelay.model.Samples;
+import portrelay.model.UpstreamId;
 
 /** What is known of one upstream. */
 final class Upstream {
