--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # portrelay: the usual tasks. Java 17 and Maven are all they need.
 
-.PHONY: build test lint run toy regression
+.PHONY: build test format lint run toy regression
 
 build:
 	mvn -q -B -DskipTests package
@@ -8,6 +8,10 @@
 test:
 	mvn -B verify
 
+# Formats all Java code as the build wants it; `mvn verify` fails on a file that is not, and names it.
+format:
+	mvn -q -B spotless:apply
+
 # The compiler's warnings count as errors here.
 lint:
 	mvn -q -B -DskipTests -Dmaven.compiler.failOnWarning=true clean compile
--- a/core/src/main/java/portrelay/door/Caller.java
+++ b/core/src/main/java/portrelay/door/Caller.java
@@ -5,12 +5,20 @@
 import portrelay.model.TenantId;
 
 /**
- * A query that asks to be let in. Weight is its flow's part of what there is to share, work what it is
- * expected to take of that, both over 0 and in units of the caller's choice. UsefulUntil is the time in
- * seconds after which waiting is of no more use to it. Tenant may be null.
+ * A query that asks to be let in. Weight is its flow's part of what there is to share, work what it is expected to take
+ * of that, both over 0 and in units of the caller's choice. UsefulUntil is the time in seconds after which waiting is
+ * of no more use to it. Tenant may be null.
  */
-public record Caller(QueryId id, FlowId flow, TenantId tenant, OfferingId offering,
-        double weight, double work, int bytes, double usefulUntil, boolean again) {
+public record Caller(
+        QueryId id,
+        FlowId flow,
+        TenantId tenant,
+        OfferingId offering,
+        double weight,
+        double work,
+        int bytes,
+        double usefulUntil,
+        boolean again) {
 
     public Caller {
         if (!(weight > 0) || !(work > 0)) {
--- a/core/src/main/java/portrelay/door/Door.java
+++ b/core/src/main/java/portrelay/door/Door.java
@@ -14,22 +14,34 @@
 import portrelay.model.TenantId;
 
 /**
- * Who gets in, in what order, and when to come back. Stands before the module: what it lets in the module
- * decides on, what it turns away was never sent anywhere. Promises each query one of the two, the second at
- * once when its wait would outlast its use; fair shares to flows ({@link FairQueue}); times to come back that
- * hold ({@link Returns}); and memory within {@link DoorSettings#bound}. Never waits, has no clock: a front
- * calls its events in the order in which things happen, each with the time in seconds, and carries out its
- * effects.
+ * Who gets in, in what order, and when to come back. Stands before the module: what it lets in the module decides on,
+ * what it turns away was never sent anywhere. Promises each query one of the two, the second at once when its wait
+ * would outlast its use; fair shares to flows ({@link FairQueue}); times to come back that hold ({@link Returns}); and
+ * memory within {@link DoorSettings#bound}. Never waits, has no clock: a front calls its events in the order in which
+ * things happen, each with the time in seconds, and carries out its effects.
  */
 public final class Door {
 
     /** NEW has come in this moment; WAITING is in the queue; INSIDE is the module's; OVER is forgotten. */
-    enum State { NEW, WAITING, INSIDE, OVER }
+    enum State {
+        NEW,
+        WAITING,
+        INSIDE,
+        OVER
+    }
 
-    enum Input { ARRIVED, HOPELESS, TURN, WAITED, CROWDED_OUT, LEFT, ANSWERED }
+    enum Input {
+        ARRIVED,
+        HOPELESS,
+        TURN,
+        WAITED,
+        CROWDED_OUT,
+        LEFT,
+        ANSWERED
+    }
 
-    private static final Table<State, Input, Door, Query> TABLE =
-            new Table<State, Input, Door, Query>(State.class, Input.class)
+    private static final Table<State, Input, Door, Query> TABLE = new Table<State, Input, Door, Query>(
+                    State.class, Input.class)
             .row(State.NEW, Input.ARRIVED, State.WAITING, Door::join)
             .row(State.WAITING, Input.HOPELESS, State.OVER, Door::turnAway)
             .row(State.WAITING, Input.CROWDED_OUT, State.OVER, Door::turnAway)
@@ -55,6 +67,7 @@
 
     /** As many let-ins tell how fast the queue moves; fewer than the least tell nothing. */
     private static final int RATE_SAMPLES = 32;
+
     private static final int RATE_LEAST = 8;
     private static final int TIME_SAMPLES = 64;
     private static final double UNKNOWN_TIME = 0.1;
@@ -147,9 +160,7 @@
         return q != null && q.state() == State.WAITING;
     }
 
-    /**
-     * Seconds that the module usually takes for one: the work that a caller of the offering is booked with.
-     */
+    /** Seconds that the module usually takes for one: the work that a caller of the offering is booked with. */
     public double usualWork(OfferingId offering) {
         Samples seen = times.get(offering);
         return Math.max(1e-6, seen == null ? UNKNOWN_TIME : seen.mean(UNKNOWN_TIME));
@@ -244,7 +255,8 @@
     private Input giveBack(Query q) {
         inside--;
         queries.remove(q.caller.id());
-        times.computeIfAbsent(q.caller.offering(), k -> new Samples(TIME_SAMPLES)).add(now - q.letInAt);
+        times.computeIfAbsent(q.caller.offering(), k -> new Samples(TIME_SAMPLES))
+                .add(now - q.letInAt);
         return null;
     }
 
--- a/core/src/main/java/portrelay/door/DoorSettings.java
+++ b/core/src/main/java/portrelay/door/DoorSettings.java
@@ -4,35 +4,58 @@
 import portrelay.settings.Fields;
 
 /**
- * The door, as the section {@code door} of a configuration sets it. MostInside is how many queries may be let
- * in and unanswered at once, 0 for no bound; a query waits for at most waitShare of its budget. Without a
- * bound and without following the module no query ever waits here.
+ * The door, as the section {@code door} of a configuration sets it. MostInside is how many queries may be let in and
+ * unanswered at once, 0 for no bound; a query waits for at most waitShare of its budget. Without a bound and without
+ * following the module no query ever waits here.
  */
-public record DoorSettings(FlowsBy flowsBy, int mostInside, boolean followModule, int mostWaiting,
-        long mostBytes, int mostFlows, double waitShare, double tellEvery, RoomSettings room) {
+public record DoorSettings(
+        FlowsBy flowsBy,
+        int mostInside,
+        boolean followModule,
+        int mostWaiting,
+        long mostBytes,
+        int mostFlows,
+        double waitShare,
+        double tellEvery,
+        RoomSettings room) {
 
     /** Who shares a queue. */
-    public enum FlowsBy { TENANT, CLIENT, BOTH }
+    public enum FlowsBy {
+        TENANT,
+        CLIENT,
+        BOTH
+    }
 
     /** What the settings mean where they say nothing. */
-    public static final DoorSettings USUAL = new DoorSettings(FlowsBy.TENANT, 0, false, 1024, 4 << 20, 256,
-            0.25, 10, RoomSettings.USUAL);
+    public static final DoorSettings USUAL =
+            new DoorSettings(FlowsBy.TENANT, 0, false, 1024, 4 << 20, 256, 0.25, 10, RoomSettings.USUAL);
 
     /** Bytes that an entry and a flow take besides the query's own: estimated from their fields. */
     private static final int EACH_QUERY = 400;
+
     private static final int EACH_FLOW = 600;
 
     /** The whole section; whatever is wrong in it is named with its place. */
     public static DoorSettings read(Fields f) throws BadSetting {
-        f.only("flows-by", "most-inside", "follow-module", "most-waiting", "most-waiting-kib", "most-flows",
-                "wait-share", "tell-every-s", "connections");
+        f.only(
+                "flows-by",
+                "most-inside",
+                "follow-module",
+                "most-waiting",
+                "most-waiting-kib",
+                "most-flows",
+                "wait-share",
+                "tell-every-s",
+                "connections");
         FlowsBy by = switch (f.text("flows-by", "tenant")) {
             case "tenant" -> FlowsBy.TENANT;
             case "client" -> FlowsBy.CLIENT;
             case "both" -> FlowsBy.BOTH;
             default -> throw f.bad("flows-by", "tenant, client or both");
         };
-        return new DoorSettings(by, f.whole("most-inside", USUAL.mostInside, 0, 1_000_000),
+        return new DoorSettings(
+                by,
+                f.whole("most-inside", USUAL.mostInside, 0, 1_000_000),
                 f.has("follow-module") ? f.truth("follow-module") : USUAL.followModule,
                 f.whole("most-waiting", USUAL.mostWaiting, 1, 1_000_000),
                 f.whole("most-waiting-kib", (int) (USUAL.mostBytes >> 10), 1, 1 << 20) * 1024L,
--- a/core/src/main/java/portrelay/door/FairQueue.java
+++ b/core/src/main/java/portrelay/door/FairQueue.java
@@ -11,11 +11,11 @@
 import portrelay.model.QueryId;
 
 /**
- * Worst-case fair weighted fair queueing (Bennett and Zhang, WF2Q, 1996). Promises that what each flow was
- * let in for never differs by more than one query's work from what a fluid would have given it, which divides
- * each unit of work among the flows that have some left by their weights; and that no more queries, bytes and
- * flows are kept than the bounds say. Time plays no part: the only clock is the work that was let in. Each
- * call takes time in the logarithm of the flows.
+ * Worst-case fair weighted fair queueing (Bennett and Zhang, WF2Q, 1996). Promises that what each flow was let in for
+ * never differs by more than one query's work from what a fluid would have given it, which divides each unit of work
+ * among the flows that have some left by their weights; and that no more queries, bytes and flows are kept than the
+ * bounds say. Time plays no part: the only clock is the work that was let in. Each call takes time in the logarithm of
+ * the flows.
  */
 final class FairQueue {
 
@@ -28,14 +28,17 @@
         final long order;
         /** By their turns; those that come back as they were told stand before all others. */
         final TreeMap<Long, Entry> waiting = new TreeMap<>();
+
         double work;
         /** Virtual time at which the fluid has done the flow's last query that was let in. */
         double done = Double.NEGATIVE_INFINITY;
         /** Virtual times at which the fluid begins and ends the first one that waits. */
         double start;
+
         double finish;
         /** Virtual time at which the fluid has done all that came. */
         double last = Double.NEGATIVE_INFINITY;
+
         boolean inFluid;
 
         Flow(FlowId id, double weight, long order) {
@@ -45,7 +48,7 @@
         }
     }
 
-    private record Entry(Caller caller, Flow flow, double cameAt, long turn) { }
+    private record Entry(Caller caller, Flow flow, double cameAt, long turn) {}
 
     private static Comparator<Flow> by(ToDoubleFunction<Flow> tag) {
         return Comparator.comparingDouble(tag).thenComparingLong(f -> f.order);
@@ -58,13 +61,16 @@
     private final Map<QueryId, Entry> entries = new HashMap<>();
     /** Waiting flows whose first query the fluid has begun, by its end; and the others, by its begin. */
     private final TreeSet<Flow> eligible = new TreeSet<>(by(f -> f.finish));
+
     private final TreeSet<Flow> early = new TreeSet<>(by(f -> f.start));
     /** Flows that the fluid still has work of, the one that it will be done with first at the front. */
     private final TreeSet<Flow> fluid = new TreeSet<>(by(f -> f.last));
+
     private final TreeSet<Flow> backlogs = new TreeSet<>(by(f -> f.work / f.weight));
     private double virtual;
     /** Of the flows in the fluid, and of those where queries wait. */
     private double weights;
+
     private double waitingWeights;
     private long bytes;
     private long order;
@@ -102,9 +108,8 @@
     }
 
     /**
-     * Takes a query in, at the end of its flow or, where it comes back as it was told, at the front. Returns
-     * those that had to go for it: of the flow that keeps most waiting for its weight the last, perhaps the
-     * new one.
+     * Takes a query in, at the end of its flow or, where it comes back as it was told, at the front. Returns those that
+     * had to go for it: of the flow that keeps most waiting for its weight the last, perhaps the new one.
      */
     List<Caller> add(Caller caller, boolean front) {
         FlowId slot = slot(caller.flow());
@@ -122,7 +127,8 @@
         bytes += caller.bytes();
         List<Caller> gone = new ArrayList<>();
         while (entries.size() > mostQueries || bytes > mostBytes) {
-            gone.add(remove(backlogs.last().waiting.lastEntry().getValue().caller.id()));
+            gone.add(
+                    remove(backlogs.last().waiting.lastEntry().getValue().caller.id()));
         }
         return gone;
     }
--- a/core/src/main/java/portrelay/door/Regulars.java
+++ b/core/src/main/java/portrelay/door/Regulars.java
@@ -4,10 +4,10 @@
 import java.util.Map;
 
 /**
- * Who has been here before. Promises that a flood of names never seen, however many, takes no more of the
- * door than one flow's part from those who come again and again: strangers share a few flows that together
- * weigh as much as one. A stranger that is let in and comes again a while later is a regular from then on;
- * both tables forget the one that came longest ago, and neither can push out the other's.
+ * Who has been here before. Promises that a flood of names never seen, however many, takes no more of the door than one
+ * flow's part from those who come again and again: strangers share a few flows that together weigh as much as one. A
+ * stranger that is let in and comes again a while later is a regular from then on; both tables forget the one that came
+ * longest ago, and neither can push out the other's.
  */
 final class Regulars {
 
@@ -51,8 +51,16 @@
             return c;
         }
         FlowId among = new FlowId("strangers " + Math.floorMod(c.flow().value().hashCode(), FLOWS));
-        return new Caller(c.id(), among, c.tenant(), c.offering(), c.weight() / FLOWS, c.work(), c.bytes(),
-                c.usefulUntil(), c.again());
+        return new Caller(
+                c.id(),
+                among,
+                c.tenant(),
+                c.offering(),
+                c.weight() / FLOWS,
+                c.work(),
+                c.bytes(),
+                c.usefulUntil(),
+                c.again());
     }
 
     void letIn(double now, FlowId flow) {
--- a/core/src/main/java/portrelay/door/Returns.java
+++ b/core/src/main/java/portrelay/door/Returns.java
@@ -7,15 +7,16 @@
 import java.util.SplittableRandom;
 
 /**
- * Times to come back, and who has one. Promises each flow no more returns than its part of what the door lets
- * in can take, one after another, with chance in between so that no two come in one moment; a query that
- * comes at a time that was given goes before all others of its flow. Never gives a time past the longest that
- * clients observe: then there is none to give that would prove right.
+ * Times to come back, and who has one. Promises each flow no more returns than its part of what the door lets in can
+ * take, one after another, with chance in between so that no two come in one moment; a query that comes at a time that
+ * was given goes before all others of its flow. Never gives a time past the longest that clients observe: then there is
+ * none to give that would prove right.
  */
 final class Returns {
 
     /** A client's clock and way are not ours. */
     private static final double EARLY = 0.005;
+
     private static final double LATE = 0.5;
     private static final double SPREAD = 0.5;
     private static final double FORGET_EVERY = 0.1;
@@ -41,8 +42,8 @@
     }
 
     /**
-     * Seconds from now, 0 for none. Free is when what waits will have been let in, spacing what one query
-     * takes of the flow's part, both in seconds.
+     * Seconds from now, 0 for none. Free is when what waits will have been let in, spacing what one query takes of the
+     * flow's part, both in seconds.
      */
     double give(double now, FlowId flow, double free, double spacing) {
         forget(now);
--- a/core/src/main/java/portrelay/door/Room.java
+++ b/core/src/main/java/portrelay/door/Room.java
@@ -11,30 +11,37 @@
 import java.util.stream.Stream;
 
 /**
- * Who keeps a place among the clients' connections. Promises that a connection with an open query is never
- * ended here, and that there is a place for a newcomer as long as any other connection does less than wait
- * for an answer. Knows no socket: it is told what each connection is at and says which are to end. Times are
- * seconds; the order of worth is ours, docs/design/door.md.
+ * Who keeps a place among the clients' connections. Promises that a connection with an open query is never ended here,
+ * and that there is a place for a newcomer as long as any other connection does less than wait for an answer. Knows no
+ * socket: it is told what each connection is at and says which are to end. Times are seconds; the order of worth is
+ * ours, docs/design/door.md.
  */
 public final class Room {
 
     /**
-     * What a connection is at. SILENT has never said a byte; IDLE has, and has no query open. ASKED waits for
-     * its upstream, for the answer's first byte or for a further one; ANSWERING has bytes that its client has
-     * not read.
+     * What a connection is at. SILENT has never said a byte; IDLE has, and has no query open. ASKED waits for its
+     * upstream, for the answer's first byte or for a further one; ANSWERING has bytes that its client has not read.
      */
-    public enum Phase { SILENT, SENDING, ASKED, ANSWERING, IDLE }
+    public enum Phase {
+        SILENT,
+        SENDING,
+        ASKED,
+        ANSWERING,
+        IDLE
+    }
 
     /** Why a connection ends, for whoever reads the counts. */
-    public enum Cause { TOO_LONG, MADE_WAY, NOT_NEEDED }
+    public enum Cause {
+        TOO_LONG,
+        MADE_WAY,
+        NOT_NEEDED
+    }
 
     /** A connection that is to end now. */
-    public record Ending(ClientId id, Phase phase, Cause cause) { }
+    public record Ending(ClientId id, Phase phase, Cause cause) {}
 
-    /**
-     * Under pressure one of this phase makes way once it is so old, or while its kind holds over the share.
-     */
-    private record Worth(Phase phase, double age, double share) { }
+    /** Under pressure one of this phase makes way once it is so old, or while its kind holds over the share. */
+    private record Worth(Phase phase, double age, double share) {}
 
     private static final double NEVER = Double.POSITIVE_INFINITY;
     private static final double PEAK_OVER = 0.25;
@@ -45,6 +52,7 @@
     private final double idleSpared;
     /** The most that waited for an answer at once, in each of the last few stretches of time. */
     private final int[] peaks = new int[PEAKS];
+
     private long stretch;
 
     /** The least worth first. ASKED has no row. */
@@ -147,7 +155,9 @@
 
     /** Those that have been silent or idle for so long, in seconds. */
     public List<ClientId> quiet(double now, double atLeast) {
-        return in(Phase.SILENT, Phase.IDLE).stream().filter(each -> age(now, each) >= atLeast).toList();
+        return in(Phase.SILENT, Phase.IDLE).stream()
+                .filter(each -> age(now, each) >= atLeast)
+                .toList();
     }
 
     /** One that has been in its phase for too long, whatever room there is; null where there is none. */
@@ -162,21 +172,20 @@
     }
 
     /**
-     * The longest idle one while more rest or wait than were lately wanted at once; null where none does.
-     * Guards those whose clients may hold only so many: what rests with clients that ask once and keep their
-     * connection can't be asked on.
+     * The longest idle one while more rest or wait than were lately wanted at once; null where none does. Guards those
+     * whose clients may hold only so many: what rests with clients that ask once and keep their connection can't be
+     * asked on.
      */
     public Ending notNeeded(double now) {
         double wanted = idlePerAsked * Arrays.stream(peaks).max().orElse(0) - count(Phase.ASKED);
         ClientId eldest = eldest(Phase.IDLE);
         boolean enough = count(Phase.IDLE) <= Math.max(idleLeast, wanted);
-        return enough || eldest == null || age(now, eldest) <= idleSpared ? null
+        return enough || eldest == null || age(now, eldest) <= idleSpared
+                ? null
                 : new Ending(eldest, Phase.IDLE, Cause.NOT_NEEDED);
     }
 
-    /**
-     * The one of least worth while there are more than so many; null where none is to make way, or none may.
-     */
+    /** The one of least worth while there are more than so many; null where none is to make way, or none may. */
     public Ending pressed(double now, int most) {
         if (lines.size() <= most) {
             return null;
--- a/core/src/main/java/portrelay/door/RoomSettings.java
+++ b/core/src/main/java/portrelay/door/RoomSettings.java
@@ -4,19 +4,35 @@
 import portrelay.settings.Fields;
 
 /**
- * What a client's connection may take its time for, in seconds, and the parts of the room that the silent and
- * the sending may hold before they make way for others. As many may be idle as the given least, or as are
- * wanted beside those that wait for an answer to make so many for each that lately waited at once; one that
- * has rested for less than the spared time stays in any case.
+ * What a client's connection may take its time for, in seconds, and the parts of the room that the silent and the
+ * sending may hold before they make way for others. As many may be idle as the given least, or as are wanted beside
+ * those that wait for an answer to make so many for each that lately waited at once; one that has rested for less than
+ * the spared time stays in any case.
  */
-public record RoomSettings(double speakWithin, double sendWithin, double readWithin, double idleMost,
-        double silentShare, double sendingShare, int idleLeast, double idlePerAsked, double idleSpared) {
+public record RoomSettings(
+        double speakWithin,
+        double sendWithin,
+        double readWithin,
+        double idleMost,
+        double silentShare,
+        double sendingShare,
+        int idleLeast,
+        double idlePerAsked,
+        double idleSpared) {
 
     public static final RoomSettings USUAL = new RoomSettings(0.2, 2.5, 2.5, 2.1, 0.25, 0.25, 16, 1.5, 0.1);
 
     static RoomSettings read(Fields f) throws BadSetting {
-        f.only("speak-within-ms", "send-within-ms", "read-within-ms", "idle-most-ms", "silent-share",
-                "sending-share", "idle-least", "idle-per-asked", "idle-spared-ms");
+        f.only(
+                "speak-within-ms",
+                "send-within-ms",
+                "read-within-ms",
+                "idle-most-ms",
+                "silent-share",
+                "sending-share",
+                "idle-least",
+                "idle-per-asked",
+                "idle-spared-ms");
         return new RoomSettings(
                 f.within("speak-within-ms", USUAL.speakWithin * 1e3, 1, 60_000) / 1e3,
                 f.within("send-within-ms", USUAL.sendWithin * 1e3, 1, 60_000) / 1e3,
--- a/core/src/main/java/portrelay/gossip/Gossip.java
+++ b/core/src/main/java/portrelay/gossip/Gossip.java
@@ -9,11 +9,11 @@
 import portrelay.model.UpstreamId;
 
 /**
- * What sidecars say to each other, and who is where: each tells its zone, once to all where nobody knew it
- * and then to one now and then, who answers with all zones that he knows; and those of the same part tell
- * each other each start and end of an execution. Promises the order of the members to be the same at all
- * sidecars that know the same ones. Decides nothing; what is torn, foreign or from nobody changes nothing.
- * Sidecars are charged for each message, so few are sent, and nothing is told to all that can be worked out.
+ * What sidecars say to each other, and who is where: each tells its zone, once to all where nobody knew it and then to
+ * one now and then, who answers with all zones that he knows; and those of the same part tell each other each start and
+ * end of an execution. Promises the order of the members to be the same at all sidecars that know the same ones.
+ * Decides nothing; what is torn, foreign or from nobody changes nothing. Sidecars are charged for each message, so few
+ * are sent, and nothing is told to all that can be worked out.
  */
 public final class Gossip {
 
@@ -21,23 +21,29 @@
     public static final int CODES = 23;
 
     /**
-     * Where each upstream's sharers are drawn by lot everyone else has other upstreams, so they are told apart by
-     * a code of their id, that nobody has to agree on. There are so many, since two of one code harm: what is
-     * said of either is heard of one, so the other one looks idle to all and is filled by all (8,100 codes left
-     * two and a half pairs among 200 upstreams, 729,000 one in 37 times).
+     * Where each upstream's sharers are drawn by lot everyone else has other upstreams, so they are told apart by a
+     * code of their id, that nobody has to agree on. There are so many, since two of one code harm: what is said of
+     * either is heard of one, so the other one looks idle to all and is filled by all (8,100 codes left two and a half
+     * pairs among 200 upstreams, 729,000 one in 37 times).
      */
     public static int codeOf(UpstreamId id) {
         return (int) Math.floorMod(id.value() * 0x9E3779B97F4A7C15L >>> 20, CODES_BY_LOT);
     }
 
     /** What is said of an execution; LOST is said of a rested connection. */
-    public enum Word { BEGUN, HANDLED, FAILED, DROPPED, LOST }
+    public enum Word {
+        BEGUN,
+        HANDLED,
+        FAILED,
+        DROPPED,
+        LOST
+    }
 
     /**
-     * Code is the upstream's within the part, or by lot; tenant -1 for none. Took is seconds at rest for LOST, for
-     * ends by lot the multiple of the usual time for each in flight.
+     * Code is the upstream's within the part, or by lot; tenant -1 for none. Took is seconds at rest for LOST, for ends
+     * by lot the multiple of the usual time for each in flight.
      */
-    public record News(Word word, int code, int tenant, double took) { }
+    public record News(Word word, int code, int tenant, double took) {}
 
     private static final int OF_EXECUTIONS = Word.LOST.ordinal();
     private static final int LOT_CODES = 90;
@@ -60,6 +66,7 @@
     private static final int MOST_TOLD = 1000;
     /** Who started a moment ago knows nothing yet: what he answers would pass for all there is. */
     private static final double YOUNG = 1;
+
     private static final int AGE_CODES = 89;
     private static final int AGE_OF_ONE = 45;
     private static final double AGE_STEPS = 10;
@@ -75,6 +82,7 @@
     private boolean answered;
     /** Since we last asked: who has just learned something asks on, or half would know half for long. */
     private boolean learned;
+
     private double heardAt;
     private boolean changed;
 
@@ -161,8 +169,8 @@
     // ---- What is said -------------------------------------------------------------------------------------
 
     /**
-     * By lot, to those that share an upstream: its code, and with an end the time it took as a multiple of what
-     * the offering usually takes, for each that was in flight there when it began, itself among them.
+     * By lot, to those that share an upstream: its code, and with an end the time it took as a multiple of what the
+     * offering usually takes, for each that was in flight there when it began, itself among them.
      */
     public void tell(Word word, int code, double took, List<Integer> to) {
         String text = "" + (char) (FIRST_CODE + word.ordinal());
--- a/core/src/main/java/portrelay/gossip/Homes.java
+++ b/core/src/main/java/portrelay/gossip/Homes.java
@@ -11,16 +11,16 @@
 import portrelay.model.Listed;
 
 /**
- * Which part of the upstreams each member keeps to. Promises that members who know the same list and the same
- * zones lay each other alike, with no agreement: everything is worked out from those two.
+ * Which part of the upstreams each member keeps to. Promises that members who know the same list and the same zones lay
+ * each other alike, with no agreement: everything is worked out from those two.
  */
 public final class Homes {
 
     /** An upstream as it counts here; size is what it does when idle, against others. */
-    public record Seat(Listed listed, double size) { }
+    public record Seat(Listed listed, double size) {}
 
     /** Some upstreams of one group, each by its number among the seats, the largest first. */
-    public record Piece(char zone, List<Integer> seats, double size) { }
+    public record Piece(char zone, List<Integer> seats, double size) {}
 
     private static final int FEWEST = 2;
     private static final double LEAST_ROOM = 0.01;
@@ -45,7 +45,8 @@
     private void cut(int sidecars, int mostSharers) {
         TreeMap<Long, List<Integer>> groups = new TreeMap<>();
         for (int i = 0; i < seats.size(); i++) {
-            groups.computeIfAbsent(seats.get(i).listed.cell().value(), k -> new ArrayList<>()).add(i);
+            groups.computeIfAbsent(seats.get(i).listed.cell().value(), k -> new ArrayList<>())
+                    .add(i);
         }
         groups.forEach((cell, group) -> {
             group.sort(Comparator.comparingDouble((Integer i) -> -seats.get(i).size)
@@ -88,8 +89,11 @@
             }
         });
         for (int i = 0; i < away.size(); i++) {
-            homes.put(away.get(i), at((i + 0.5) / away.size(), p -> p.size * Math.max(LEAST_ROOM,
-                    1 - count.getOrDefault(p.zone, 0) / room.get(p.zone))));
+            homes.put(
+                    away.get(i),
+                    at(
+                            (i + 0.5) / away.size(),
+                            p -> p.size * Math.max(LEAST_ROOM, 1 - count.getOrDefault(p.zone, 0) / room.get(p.zone))));
         }
         return homes;
     }
--- a/core/src/main/java/portrelay/gossip/Ledger.java
+++ b/core/src/main/java/portrelay/gossip/Ledger.java
@@ -4,12 +4,12 @@
 import java.util.List;
 
 /**
- * What is in flight at one upstream as all that share it have said, ourselves among them. Promises that no
- * end that was lost on its way is waited for: what is older than it can be is forgotten.
+ * What is in flight at one upstream as all that share it have said, ourselves among them. Promises that no end that was
+ * lost on its way is waited for: what is older than it can be is forgotten.
  */
 public final class Ledger {
 
-    private record Entry(int sidecar, double at) { }
+    private record Entry(int sidecar, double at) {}
 
     private final double longest;
     private final List<Entry> entries = new ArrayList<>();
@@ -27,7 +27,10 @@
 
     /** Whether it was known to be out: twice told, or begun at the process before, it tells nothing more. */
     public boolean ended(int sidecar, Gossip.Word word, double now) {
-        Entry ended = entries.stream().filter(each -> each.sidecar == sidecar).findFirst().orElse(null);
+        Entry ended = entries.stream()
+                .filter(each -> each.sidecar == sidecar)
+                .findFirst()
+                .orElse(null);
         handledAt = word == Gossip.Word.HANDLED ? now : handledAt;
         handled += word == Gossip.Word.HANDLED ? 1 : 0;
         return entries.remove(ended);
--- a/core/src/main/java/portrelay/model/AdaptiveLimit.java
+++ b/core/src/main/java/portrelay/model/AdaptiveLimit.java
@@ -11,6 +11,7 @@
     private static final int ROUND = 16;
     /** The share of late outcomes above which the limit is cut. */
     private static final double LATE_HIGH = 0.25;
+
     private static final double LATE_LOW = 0.15;
     private static final double TOTAL_CUT_TO = 0.8;
     private final Samples late = new Samples(ROUND);
--- a/core/src/main/java/portrelay/model/Asked.java
+++ b/core/src/main/java/portrelay/model/Asked.java
@@ -1,15 +1,22 @@
 package portrelay.model;
 
 /**
- * A query on arrival. Tenant and key may be null; work is NaN where no estimate came. Once: it can be sent a
- * single time, as its body passes through and is not kept, and how long that takes says nothing of upstreams.
+ * A query on arrival. Tenant and key may be null; work is NaN where no estimate came. Once: it can be sent a single
+ * time, as its body passes through and is not kept, and how long that takes says nothing of upstreams.
  */
-public record Asked(QueryId id, OfferingId offering, TenantId tenant, String key, double cutOffAt,
-        double work, boolean again, boolean once) {
+public record Asked(
+        QueryId id,
+        OfferingId offering,
+        TenantId tenant,
+        String key,
+        double cutOffAt,
+        double work,
+        boolean again,
+        boolean once) {
 
     /** One that can be sent more than once. */
-    public Asked(QueryId id, OfferingId offering, TenantId tenant, String key, double cutOffAt, double work,
-            boolean again) {
+    public Asked(
+            QueryId id, OfferingId offering, TenantId tenant, String key, double cutOffAt, double work, boolean again) {
         this(id, offering, tenant, key, cutOffAt, work, again, false);
     }
 
--- a/core/src/main/java/portrelay/model/ColdRule.java
+++ b/core/src/main/java/portrelay/model/ColdRule.java
@@ -1,8 +1,8 @@
 package portrelay.model;
 
 /**
- * An upstream starts at share of its capacity or above and is warm after time seconds at the latest. It falls
- * when it is sent more than overloadFactor times what it can do then for tipAfter seconds.
+ * An upstream starts at share of its capacity or above and is warm after time seconds at the latest. It falls when it
+ * is sent more than overloadFactor times what it can do then for tipAfter seconds.
  */
 public record ColdRule(double share, double time, double overloadFactor, double tipAfter) {
 
--- a/core/src/main/java/portrelay/model/Deployment.java
+++ b/core/src/main/java/portrelay/model/Deployment.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /** All that the settings say to the decisions. */
-public record Deployment(List<Offering> offerings, List<Tenant> tenants, Permits permits, ColdRule cold,
-        ListRule list, Site site) {
+public record Deployment(
+        List<Offering> offerings, List<Tenant> tenants, Permits permits, ColdRule cold, ListRule list, Site site) {
 
     /** The longest target time of any offering in seconds; 0 where there is none. */
     public double longestTarget() {
--- a/core/src/main/java/portrelay/model/DroppedConnections.java
+++ b/core/src/main/java/portrelay/model/DroppedConnections.java
@@ -13,6 +13,7 @@
 
     /** How long those connections had rested that lost a request. */
     private final Samples rests = new Samples(SAMPLES);
+
     private double until = Double.NEGATIVE_INFINITY;
     private double toldAt = Double.NEGATIVE_INFINITY;
 
--- a/core/src/main/java/portrelay/model/Dues.java
+++ b/core/src/main/java/portrelay/model/Dues.java
@@ -6,7 +6,7 @@
 /** What falls due when, in the order in which it was asked for where times are equal. */
 public final class Dues<Q, I> {
 
-    public record Due<Q, I>(double time, long order, Q subject, I input) { }
+    public record Due<Q, I>(double time, long order, Q subject, I input) {}
 
     private final PriorityQueue<Due<Q, I>> dues = new PriorityQueue<>(
             (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
--- a/core/src/main/java/portrelay/model/Effects.java
+++ b/core/src/main/java/portrelay/model/Effects.java
@@ -1,8 +1,8 @@
 package portrelay.model;
 
 /**
- * All that a decision can do to the world. A front implements this once for each instance; every call takes
- * effect at the time of the event that is being decided. Times are seconds.
+ * All that a decision can do to the world. A front implements this once for each instance; every call takes effect at
+ * the time of the event that is being decided. Times are seconds.
  */
 public interface Effects {
 
--- a/core/src/main/java/portrelay/model/GroupId.java
+++ b/core/src/main/java/portrelay/model/GroupId.java
@@ -1,4 +1,3 @@
 package portrelay.model;
 
-public record GroupId(long value) {
-}
+public record GroupId(long value) {}
--- a/core/src/main/java/portrelay/model/Hash.java
+++ b/core/src/main/java/portrelay/model/Hash.java
@@ -3,8 +3,7 @@
 /** A number from a name alone (FNV-1a): the same at all sidecars and in all lives of one; no table grows. */
 public final class Hash {
 
-    private Hash() {
-    }
+    private Hash() {}
 
     public static long of(String name) {
         long hash = 0xcbf29ce484222325L;
--- a/core/src/main/java/portrelay/model/ListNews.java
+++ b/core/src/main/java/portrelay/model/ListNews.java
@@ -1,4 +1,9 @@
 package portrelay.model;
 
 /** CHANGES holds changed rows only; REMEMBERED is a whole list that may be old; FAILED has no rows. */
-public enum ListNews { CHANGES, WHOLE, REMEMBERED, FAILED }
+public enum ListNews {
+    CHANGES,
+    WHOLE,
+    REMEMBERED,
+    FAILED
+}
--- a/core/src/main/java/portrelay/model/ListRule.java
+++ b/core/src/main/java/portrelay/model/ListRule.java
@@ -5,15 +5,14 @@
 
     private static final double FIRST = 0.5;
     /**
-     * After a failure a change counts as told 6 s after discovery had it and could be reached, whatever the
-     * settings allow: a dial of 1 s that was begun just before, this back-off and an answer have to fit.
+     * After a failure a change counts as told 6 s after discovery had it and could be reached, whatever the settings
+     * allow: a dial of 1 s that was begun just before, this back-off and an answer have to fit.
      */
     private static final double LONGEST = 0.75;
 
     /**
-     * Seconds from a failure to the next call, so many failures in a row before it; lot is drawn from 0 to 1
-     * by each sidecar: discovery is one service for all, and those that failed together must not come back
-     * together.
+     * Seconds from a failure to the next call, so many failures in a row before it; lot is drawn from 0 to 1 by each
+     * sidecar: discovery is one service for all, and those that failed together must not come back together.
      */
     public double backOff(int failures, double lot) {
         double longest = Math.min(LONGEST, Math.max(FIRST, askWithin / 4));
--- a/core/src/main/java/portrelay/model/ListSchedule.java
+++ b/core/src/main/java/portrelay/model/ListSchedule.java
@@ -1,8 +1,8 @@
 package portrelay.model;
 
 /**
- * When the upstream list is to be asked for next. Times are seconds; the next call is at infinity while one is out
- * or none is needed.
+ * When the upstream list is to be asked for next. Times are seconds; the next call is at infinity while one is out or
+ * none is needed.
  */
 public final class ListSchedule {
 
--- a/core/src/main/java/portrelay/model/LiveWeight.java
+++ b/core/src/main/java/portrelay/model/LiveWeight.java
@@ -1,8 +1,8 @@
 package portrelay.model;
 
 /**
- * What an upstream's listed weights tell. Where they move with load they are its size over one and what it
- * holds a core: the largest is the size, the smallest step tells the cores, the last few what it holds.
+ * What an upstream's listed weights tell. Where they move with load they are its size over one and what it holds a
+ * core: the largest is the size, the smallest step tells the cores, the last few what it holds.
  */
 public final class LiveWeight {
 
--- a/core/src/main/java/portrelay/model/Offering.java
+++ b/core/src/main/java/portrelay/model/Offering.java
@@ -1,10 +1,22 @@
 package portrelay.model;
 
 /** What the settings say of one offering; times in seconds. */
-public record Offering(OfferingId id, Repeats repeats, Group group, double targetTime, double cutOff,
-        double window, double credit, double lateShare, boolean streamed) {
+public record Offering(
+        OfferingId id,
+        Repeats repeats,
+        Group group,
+        double targetTime,
+        double cutOff,
+        double window,
+        double credit,
+        double lateShare,
+        boolean streamed) {
 
-    public enum Repeats { REISSUABLE, NUMBERED, AT_MOST_ONCE }
+    public enum Repeats {
+        REISSUABLE,
+        NUMBERED,
+        AT_MOST_ONCE
+    }
 
     /** Whether the second upstream drops a repeat of what the first one may have run. */
     public boolean sameGroup(Listed first, Listed second) {
@@ -16,5 +28,9 @@
     }
 
     /** The upstreams that drop a repeat of a numbered query. */
-    public enum Group { ALL, ZONE, CELL }
+    public enum Group {
+        ALL,
+        ZONE,
+        CELL
+    }
 }
--- a/core/src/main/java/portrelay/model/OfferingId.java
+++ b/core/src/main/java/portrelay/model/OfferingId.java
@@ -1,4 +1,3 @@
 package portrelay.model;
 
-public record OfferingId(int value) {
-}
+public record OfferingId(int value) {}
--- a/core/src/main/java/portrelay/model/QueryId.java
+++ b/core/src/main/java/portrelay/model/QueryId.java
@@ -1,4 +1,3 @@
 package portrelay.model;
 
-public record QueryId(String value) {
-}
+public record QueryId(String value) {}
--- a/core/src/main/java/portrelay/model/Samples.java
+++ b/core/src/main/java/portrelay/model/Samples.java
@@ -51,7 +51,9 @@
 
     /** The second smallest of those that are kept: a single odd one does not count. */
     public double secondLeast() {
-        return kept() < 2 ? Double.POSITIVE_INFINITY : Arrays.stream(values, 0, kept()).sorted().toArray()[1];
+        return kept() < 2
+                ? Double.POSITIVE_INFINITY
+                : Arrays.stream(values, 0, kept()).sorted().toArray()[1];
     }
 
     /** Mean time between the last samples up to now; 0 while there are none. */
--- a/core/src/main/java/portrelay/model/ShapeId.java
+++ b/core/src/main/java/portrelay/model/ShapeId.java
@@ -1,4 +1,3 @@
 package portrelay.model;
 
-public record ShapeId(int value) {
-}
+public record ShapeId(int value) {}
--- a/core/src/main/java/portrelay/model/Site.java
+++ b/core/src/main/java/portrelay/model/Site.java
@@ -1,17 +1,25 @@
 package portrelay.model;
 
 /**
- * Where an instance stands and what it can learn there. Zone is null where the settings name none; me counts
- * from 0 among the sidecars, whose number is 1 at least.
+ * Where an instance stands and what it can learn there. Zone is null where the settings name none; me counts from 0
+ * among the sidecars, whose number is 1 at least.
  */
-public record Site(int me, int sidecars, ZoneId zone, Weights weights, Reports reports, boolean peers,
-        boolean probes) {
+public record Site(int me, int sidecars, ZoneId zone, Weights weights, Reports reports, boolean peers, boolean probes) {
 
     /** What the list's weights say: nothing, a size, a size roughly, or a size lowered by present load. */
-    public enum Weights { SILENT, NOMINAL, ROUGH, LIVE }
+    public enum Weights {
+        SILENT,
+        NOMINAL,
+        ROUGH,
+        LIVE
+    }
 
     /** Where load reports come: nowhere, with each answer, or with probes alone. */
-    public enum Reports { SILENT, WITH_ANSWERS, WITH_PROBES }
+    public enum Reports {
+        SILENT,
+        WITH_ANSWERS,
+        WITH_PROBES
+    }
 
     /** Whether load can be looked at before a query is sent. */
     public boolean looks() {
@@ -29,8 +37,8 @@
     }
 
     /**
-     * The same place on sockets, where nothing but queries, the list and, where there is a way for them,
-     * messages can pass, whatever the settings permit.
+     * The same place on sockets, where nothing but queries, the list and, where there is a way for them, messages can
+     * pass, whatever the settings permit.
      */
     public Site onSockets(boolean messages) {
         return new Site(me, sidecars, zone, weights, Reports.SILENT, peers && messages, false);
--- a/core/src/main/java/portrelay/model/Table.java
+++ b/core/src/main/java/portrelay/model/Table.java
@@ -1,9 +1,9 @@
 package portrelay.model;
 
 /**
- * A table of state, input, next state and effect, read by a short loop. Promises that an input without a row
- * changes nothing: timers can't be taken back and come late. S and I are the states and inputs, D what
- * decides, Q what it decides on.
+ * A table of state, input, next state and effect, read by a short loop. Promises that an input without a row changes
+ * nothing: timers can't be taken back and come late. S and I are the states and inputs, D what decides, Q what it
+ * decides on.
  */
 public final class Table<S extends Enum<S>, I extends Enum<I>, D, Q extends Table.Subject<S>> {
 
@@ -25,7 +25,7 @@
         I on(D decider, Q subject);
     }
 
-    private record Row<S, I, D, Q>(S next, Effect<D, Q, I> effect) { }
+    private record Row<S, I, D, Q>(S next, Effect<D, Q, I> effect) {}
 
     private final Row<S, I, D, Q>[][] rows;
 
--- a/core/src/main/java/portrelay/model/UpstreamId.java
+++ b/core/src/main/java/portrelay/model/UpstreamId.java
@@ -1,4 +1,3 @@
 package portrelay.model;
 
-public record UpstreamId(long value) {
-}
+public record UpstreamId(long value) {}
--- a/core/src/main/java/portrelay/policy/Cold.java
+++ b/core/src/main/java/portrelay/policy/Cold.java
@@ -16,10 +16,17 @@
 
     /** Answers, not sends, earn: they stay within what upstreams can do, also in a burst. */
     void served(Upstream by, List<Upstream> ours, double now) {
-        double warm = ours.stream().filter(u -> u.ready && ramp(u, now) >= 1).mapToDouble(u -> u.size).sum();
+        double warm = ours.stream()
+                .filter(u -> u.ready && ramp(u, now) >= 1)
+                .mapToDouble(u -> u.size)
+                .sum();
         if (warm == 0 || ramp(by, now) >= 1) {
-            double all = warm > 0 ? warm
-                    : ours.stream().filter(u -> u.ready).mapToDouble(u -> ramp(u, now) * u.size).sum();
+            double all = warm > 0
+                    ? warm
+                    : ours.stream()
+                            .filter(u -> u.ready)
+                            .mapToDouble(u -> ramp(u, now) * u.size)
+                            .sum();
             // Halfway, in ratio, between what it can surely do and what pushes it over.
             ours.forEach(u -> earn(u, ramp(u, now) * u.size / all * Math.sqrt(rule.overloadFactor()), now));
         }
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -33,12 +33,12 @@
 import portrelay.model.UpstreamId;
 
 /**
- * The decisions of one sidecar (docs/design.md): its events are called in the order in which things happen,
- * each with the time in seconds, and answered through {@link Effects}. No call waits.
+ * The decisions of one sidecar (docs/design.md): its events are called in the order in which things happen, each with
+ * the time in seconds, and answered through {@link Effects}. No call waits.
  */
 public final class Decide {
-    private static final Table<RequestState, RequestInput, Decide, Query> TABLE =
-            new Table<RequestState, RequestInput, Decide, Query>(RequestState.class, RequestInput.class)
+    private static final Table<RequestState, RequestInput, Decide, Query> TABLE = new Table<
+                    RequestState, RequestInput, Decide, Query>(RequestState.class, RequestInput.class)
             .row(RequestState.FRESH, RequestInput.ARRIVED, RequestState.LOOKING, Decide::look)
             .row(RequestState.LOOKING, RequestInput.SEEN, RequestState.ALONE, Decide::sendFirst)
             .row(RequestState.LOOKING, RequestInput.LEFT, RequestState.CLOSED)
@@ -93,6 +93,7 @@
     private boolean blindToo;
     /** Mean in hand a core over the fleet, as the last lists told. */
     private double crowd;
+
     private Part part;
     private final Set<Query> looking = new LinkedHashSet<>();
     private final Map<QueryId, Query> queries = new HashMap<>();
@@ -184,8 +185,7 @@
         armAlarm();
     }
 
-    public void outcome(double time, QueryId id, int execution, Outcome outcome, boolean ended,
-            LoadReport report) {
+    public void outcome(double time, QueryId id, int execution, Outcome outcome, boolean ended, LoadReport report) {
         now = time;
         Query q = queries.get(id);
         if (q == null || execution >= q.executions.size() || q.executions.get(execution).outcome != null) {
@@ -275,8 +275,11 @@
         total.start((double) roster.stream().filter(u -> u.ready).count() / site.sidecars());
         if (part != null) {
             part.listed(roster, now);
-            crowd = roster.stream().filter(u -> u.ready).mapToDouble(u -> u.weight.held() / u.weight.cores())
-                    .average().orElse(0);
+            crowd = roster.stream()
+                    .filter(u -> u.ready)
+                    .mapToDouble(u -> u.weight.held() / u.weight.cores())
+                    .average()
+                    .orElse(0);
         }
         placeHeld();
         armAlarm();
@@ -317,7 +320,8 @@
         double threshold = Math.min(LONGEST_THRESHOLD, (q.asked.cutOffAt() - q.arrivedAt) / 2);
         threshold = seen ? Math.min(threshold, q.offering.targetTime() * COPY_SHARE) : threshold;
         send(q, u);
-        if (q.offering.repeats() != Offering.Repeats.AT_MOST_ONCE && of.permits().copies()) {
+        if (q.offering.repeats() != Offering.Repeats.AT_MOST_ONCE
+                && of.permits().copies()) {
             dues.add(now + threshold, q, RequestInput.COPY_DUE);
         }
         return null;
@@ -375,7 +379,8 @@
     }
 
     private RequestInput callOffRest(Query q) {
-        q.executions.stream().filter(e -> e.outcome == null && e != q.winner && of.permits().cancel())
+        q.executions.stream()
+                .filter(e -> e.outcome == null && e != q.winner && of.permits().cancel())
                 .forEach(e -> out.callOff(q.asked.id(), q.executions.indexOf(e)));
         return null;
     }
@@ -402,12 +407,15 @@
         }
         Query.Execution first = q.firstThatMayHaveRun();
         boolean another = of.permits().copies() || !q.anyOut();
-        return first == null || another && switch (q.offering.repeats()) {
-            case REISSUABLE -> true;
-            case AT_MOST_ONCE -> false;
-            case NUMBERED -> now < first.as.sentAt() + q.offering.window()
-                    && q.offering.sameGroup(first.as.row(), u.listed);
-        };
+        return first == null
+                || another
+                        && switch (q.offering.repeats()) {
+                            case REISSUABLE -> true;
+                            case AT_MOST_ONCE -> false;
+                            case NUMBERED ->
+                                now < first.as.sentAt() + q.offering.window()
+                                        && q.offering.sameGroup(first.as.row(), u.listed);
+                        };
     }
 
     private Upstream pick(Query q, boolean first) {
@@ -415,24 +423,41 @@
         if ((!seen || deaf() && crowd > 1) && !room()) {
             return null;
         }
-        double mean = seen ? 0
-                : roster.stream().filter(u -> u.ready).mapToInt(u -> u.inFlight).average().orElse(0);
+        double mean = seen
+                ? 0
+                : roster.stream()
+                        .filter(u -> u.ready)
+                        .mapToInt(u -> u.inFlight)
+                        .average()
+                        .orElse(0);
         boolean mayTry = first && q.offering.repeats() == Offering.Repeats.REISSUABLE;
-        Upstream u = roster.stream().filter(each -> mayTry && (each.owed && now >= each.backAt + SETTLING
-                || each.passedOver() && now >= each.passedUntil && !each.trialOut)
-                && mayTake(q, each) && (!seen || load(each) == 0 && !blind(each))).findFirst().orElse(null);
+        Upstream u = roster.stream()
+                .filter(each -> mayTry
+                        && (each.owed && now >= each.backAt + SETTLING
+                                || each.passedOver() && now >= each.passedUntil && !each.trialOut)
+                        && mayTake(q, each)
+                        && (!seen || load(each) == 0 && !blind(each)))
+                .findFirst()
+                .orElse(null);
         blindToo = site.looks() && roster.stream().noneMatch(each -> !blind(each) && mayTake(q, each));
         // Shunned while there are others: a choked upstream has to rest before it works as usual again.
-        boolean all = u == null && ours().stream()
-                .allMatch(each -> !each.ready || each.passedOver() || silent(each));
-        List<Upstream> due = seen || !first ? List.of() : ours().stream()
-                .filter(each -> cold.due(each, now) && mayTake(q, each)).toList();
+        boolean all = u == null && ours().stream().allMatch(each -> !each.ready || each.passedOver() || silent(each));
+        List<Upstream> due = seen || !first
+                ? List.of()
+                : ours().stream()
+                        .filter(each -> cold.due(each, now) && mayTake(q, each))
+                        .toList();
         // Drawn by lot from many sidecars a cold one gets nothing, unless all keep what it is due.
-        u = u != null ? u : due.stream().filter(each -> ownLoad(each) == 0 && !each.passedOver()
-                && !silent(each)).findFirst().orElse(null);
+        u = u != null
+                ? u
+                : due.stream()
+                        .filter(each -> ownLoad(each) == 0 && !each.passedOver() && !silent(each))
+                        .findFirst()
+                        .orElse(null);
         u = u != null ? u : pickAmong(q, mean, Health.OWN_FAULT, all);
         Upstream pick = u != null ? u : pickAmong(q, mean, Double.POSITIVE_INFINITY, all);
-        due.stream().filter(each -> pick != null && pick != each)
+        due.stream()
+                .filter(each -> pick != null && pick != each)
                 .forEach(each -> cold.passedBy(each, chance.nextDouble()));
         return pick;
     }
@@ -453,11 +478,17 @@
     /** What is out where nobody is answered is no work that the fleet does: it takes no room. */
     private boolean room() {
         return total.hasRoom(0)
-                || total.hasRoom(roster.stream().filter(this::silent).mapToInt(u -> u.inFlight).sum());
+                || total.hasRoom(roster.stream()
+                        .filter(this::silent)
+                        .mapToInt(u -> u.inFlight)
+                        .sum());
     }
 
     private boolean mayTake(Query q, Upstream u) {
-        return u.ready && (part == null || part.ours.contains(u)) && !q.at(u) && maySend(q, u)
+        return u.ready
+                && (part == null || part.ours.contains(u))
+                && !q.at(u)
+                && maySend(q, u)
                 && (u.coldCredit >= 1 || cold.ramp(u, now) >= 1);
     }
 
@@ -466,12 +497,14 @@
         double least = Double.POSITIVE_INFINITY;
         for (Upstream u : roster) {
             // The cheap questions first: in a burst a sidecar asks them of all upstreams thousands of times.
-            boolean not = !mayTake(q, u) || !shunnedToo && (u.passedOver() || silent(u))
-                    || seen && blind(u) && !blindToo;
+            boolean not =
+                    !mayTake(q, u) || !shunnedToo && (u.passedOver() || silent(u)) || seen && blind(u) && !blindToo;
             double pace = not ? worstPace : health.pace(u, now);
-            double cost = pace >= worstPace ? Double.POSITIVE_INFINITY
-                    : seen ? seenCost(q, u, pace) : toldInTime(q, u) ? ownCost(u, mean, pace)
-                    : Double.POSITIVE_INFINITY;
+            double cost = pace >= worstPace
+                    ? Double.POSITIVE_INFINITY
+                    : seen
+                            ? seenCost(q, u, pace)
+                            : toldInTime(q, u) ? ownCost(u, mean, pace) : Double.POSITIVE_INFINITY;
             if (cost < least) {
                 least = cost;
                 pick = u;
@@ -486,12 +519,11 @@
         return load > 0 ? load * pace / u.size : u.size / (Math.log(chance.nextDouble()) * pace * pace);
     }
 
-    /**
-     * Guards against all filling queues until upstreams choke: what the last took for each in flight, for
-     * all.
-     */
+    /** Guards against all filling queues until upstreams choke: what the last took for each in flight, for all. */
     private boolean toldInTime(Query q, Upstream u) {
-        return !site.byLot() || deaf() || load(u) == 0
+        return !site.byLot()
+                || deaf()
+                || load(u) == 0
                 || inTime(q, health.took(u, now) * (load(u) + 1) / cold.ramp(u, now), FIT_TOLD);
     }
 
@@ -519,7 +551,8 @@
 
     /** It answered no probe just now, or none of those who share it for long. */
     private boolean blind(Upstream u) {
-        return part == null ? now > u.reportedAt + 2 * LOOK_WAIT
+        return part == null
+                ? now > u.reportedAt + 2 * LOOK_WAIT
                 : u.told.silence(now) > SILENT || u.restedOut > 0 && part.drops.dropping(now);
     }
 
@@ -545,8 +578,8 @@
             out.letGo(u.id);
             rested = 0;
         }
-        q.executions.add(new Query.Execution(new Query.Sent(u, u.listed, now, trial, expected(u), rested,
-                u.told.handled(), (int) load(u) + 1)));
+        q.executions.add(new Query.Execution(
+                new Query.Sent(u, u.listed, now, trial, expected(u), rested, u.told.handled(), (int) load(u) + 1)));
         u.inFlight++;
         u.restedOut += rested > 0 ? 1 : 0;
         u.reported++;
@@ -567,10 +600,14 @@
             return;
         }
         boolean handled = e.outcome == Outcome.HANDLED;
-        boolean lost = !handled && !e.outcome.neverRan && e.as.rested() > 0
+        boolean lost = !handled
+                && !e.outcome.neverRan
+                && e.as.rested() > 0
                 && e.as.at().told.handled() >= e.as.handledBefore() + e.as.among() - 1 + Upstream.FEW;
         boolean off = e.outcome == Outcome.CALLED_OFF;
-        boolean failed = !lost && !handled && !e.outcome.neverRan
+        boolean failed = !lost
+                && !handled
+                && !e.outcome.neverRan
                 && (!off || now - e.as.sentAt() > q.offering.targetTime() * COPY_SHARE);
         Gossip.Word word = handled ? Gossip.Word.HANDLED : failed ? Gossip.Word.FAILED : Gossip.Word.DROPPED;
         e.as.at().told.ended(site.me(), word, now);
@@ -591,7 +628,8 @@
     private void placeHeld() {
         held.removeIf(q -> q.state() != RequestState.HELD);
         while (!held.isEmpty() && (seen || room())) {
-            Query best = held.stream().reduce((a, b) -> value(b) > value(a) ? b : a).orElseThrow();
+            Query best =
+                    held.stream().reduce((a, b) -> value(b) > value(a) ? b : a).orElseThrow();
             step(best, RequestInput.TURN);
             if (best.state() == RequestState.HELD) {
                 return;
--- a/core/src/main/java/portrelay/policy/Health.java
+++ b/core/src/main/java/portrelay/policy/Health.java
@@ -69,8 +69,8 @@
     }
 
     /**
-     * A sequential test (Wald) on outcomes, against what all our upstreams show together. Guards sidecars of
-     * little traffic, whose win counter is cleared by each answer between two bad ones.
+     * A sequential test (Wald) on outcomes, against what all our upstreams show together. Guards sidecars of little
+     * traffic, whose win counter is cleared by each answer between two bad ones.
      */
     void weigh(double now, Upstream u, boolean isBad) {
         boolean before = u.passedOver();
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -12,10 +12,9 @@
 import portrelay.model.Site;
 
 /**
- * The part of the roster that this sidecar keeps to. Those that share upstreams tell each other of
- * executions: a quiet sidecar then knows what is in flight there, meets them often enough to judge them, and
- * needs few connections. Parts are cut from the list and from zones that were told, or drawn; nobody decides
- * for others.
+ * The part of the roster that this sidecar keeps to. Those that share upstreams tell each other of executions: a quiet
+ * sidecar then knows what is in flight there, meets them often enough to judge them, and needs few connections. Parts
+ * are cut from the list and from zones that were told, or drawn; nobody decides for others.
  */
 final class Part {
     private static final int MOST_SHARERS = 14;
@@ -40,9 +39,7 @@
         this.layAt = now;
     }
 
-    /**
-     * By lot, the same for all whatever their lists. Sets overlap: what is too much for one spreads over all.
-     */
+    /** By lot, the same for all whatever their lists. Sets overlap: what is too much for one spreads over all. */
     private List<Integer> sharers(Upstream u) {
         if (u.sharers == null) {
             int most = Math.max(MOST_SHARERS, LEAST_OWN * site.sidecars() / Math.max(1, ready.size()));
@@ -53,7 +50,10 @@
 
     Upstream at(int code) {
         if (site.byLot()) {
-            return upstreams.stream().filter(u -> Gossip.codeOf(u.id) == code).findFirst().orElse(null);
+            return upstreams.stream()
+                    .filter(u -> Gossip.codeOf(u.id) == code)
+                    .findFirst()
+                    .orElse(null);
         }
         return code < 0 || code >= upstreams.size() ? null : upstreams.get(code);
     }
@@ -97,16 +97,18 @@
 
     private void lay() {
         if (site.byLot()) {
-            List<Upstream> mine = ready.stream().filter(u -> sharers(u).contains(site.me())).toList();
+            List<Upstream> mine =
+                    ready.stream().filter(u -> sharers(u).contains(site.me())).toList();
             upstreams = mine.isEmpty() ? ready : mine;
             return;
         }
-        Homes laid = new Homes(ready.stream().map(u -> new Homes.Seat(u.listed, u.size)).toList(),
-                site.sidecars(), MOST_SHARERS);
+        Homes laid = new Homes(
+                ready.stream().map(u -> new Homes.Seat(u.listed, u.size)).toList(), site.sidecars(), MOST_SHARERS);
         Map<Integer, Homes.Piece> homes = laid.place(gossip.members(), gossip.fewKnown());
         Homes.Piece mine = homes.getOrDefault(site.me(), laid.pieces().get(0));
         homes.remove(site.me());
-        gossip.sharers(homes.keySet().stream().filter(each -> homes.get(each) == mine).toList());
+        gossip.sharers(
+                homes.keySet().stream().filter(each -> homes.get(each) == mine).toList());
         upstreams = mine.seats().stream().map(ready::get).toList();
     }
 
--- a/core/src/main/java/portrelay/policy/Query.java
+++ b/core/src/main/java/portrelay/policy/Query.java
@@ -20,22 +20,31 @@
     final List<Execution> executions = new ArrayList<>(2);
     /** Upstreams that were asked for their load on its behalf, and what to do when they have told. */
     final Set<Upstream> sought = new HashSet<>();
+
     RequestInput then;
     int looks;
     Execution winner;
 
     /**
-     * How an execution went out. Row is what the list said then, as a group may change; expected the work's
-     * multiple that it should take, 1 where no load is known; rested how long its connection had, 0 for a new
-     * or busy one; among how many were in flight there, itself too, handledBefore how many had been handled.
+     * How an execution went out. Row is what the list said then, as a group may change; expected the work's multiple
+     * that it should take, 1 where no load is known; rested how long its connection had, 0 for a new or busy one; among
+     * how many were in flight there, itself too, handledBefore how many had been handled.
      */
-    record Sent(Upstream at, Listed row, double sentAt, boolean trial, double expected, double rested,
-            int handledBefore, int among) { }
+    record Sent(
+            Upstream at,
+            Listed row,
+            double sentAt,
+            boolean trial,
+            double expected,
+            double rested,
+            int handledBefore,
+            int among) {}
 
     /** One execution; its outcome is null while it is out. */
     static final class Execution {
         final Sent as;
         Outcome outcome;
+
         Execution(Sent as) {
             this.as = as;
         }
--- a/core/src/main/java/portrelay/policy/Upstream.java
+++ b/core/src/main/java/portrelay/policy/Upstream.java
@@ -25,11 +25,13 @@
     double passedUntil;
     /** When operators called it back; owed while nothing has gone there since. */
     double backAt;
+
     boolean owed;
     boolean trialOut;
     double coldCredit;
     /** What it is when nothing is in flight, against others. */
     double size;
+
     final LiveWeight weight = new LiveWeight(LISTS);
     /** Null until drawn, where those that share it are drawn by lot. */
     List<Integer> sharers;
@@ -37,6 +39,7 @@
     final Ledger told;
     /** In hand when it was last probed, and what we sent since. */
     double reported;
+
     double reportedAt = Double.NEGATIVE_INFINITY;
     boolean probeOut;
     double answeredAt = Double.NEGATIVE_INFINITY;
@@ -44,6 +47,7 @@
     final Samples paces = new Samples(PACE_SAMPLES);
     /** Ours that are out on connections that had rested. */
     int restedOut;
+
     final Samples prompt = new Samples(FEW);
 
     Upstream(UpstreamId id, double longestCutOff) {
--- a/core/src/main/java/portrelay/settings/Fields.java
+++ b/core/src/main/java/portrelay/settings/Fields.java
@@ -4,9 +4,7 @@
 import java.util.List;
 import java.util.Map;
 
-/**
- * The fields of one JSON object, each checked as it is taken; knows its own place for what it complains of.
- */
+/** The fields of one JSON object, each checked as it is taken; knows its own place for what it complains of. */
 public final class Fields {
 
     private final Map<?, ?> map;
--- a/core/src/main/java/portrelay/settings/Migration.java
+++ b/core/src/main/java/portrelay/settings/Migration.java
@@ -6,11 +6,10 @@
 import java.util.Map;
 
 /**
- * An old configuration made into its counterpart for another shape of deployment. Who the sidecar is, where
- * it listens and finds discovery, its offerings, tenants and door stay the old file's; the rest of the
- * settings is the shape's, and the old file's where the shape says nothing. Promises to name each field of
- * the old file that has no place in the new one, and each that the shape sets anew. Trees are maps, lists,
- * strings, doubles and booleans; neither is changed.
+ * An old configuration made into its counterpart for another shape of deployment. Who the sidecar is, where it listens
+ * and finds discovery, its offerings, tenants and door stay the old file's; the rest of the settings is the shape's,
+ * and the old file's where the shape says nothing. Promises to name each field of the old file that has no place in the
+ * new one, and each that the shape sets anew. Trees are maps, lists, strings, doubles and booleans; neither is changed.
  */
 public final class Migration {
 
@@ -20,13 +19,12 @@
     private static final List<String> TOP =
             List.of("name", "listen", "mgmt", "discovery", "seed", "limits", "door", SETTINGS);
     /** What became of an old file: the new one, what had no place in it, what the shape set anew. */
-    public record Result(Map<String, Object> config, List<String> leftOut, List<String> replaced) { }
+    public record Result(Map<String, Object> config, List<String> leftOut, List<String> replaced) {}
 
     private final List<String> leftOut = new ArrayList<>();
     private final List<String> replaced = new ArrayList<>();
 
-    private Migration() {
-    }
+    private Migration() {}
 
     /** Errors name the place in the shape; the old tree has to be a configuration that was checked before. */
     public static Result of(Map<?, ?> old, Object shape) throws BadSetting {
@@ -79,8 +77,9 @@
         Map<String, Object> merged = new LinkedHashMap<>();
         old.forEach((name, value) -> {
             if (Settings.SECTIONS.containsKey(name)) {
-                merged.put((String) name, section(SETTINGS + "." + name, Settings.SECTIONS.get(name),
-                        map(value), map(sets.get(name))));
+                merged.put(
+                        (String) name,
+                        section(SETTINGS + "." + name, Settings.SECTIONS.get(name), map(value), map(sets.get(name))));
             } else {
                 carry(SETTINGS + "." + name, Settings.PLAIN, (String) name, value, sets, merged);
             }
@@ -96,8 +95,8 @@
         return merged;
     }
 
-    private void carry(String path, List<String> names, String name, Object value, Map<?, ?> sets,
-            Map<String, Object> into) {
+    private void carry(
+            String path, List<String> names, String name, Object value, Map<?, ?> sets, Map<String, Object> into) {
         if (!names.contains(name)) {
             leftOut.add(path + ": nothing reads it any more");
             return;
--- a/core/src/main/java/portrelay/settings/Settings.java
+++ b/core/src/main/java/portrelay/settings/Settings.java
@@ -23,11 +23,29 @@
 
     /** The names that are read below, by section and plain; whoever adds one there adds it here. */
     static final Map<String, List<String>> SECTIONS = Map.of(
-            "allowed", List.of("max-attempts", "cancel", "parallel-tries", "probes", "peers", "retry-after",
-                    "max-retry-after-us", "dial-timeout-us", "conn-idle-us", "streams-per-conn"),
-            "invariants", List.of("ask-within-us", "cold-share", "cold-us", "overload-factor", "tip-after-us",
-                    "drain-grace-us", "grace-to-answer-us"),
+            "allowed",
+                    List.of(
+                            "max-attempts",
+                            "cancel",
+                            "parallel-tries",
+                            "probes",
+                            "peers",
+                            "retry-after",
+                            "max-retry-after-us",
+                            "dial-timeout-us",
+                            "conn-idle-us",
+                            "streams-per-conn"),
+            "invariants",
+                    List.of(
+                            "ask-within-us",
+                            "cold-share",
+                            "cold-us",
+                            "overload-factor",
+                            "tip-after-us",
+                            "drain-grace-us",
+                            "grace-to-answer-us"),
             "load-report", List.of("how", "columns"));
+
     static final List<String> PLAIN =
             List.of("classes", "tenants", "discovery", "siblings", "weights", "me", "zone", "dcs");
 
@@ -56,9 +74,16 @@
             if (offeringIds.put(each.text("name"), id) != null) {
                 throw each.bad("name", "a name of its own");
             }
-            offerings.add(new Offering(id, repeats(each), group(each), time(each, "aim-us"),
-                    time(each, "hard-limit-us"), time(each, "dedup-window-us"), amount(each, "worth", 1),
-                    amount(each, "late-worth", 0), each.flag("streaming")));
+            offerings.add(new Offering(
+                    id,
+                    repeats(each),
+                    group(each),
+                    time(each, "aim-us"),
+                    time(each, "hard-limit-us"),
+                    time(each, "dedup-window-us"),
+                    amount(each, "worth", 1),
+                    amount(each, "late-worth", 0),
+                    each.flag("streaming")));
         }
         for (Fields each : root.rows("tenants")) {
             TenantId id = new TenantId(tenants.size());
@@ -69,18 +94,30 @@
         }
         Fields allowed = root.section("allowed");
         Fields rules = root.section("invariants");
-        permits = new Permits(allowed.whole("max-attempts", 1, 1, MOST_EXECUTIONS), allowed.flag("cancel"),
-                allowed.flag("parallel-tries"), allowed.flag("probes"),
+        permits = new Permits(
+                allowed.whole("max-attempts", 1, 1, MOST_EXECUTIONS),
+                allowed.flag("cancel"),
+                allowed.flag("parallel-tries"),
+                allowed.flag("probes"),
                 allowed.flag("retry-after") ? time(allowed, "max-retry-after-us") : 0);
         dialWithin = time(allowed, "dial-timeout-us");
         connectionIdle = time(allowed, "conn-idle-us");
-        cold = new ColdRule(rules.within("cold-share", 1, 0, 1), time(rules, "cold-us"),
-                amount(rules, "overload-factor", 1), time(rules, "tip-after-us"));
+        cold = new ColdRule(
+                rules.within("cold-share", 1, 0, 1),
+                time(rules, "cold-us"),
+                amount(rules, "overload-factor", 1),
+                time(rules, "tip-after-us"));
         listMustBeAsked = mustBeAsked(root);
         askWithin = time(rules, "ask-within-us");
         int sidecars = root.whole("siblings", 1, 1, MOST_SIDECARS);
-        site = new Site(root.whole("me", 0, 0, sidecars - 1), sidecars, zone(root), weights(root),
-                reports(root), allowed.flag("peers"), allowed.flag("probes"));
+        site = new Site(
+                root.whole("me", 0, 0, sidecars - 1),
+                sidecars,
+                zone(root),
+                weights(root),
+                reports(root),
+                allowed.flag("peers"),
+                allowed.flag("probes"));
         streams = allowed.whole("streams-per-conn", 1, 1, MOST_STREAMS);
     }
 
@@ -89,8 +126,8 @@
     }
 
     /**
-     * The platform's discovery must always be asked and carries no probes, whatever the settings say of the
-     * simulated one; messages only where there is a way for them.
+     * The platform's discovery must always be asked and carries no probes, whatever the settings say of the simulated
+     * one; messages only where there is a way for them.
      */
     public Decide startOnSockets(Effects effects, long seed, boolean messages) {
         return start(effects, seed, true, site.onSockets(messages));
@@ -167,7 +204,10 @@
     }
 
     private static <T> String nameOf(Map<String, T> ids, T id) {
-        return ids.keySet().stream().filter(each -> ids.get(each).equals(id)).findFirst().orElseThrow();
+        return ids.keySet().stream()
+                .filter(each -> ids.get(each).equals(id))
+                .findFirst()
+                .orElseThrow();
     }
 
     /** "none" for null. */
@@ -175,9 +215,7 @@
         return id == null ? "none" : nameOf(tenantIds, id);
     }
 
-    /**
-     * A tenant's part of what there is to share; 1 where the settings allot it none, or there are no tenants.
-     */
+    /** A tenant's part of what there is to share; 1 where the settings allot it none, or there are no tenants. */
     public double weight(TenantId id) {
         double share = id == null ? 0 : tenants.get(id.value()).share();
         return share > 0 ? share : 1;
--- a/core/src/main/java/portrelay/sources/Asking.java
+++ b/core/src/main/java/portrelay/sources/Asking.java
@@ -4,20 +4,20 @@
 import java.util.Deque;
 
 /**
- * Which calls to discovery are out, how long each may wait there for news, and how long it is waited for
- * here. Promises that after a call that failed, was refused or was given up a new one begins often enough for
- * a change to be read within 6 s of discovery having it and being reachable (standing test, "one clock for
- * silence"), and that no place in discovery's queue is given up sooner than it must be: one service works
- * through the calls of all sidecars in turn. Knows no socket, clock or list; when to ask again after a
- * failure is the policy's to say ({@link portrelay.model.ListRule}). Times are seconds.
+ * Which calls to discovery are out, how long each may wait there for news, and how long it is waited for here. Promises
+ * that after a call that failed, was refused or was given up a new one begins often enough for a change to be read
+ * within 6 s of discovery having it and being reachable (standing test, "one clock for silence"), and that no place in
+ * discovery's queue is given up sooner than it must be: one service works through the calls of all sidecars in turn.
+ * Knows no socket, clock or list; when to ask again after a failure is the policy's to say
+ * ({@link portrelay.model.ListRule}). Times are seconds.
  */
 public final class Asking {
 
     /** What carries the calls out; each begins once and ends by {@code end} or by what its caller tells. */
     public interface Calls {
         /**
-         * Discovery may hold the call back for that wait while it has no news, 0 where it is to answer at
-         * once; after the patience {@link Asking#late} is told, unless the call has ended.
+         * Discovery may hold the call back for that wait while it has no news, 0 where it is to answer at once; after
+         * the patience {@link Asking#late} is told, unless the call has ended.
          */
         void begin(int call, double wait, double patience);
 
@@ -28,13 +28,13 @@
     /** A watch of a discovery that answered the call before. */
     public static final double WAIT = 20;
     /**
-     * The first watch after a failure: one that is taken and never answered, as by a process that dies or a
-     * network that is cut just then, must be known for such while another call can still tell in time.
+     * The first watch after a failure: one that is taken and never answered, as by a process that dies or a network
+     * that is cut just then, must be known for such while another call can still tell in time.
      */
     public static final double WAIT_UNSURE = 3;
     /**
-     * On top of the wait. What a silent watch kept from us counts as told 2 s after its wait: of these a new
-     * dial may take 1 s, and a discovery that is asked by all at once half a second to answer on it.
+     * On top of the wait. What a silent watch kept from us counts as told 2 s after its wait: of these a new dial may
+     * take 1 s, and a discovery that is asked by all at once half a second to answer on it.
      */
     static final double PATIENCE = 0.5;
     /** For a call that does not wait; a discovery that is asked by all at once takes seconds over it. */
@@ -45,9 +45,11 @@
     private final Calls calls;
     /** The eldest first. */
     private final Deque<Integer> out = new ArrayDeque<>();
+
     private int last;
     /** Whether the call before was answered. */
     private boolean sure = true;
+
     private boolean whole;
 
     public Asking(Calls calls) {
--- a/core/src/test/java/portrelay/door/DoorTest.java
+++ b/core/src/test/java/portrelay/door/DoorTest.java
@@ -24,7 +24,7 @@
     private static final double SERVICE = 0.05;
     private static final double LONGEST = 2;
 
-    private record Event(double time, long order, Runnable what) { }
+    private record Event(double time, long order, Runnable what) {}
 
     /** The world: a clock, a fleet of PLACES, and clients that do as they are told. */
     private static final class World implements DoorEffects {
@@ -55,8 +55,18 @@
             QueryId id = new QueryId("q" + order++);
             tenantOf.put(id, tenant);
             useful.put(id, now + 0.3);
-            door.arrived(now, new Caller(id, new FlowId(flow), new TenantId(tenant), new OfferingId(0), 1,
-                    door.usualWork(new OfferingId(0)), 100, now + 0.3, again));
+            door.arrived(
+                    now,
+                    new Caller(
+                            id,
+                            new FlowId(flow),
+                            new TenantId(tenant),
+                            new OfferingId(0),
+                            1,
+                            door.usualWork(new OfferingId(0)),
+                            100,
+                            now + 0.3,
+                            again));
             peak = Math.max(peak, door.waiting());
             return id;
         }
@@ -105,8 +115,8 @@
     }
 
     private static DoorSettings places(int waiting, int flows) {
-        return new DoorSettings(DoorSettings.FlowsBy.TENANT, PLACES, false, waiting, 1 << 20, flows, 0.25, 10,
-                RoomSettings.USUAL);
+        return new DoorSettings(
+                DoorSettings.FlowsBy.TENANT, PLACES, false, waiting, 1 << 20, flows, 0.25, 10, RoomSettings.USUAL);
     }
 
     /** Hard case 3: the fleet handles 200 a second; a loud tenant sends three times its share of them. */
@@ -142,8 +152,8 @@
     /** Hard case 1: 10,000 clients, each a flow of its own, within a second, and gone. */
     @Test
     void tenThousandClientsAtOnceStayWithinTheBoundAndLeaveNothing() {
-        World w = new World(new DoorSettings(DoorSettings.FlowsBy.CLIENT, PLACES, false, 512, 1 << 20, 128,
-                0.25, 10, RoomSettings.USUAL));
+        World w = new World(new DoorSettings(
+                DoorSettings.FlowsBy.CLIENT, PLACES, false, 512, 1 << 20, 128, 0.25, 10, RoomSettings.USUAL));
         SplittableRandom chance = new SplittableRandom(3);
         for (double t = 0; t < 4; t += 0.02) {
             w.at(t, () -> w.ask(1, "usual", false));
@@ -221,9 +231,21 @@
 
     @Test
     void aSettingThatIsWrongIsNamedWithItsPlace() throws BadSetting {
-        Map<String, Object> wrong = Map.of("flows-by", "tennant", "most-inside", 1.5, "most-waiting", 0.0,
-                "wait-share", Double.NaN, "follow-module", "yes", "connections", Map.of("silent-share", 2.0),
-                "most-wating", 3.0);
+        Map<String, Object> wrong = Map.of(
+                "flows-by",
+                "tennant",
+                "most-inside",
+                1.5,
+                "most-waiting",
+                0.0,
+                "wait-share",
+                Double.NaN,
+                "follow-module",
+                "yes",
+                "connections",
+                Map.of("silent-share", 2.0),
+                "most-wating",
+                3.0);
         for (Map.Entry<String, Object> each : wrong.entrySet()) {
             Fields fields = Fields.of(Map.of(each.getKey(), each.getValue()), "door");
             BadSetting bad = assertThrows(BadSetting.class, () -> DoorSettings.read(fields), each.getKey());
--- a/core/src/test/java/portrelay/door/FairQueueTest.java
+++ b/core/src/test/java/portrelay/door/FairQueueTest.java
@@ -22,8 +22,7 @@
     private static final double MOST_WORK = 4;
 
     static Caller caller(String id, String flow, double weight, double work) {
-        return new Caller(new QueryId(id), new FlowId(flow), null, new OfferingId(0), weight, work, 10, 1e9,
-                false);
+        return new Caller(new QueryId(id), new FlowId(flow), null, new OfferingId(0), weight, work, 10, 1e9, false);
     }
 
     private static double weight(int flow) {
@@ -80,7 +79,8 @@
                 }
             }
             for (int i = 0; i < FLOWS; i++) {
-                assertTrue(Math.abs(served[i] - fluid.had[i]) <= MOST_WORK + 1e-6,
+                assertTrue(
+                        Math.abs(served[i] - fluid.had[i]) <= MOST_WORK + 1e-6,
                         "flow " + i + " had " + served[i] + ", of the fluid " + fluid.had[i]);
             }
         }
@@ -94,8 +94,16 @@
         int n = 0;
         for (int step : steps) {
             if (step < 600) {
-                Caller c = new Caller(new QueryId("q" + n++), new FlowId("f" + step % 40), null,
-                        new OfferingId(0), 1 + step % 2, 1, step % 23, 1e9, false);
+                Caller c = new Caller(
+                        new QueryId("q" + n++),
+                        new FlowId("f" + step % 40),
+                        null,
+                        new OfferingId(0),
+                        1 + step % 2,
+                        1,
+                        step % 23,
+                        1e9,
+                        false);
                 plain.put(c.id(), c);
                 queue.add(c, step % 5 == 0).forEach(gone -> assertEquals(gone, plain.remove(gone.id())));
             } else if (step < 800 && !plain.isEmpty()) {
--- a/core/src/test/java/portrelay/door/RoomTest.java
+++ b/core/src/test/java/portrelay/door/RoomTest.java
@@ -36,8 +36,11 @@
                 plain.put(id(next), Room.Phase.SILENT);
                 room.opened(now, id(next++));
             } else {
-                ClientId one = plain.keySet().stream().sorted((a, b) -> Long.compare(a.value(), b.value()))
-                        .skip(step % plain.size()).findFirst().orElseThrow();
+                ClientId one = plain.keySet().stream()
+                        .sorted((a, b) -> Long.compare(a.value(), b.value()))
+                        .skip(step % plain.size())
+                        .findFirst()
+                        .orElseThrow();
                 Room.Phase phase = Room.Phase.values()[step % 5];
                 plain.put(one, phase);
                 room.at(now, one, phase);
@@ -47,8 +50,7 @@
                 assertTrue(e.phase() != Room.Phase.ASKED);
                 room.closed(e.id());
             }
-            boolean mayGo = plain.values().stream()
-                    .anyMatch(p -> p != Room.Phase.ASKED && p != Room.Phase.ANSWERING);
+            boolean mayGo = plain.values().stream().anyMatch(p -> p != Room.Phase.ASKED && p != Room.Phase.ANSWERING);
             assertTrue(plain.size() <= MOST || !mayGo, "no place though " + plain);
             assertEquals(plain.size(), room.count());
         }
--- a/core/src/test/java/portrelay/gossip/GossipTest.java
+++ b/core/src/test/java/portrelay/gossip/GossipTest.java
@@ -18,7 +18,7 @@
 
     private static final double MESSAGE = 0.02;
 
-    private record Mail(int from, int to, String text) { }
+    private record Mail(int from, int to, String text) {}
 
     private final List<Mail> mail = new ArrayList<>();
     private int toAll;
@@ -43,47 +43,38 @@
         }
 
         @Override
-        public void send(QueryId query, UpstreamId upstream) {
-        }
+        public void send(QueryId query, UpstreamId upstream) {}
 
         @Override
-        public void callOff(QueryId query, int execution) {
-        }
+        public void callOff(QueryId query, int execution) {}
 
         @Override
-        public void deny(QueryId query, double coolDown) {
-        }
+        public void deny(QueryId query, double coolDown) {}
 
         @Override
-        public void writeOff(QueryId query) {
-        }
+        public void writeOff(QueryId query) {}
 
         @Override
-        public void alarmAt(double time) {
-        }
+        public void alarmAt(double time) {}
 
         @Override
-        public void watchList() {
-        }
+        public void watchList() {}
 
         @Override
-        public void probe(UpstreamId upstream) {
-        }
+        public void probe(UpstreamId upstream) {}
 
         @Override
-        public void letGo(UpstreamId upstream) {
-        }
+        public void letGo(UpstreamId upstream) {}
 
         @Override
-        public void note(String text) {
-        }
+        public void note(String text) {}
     }
 
     private List<Gossip> started(int sidecars, double now) {
         List<Gossip> all = new ArrayList<>();
         for (int i = 0; i < sidecars; i++) {
-            Site site = new Site(i, sidecars, new ZoneId(i % 4), Site.Weights.LIVE, Site.Reports.WITH_ANSWERS,
-                    true, false);
+            Site site =
+                    new Site(i, sidecars, new ZoneId(i % 4), Site.Weights.LIVE, Site.Reports.WITH_ANSWERS, true, false);
             all.add(new Gossip(new Teller(i), site, now));
         }
         return all;
--- a/core/src/test/java/portrelay/policy/BanTest.java
+++ b/core/src/test/java/portrelay/policy/BanTest.java
@@ -24,7 +24,8 @@
             rig.end(rig.last(), Outcome.HANDLED);
             rig.pass(0.01);
         }
-        return rig.sent.subList(before, rig.sent.size()).stream().anyMatch(each -> each.at().equals(OUT));
+        return rig.sent.subList(before, rig.sent.size()).stream()
+                .anyMatch(each -> each.at().equals(OUT));
     }
 
     @Test
@@ -98,14 +99,17 @@
             rig.sent.subList(rig.sent.size() - 1, rig.sent.size()).forEach(s -> rig.end(s, Outcome.HANDLED));
             rig.pass(0.006);
         }
-        long there =
-                rig.sent.subList(before, rig.sent.size()).stream().filter(s -> s.at().equals(OUT)).count();
+        long there = rig.sent.subList(before, rig.sent.size()).stream()
+                .filter(s -> s.at().equals(OUT))
+                .count();
         assertTrue(there >= 1 && there < queries / 4, "sent there: " + there);
         // Not only by the trial that one passed over gets: past the settling it has its part.
         rig.pass(1);
         int later = rig.sent.size();
         used(rig, 60);
-        long part = rig.sent.subList(later, rig.sent.size()).stream().filter(s -> s.at().equals(OUT)).count();
+        long part = rig.sent.subList(later, rig.sent.size()).stream()
+                .filter(s -> s.at().equals(OUT))
+                .count();
         assertTrue(part >= 5, "passed over still: " + part + " of 60");
     }
 
@@ -150,7 +154,8 @@
         rig.decide.ban(rig.now, first, true);
         rig.end(rig.last(), Outcome.ERROR);
         // Only its group drops a repeat, and only the two others of it may be sent one.
-        rig.sent.stream().filter(s -> s.query().equals(id))
+        rig.sent.stream()
+                .filter(s -> s.query().equals(id))
                 .forEach(s -> assertEquals(first.value() / 3, s.at().value() / 3));
         while (rig.writtenOff.isEmpty()) {
             rig.end(rig.last(), Outcome.ERROR);
--- a/core/src/test/java/portrelay/policy/ColdSumTest.java
+++ b/core/src/test/java/portrelay/policy/ColdSumTest.java
@@ -9,23 +9,34 @@
 import portrelay.model.ColdRule;
 
 /**
- * Rule 4, summed over all processes: a cold upstream falls under more than N + 2 x root N + 2 in the rule's
- * time, from one process or from a thousand. What each keeps to itself must not lie ready at all of them at
- * once; and a cold one that gets nothing is of no use, the less so where nothing else is there.
+ * Rule 4, summed over all processes: a cold upstream falls under more than N + 2 x root N + 2 in the rule's time, from
+ * one process or from a thousand. What each keeps to itself must not lie ready at all of them at once; and a cold one
+ * that gets nothing is of no use, the less so where nothing else is there.
  */
 class ColdSumTest {
 
     private static final int UPSTREAMS = 30;
     /** Of the sixty a second that each does. */
     private static final double LOAD = 0.6;
+
     private static final double PER_SECOND = LOAD * 60 * UPSTREAMS;
     private static final ColdRule RULE = Rig.COLD;
     private static final double PLAYED = 5;
 
-    private enum Day { CALM, BURST, WARM_LOST, WARM_FULL, RESTARTS, SIX_IN_TEN, NO_WARM, UNEVEN, SUDDEN }
+    private enum Day {
+        CALM,
+        BURST,
+        WARM_LOST,
+        WARM_FULL,
+        RESTARTS,
+        SIX_IN_TEN,
+        NO_WARM,
+        UNEVEN,
+        SUDDEN
+    }
 
     /** What came of a day: over the rule's bound where positive; got is the part of what it surely does. */
-    private record End(String which, double over, double got, double served) { }
+    private record End(String which, double over, double got, double served) {}
 
     private static End play(Day day, int size, boolean messages, int told) {
         Fleet fleet = new Fleet(7, size, UPSTREAMS, messages, told);
@@ -55,15 +66,15 @@
                     fleet.restart(i);
                 }
             }
-            default -> { }
+            default -> {}
         }
         fleet.play(PLAYED - 2, day == Day.BURST || day == Day.SUDDEN ? 2.5 * rate : rate);
         double over = fresh.stream().mapToDouble(m -> m.over(RULE)).max().orElseThrow();
         double got = fresh.stream().mapToDouble(m -> m.sent).average().orElseThrow()
                 / (PLAYED * 60 * (RULE.share() + (1 - RULE.share()) * PLAYED / 2 / RULE.time()));
-        String which = String.format("%s, %d processes%s, told %d: %.1f over, %.2f of what it surely does, "
-                + "served %.2f", day, size, messages ? " with messages" : "", told, over, got,
-                fleet.handled / (double) fleet.asked());
+        String which = String.format(
+                "%s, %d processes%s, told %d: %.1f over, %.2f of what it surely does, " + "served %.2f",
+                day, size, messages ? " with messages" : "", told, over, got, fleet.handled / (double) fleet.asked());
         return new End(which, over, got, fleet.handled / (double) fleet.asked());
     }
 
--- a/core/src/test/java/portrelay/policy/FailuresTest.java
+++ b/core/src/test/java/portrelay/policy/FailuresTest.java
@@ -89,9 +89,7 @@
         assertTrue(firstSendsTo(0) > before, "judged by what its predecessor did");
     }
 
-    /**
-     * A trouble in which upstreams do their work and lose a fifth of their answers: no reason to send less.
-     */
+    /** A trouble in which upstreams do their work and lose a fifth of their answers: no reason to send less. */
     @Test
     void answersThatAreLostWhileLaterOnesComeDoNotCutTheLimits() {
         rig.ready(8);
@@ -116,7 +114,9 @@
     }
 
     private long firstSendsTo(int upstream) {
-        return rig.sent.stream().filter(s -> s.index() == 0 && s.at().value() == upstream).count();
+        return rig.sent.stream()
+                .filter(s -> s.index() == 0 && s.at().value() == upstream)
+                .count();
     }
 
     /** idukki-maps ie64ef7, kw-kalender-wien i6fc5d9: queues that retries and copies kept full. */
@@ -178,8 +178,7 @@
         for (int sidecar = 0; sidecar < 6; sidecar++) {
             Rig each = new Rig(sidecar);
             each.ready(5);
-            each.decide.list(each.now, ListNews.CHANGES,
-                    List.of(Rig.row(5, Listed.Health.READY, each.now)));
+            each.decide.list(each.now, ListNews.CHANGES, List.of(Rig.row(5, Listed.Health.READY, each.now)));
             for (int i = 0; i < 200; i++) {
                 each.ask("q" + i, Rig.AT_MOST_ONCE, 2);
                 each.end(each.last(), Outcome.HANDLED);
@@ -236,8 +235,17 @@
         rig.ready(4);
         for (int i = 0; i < 40; i++) {
             QueryId id = new QueryId("once" + i);
-            rig.decide.arrival(rig.now, new Asked(id, new OfferingId(Rig.NUMBERED_ANYWHERE), null, null,
-                    rig.now + 30, Double.NaN, false, true));
+            rig.decide.arrival(
+                    rig.now,
+                    new Asked(
+                            id,
+                            new OfferingId(Rig.NUMBERED_ANYWHERE),
+                            null,
+                            null,
+                            rig.now + 30,
+                            Double.NaN,
+                            false,
+                            true));
             rig.pass(20);
             rig.end(rig.last(), i % 2 == 0 ? Outcome.FULL : Outcome.ERROR);
         }
@@ -250,9 +258,7 @@
         assertEquals(43, rig.sent.size());
     }
 
-    /**
-     * The list moves the first one to another group while it is out: its mark against a repeat stays behind.
-     */
+    /** The list moves the first one to another group while it is out: its mark against a repeat stays behind. */
     @Test
     void aNumberedQueryIsRepeatedInTheGroupThatItsFirstWasSentTo() {
         Rig rig = new Rig(1);
@@ -261,8 +267,10 @@
         Rig.Sent first = rig.last();
         int cell = (int) (first.at().value() / 3);
         Listed row = Rig.row((int) first.at().value(), Listed.Health.READY, 0);
-        rig.decide.list(rig.now, ListNews.CHANGES, List.of(new Listed(row.id(), row.health(), 0, 1,
-                new GroupId(1 - cell), row.zone(), row.shape())));
+        rig.decide.list(
+                rig.now,
+                ListNews.CHANGES,
+                List.of(new Listed(row.id(), row.health(), 0, 1, new GroupId(1 - cell), row.zone(), row.shape())));
         rig.pass(0.1);
         rig.end(first, Outcome.BROKEN);
         Rig.Sent second = rig.last();
--- a/core/src/test/java/portrelay/policy/Fleet.java
+++ b/core/src/test/java/portrelay/policy/Fleet.java
@@ -19,8 +19,8 @@
 import portrelay.model.UpstreamId;
 
 /**
- * Many modules in virtual time with messages that are late or lost, before upstreams of a few cores each. All
- * chance comes from one seed. A helper of tests: it knows what each of them asks for and no more.
+ * Many modules in virtual time with messages that are late or lost, before upstreams of a few cores each. All chance
+ * comes from one seed. A helper of tests: it knows what each of them asks for and no more.
  */
 final class Fleet {
 
@@ -31,7 +31,7 @@
     private static final int FIRST_NEW = 1000;
 
     /** Something that happens at a time, the earlier asked for the first where times are equal. */
-    private record Due(double time, long order, Runnable what) { }
+    private record Due(double time, long order, Runnable what) {}
 
     /** One upstream: so many cores, a queue before them, and what all sidecars sent it. */
     final class Machine {
@@ -78,9 +78,8 @@
         }
 
         /**
-         * By how much the most that came within the rule's time was over what it bears then and what is
-         * chance: N + 2 x root N + 2, N being what the ramp allows three cores in that time. Under 0 it
-         * stands.
+         * By how much the most that came within the rule's time was over what it bears then and what is chance: N + 2 x
+         * root N + 2, N being what the ramp allows three cores in that time. Under 0 it stands.
          */
         double over(ColdRule rule) {
             double over = Double.NEGATIVE_INFINITY;
@@ -89,7 +88,10 @@
                     from++;
                 }
                 double begins = arrivals.get(i) - rule.tipAfter();
-                double allowed = rule.overloadFactor() * CORES / WORK * rule.tipAfter()
+                double allowed = rule.overloadFactor()
+                        * CORES
+                        / WORK
+                        * rule.tipAfter()
                         * ramp(rule, Math.max(since, begins) + rule.tipAfter() / 2);
                 over = Math.max(over, i - from + 1 - allowed - 2 * Math.sqrt(allowed) - 2);
             }
@@ -149,9 +151,9 @@
             add(i);
         }
         for (int i = 0; i < size; i++) {
-            sidecars.add(new Rig(seed * 1000 + i,
-                    new Site(i % told, told, null, Site.Weights.NOMINAL, Site.Reports.SILENT, messages,
-                            false)));
+            sidecars.add(new Rig(
+                    seed * 1000 + i,
+                    new Site(i % told, told, null, Site.Weights.NOMINAL, Site.Reports.SILENT, messages, false)));
             open.put(sidecars.get(i), new HashSet<>());
         }
     }
@@ -164,7 +166,10 @@
 
     /** So many of the oldest go and as many cold ones come; heard with the next list. */
     void replace(int upstreams) {
-        machines.keySet().stream().sorted(Comparator.comparing(UpstreamId::value)).limit(upstreams).toList()
+        machines.keySet().stream()
+                .sorted(Comparator.comparing(UpstreamId::value))
+                .limit(upstreams)
+                .toList()
                 .forEach(machines::remove);
         for (int i = 0; i < upstreams; i++) {
             add(FIRST_NEW + newcomers++).restarts(true);
@@ -178,7 +183,9 @@
 
     void listed(Rig rig) {
         rig.now = now;
-        rig.decide.list(now, ListNews.WHOLE,
+        rig.decide.list(
+                now,
+                ListNews.WHOLE,
                 machines.values().stream().map(m -> m.row(Listed.Health.READY)).toList());
     }
 
--- a/core/src/test/java/portrelay/policy/FleetTest.java
+++ b/core/src/test/java/portrelay/policy/FleetTest.java
@@ -21,8 +21,8 @@
     private static final double RATE = 60;
 
     /**
-     * Of 8,100 codes three were shared by two of these sixty: what was said of either was heard of one,
-     * and the other one looked idle to all and got four times its share.
+     * Of 8,100 codes three were shared by two of these sixty: what was said of either was heard of one, and the other
+     * one looked idle to all and got four times its share.
      */
     @Test
     void noUpstreamIsFilledByAllForWantOfACodeOfItsOwn() {
@@ -38,10 +38,7 @@
         assertTrue(fleet.handled > 0.97 * fleet.asked(), fleet.handled + " of " + fleet.asked());
     }
 
-    /**
-     * A small fleet's sidecars spent themselves on a datagram for each of the others; its own word may
-     * come back.
-     */
+    /** A small fleet's sidecars spent themselves on a datagram for each of the others; its own word may come back. */
     @Test
     void whereAllShareAllOneMessageGoesToAllAndItsSenderCountsItOnce() {
         Rig rig = new Rig(1, new Site(0, 2, null, Site.Weights.NOMINAL, Site.Reports.SILENT, true, false));
@@ -63,17 +60,18 @@
     }
 
     /**
-     * zone+vast: a third of the upstreams falls silent and returns cold, under queries that may not be copied
-     * and so hang to their cut-off. Forgotten after 1.5 s the silent ones looked idle again and got 149 of
-     * 4,205; what the old processes had not answered kept some new ones passed over, with nothing for 5 s.
+     * zone+vast: a third of the upstreams falls silent and returns cold, under queries that may not be copied and so
+     * hang to their cut-off. Forgotten after 1.5 s the silent ones looked idle again and got 149 of 4,205; what the old
+     * processes had not answered kept some new ones passed over, with nothing for 5 s.
      */
     @Test
     void aSilentZoneCostsItsOwnQueriesAndIsUsedAgainWhenItIsBack() {
         Fleet fleet = new Fleet(1, SIDECARS, UPSTREAMS);
         fleet.listed();
         fleet.play(4, RATE, Rig.AT_MOST_ONCE);
-        List<Fleet.Machine> zone =
-                fleet.machines.values().stream().filter(m -> m.id.value() < UPSTREAMS / 3).toList();
+        List<Fleet.Machine> zone = fleet.machines.values().stream()
+                .filter(m -> m.id.value() < UPSTREAMS / 3)
+                .toList();
         zone.forEach(m -> m.silent = true);
         fleet.forgetCounts();
         fleet.play(5, RATE, Rig.AT_MOST_ONCE);
@@ -109,9 +107,8 @@
     }
 
     /**
-     * Cold ones from all sidecars together: one of sixty, then six in ten at once. Three times what is
-     * right for the ramp pushes one over; the ramp starts at a fifth of the sixty queries a second that
-     * three cores do.
+     * Cold ones from all sidecars together: one of sixty, then six in ten at once. Three times what is right for the
+     * ramp pushes one over; the ramp starts at a fifth of the sixty queries a second that three cores do.
      */
     @Test
     void coldUpstreamsAreNotPushedOverByAllTogether() {
@@ -123,15 +120,16 @@
                 fleet.listed();
                 double rate = 840.0 / size;
                 fleet.play(3, rate);
-                List<Fleet.Machine> fresh =
-                        fleet.machines.values().stream().filter(m -> m.id.value() < cold).toList();
+                List<Fleet.Machine> fresh = fleet.machines.values().stream()
+                        .filter(m -> m.id.value() < cold)
+                        .toList();
                 fresh.forEach(m -> m.restarts(true));
                 fleet.listed();
                 fleet.forgetCounts();
                 fleet.play(4, rate);
                 int most = fresh.stream().mapToInt(m -> m.mostWithin(1)).max().orElseThrow();
-                String which = size + " sidecars, " + cold + " cold: " + most + ", handled " +
-                        fleet.handled + " of "
+                String which = size + " sidecars, " + cold + " cold: " + most + ", handled " + fleet.handled
+                        + " of "
                         + fleet.asked();
                 // Of what tips one over this is two thirds; without the ramp it gets up to 27.
                 assertTrue(most < 24, which);
@@ -141,8 +139,7 @@
     }
 
     /**
-     * Lost and doubled messages, a killed sidecar: what is not in flight any more counts for no longer than a
-     * cut-off.
+     * Lost and doubled messages, a killed sidecar: what is not in flight any more counts for no longer than a cut-off.
      */
     @Test
     void countsComeBackToTheTruthWhereMessagesAreLost() {
--- a/core/src/test/java/portrelay/policy/Rig.java
+++ b/core/src/test/java/portrelay/policy/Rig.java
@@ -42,17 +42,16 @@
 
     static final int ALL = -1;
     static final Site ALONE = new Site(0, 1, null, Site.Weights.NOMINAL, Site.Reports.SILENT, false, false);
-    static final Site LOOKING =
-            new Site(0, 50, null, Site.Weights.SILENT, Site.Reports.WITH_PROBES, false, true);
+    static final Site LOOKING = new Site(0, 50, null, Site.Weights.SILENT, Site.Reports.WITH_PROBES, false, true);
 
     /** One of ten, at home in a zone whose upstreams are 6 x zone and the next five. */
     static Site sharing(int me, int zone) {
         return new Site(me, 10, new ZoneId(zone), Site.Weights.LIVE, Site.Reports.WITH_ANSWERS, true, false);
     }
 
-    record Told(int to, String text) { }
+    record Told(int to, String text) {}
 
-    record Sent(QueryId query, int index, UpstreamId at, double time) { }
+    record Sent(QueryId query, int index, UpstreamId at, double time) {}
 
     final List<Sent> sent = new ArrayList<>();
     final List<QueryId> denied = new ArrayList<>();
@@ -85,8 +84,8 @@
     final void restart(long seed) {
         alarms.clear();
         executions.clear();
-        decide = new Decide(this, seed, new Deployment(OFFERINGS, List.of(), PERMITS, COLD,
-                new ListRule(true, ASK_WITHIN), site));
+        decide = new Decide(
+                this, seed, new Deployment(OFFERINGS, List.of(), PERMITS, COLD, new ListRule(true, ASK_WITHIN), site));
         decide.start(now);
     }
 
@@ -96,8 +95,14 @@
 
     /** Upstreams 0 to 2 share one cell, 3 to 5 the next, and so on. */
     static Listed row(int upstream, Listed.Health health, double since) {
-        return new Listed(new UpstreamId(upstream), health, since, 1, new GroupId(upstream / 3),
-                new ZoneId(upstream / 6), new ShapeId(upstream % 2));
+        return new Listed(
+                new UpstreamId(upstream),
+                health,
+                since,
+                1,
+                new GroupId(upstream / 3),
+                new ZoneId(upstream / 6),
+                new ShapeId(upstream % 2));
     }
 
     /** The list as it moves: upstreams from 0 on with these weights. */
@@ -121,8 +126,8 @@
 
     QueryId ask(String name, int offering, double budget) {
         QueryId id = new QueryId(name);
-        decide.arrival(now, new Asked(id, new OfferingId(offering), (TenantId) null, null, now + budget,
-                Double.NaN, false));
+        decide.arrival(
+                now, new Asked(id, new OfferingId(offering), (TenantId) null, null, now + budget, Double.NaN, false));
         return id;
     }
 
@@ -207,6 +212,5 @@
     }
 
     @Override
-    public void note(String text) {
-    }
+    public void note(String text) {}
 }
--- a/core/src/test/java/portrelay/policy/RulesTest.java
+++ b/core/src/test/java/portrelay/policy/RulesTest.java
@@ -22,16 +22,22 @@
 import portrelay.model.Site;
 import portrelay.model.UpstreamId;
 
-/**
- * A slow, plain model of the four rules, written from the rules alone, beside the module on generated days.
- */
+/** A slow, plain model of the four rules, written from the rules alone, beside the module on generated days. */
 class RulesTest {
 
     private static final double GRACE_TO_ANSWER = 0.02;
     private static final double DRAIN_GRACE = 0.5;
     private static final int UPSTREAMS = 9;
-    private static final Outcome[] OUTCOMES = {Outcome.HANDLED, Outcome.ERROR, Outcome.FULL, Outcome.BROKEN,
-            Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.CALLED_OFF, Outcome.TIMED_OUT};
+    private static final Outcome[] OUTCOMES = {
+        Outcome.HANDLED,
+        Outcome.ERROR,
+        Outcome.FULL,
+        Outcome.BROKEN,
+        Outcome.NO_CONNECTION,
+        Outcome.NOT_SENT,
+        Outcome.CALLED_OFF,
+        Outcome.TIMED_OUT
+    };
 
     private static final class Try {
         final int upstream;
@@ -73,7 +79,8 @@
             if (offering == Rig.AT_MOST_ONCE) {
                 return false;
             }
-            Try first = tries.stream().filter(t -> !t.provedNeverRan()).findFirst().orElseThrow();
+            Try first =
+                    tries.stream().filter(t -> !t.provedNeverRan()).findFirst().orElseThrow();
             Offering o = Rig.OFFERINGS.get(offering);
             return now <= first.at + o.window()
                     && (o.group() == Offering.Group.ALL || upstream / 3 == first.upstream / 3);
@@ -95,13 +102,17 @@
                 if (detail % 5 > 0) {
                     probed.remove(each);
                     double inHand = detail % 5 == 1 ? Double.NaN : detail / 5 % 4;
-                    decide.probed(now, each, detail % 5 == 2 ? null
-                            : new LoadReport(inHand, 0, 0, Double.NaN, Double.NaN, Double.NaN));
+                    decide.probed(
+                            now,
+                            each,
+                            detail % 5 == 2 ? null : new LoadReport(inHand, 0, 0, Double.NaN, Double.NaN, Double.NaN));
                 }
             }
-            String text = detail % 3 == 0 ? "~" + "hHm".charAt(detail / 3 % 3) + "!!\"!"
-                    : detail % 3 == 1 ? "~r" + (char) (33 + detail % 90)
-                    : "" + (char) (33 + detail % 127) + (detail % 2 == 0 ? "" : "!");
+            String text = detail % 3 == 0
+                    ? "~" + "hHm".charAt(detail / 3 % 3) + "!!\"!"
+                    : detail % 3 == 1
+                            ? "~r" + (char) (33 + detail % 90)
+                            : "" + (char) (33 + detail % 127) + (detail % 2 == 0 ? "" : "!");
             decide.heard(now, detail % 12 - 1, text);
         }
 
@@ -222,8 +233,7 @@
                 leave(w, detail);
             } else if (detail % 8 == 0) {
                 w.forget(detail);
-                w.decide.list(w.now, ListNews.REMEMBERED, List.of(Rig.row(detail % UPSTREAMS,
-                        Listed.Health.READY, 0)));
+                w.decide.list(w.now, ListNews.REMEMBERED, List.of(Rig.row(detail % UPSTREAMS, Listed.Health.READY, 0)));
             } else {
                 w.decide.list(w.now, ListNews.FAILED, List.of());
             }
--- a/core/src/test/java/portrelay/policy/SeenLoadTest.java
+++ b/core/src/test/java/portrelay/policy/SeenLoadTest.java
@@ -53,7 +53,8 @@
         assertTrue(looks.probed.size() > 7, "a second look, as nothing was idle");
         looks.decide.probed(looks.now, looks.probed.get(7), holding(1));
         looks.pass(0.0045);
-        assertTrue(Set.of(looks.probed.get(3), looks.probed.get(7)).contains(looks.last().at()));
+        assertTrue(Set.of(looks.probed.get(3), looks.probed.get(7))
+                .contains(looks.last().at()));
     }
 
     @Test
@@ -70,8 +71,10 @@
     @Test
     void aRetryTakesNoPlaceBehindAnotherAndIsToldToComeBackSoon() {
         looks.ready(4);
-        looks.decide.arrival(looks.now, new Asked(new QueryId("r"), new OfferingId(Rig.REISSUABLE), null,
-                null, looks.now + 2, Double.NaN, true));
+        looks.decide.arrival(
+                looks.now,
+                new Asked(
+                        new QueryId("r"), new OfferingId(Rig.REISSUABLE), null, null, looks.now + 2, Double.NaN, true));
         for (int i = 0; i < 40; i++) {
             List.copyOf(looks.probed).forEach(each -> looks.decide.probed(looks.now, each, holding(1)));
             looks.pass(0.002);
@@ -102,7 +105,7 @@
         }
 
         void talk() {
-            for (int more = 1; more > 0;) {
+            for (int more = 1; more > 0; ) {
                 more = 0;
                 for (Map.Entry<Integer, Rig> from : rigs.entrySet()) {
                     List<Rig.Told> told = from.getValue().told;
@@ -168,8 +171,10 @@
             parts.computeIfAbsent(usedBy(each), k -> new ArrayList<>()).add(each);
         }
         pool.talk();
-        List<Rig> sharers =
-                parts.values().stream().filter(each -> each.size() >= 2).findFirst().orElseThrow();
+        List<Rig> sharers = parts.values().stream()
+                .filter(each -> each.size() >= 2)
+                .findFirst()
+                .orElseThrow();
         Rig one = sharers.get(0);
         Rig other = sharers.get(1);
         one.ask("a", Rig.AT_MOST_ONCE, 2);
@@ -220,8 +225,7 @@
         Rig rig = pool.rigs.get(0);
         long group = usedBy(rig).iterator().next().value() / 3;
         int told = rig.told.size();
-        for (String text : List.of("", "~", "~h", "~H", "~r", "~x!", "~m", "~mz", "~m!", "\u00e9", "z",
-                "~~~~", "!")) {
+        for (String text : List.of("", "~", "~h", "~H", "~r", "~x!", "~m", "~mz", "~m!", "\u00e9", "z", "~~~~", "!")) {
             for (int from : new int[] {-1, 0, 3, 10, 4711}) {
                 rig.decide.heard(rig.now, from, text);
             }
@@ -247,8 +251,11 @@
                 rig.end(rig.last(), Outcome.HANDLED);
             }
             // Others of its part go on being answered there.
-            String begun = rig.told.stream().map(Rig.Told::text).filter(t -> t.length() == 2)
-                    .reduce((a, b) -> b).orElseThrow();
+            String begun = rig.told.stream()
+                    .map(Rig.Told::text)
+                    .filter(t -> t.length() == 2)
+                    .reduce((a, b) -> b)
+                    .orElseThrow();
             for (char code = '!'; code < '!' + 23; code++) {
                 for (int i = 0; i < 8; i++) {
                     rig.decide.heard(rig.now, 4, "" + code + begun.charAt(1));
@@ -259,8 +266,11 @@
             rig.end(silent, Outcome.TIMED_OUT);
         }
         // amman-main big-1: with the first told alone nobody else acted for seconds.
-        assertEquals(2, rig.told.stream()
-                .filter(each -> each.to() == Rig.ALL && each.text().startsWith("~r")).count());
+        assertEquals(
+                2,
+                rig.told.stream()
+                        .filter(each -> each.to() == Rig.ALL && each.text().startsWith("~r"))
+                        .count());
         rig.pass(1);
         int before = rig.letGo.size();
         rig.ask("next", Rig.AT_MOST_ONCE, 2);
@@ -286,8 +296,7 @@
         Pool pool = new Pool(5);
         Rig rig = pool.rigs.get(0);
         UpstreamId one = usedBy(rig).iterator().next();
-        rig.decide.list(rig.now, ListNews.CHANGES,
-                List.of(Rig.row((int) one.value(), Listed.Health.DRAINING, 0)));
+        rig.decide.list(rig.now, ListNews.CHANGES, List.of(Rig.row((int) one.value(), Listed.Health.DRAINING, 0)));
         assertTrue(!usedBy(rig).contains(one));
     }
 
@@ -410,8 +419,8 @@
         List<Listed> rows = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             Listed row = Rig.row(i, Listed.Health.READY, 0);
-            rows.add(new Listed(row.id(), row.health(), 0, i == 1 ? 1 : 1 / (1.0 + i), row.cell(), row.zone(),
-                    row.shape()));
+            rows.add(new Listed(
+                    row.id(), row.health(), 0, i == 1 ? 1 : 1 / (1.0 + i), row.cell(), row.zone(), row.shape()));
         }
         // 0 and 2 are of one shape: 0 is idle and listed at its size, 2 holds two and is listed at a third.
         fresh.decide.list(fresh.now, ListNews.REMEMBERED, rows);
--- a/core/src/test/java/portrelay/policy/SharedByLotTest.java
+++ b/core/src/test/java/portrelay/policy/SharedByLotTest.java
@@ -128,7 +128,8 @@
             pair.fill(3);
             pair.others.now += 0.3;
             pair.ours.now = pair.others.now;
-            List.copyOf(pair.others.sent).stream().filter(s -> s.time() == pair.others.now - 0.3)
+            List.copyOf(pair.others.sent).stream()
+                    .filter(s -> s.time() == pair.others.now - 0.3)
                     .forEach(s -> pair.others.end(s, Outcome.HANDLED));
             pair.talk();
         }
@@ -158,7 +159,8 @@
             UpstreamId hung = new UpstreamId(0);
             ours.decide.heard(ours.now, 1, begun.get(hung));
             ours.now += 0.45;
-            begun.values().stream().filter(text -> !text.equals(begun.get(hung)))
+            begun.values().stream()
+                    .filter(text -> !text.equals(begun.get(hung)))
                     .forEach(text -> ours.decide.heard(ours.now, 1, text));
             ours.ask("now", Rig.REISSUABLE, 2);
             assertTrue(!ours.last().at().equals(hung), "sent where nobody is answered");
--- a/core/src/test/java/portrelay/sources/AskingTest.java
+++ b/core/src/test/java/portrelay/sources/AskingTest.java
@@ -16,8 +16,8 @@
 import portrelay.model.ListRule;
 
 /**
- * A change counts as told 6 s after discovery had it and could be reached, whatever went before: callers in
- * virtual time before one discovery that takes its calls in turn.
+ * A change counts as told 6 s after discovery had it and could be reached, whatever went before: callers in virtual
+ * time before one discovery that takes its calls in turn.
  */
 class AskingTest {
 
@@ -27,14 +27,24 @@
     private static final ListRule RULE = new ListRule(true, 30);
 
     /** What discovery does with a call until it is back. */
-    private enum Away { REFUSES, NEVER_COMES_UP, TAKES_AND_IS_SILENT, BREAKS_OFF_LATE, ALL_OF_THEM }
+    private enum Away {
+        REFUSES,
+        NEVER_COMES_UP,
+        TAKES_AND_IS_SILENT,
+        BREAKS_OFF_LATE,
+        ALL_OF_THEM
+    }
 
     /** What it does with more calls than it can answer when it is back. */
-    private enum Busy { ALL_IN_TURN, REFUSES_AT_ONCE, REFUSES_WHO_WAITED_LONG }
+    private enum Busy {
+        ALL_IN_TURN,
+        REFUSES_AT_ONCE,
+        REFUSES_WHO_WAITED_LONG
+    }
 
-    private record Due(double time, long order, Runnable what) { }
+    private record Due(double time, long order, Runnable what) {}
 
-    private record Waiting(Caller caller, int call, double since) { }
+    private record Waiting(Caller caller, int call, double since) {}
 
     private final PriorityQueue<Due> dues = new PriorityQueue<>(
             (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
@@ -144,7 +154,7 @@
             case REFUSES -> after(0.001, () -> caller.failed(call));
             case NEVER_COMES_UP -> after(1, () -> caller.failed(call));
             case BREAKS_OFF_LATE -> after(chance.nextDouble() * 2, () -> caller.failed(call));
-            default -> { }
+            default -> {}
         }
     }
 
@@ -203,10 +213,7 @@
         }
     }
 
-    /**
-     * A hundred and twenty answers a six seconds: a hundred callers who were all turned away are told in
-     * them.
-     */
+    /** A hundred and twenty answers a six seconds: a hundred callers who were all turned away are told in them. */
     @Test
     void aHundredThatWereTurnedAwayAreToldInTimeByOneThatAnswersTwentyASecond() {
         for (Away each : Away.values()) {
--- a/daemon/src/main/java/org/xnio/nio/SharedAddress.java
+++ b/daemon/src/main/java/org/xnio/nio/SharedAddress.java
@@ -12,18 +12,21 @@
 import org.xnio.channels.AcceptingChannel;
 
 /**
- * A server at an address that a process can share with its successor (SO_REUSEPORT). In XNIO's package, as
- * XNIO 3.8 has no option for that and binds in the same step as it opens: this does the step with the option
- * set and hands the channel to XNIO's own server. docs/design/operations.md, "Replacing the process".
+ * A server at an address that a process can share with its successor (SO_REUSEPORT). In XNIO's package, as XNIO 3.8 has
+ * no option for that and binds in the same step as it opens: this does the step with the option set and hands the
+ * channel to XNIO's own server. docs/design/operations.md, "Replacing the process".
  */
 public final class SharedAddress {
 
-    private SharedAddress() {
-    }
+    private SharedAddress() {}
 
     /** Accepts on the I/O threads, once it is resumed; accept returns null elsewhere. */
-    public static AcceptingChannel<StreamConnection> listen(XnioWorker worker, InetSocketAddress at,
-            int backlog, ChannelListener<AcceptingChannel<StreamConnection>> accept, OptionMap options)
+    public static AcceptingChannel<StreamConnection> listen(
+            XnioWorker worker,
+            InetSocketAddress at,
+            int backlog,
+            ChannelListener<AcceptingChannel<StreamConnection>> accept,
+            OptionMap options)
             throws IOException {
         ServerSocketChannel channel = ServerSocketChannel.open();
         boolean well = false;
--- a/daemon/src/main/java/portrelay/cli/Main.java
+++ b/daemon/src/main/java/portrelay/cli/Main.java
@@ -10,20 +10,25 @@
 
     private static final int BAD_USE = 2;
 
-    private Main() {
-    }
+    private Main() {}
 
     public static void main(String[] args) {
         System.exit(run("portrelay", Map.of(), args));
     }
 
-    /**
-     * Runs the command that the arguments name, one of ours or of the further ones; returns the exit code.
-     */
+    /** Runs the command that the arguments name, one of ours or of the further ones; returns the exit code. */
     public static int run(String program, Map<String, Command> further, String[] args) {
-        Map<String, Command> commands = new HashMap<>(Map.of("drill", new DrillCommand(),
-                "serve", new ServeCommand(), "check", new CheckCommand(),
-                "migrate", new MigrateCommand(), "version", new VersionCommand()));
+        Map<String, Command> commands = new HashMap<>(Map.of(
+                "drill",
+                new DrillCommand(),
+                "serve",
+                new ServeCommand(),
+                "check",
+                new CheckCommand(),
+                "migrate",
+                new MigrateCommand(),
+                "version",
+                new VersionCommand()));
         commands.putAll(further);
         JCommander cli = JCommander.newBuilder().programName(program).build();
         commands.forEach(cli::addCommand);
--- a/daemon/src/main/java/portrelay/cli/MigrateCommand.java
+++ b/daemon/src/main/java/portrelay/cli/MigrateCommand.java
@@ -12,8 +12,9 @@
 import portrelay.settings.BadSetting;
 import portrelay.settings.Migration;
 
-@Parameters(commandDescription = "turn an old configuration into its counterpart for a new shape of "
-        + "deployment; exit 0: all carried over, 1: some left out, 2: bad input and nothing written")
+@Parameters(
+        commandDescription = "turn an old configuration into its counterpart for a new shape of "
+                + "deployment; exit 0: all carried over, 1: some left out, 2: bad input and nothing written")
 final class MigrateCommand implements Command {
 
     private static final int ALL = 0;
@@ -23,7 +24,9 @@
     @Parameter(names = "--config", required = true, description = "the old configuration, a JSON file")
     private String config;
 
-    @Parameter(names = "--shape", required = true,
+    @Parameter(
+            names = "--shape",
+            required = true,
             description = "what the new deployment sets, a JSON file with a section settings")
     private String shape;
 
@@ -52,8 +55,7 @@
             }
             result.replaced().forEach(each -> System.err.println("replaced " + each));
             result.leftOut().forEach(each -> System.err.println("left out " + each));
-            Config.parse(json).inVain()
-                    .forEach(each -> System.err.println("not yet on sockets " + each));
+            Config.parse(json).inVain().forEach(each -> System.err.println("not yet on sockets " + each));
             return result.leftOut().isEmpty() ? ALL : SOME_LEFT_OUT;
         } catch (BadSetting e) {
             System.err.println("portrelay: " + e.getMessage());
--- a/daemon/src/main/java/portrelay/cli/ServeCommand.java
+++ b/daemon/src/main/java/portrelay/cli/ServeCommand.java
@@ -58,20 +58,20 @@
     }
 
     /**
-     * Unhandled it ends the JVM, so this comes before all else. The JDK has one class that handles signals;
-     * by its name, as the compiler warns of each other use of it and can't be told that it is meant.
+     * Unhandled it ends the JVM, so this comes before all else. The JDK has one class that handles signals; by its
+     * name, as the compiler warns of each other use of it and can't be told that it is meant.
      */
     private static void onHangUp(Runnable then) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object ours = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
-                    (self, method, arguments) -> {
+            Object ours = Proxy.newProxyInstance(
+                    handler.getClassLoader(), new Class<?>[] {handler}, (self, method, arguments) -> {
                         then.run();
                         return null;
                     });
-            signal.getMethod("handle", signal, handler).invoke(null,
-                    signal.getConstructor(String.class).newInstance("HUP"), ours);
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), ours);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("this JVM does not hand on SIGHUP", e);
         }
--- a/daemon/src/main/java/portrelay/drill/Clock.java
+++ b/daemon/src/main/java/portrelay/drill/Clock.java
@@ -3,8 +3,7 @@
 /** The wire counts whole microseconds, the decisions seconds with fractions. */
 final class Clock {
 
-    private Clock() {
-    }
+    private Clock() {}
 
     static double seconds(long micros) {
         return micros / 1e6;
--- a/daemon/src/main/java/portrelay/drill/Drill.java
+++ b/daemon/src/main/java/portrelay/drill/Drill.java
@@ -28,15 +28,11 @@
 public final class Drill {
 
     /** The wire tells each decision instance apart by a number of its own. */
-    private record InstanceId(long value) {
-    }
+    private record InstanceId(long value) {}
 
-    private record Instance(Decide decide, Settings settings) {
-    }
+    private record Instance(Decide decide, Settings settings) {}
 
-    /**
-     * One decision to make; kept apart from reading so that only the module's own faults become bail-outs.
-     */
+    /** One decision to make; kept apart from reading so that only the module's own faults become bail-outs. */
     private interface Step {
         void decide();
     }
@@ -131,8 +127,17 @@
         }
     }
 
-    private static final List<String> EVENTS = List.of("arrival", "closed-attempt", "alarm", "sync",
-            "expired", "accepted", "check-result", "message", "down", "new-instance");
+    private static final List<String> EVENTS = List.of(
+            "arrival",
+            "closed-attempt",
+            "alarm",
+            "sync",
+            "expired",
+            "accepted",
+            "check-result",
+            "message",
+            "down",
+            "new-instance");
 
     private void decide(InstanceId id, Step step) throws IOException {
         try {
@@ -213,8 +218,14 @@
         double cutOffAt = Clock.seconds(in.whole("due-us"));
         long work = in.wholeOr("predicted-us", 0);
         long bits = in.wholeOr("state-bits", 0);
-        Asked asked = new Asked(query, offering, tenant, key, cutOffAt,
-                (bits & 1) != 0 ? Clock.seconds(work) : Double.NaN, (bits & 2) != 0);
+        Asked asked = new Asked(
+                query,
+                offering,
+                tenant,
+                key,
+                cutOffAt,
+                (bits & 1) != 0 ? Clock.seconds(work) : Double.NaN,
+                (bits & 2) != 0);
         decide(id, () -> at.decide().arrival(now, asked));
     }
 
@@ -262,7 +273,7 @@
                 case "mean_ms" -> meanTime = value / 1e3;
                 case "tps" -> handledRate = value;
                 case "err_ps" -> errorRate = value;
-                default -> { }
+                default -> {}
             }
         }
         return new LoadReport(inHand, waiting, busyShare, meanTime, handledRate, errorRate);
--- a/daemon/src/main/java/portrelay/json/Tree.java
+++ b/daemon/src/main/java/portrelay/json/Tree.java
@@ -16,17 +16,14 @@
 /** Any JSON value as maps, lists, strings, doubles and booleans; for what is read seldom and as a whole. */
 public final class Tree {
 
-    private Tree() {
-    }
+    private Tree() {}
 
     /** One value and nothing behind it. */
     public static Object parse(byte[] json) throws IOException {
         return parse(new JsonFactory(), json);
     }
 
-    /**
-     * The same; a name that stands twice in one object is a mistake, as one of the two would go unnoticed.
-     */
+    /** The same; a name that stands twice in one object is a mistake, as one of the two would go unnoticed. */
     public static Object parseOnce(byte[] json) throws IOException {
         return parse(new JsonFactory().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION), json);
     }
--- a/daemon/src/main/java/portrelay/net/AnswerGuard.java
+++ b/daemon/src/main/java/portrelay/net/AnswerGuard.java
@@ -5,8 +5,8 @@
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Stands between a connection's bytes and Undertow's client, which sees one sound answer for each call: no
- * answers ahead of it, nothing behind it. What is not sound fails as a read, at once.
+ * Stands between a connection's bytes and Undertow's client, which sees one sound answer for each call: no answers
+ * ahead of it, nothing behind it. What is not sound fails as a read, at once.
  */
 final class AnswerGuard extends Guard {
 
@@ -16,6 +16,7 @@
     private ByteBuffer head = ByteBuffer.allocate(1024);
     /** Sound and not yet handed on; a view of one of the two above. */
     private ByteBuffer ready = ByteBuffer.allocate(0);
+
     private Framing framing;
 
     AnswerGuard(StreamSourceConduit next) {
--- a/daemon/src/main/java/portrelay/net/Call.java
+++ b/daemon/src/main/java/portrelay/net/Call.java
@@ -20,8 +20,8 @@
     }
 
     static Call of(HttpString method, String target, byte[] body, Upload upload) {
-        return new Call(new ClientRequest().setMethod(method).setPath(target).setProtocol(Protocols.HTTP_1_1),
-                body, upload);
+        return new Call(
+                new ClientRequest().setMethod(method).setPath(target).setProtocol(Protocols.HTTP_1_1), body, upload);
     }
 
     HeaderMap headers() {
--- a/daemon/src/main/java/portrelay/net/Clients.java
+++ b/daemon/src/main/java/portrelay/net/Clients.java
@@ -12,8 +12,8 @@
 import portrelay.door.RoomSettings;
 
 /**
- * The clients' connections: owns the sockets, tells the room what each is at and ends those that it names.
- * Each is entered at {@code opened} and given back at {@code gone}, once.
+ * The clients' connections: owns the sockets, tells the room what each is at and ends those that it names. Each is
+ * entered at {@code opened} and given back at {@code gone}, once.
  */
 final class Clients {
 
--- a/daemon/src/main/java/portrelay/net/Clock.java
+++ b/daemon/src/main/java/portrelay/net/Clock.java
@@ -1,9 +1,9 @@
 package portrelay.net;
 
 /**
- * Seconds since the Unix epoch as they stood at the start, counted on by the monotonic clock. Anchored once:
- * a wall clock that is set later must not move cut-offs, and one start of an upstream must always be read as
- * the same time, else it looks like another start.
+ * Seconds since the Unix epoch as they stood at the start, counted on by the monotonic clock. Anchored once: a wall
+ * clock that is set later must not move cut-offs, and one start of an upstream must always be read as the same time,
+ * else it looks like another start.
  */
 final class Clock {
 
--- a/daemon/src/main/java/portrelay/net/Config.java
+++ b/daemon/src/main/java/portrelay/net/Config.java
@@ -10,11 +10,19 @@
 import portrelay.settings.Settings;
 
 /**
- * What a sidecar is told at its start. Known is null where it never had a list, mgmt where operators have no
- * door, peers where there is no way for messages.
+ * What a sidecar is told at its start. Known is null where it never had a list, mgmt where operators have no door,
+ * peers where there is no way for messages.
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
-        InetSocketAddress mgmt, long seed, int sockets, Fields known, Settings settings, DoorSettings door,
+public record Config(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        InetSocketAddress mgmt,
+        long seed,
+        int sockets,
+        Fields known,
+        Settings settings,
+        DoorSettings door,
         Peers peers) {
 
     /** The environment variable that names the file. */
@@ -28,14 +36,21 @@
     public static Config parse(byte[] json) throws BadSetting {
         Fields root = Fields.of(tree(json), "");
         int sockets = root.has(Names.LIMITS)
-                ? root.section(Names.LIMITS).whole(Names.SOCKETS, SOCKETS, 1, MOST_SOCKETS) : SOCKETS;
+                ? root.section(Names.LIMITS).whole(Names.SOCKETS, SOCKETS, 1, MOST_SOCKETS)
+                : SOCKETS;
         Fields known = root.has(Names.KNOWN) ? root.section(Names.KNOWN) : null;
         if (known != null) {
             ListPage.read(known);
         }
-        return new Config(root.text(Names.NAME), address(root, Names.LISTEN), address(root, Names.DISCOVERY),
-                root.has(Names.MGMT) ? address(root, Names.MGMT) : null, seed(root), sockets,
-                known, new Settings(root.section(Names.SETTINGS)),
+        return new Config(
+                root.text(Names.NAME),
+                address(root, Names.LISTEN),
+                address(root, Names.DISCOVERY),
+                root.has(Names.MGMT) ? address(root, Names.MGMT) : null,
+                seed(root),
+                sockets,
+                known,
+                new Settings(root.section(Names.SETTINGS)),
                 root.has(Names.DOOR) ? DoorSettings.read(root.section(Names.DOOR)) : DoorSettings.USUAL,
                 Peers.read(root));
     }
@@ -43,8 +58,8 @@
     /** With the door as a file of its own sets it: one object with the fields of the section. */
     public Config withDoor(byte[] json) throws BadSetting {
         Fields fields = Fields.of(tree(json), Names.DOOR);
-        return new Config(name, listen, discovery, mgmt, seed, sockets, known, settings,
-                DoorSettings.read(fields), peers);
+        return new Config(
+                name, listen, discovery, mgmt, seed, sockets, known, settings, DoorSettings.read(fields), peers);
     }
 
     /** With the operators' door where the text says: that is told to one process, the file to several. */
@@ -70,7 +85,6 @@
         }
     }
 
-
     private static InetSocketAddress address(Fields root, String name) throws BadSetting {
         InetSocketAddress address = Addresses.parse(root.text(name));
         if (address == null) {
--- a/daemon/src/main/java/portrelay/net/Dialer.java
+++ b/daemon/src/main/java/portrelay/net/Dialer.java
@@ -32,8 +32,8 @@
 
     /** How a socket is opened; the warm-up has another way than the network. */
     interface Opener {
-        IoFuture<StreamConnection> open(InetSocketAddress to,
-                ChannelListener<? super StreamConnection> opened, OptionMap options);
+        IoFuture<StreamConnection> open(
+                InetSocketAddress to, ChannelListener<? super StreamConnection> opened, OptionMap options);
     }
 
     private final Loop loop;
@@ -43,6 +43,7 @@
     private final Opening opening;
     /** Idle connections, the longest idle first. */
     private final Set<Link> resting = new LinkedHashSet<>();
+
     private final IntConsumer counted;
     private int open;
 
@@ -181,9 +182,9 @@
     }
 
     /**
-     * Stands between Undertow's client and the I/O thread at the moment of the dial. The client keeps to
-     * itself what it dials: a dial that has to be given up would hold its descriptor until the kernel's time-
-     * out, two minutes, and what the socket took could not be counted.
+     * Stands between Undertow's client and the I/O thread at the moment of the dial. The client keeps to itself what it
+     * dials: a dial that has to be given up would hold its descriptor until the kernel's time- out, two minutes, and
+     * what the socket took could not be counted.
      */
     private static final class Opening extends XnioIoThread {
 
@@ -202,17 +203,22 @@
         }
 
         @Override
-        public IoFuture<StreamConnection> openStreamConnection(SocketAddress unused,
-                ChannelListener<? super StreamConnection> listener, OptionMap options) {
-            dialing = opener.open(to, connection -> {
-                socket = connection;
-                sent = new AtomicLong();
-                guard = new AnswerGuard(connection.getSourceChannel().getConduit());
-                connection.getSourceChannel().setConduit(guard);
-                connection.getSinkChannel().setConduit(new BytesSentStreamSinkConduit(
-                        connection.getSinkChannel().getConduit(), sent::addAndGet));
-                listener.handleEvent(connection);
-            }, options);
+        public IoFuture<StreamConnection> openStreamConnection(
+                SocketAddress unused, ChannelListener<? super StreamConnection> listener, OptionMap options) {
+            dialing = opener.open(
+                    to,
+                    connection -> {
+                        socket = connection;
+                        sent = new AtomicLong();
+                        guard = new AnswerGuard(connection.getSourceChannel().getConduit());
+                        connection.getSourceChannel().setConduit(guard);
+                        connection
+                                .getSinkChannel()
+                                .setConduit(new BytesSentStreamSinkConduit(
+                                        connection.getSinkChannel().getConduit(), sent::addAndGet));
+                        listener.handleEvent(connection);
+                    },
+                    options);
             return dialing;
         }
 
--- a/daemon/src/main/java/portrelay/net/DoorActor.java
+++ b/daemon/src/main/java/portrelay/net/DoorActor.java
@@ -16,8 +16,8 @@
 import portrelay.settings.Settings;
 
 /**
- * Carries out the door: keeps the queries that wait, hands the module those that are let in and answers those
- * that are turned away. Decides nothing itself.
+ * Carries out the door: keeps the queries that wait, hands the module those that are let in and answers those that are
+ * turned away. Decides nothing itself.
  */
 final class DoorActor implements DoorEffects {
 
@@ -75,9 +75,18 @@
         double now = loop.now();
         double useful = now + rules.waitShare() * (asked.cutOffAt() - now);
         int bytes = incoming.body().length + incoming.target().length() + headerBytes(incoming);
-        door.arrived(now, new Caller(asked.id(), flow(asked, from), asked.tenant(), asked.offering(),
-                settings.weight(asked.tenant()), door.usualWork(asked.offering()), bytes, useful,
-                asked.again()));
+        door.arrived(
+                now,
+                new Caller(
+                        asked.id(),
+                        flow(asked, from),
+                        asked.tenant(),
+                        asked.offering(),
+                        settings.weight(asked.tenant()),
+                        door.usualWork(asked.offering()),
+                        bytes,
+                        useful,
+                        asked.again()));
     }
 
     /** A head may be many times as long as its body, and waits with it. */
@@ -93,13 +102,15 @@
     }
 
     private FlowId flow(Asked asked, InetAddress from) {
-        String tenant = asked.tenant() == null ? "" : Integer.toString(asked.tenant().value());
+        String tenant =
+                asked.tenant() == null ? "" : Integer.toString(asked.tenant().value());
         String client = from == null ? "" : from.getHostAddress();
-        return new FlowId(switch (rules.flowsBy()) {
-            case TENANT -> tenant;
-            case CLIENT -> client;
-            case BOTH -> tenant + " " + client;
-        });
+        return new FlowId(
+                switch (rules.flowsBy()) {
+                    case TENANT -> tenant;
+                    case CLIENT -> client;
+                    case BOTH -> tenant + " " + client;
+                });
     }
 
     // ---- What the door does -----------------------------------------------------------------------------
@@ -136,7 +147,8 @@
 
     /** Lines for on-call, one a tenant, where somebody was turned away since the last ones. */
     void tell() {
-        long turnedAway = door.tallies().values().stream().mapToLong(Tally::turnedAway).sum();
+        long turnedAway =
+                door.tallies().values().stream().mapToLong(Tally::turnedAway).sum();
         if (turnedAway > told) {
             for (Map.Entry<TenantId, Tally> each : door.tallies().entrySet()) {
                 log.info("door tenant=" + settings.name(each.getKey()) + " " + each.getValue());
--- a/daemon/src/main/java/portrelay/net/DoorCounts.java
+++ b/daemon/src/main/java/portrelay/net/DoorCounts.java
@@ -25,8 +25,8 @@
     String line() {
         String line = null;
         if (full > 0 || notNeeded > 0 || !madeWay.isEmpty() || !tooLong.isEmpty()) {
-            line = "door accepted=" + accepted + " made-way=" + madeWay + " too-long=" + tooLong
-                    + " not-needed=" + notNeeded + " denied-no-room=" + full;
+            line = "door accepted=" + accepted + " made-way=" + madeWay + " too-long=" + tooLong + " not-needed="
+                    + notNeeded + " denied-no-room=" + full;
         }
         accepted = 0;
         full = 0;
--- a/daemon/src/main/java/portrelay/net/Framing.java
+++ b/daemon/src/main/java/portrelay/net/Framing.java
@@ -5,13 +5,24 @@
 import java.util.regex.Pattern;
 
 /**
- * Follows messages in the bytes as they come and tells where one ends or stops making sense. The library is
- * lax there: it takes a chunk of size "zz" for the last one, an interim answer for the final one, and reads a
- * head without end to the end of memory.
+ * Follows messages in the bytes as they come and tells where one ends or stops making sense. The library is lax there:
+ * it takes a chunk of size "zz" for the last one, an interim answer for the final one, and reads a head without end to
+ * the end of memory.
  */
 final class Framing {
 
-    private enum Part { FIRST_LINE, HEADERS, BODY, SIZE, CHUNK, AFTER_CHUNK, TRAILERS, END, OPAQUE, BROKEN }
+    private enum Part {
+        FIRST_LINE,
+        HEADERS,
+        BODY,
+        SIZE,
+        CHUNK,
+        AFTER_CHUNK,
+        TRAILERS,
+        END,
+        OPAQUE,
+        BROKEN
+    }
 
     private static final String CONTENT_LENGTH = "content-length";
     private static final String TRANSFER_ENCODING = "transfer-encoding";
@@ -92,8 +103,8 @@
     }
 
     /**
-     * Moves over the bytes that are sound, to the end of a head, of an answer or of the buffer. Stands before
-     * the line that breaks the message.
+     * Moves over the bytes that are sound, to the end of a head, of an answer or of the buffer. Stands before the line
+     * that breaks the message.
      */
     void follow(ByteBuffer bytes) {
         boolean wasInHead = inHead();
@@ -161,8 +172,7 @@
     /** Noise need not have a line's end in it. */
     private boolean startsWell() {
         int last = line.length() - 1;
-        return !answers || part != Part.FIRST_LINE || last >= START.length()
-                || line.charAt(last) == START.charAt(last);
+        return !answers || part != Part.FIRST_LINE || last >= START.length() || line.charAt(last) == START.charAt(last);
     }
 
     private Part next(String text) {
@@ -244,7 +254,8 @@
         }
         // An answer that only the connection's end delimits can't be told from half of one, unless it was
         // announced: then all but a reset is its end.
-        return !answers || status == 204 || status == 304 ? Part.END
+        return !answers || status == 204 || status == 304
+                ? Part.END
                 : status == 200 && !closes ? Part.BROKEN : Part.OPAQUE;
     }
 
--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -4,7 +4,6 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.io.IoCallback;
-import io.undertow.io.Sender;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
@@ -43,14 +42,14 @@
     private static final int LOOKS = 8;
     /** Taken in one turn of the loop: others have theirs between. */
     private static final int AT_ONCE = 64;
+
     private static final int BACKLOG = 1024;
     /** What clients send by the word of their last look at us, and how long a new one may keep silent. */
     private static final double STILL_COMING = 0.6;
+
     private static final double JUST_COME = 0.2;
     private static final double STAMP_EVERY = 0.25;
-    /**
-     * What a client may send ahead while we still look whether it is there: its next query, head and body.
-     */
+    /** What a client may send ahead while we still look whether it is there: its next query, head and body. */
     private static final int MOST_AHEAD = 32 * 1024 + Call.SHORT;
 
     private final Loop loop;
@@ -66,6 +65,7 @@
     private final Lingering lingering;
     /** Where bytes may come behind a request that came whole. */
     private final Lingering lingersOn;
+
     private boolean closing;
     private boolean inService = true;
     private int drains;
@@ -73,10 +73,17 @@
     private double answerBy = Double.POSITIVE_INFINITY;
     /** Those that wait for an answer, by the ids that they gave. */
     private final Map<String, Client> asking = new HashMap<>();
+
     private long taken;
 
-    Front(Loop loop, Log log, ByteBufferPool buffers, QueryReader reader, DoorActor doorkeeper,
-            RoomSettings room, DoorCounts counts) {
+    Front(
+            Loop loop,
+            Log log,
+            ByteBufferPool buffers,
+            QueryReader reader,
+            DoorActor doorkeeper,
+            RoomSettings room,
+            DoorCounts counts) {
         this.loop = loop;
         this.log = log;
         this.reader = reader;
@@ -85,28 +92,37 @@
         clients = new Clients(loop, log, room, counts);
         lingering = new Lingering(loop, clients, false);
         lingersOn = new Lingering(loop, clients, true);
-        http = new HttpOpenListener(buffers, OptionMap.builder()
-                .set(UndertowOptions.DECODE_URL, false)
-                .set(UndertowOptions.ALWAYS_SET_DATE, false)
-                .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-                .set(UndertowOptions.MAX_HEADER_SIZE, 32 * 1024)
-                // Of its times for heads and for the next query none is set: where the loop was late they end
-                // connections in which the query lies unread. Clients has both, and looks first.
-                // Its own bound of 2 MiB would cut bodies off; ours comes first and is answered.
-                .set(UndertowOptions.MAX_ENTITY_SIZE, 2L * Call.LONGEST).getMap());
+        http = new HttpOpenListener(
+                buffers,
+                OptionMap.builder()
+                        .set(UndertowOptions.DECODE_URL, false)
+                        .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                        .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                        .set(UndertowOptions.MAX_HEADER_SIZE, 32 * 1024)
+                        // Of its times for heads and for the next query none is set: where the loop was late they end
+                        // connections in which the query lies unread. Clients has both, and looks first.
+                        // Its own bound of 2 MiB would cut bodies off; ours comes first and is answered.
+                        .set(UndertowOptions.MAX_ENTITY_SIZE, 2L * Call.LONGEST)
+                        .getMap());
         http.setRootHandler(new HttpContinueReadHandler(this));
     }
 
     /**
-     * Takes connections at this address. Past the number that there is room for, one of least worth ends for
-     * each that comes: in the listen queue its query would age unseen, before or behind others that are dead.
+     * Takes connections at this address. Past the number that there is room for, one of least worth ends for each that
+     * comes: in the listen queue its query would age unseen, before or behind others that are dead.
      */
     void listen(XnioWorker worker, InetSocketAddress at, int mostClients) throws IOException {
         clients.most(mostClients);
-        door = SharedAddress.listen(worker, at, BACKLOG, from -> acceptSome(from), OptionMap.builder()
-                .set(Options.TCP_NODELAY, true)
-                .set(Options.CONNECTION_HIGH_WATER, mostClients + LOOKS)
-                .set(Options.CONNECTION_LOW_WATER, mostClients + LOOKS - 1).getMap());
+        door = SharedAddress.listen(
+                worker,
+                at,
+                BACKLOG,
+                from -> acceptSome(from),
+                OptionMap.builder()
+                        .set(Options.TCP_NODELAY, true)
+                        .set(Options.CONNECTION_HIGH_WATER, mostClients + LOOKS)
+                        .set(Options.CONNECTION_LOW_WATER, mostClients + LOOKS - 1)
+                        .getMap());
         door.resumeAccepts();
     }
 
@@ -146,8 +162,7 @@
     }
 
     void accept(StreamConnection client) {
-        QueryGuard guard =
-                new QueryGuard(client.getSourceChannel().getConduit(), () -> clients.heard(client));
+        QueryGuard guard = new QueryGuard(client.getSourceChannel().getConduit(), () -> clients.heard(client));
         client.getSourceChannel().setConduit(guard);
         clients.opened(client, guard);
         http.handleEvent(client);
@@ -163,9 +178,9 @@
     }
 
     /**
-     * No new connections from here on. What the kernel has put into our queue by now is taken first: closed
-     * with it, it would be turned back unheard, and its queries are taken as soon as the kernel has them.
-     * What comes between the last look and the close is not ours to see.
+     * No new connections from here on. What the kernel has put into our queue by now is taken first: closed with it, it
+     * would be turned back unheard, and its queries are taken as soon as the kernel has them. What comes between the
+     * last look and the close is not ours to see.
      */
     void closeDoor() {
         if (door == null || !door.isOpen()) {
@@ -191,8 +206,8 @@
     }
 
     /**
-     * Sends clients away, or takes them again. Nobody is cut off meanwhile: queries that come are served,
-     * each answer ends its connection, and quiet ones end when what clients still sent on them has come.
+     * Sends clients away, or takes them again. Nobody is cut off meanwhile: queries that come are served, each answer
+     * ends its connection, and quiet ones end when what clients still sent on them has come.
      */
     void inService(boolean now) {
         if (now != inService) {
@@ -330,8 +345,8 @@
             Client client = new Client(exchange, said, asked.id(), upload);
             String query = exchange.getQueryString();
             String target = Passing.path(exchange) + (query.isEmpty() ? "" : "?" + query);
-            Incoming incoming = new Incoming(asked, exchange.getRequestMethod(), target,
-                    exchange.getRequestHeaders(), body, upload, client);
+            Incoming incoming = new Incoming(
+                    asked, exchange.getRequestMethod(), target, exchange.getRequestHeaders(), body, upload, client);
             clients.at(client.connection, Room.Phase.ASKED);
             clients.began(client.connection, said, exchange::getResponseBytesSent);
             if (clients.full()) {
@@ -368,8 +383,8 @@
     }
 
     /**
-     * Where a query ends is not known or not worth reading on to: what follows on the connection must neither
-     * be taken for a query nor be read to its end, which can be far.
+     * Where a query ends is not known or not worth reading on to: what follows on the connection must neither be taken
+     * for a query nor be read to its end, which can be far.
      */
     private void turnAwayAndClose(HttpServerExchange exchange, BadQuery why) {
         exchange.setPersistent(false);
@@ -385,7 +400,6 @@
         exchange.getResponseSender().send(text, then);
     }
 
-
     /** One client that waits for its answer; notices when it no longer does. */
     private final class Client implements Incoming.Reply, Upload.Listener, Pump.Ends {
 
@@ -397,12 +411,15 @@
         private final Upload upload;
         /** What came behind the query, until Undertow has it back. */
         private final ByteArrayOutputStream ahead = new ByteArrayOutputStream(0);
+
         private boolean watched;
         /** What comes behind the request is no use any more: it is read for the client's end alone. */
         private boolean discards;
+
         private boolean over;
         /** Whether the answer waits for its client to read and not for its upstream to give. */
         private boolean waitsForClient = true;
+
         private double stampedAt;
 
         Client(HttpServerExchange exchange, String said, QueryId id, Upload upload) {
@@ -427,9 +444,7 @@
             source.resumeReads();
         }
 
-        /**
-         * Reads up to the end, if it is there; what comes before it is the client's next query, sent ahead.
-         */
+        /** Reads up to the end, if it is there; what comes before it is the client's next query, sent ahead. */
         private void look(ConduitStreamSourceChannel source) {
             if (over || !discards && ahead.size() >= MOST_AHEAD) {
                 source.suspendReads();
@@ -482,7 +497,8 @@
                 all.put(first.getBuffer());
                 first.close();
             }
-            connection.setExtraBytes(new ImmediatePooledByteBuffer(all.put(ahead.toByteArray()).flip()));
+            connection.setExtraBytes(
+                    new ImmediatePooledByteBuffer(all.put(ahead.toByteArray()).flip()));
             ahead.reset();
         }
 
@@ -553,8 +569,8 @@
         }
 
         /**
-         * Only a client that does not read may be ended for it: what the upstream still has to give is waited
-         * for as long as {@code Link} has patience with the upstream.
+         * Only a client that does not read may be ended for it: what the upstream still has to give is waited for as
+         * long as {@code Link} has patience with the upstream.
          */
         @Override
         public void waitsFor(Pump.Side side) {
@@ -621,8 +637,8 @@
         public void denied(double coolDown) {
             if (begin(StatusCodes.TOO_MANY_REQUESTS)) {
                 if (coolDown > 0) {
-                    exchange.getResponseHeaders().put(Headers.RETRY_AFTER,
-                            Double.toString(Math.ceil(coolDown * 1e3) / 1e3));
+                    exchange.getResponseHeaders()
+                            .put(Headers.RETRY_AFTER, Double.toString(Math.ceil(coolDown * 1e3) / 1e3));
                 }
                 send(Call.NO_BODY);
             }
--- a/daemon/src/main/java/portrelay/net/Handover.java
+++ b/daemon/src/main/java/portrelay/net/Handover.java
@@ -30,10 +30,10 @@
 import portrelay.settings.Fields;
 
 /**
- * What a process leaves for its successor, and takes over from the one before or beside it, as files in a
- * folder that both see. Owns its files and works on them on a thread of its own. Each process has a number,
- * higher than those before it, a lock that ends with it, and a state that is written whole and renamed. What
- * another left is read with suspicion: what is torn, foreign or of another form is named once and ignored.
+ * What a process leaves for its successor, and takes over from the one before or beside it, as files in a folder that
+ * both see. Owns its files and works on them on a thread of its own. Each process has a number, higher than those
+ * before it, a lock that ends with it, and a state that is written whole and renamed. What another left is read with
+ * suspicion: what is torn, foreign or of another form is named once and ignored.
  */
 final class Handover implements AutoCloseable {
 
@@ -42,6 +42,7 @@
     private static final long LONGEST_FILE = 4 * 1024 * 1024;
     /** A lock file is made first and locked then: one as young as this is not taken for a dead one's. */
     private static final double YOUNG = 5;
+
     private static final double ANSWER_WITHIN = 0.3;
     private static final long CLOSE_WITHIN = 2;
 
@@ -57,7 +58,11 @@
     }
 
     /** STARTING: only a successor that does not serve yet. SERVING: one that serves, or did. */
-    enum Beside { NOBODY, STARTING, SERVING }
+    enum Beside {
+        NOBODY,
+        STARTING,
+        SERVING
+    }
 
     private final Path dir;
     private final String name;
@@ -158,8 +163,7 @@
     }
 
     /**
-     * At that address. Then is called, inside the loop, when a process beside this one could read that this
-     * one serves.
+     * At that address. Then is called, inside the loop, when a process beside this one could read that this one serves.
      */
     void serving(String listen, Runnable then) {
         post(() -> {
@@ -197,8 +201,8 @@
     }
 
     /**
-     * This process ends: says so, as nobody can hand over to it from here on, and returns whether a later one
-     * lives and serves that does not end too. Waits for a moment; not for the loop.
+     * This process ends: says so, as nobody can hand over to it from here on, and returns whether a later one lives and
+     * serves that does not end too. Waits for a moment; not for the loop.
      */
     boolean ends() {
         CompletableFuture<Boolean> found = new CompletableFuture<>();
@@ -319,11 +323,12 @@
         if (is != beside) {
             beside = is;
             Beside told = is;
-            log.info(switch (is) {
-                case NOBODY -> "alone again";
-                case STARTING -> "a successor starts";
-                case SERVING -> "another process of this sidecar serves beside this one";
-            });
+            log.info(
+                    switch (is) {
+                        case NOBODY -> "alone again";
+                        case STARTING -> "a successor starts";
+                        case SERVING -> "another process of this sidecar serves beside this one";
+                    });
             tell(() -> listener.beside(told));
         }
     }
@@ -344,7 +349,8 @@
     private double age(long each) throws IOException {
         Path its = file(each, "lock");
         return Files.exists(its)
-                ? (System.currentTimeMillis() - Files.getLastModifiedTime(its).toMillis()) / 1e3 : 0;
+                ? (System.currentTimeMillis() - Files.getLastModifiedTime(its).toMillis()) / 1e3
+                : 0;
     }
 
     private void forget(long each) throws IOException {
@@ -416,8 +422,8 @@
         Path whole = file(number, "tmp");
         try {
             Files.write(whole, Tree.write(state.tree()));
-            Files.move(whole, file(number, "state"), StandardCopyOption.ATOMIC_MOVE,
-                    StandardCopyOption.REPLACE_EXISTING);
+            Files.move(
+                    whole, file(number, "state"), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         } catch (IOException e) {
             log.warn("what a successor has to know can't be written: " + e);
         }
--- a/daemon/src/main/java/portrelay/net/HandoverState.java
+++ b/daemon/src/main/java/portrelay/net/HandoverState.java
@@ -13,8 +13,8 @@
 import portrelay.settings.Fields;
 
 /**
- * What one process of a sidecar knows that its successor has to know, as the file has it. Of each thing that
- * operators call the later call counts; times are Unix seconds. Bounded, whatever a long day brings.
+ * What one process of a sidecar knows that its successor has to know, as the file has it. Of each thing that operators
+ * call the later call counts; times are Unix seconds. Bounded, whatever a long day brings.
  */
 final class HandoverState {
 
@@ -22,23 +22,26 @@
     private static final int MOST_CALLS = 4096;
 
     /** The last call for an upstream. */
-    record Call(boolean isOut, double at) { }
+    record Call(boolean isOut, double at) {}
 
     /**
-     * Whose state it is: the sidecar's name, the address that its processes share, as text, and its
-     * offerings. The address is empty as long as it is open, null where an older version wrote the file,
-     * which does not say.
+     * Whose state it is: the sidecar's name, the address that its processes share, as text, and its offerings. The
+     * address is empty as long as it is open, null where an older version wrote the file, which does not say.
      */
     record Owner(String name, String listen, Set<String> offerings) {
 
         /**
-         * Whether the other is a process of the same sidecar of the same deployment. An upgrade may change
-         * what it offers, but not all of it; two customers have a name and a folder in common at most.
+         * Whether the other is a process of the same sidecar of the same deployment. An upgrade may change what it
+         * offers, but not all of it; two customers have a name and a folder in common at most.
          */
         boolean isSame(Owner other) {
-            return name.equals(other.name) && other.listen != null && !other.listen.isEmpty()
-                    && other.listen.equals(listen) && (offerings.isEmpty() || other.offerings.isEmpty()
-                    || !Collections.disjoint(offerings, other.offerings))
+            return name.equals(other.name)
+                            && other.listen != null
+                            && !other.listen.isEmpty()
+                            && other.listen.equals(listen)
+                            && (offerings.isEmpty()
+                                    || other.offerings.isEmpty()
+                                    || !Collections.disjoint(offerings, other.offerings))
                     || name.equals(other.name) && other.listen == null;
         }
     }
@@ -51,6 +54,7 @@
     boolean ending;
     /** The last call to send clients away or take them again; at 0 where there was none. */
     Call service = new Call(false, 0);
+
     final Map<UpstreamId, Call> calls = new LinkedHashMap<>();
     /** Ids that were ever listed, the latest last. */
     Set<UpstreamId> ever = new LinkedHashSet<>();
@@ -65,7 +69,8 @@
         }
         calls.put(id, call);
         if (calls.size() > MOST_CALLS) {
-            calls.entrySet().stream().filter(each -> !each.getValue().isOut)
+            calls.entrySet().stream()
+                    .filter(each -> !each.getValue().isOut)
                     .min(Comparator.comparingDouble(each -> each.getValue().at))
                     .ifPresent(oldest -> calls.remove(oldest.getKey()));
         }
@@ -91,7 +96,11 @@
             rows.add(row);
         });
         tree.put("calls", rows);
-        tree.put("ever", ever.stream().map(each -> (Object) Long.toHexString(each.value())).toList());
+        tree.put(
+                "ever",
+                ever.stream()
+                        .map(each -> (Object) Long.toHexString(each.value()))
+                        .toList());
         tree.put("list", list);
         return tree;
     }
@@ -106,7 +115,9 @@
             throw root.bad("name", "this sidecar's");
         }
         HandoverState read = new HandoverState();
-        read.owner = new Owner(name, root.text("listen", null),
+        read.owner = new Owner(
+                name,
+                root.text("listen", null),
                 root.has("offerings") ? Set.copyOf(root.texts("offerings")) : Set.of());
         read.serving = root.flag("serving");
         read.ending = root.flag("ending");
--- a/daemon/src/main/java/portrelay/net/Incoming.java
+++ b/daemon/src/main/java/portrelay/net/Incoming.java
@@ -5,11 +5,11 @@
 import portrelay.model.Asked;
 
 /**
- * A query as it came: what the decisions need of it, and the bytes that go on unchanged. Upload is null where
- * the body is whole; else the body is empty and passes through it, once.
+ * A query as it came: what the decisions need of it, and the bytes that go on unchanged. Upload is null where the body
+ * is whole; else the body is empty and passes through it, once.
  */
-record Incoming(Asked asked, HttpString method, String target, HeaderMap headers, byte[] body, Upload upload,
-        Reply reply) {
+record Incoming(
+        Asked asked, HttpString method, String target, HeaderMap headers, byte[] body, Upload upload, Reply reply) {
 
     /** The same query with another to tell its answer to. */
     Incoming repliedBy(Reply other) {
@@ -20,9 +20,8 @@
     interface Reply {
 
         /**
-         * Whether nobody waits for an answer any more, as things stand in this moment: it was answered, or
-         * its client has left, be it that nobody has read so yet. Tells the door if that is how it is found
-         * out.
+         * Whether nobody waits for an answer any more, as things stand in this moment: it was answered, or its client
+         * has left, be it that nobody has read so yet. Tells the door if that is how it is found out.
          */
         boolean over();
 
--- a/daemon/src/main/java/portrelay/net/Lingering.java
+++ b/daemon/src/main/java/portrelay/net/Lingering.java
@@ -10,8 +10,8 @@
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
- * Ends a connection with its answer. Where the other side may still be sending, what comes is read for a
- * moment and thrown away: a close on unread bytes is a reset, which can overtake the answer.
+ * Ends a connection with its answer. Where the other side may still be sending, what comes is read for a moment and
+ * thrown away: a close on unread bytes is a reset, which can overtake the answer.
  */
 final class Lingering implements IoCallback {
 
@@ -52,8 +52,7 @@
         source.resumeReads();
     }
 
-    private void discard(HttpServerConnection connection, ConduitStreamSourceChannel from,
-            ByteBuffer unread) {
+    private void discard(HttpServerConnection connection, ConduitStreamSourceChannel from, ByteBuffer unread) {
         try {
             int count = 1;
             for (int i = 0; i < MOST_READS && count > 0; i++) {
--- a/daemon/src/main/java/portrelay/net/Link.java
+++ b/daemon/src/main/java/portrelay/net/Link.java
@@ -18,8 +18,8 @@
 import org.xnio.channels.StreamSourceChannel;
 
 /**
- * One open connection. It carries one call at a time; short answers are buffered whole, long ones may begin
- * before they are.
+ * One open connection. It carries one call at a time; short answers are buffered whole, long ones may begin before they
+ * are.
  */
 final class Link {
 
@@ -37,8 +37,7 @@
     private Exchange current;
     private Runnable free;
 
-    Link(Loop loop, ClientConnection connection, StreamConnection socket, AtomicLong sent,
-            AnswerGuard guard) {
+    Link(Loop loop, ClientConnection connection, StreamConnection socket, AtomicLong sent, AnswerGuard guard) {
         this.loop = loop;
         this.connection = connection;
         this.socket = socket;
@@ -103,8 +102,8 @@
     }
 
     /**
-     * The socket itself: closed the clean way it would wait for the other end to close too, and one that
-     * hangs never does.
+     * The socket itself: closed the clean way it would wait for the other end to close too, and one that hangs never
+     * does.
      */
     void close() {
         current = null;
@@ -257,8 +256,8 @@
         }
 
         /**
-         * The client closes a connection that is not to be kept as it reads the answer's last bytes, before
-         * we have them: that answer is whole.
+         * The client closes a connection that is not to be kept as it reads the answer's last bytes, before we have
+         * them: that answer is whole.
          */
         private void closed() {
             if (!reading && !begun) {
@@ -312,9 +311,16 @@
         @Override
         public void passTo(StreamSinkChannel to, Pump.Ends ends) {
             this.ends = ends;
-            new Pump(loop, connection.getBufferPool(), from, to, exchange.body.toByteArray(),
-                    new Pump.Size(-1, Call.LONGEST), new Pump.Patience(UPSTREAM_SILENT, 0, CLIENT_UNREADING),
-                    this).start();
+            new Pump(
+                            loop,
+                            connection.getBufferPool(),
+                            from,
+                            to,
+                            exchange.body.toByteArray(),
+                            new Pump.Size(-1, Call.LONGEST),
+                            new Pump.Patience(UPSTREAM_SILENT, 0, CLIENT_UNREADING),
+                            this)
+                    .start();
         }
 
         @Override
--- a/daemon/src/main/java/portrelay/net/ListActor.java
+++ b/daemon/src/main/java/portrelay/net/ListActor.java
@@ -25,8 +25,8 @@
 import portrelay.sources.Asking;
 
 /**
- * Follows the list: owns the connections to discovery and the upstreams' actors. Keeps one watch going; which
- * calls that takes is {@link Asking}'s to say.
+ * Follows the list: owns the connections to discovery and the upstreams' actors. Keeps one watch going; which calls
+ * that takes is {@link Asking}'s to say.
  */
 final class ListActor implements ModuleActor.Watch, Asking.Calls {
 
@@ -55,13 +55,20 @@
     private final Map<Integer, Line> lines = new HashMap<>();
     /** The connection that the last answer came on, until the next call has it. */
     private Link free;
+
     private boolean failing;
     /** Ids that were ever listed, the latest last; a long day's ever new ids must not grow it. */
     private final Set<UpstreamId> ever = new LinkedHashSet<>();
+
     private final Map<UpstreamId, Object> rows = new HashMap<>();
-    private BiConsumer<Set<UpstreamId>, Object> to = (ids, list) -> { };
+    private BiConsumer<Set<UpstreamId>, Object> to = (ids, list) -> {};
 
-    ListActor(Loop loop, Log log, Dialer dialer, InetSocketAddress discovery, ModuleActor module,
+    ListActor(
+            Loop loop,
+            Log log,
+            Dialer dialer,
+            InetSocketAddress discovery,
+            ModuleActor module,
             Function<InetSocketAddress, UpstreamActor> actors) {
         this.loop = loop;
         this.log = log;
@@ -87,8 +94,8 @@
     }
 
     /**
-     * Another discovery from here on, and at once. Its versions need not go on where the other's were, so the
-     * whole list comes first.
+     * Another discovery from here on, and at once. Its versions need not go on where the other's were, so the whole
+     * list comes first.
      */
     void move(InetSocketAddress to) {
         mailbox.post(() -> {
@@ -139,14 +146,18 @@
             ask(call, line, to, wait);
             return;
         }
-        line.dial = dialer.dial(discovery, DIAL_WITHIN, opened -> mailbox.post(() -> {
-            if (lines.get(call) == line) {
-                line.dial = null;
-                ask(call, line, opened, wait);
-            } else {
-                opened.close();
-            }
-        }), () -> mailbox.post(() -> failed(call)));
+        line.dial = dialer.dial(
+                discovery,
+                DIAL_WITHIN,
+                opened -> mailbox.post(() -> {
+                    if (lines.get(call) == line) {
+                        line.dial = null;
+                        ask(call, line, opened, wait);
+                    } else {
+                        opened.close();
+                    }
+                }),
+                () -> mailbox.post(() -> failed(call)));
     }
 
     @Override
@@ -163,9 +174,9 @@
 
     private void ask(int number, Line line, Link to, double wait) {
         line.link = to;
-        String target = wait == 0 ? Names.LIST
-                : Names.LIST + "?" + Names.AFTER + "=" + version + "&"
-                        + Names.WAIT_MS + "=" + (long) (wait * 1e3);
+        String target = wait == 0
+                ? Names.LIST
+                : Names.LIST + "?" + Names.AFTER + "=" + version + "&" + Names.WAIT_MS + "=" + (long) (wait * 1e3);
         Call call = Call.of(Methods.GET, target, Call.NO_BODY);
         call.headers().put(Headers.HOST, Addresses.text(discovery));
         to.call(call, LONGEST_LIST, result -> mailbox.post(() -> answered(number, line, result)));
@@ -183,7 +194,8 @@
         try {
             page = ListPage.read(Fields.of(Tree.parse(result.body()), ""));
         } catch (IOException | BadSetting e) {
-            log.warn("discovery sent no list: " + e.getMessage().lines().findFirst().orElse(""));
+            log.warn("discovery sent no list: "
+                    + e.getMessage().lines().findFirst().orElse(""));
             failed(call);
             return;
         }
@@ -281,8 +293,9 @@
         }
         this.rows.keySet().retainAll(upstreams.keySet());
         if (!rows.isEmpty() || !gone.isEmpty()) {
-            to.accept(new LinkedHashSet<>(ever), Map.of(Names.VERSION, (double) version, Names.WHOLE, true,
-                    Names.ROWS, rows()));
+            to.accept(
+                    new LinkedHashSet<>(ever),
+                    Map.of(Names.VERSION, (double) version, Names.WHOLE, true, Names.ROWS, rows()));
         }
         module.list(news, rows, added, gone);
     }
--- a/daemon/src/main/java/portrelay/net/ListPage.java
+++ b/daemon/src/main/java/portrelay/net/ListPage.java
@@ -16,7 +16,7 @@
 record ListPage(long version, boolean whole, List<Row> rows) {
 
     /** The address is null where the upstream is gone; the tree is the row as it came. */
-    record Row(Listed listed, InetSocketAddress address, Object tree) { }
+    record Row(Listed listed, InetSocketAddress address, Object tree) {}
 
     static ListPage read(Fields page) throws BadSetting {
         List<Row> rows = new ArrayList<>();
@@ -29,8 +29,11 @@
                     throw each.bad(Names.ADDRESS, "a numeric address and a port");
                 }
             }
-            Listed listed = new Listed(new UpstreamId(Hash.of(each.text(Names.HOST))), health,
-                    Clock.fromUnixMillis(each.number(Names.BORN_MS, 0)), each.number(Names.SCALE, 1),
+            Listed listed = new Listed(
+                    new UpstreamId(Hash.of(each.text(Names.HOST))),
+                    health,
+                    Clock.fromUnixMillis(each.number(Names.BORN_MS, 0)),
+                    each.number(Names.SCALE, 1),
                     new GroupId((long) each.number(Names.CELL, 0)),
                     ZoneId.of(each.text(Names.ZONE, "")),
                     new ShapeId((int) Hash.of(each.text(Names.SHAPE, ""))));
@@ -44,8 +47,9 @@
             case Names.HEALTH_READY -> Listed.Health.READY;
             case Names.HEALTH_DRAINING -> Listed.Health.DRAINING;
             case Names.HEALTH_GONE -> Listed.Health.GONE;
-            default -> throw row.bad(Names.HEALTH,
-                    Names.HEALTH_READY + ", " + Names.HEALTH_DRAINING + " or " + Names.HEALTH_GONE);
+            default ->
+                throw row.bad(
+                        Names.HEALTH, Names.HEALTH_READY + ", " + Names.HEALTH_DRAINING + " or " + Names.HEALTH_GONE);
         };
     }
 }
--- a/daemon/src/main/java/portrelay/net/Log.java
+++ b/daemon/src/main/java/portrelay/net/Log.java
@@ -5,8 +5,8 @@
 import java.util.function.Supplier;
 
 /**
- * One line for each thing that on-call staff would want to know of; never one for a query, which would cost
- * more than the query does.
+ * One line for each thing that on-call staff would want to know of; never one for a query, which would cost more than
+ * the query does.
  */
 public final class Log {
 
--- a/daemon/src/main/java/portrelay/net/Loop.java
+++ b/daemon/src/main/java/portrelay/net/Loop.java
@@ -20,6 +20,7 @@
     private final Clock clock;
     /** A byte in it is read in the look at the kernel that comes next, with all else that lies there. */
     private ChannelPipe<StreamSourceChannel, StreamSinkChannel> looks;
+
     private final Queue<Runnable> afterLook = new ArrayDeque<>();
 
     Loop(XnioIoThread thread, Clock clock) {
@@ -50,9 +51,9 @@
     }
 
     /**
-     * Runs the task when everything that lies in the kernel by now has been seen. Called on the loop. Guards
-     * alarms against what they wait for, where the loop itself was late: XNIO works off every task and every
-     * due alarm before it looks again, so one that only waits its turn comes before an answer that is there.
+     * Runs the task when everything that lies in the kernel by now has been seen. Called on the loop. Guards alarms
+     * against what they wait for, where the loop itself was late: XNIO works off every task and every due alarm before
+     * it looks again, so one that only waits its turn comes before an answer that is there.
      */
     void afterLook(Runnable task) {
         try {
--- a/daemon/src/main/java/portrelay/net/Mailbox.java
+++ b/daemon/src/main/java/portrelay/net/Mailbox.java
@@ -4,8 +4,8 @@
 import java.util.Queue;
 
 /**
- * An actor's messages, worked off one by one on the loop, never inside the call that posts them: no actor is
- * entered while it is at work.
+ * An actor's messages, worked off one by one on the loop, never inside the call that posts them: no actor is entered
+ * while it is at work.
  */
 final class Mailbox {
 
--- a/daemon/src/main/java/portrelay/net/ModuleActor.java
+++ b/daemon/src/main/java/portrelay/net/ModuleActor.java
@@ -17,9 +17,7 @@
 import portrelay.model.UpstreamId;
 import portrelay.policy.Decide;
 
-/**
- * Drives the decisions: owns the module, its alarms and the queries that are open. Decides nothing itself.
- */
+/** Drives the decisions: owns the module, its alarms and the queries that are open. Decides nothing itself. */
 final class ModuleActor implements Effects, UpstreamActor.Listener {
 
     /** The list of upstreams, as far as the module asks for it. */
@@ -32,11 +30,10 @@
         private final List<UpstreamActor> sentTo = new ArrayList<>(2);
         /** When each was sent, NaN once it provably never ran. */
         private final List<Double> sentAt = new ArrayList<>(2);
+
         private int out;
         private boolean answered;
-        /**
-         * Rings as long as anything is out, also for nobody: where nothing may be called off it ends that.
-         */
+        /** Rings as long as anything is out, also for nobody: where nothing may be called off it ends that. */
         private XnioExecutor.Key cutOff;
 
         Open(Incoming incoming) {
@@ -53,7 +50,7 @@
     private ToDoubleFunction<Asked> window = asked -> Double.POSITIVE_INFINITY;
     private Watch watch;
     private PeerActor peers;
-    private Runnable moved = () -> { };
+    private Runnable moved = () -> {};
     private double answerBy = Double.POSITIVE_INFINITY;
 
     /** The module is made with this as what carries out its decisions. */
@@ -127,8 +124,8 @@
     }
 
     /**
-     * The process ends at that time. Guards those that would still wait then, as their clients wait for
-     * longer than it may live on, or their long bodies are still coming.
+     * The process ends at that time. Guards those that would still wait then, as their clients wait for longer than it
+     * may live on, or their long bodies are still coming.
      */
     void answerAllBy(double time) {
         mailbox.post(() -> {
@@ -140,7 +137,9 @@
     private void answerRest() {
         List.copyOf(open.keySet()).forEach(id -> {
             Open q = open.get(id);
-            if (q != null && !q.answered && (q.cutOff == null || q.incoming.asked().cutOffAt() > answerBy)) {
+            if (q != null
+                    && !q.answered
+                    && (q.cutOff == null || q.incoming.asked().cutOffAt() > answerBy)) {
                 decide.left(loop.now(), id);
                 writeOff(id);
             }
@@ -165,10 +164,11 @@
             q.cutOff = loop.after(left, () -> mailbox.post(() -> cutOff(id, q)));
         } else {
             // A query's time counts from its last byte, and that is its client's matter until then.
-            incoming.upload().onWritten(() -> mailbox.post(() -> {
-                double most = Math.min(left, answerBy - loop.now());
-                q.cutOff = loop.after(most, () -> mailbox.post(() -> cutOff(id, q)));
-            }));
+            incoming.upload()
+                    .onWritten(() -> mailbox.post(() -> {
+                        double most = Math.min(left, answerBy - loop.now());
+                        q.cutOff = loop.after(most, () -> mailbox.post(() -> cutOff(id, q)));
+                    }));
         }
         decide.arrival(now, incoming.asked());
     }
@@ -261,8 +261,8 @@
         q.sentTo.add(to);
         q.out++;
         // The module asked when it decided; a dial may take longer than the mark against a repeat is kept.
-        double first = q.sentAt.stream().filter(each -> !each.isNaN()).findFirst()
-                .orElse(Double.POSITIVE_INFINITY);
+        double first =
+                q.sentAt.stream().filter(each -> !each.isNaN()).findFirst().orElse(Double.POSITIVE_INFINITY);
         q.sentAt.add(loop.now());
         to.send(id, q.incoming, first + window.applyAsDouble(q.incoming.asked()));
     }
--- a/daemon/src/main/java/portrelay/net/Names.java
+++ b/daemon/src/main/java/portrelay/net/Names.java
@@ -5,8 +5,7 @@
 /** Every header, path and field name of the platform's protocol, in this one place. */
 final class Names {
 
-    private Names() {
-    }
+    private Names() {}
 
     // A query, as the application sends it and as it goes on.
     static final HttpString QUERY_ID = new HttpString("X-Trace-Id");
--- a/daemon/src/main/java/portrelay/net/Operators.java
+++ b/daemon/src/main/java/portrelay/net/Operators.java
@@ -29,9 +29,9 @@
 import portrelay.model.UpstreamId;
 
 /**
- * The operators' door: one call to a connection, answered when what it asks for is so. Owns its connections,
- * so many at most, which clients can't take; those that say nothing or half a call make way for others.
- * Asks the owners of what it changes by their mailboxes and decides nothing itself.
+ * The operators' door: one call to a connection, answered when what it asks for is so. Owns its connections, so many at
+ * most, which clients can't take; those that say nothing or half a call make way for others. Asks the owners of what it
+ * changes by their mailboxes and decides nothing itself.
  */
 final class Operators implements HttpHandler {
 
@@ -48,13 +48,21 @@
     private final Front front;
     /** Null where nothing is handed over. */
     private final Handover handover;
+
     private final HttpOpenListener http;
     private final Lingering lingering;
     private AcceptingChannel<StreamConnection> door;
     private boolean ready;
 
-    Operators(Loop loop, ByteBufferPool buffers, Log log, int most, ListActor list, ModuleActor module,
-            Front front, Handover handover) {
+    Operators(
+            Loop loop,
+            ByteBufferPool buffers,
+            Log log,
+            int most,
+            ListActor list,
+            ModuleActor module,
+            Front front,
+            Handover handover) {
         this.handover = handover;
         this.loop = loop;
         this.log = log;
@@ -64,20 +72,28 @@
         callers = new Clients(loop, log, ROOM, new DoorCounts());
         callers.most(most);
         lingering = new Lingering(loop, callers, false);
-        http = new HttpOpenListener(buffers, OptionMap.builder()
-                .set(UndertowOptions.DECODE_URL, false)
-                .set(UndertowOptions.ALWAYS_SET_DATE, false)
-                .set(UndertowOptions.MAX_HEADER_SIZE, LONGEST_HEAD)
-                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, UNFINISHED_MS)
-                .set(UndertowOptions.NO_REQUEST_TIMEOUT, UNFINISHED_MS).getMap());
+        http = new HttpOpenListener(
+                buffers,
+                OptionMap.builder()
+                        .set(UndertowOptions.DECODE_URL, false)
+                        .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                        .set(UndertowOptions.MAX_HEADER_SIZE, LONGEST_HEAD)
+                        .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, UNFINISHED_MS)
+                        .set(UndertowOptions.NO_REQUEST_TIMEOUT, UNFINISHED_MS)
+                        .getMap());
         http.setRootHandler(this);
     }
 
     void listen(XnioWorker worker, InetSocketAddress at) throws IOException {
         try {
-            door = worker.createStreamConnectionServer(at, ChannelListeners.openListenerAdapter(this::accept),
-                    OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
-                            .set(Options.BACKLOG, BACKLOG).getMap());
+            door = worker.createStreamConnectionServer(
+                    at,
+                    ChannelListeners.openListenerAdapter(this::accept),
+                    OptionMap.builder()
+                            .set(Options.TCP_NODELAY, true)
+                            .set(Options.REUSE_ADDRESSES, true)
+                            .set(Options.BACKLOG, BACKLOG)
+                            .getMap());
         } catch (IOException e) {
             throw new IOException(Names.MGMT + " " + Addresses.text(at) + ": " + e.getMessage(), e);
         }
@@ -94,8 +110,7 @@
     }
 
     private void accept(StreamConnection caller) {
-        QueryGuard guard =
-                new QueryGuard(caller.getSourceChannel().getConduit(), () -> callers.heard(caller));
+        QueryGuard guard = new QueryGuard(caller.getSourceChannel().getConduit(), () -> callers.heard(caller));
         caller.getSourceChannel().setConduit(guard);
         callers.opened(caller, guard);
         http.handleEvent(caller);
@@ -117,7 +132,9 @@
         String verb = path.substring(slash + 1);
         if (path.equals(Names.CONTROL_READY)) {
             if (allowed(exchange, Methods.GET)) {
-                answer(exchange, ready ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE,
+                answer(
+                        exchange,
+                        ready ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE,
                         ready ? "ready" : "not ready");
             }
         } else if (path.equals(Names.CONTROL_OUT) || path.equals(Names.CONTROL_IN)) {
@@ -129,7 +146,8 @@
                 }
                 done(exchange, in ? "in service" : "out of service");
             }
-        } else if (upstream && slash >= Names.CONTROL_UPSTREAMS.length()
+        } else if (upstream
+                && slash >= Names.CONTROL_UPSTREAMS.length()
                 && (verb.equals(Names.OFFLINE) || verb.equals(Names.ONLINE))) {
             if (allowed(exchange, Methods.PUT)) {
                 ban(exchange, path.substring(Names.CONTROL_UPSTREAMS.length(), slash), verb);
@@ -155,8 +173,7 @@
                 if (handover != null) {
                     handover.banned(upstream, isOut, loop.now());
                 }
-                module.ban(upstream, isOut,
-                        () -> done(exchange, "upstream " + Log.clean(id) + " " + verb));
+                module.ban(upstream, isOut, () -> done(exchange, "upstream " + Log.clean(id) + " " + verb));
             } else {
                 answer(exchange, StatusCodes.NOT_FOUND, "no upstream of this id was ever listed");
             }
--- a/daemon/src/main/java/portrelay/net/Passing.java
+++ b/daemon/src/main/java/portrelay/net/Passing.java
@@ -8,18 +8,23 @@
 import java.util.Locale;
 import java.util.Set;
 
-/**
- * Which headers go on: all but those that speak of one connection only, and of the framing, which is ours.
- */
+/** Which headers go on: all but those that speak of one connection only, and of the framing, which is ours. */
 final class Passing {
 
-    private static final Set<HttpString> ONE_CONNECTION = Set.of(Headers.CONNECTION, Headers.KEEP_ALIVE,
-            Headers.PROXY_AUTHENTICATE, Headers.PROXY_AUTHORIZATION, Headers.TE, Headers.TRAILER,
-            Headers.TRANSFER_ENCODING, Headers.UPGRADE, Headers.CONTENT_LENGTH, Headers.EXPECT,
+    private static final Set<HttpString> ONE_CONNECTION = Set.of(
+            Headers.CONNECTION,
+            Headers.KEEP_ALIVE,
+            Headers.PROXY_AUTHENTICATE,
+            Headers.PROXY_AUTHORIZATION,
+            Headers.TE,
+            Headers.TRAILER,
+            Headers.TRANSFER_ENCODING,
+            Headers.UPGRADE,
+            Headers.CONTENT_LENGTH,
+            Headers.EXPECT,
             Names.PROXY_CONNECTION);
 
-    private Passing() {
-    }
+    private Passing() {}
 
     static void copy(HeaderMap from, HeaderMap to) {
         HeaderValues named = from.get(Headers.CONNECTION);
--- a/daemon/src/main/java/portrelay/net/PeerActor.java
+++ b/daemon/src/main/java/portrelay/net/PeerActor.java
@@ -16,9 +16,9 @@
 import org.xnio.channels.SocketAddressBuffer;
 
 /**
- * Messages to and from other sidecars: owns the one UDP socket. Promises that nothing waits for it: what can't
- * leave at once is dropped, as the network may drop it too, and what comes from strangers, torn or too long is
- * counted and decides nothing. Never tells what a message means.
+ * Messages to and from other sidecars: owns the one UDP socket. Promises that nothing waits for it: what can't leave at
+ * once is dropped, as the network may drop it too, and what comes from strangers, torn or too long is counted and
+ * decides nothing. Never tells what a message means.
  */
 final class PeerActor {
 
@@ -30,6 +30,7 @@
     private static final int LONGEST = 256;
     /** Read in one go; then clients and upstreams have their turn. */
     private static final int MOST_AT_ONCE = 64;
+
     private static final double BIND_AGAIN = 1;
 
     private final Loop loop;
@@ -158,8 +159,10 @@
 
     /** What was dropped so far; null where nothing was. */
     String line() {
-        return strangers + unreadable + unsent == 0 ? null : "messages dropped: " + strangers
-                + " from strangers, " + unreadable + " unreadable, " + unsent + " not sent";
+        return strangers + unreadable + unsent == 0
+                ? null
+                : "messages dropped: " + strangers + " from strangers, " + unreadable + " unreadable, " + unsent
+                        + " not sent";
     }
 
     void close() {
--- a/daemon/src/main/java/portrelay/net/Peers.java
+++ b/daemon/src/main/java/portrelay/net/Peers.java
@@ -7,8 +7,8 @@
 import portrelay.settings.Fields;
 
 /**
- * Where messages between sidecars come and go, by the protocol's page: ours come in at listen; each sidecar of
- * the tier has its address at its own number, ours among them; all, where there is one, reaches everybody.
+ * Where messages between sidecars come and go, by the protocol's page: ours come in at listen; each sidecar of the tier
+ * has its address at its own number, ours among them; all, where there is one, reaches everybody.
  */
 record Peers(InetSocketAddress listen, List<InetSocketAddress> each, InetSocketAddress all) {
 
@@ -21,8 +21,8 @@
         for (String text : root.texts(Names.PEERS)) {
             each.add(address(root, Names.PEERS + "[" + each.size() + "]", text));
         }
-        InetSocketAddress all = root.has(Names.PEERS_ALL)
-                ? address(root, Names.PEERS_ALL, root.text(Names.PEERS_ALL)) : null;
+        InetSocketAddress all =
+                root.has(Names.PEERS_ALL) ? address(root, Names.PEERS_ALL, root.text(Names.PEERS_ALL)) : null;
         InetSocketAddress listen = address(root, Names.PEER_LISTEN, root.text(Names.PEER_LISTEN));
         return each.isEmpty() ? null : new Peers(listen, List.copyOf(each), all);
     }
--- a/daemon/src/main/java/portrelay/net/Pump.java
+++ b/daemon/src/main/java/portrelay/net/Pump.java
@@ -8,9 +8,9 @@
 import org.xnio.channels.StreamSourceChannel;
 
 /**
- * Moves one body from a source to a sink in pieces as they come. Holds one buffer while it has bytes that are
- * not yet written, and reads nothing meanwhile: the slower side sets the pace. Owns that buffer and gives it
- * back. Tells whole, or which side broke, once; after {@code stop} nothing.
+ * Moves one body from a source to a sink in pieces as they come. Holds one buffer while it has bytes that are not yet
+ * written, and reads nothing meanwhile: the slower side sets the pace. Owns that buffer and gives it back. Tells whole,
+ * or which side broke, once; after {@code stop} nothing.
  */
 final class Pump {
 
@@ -37,29 +37,36 @@
         void moved();
 
         /** Nothing can go on until that side gives or takes more; called each time the pump begins to wait. */
-        default void waitsFor(Side side) {
-        }
+        default void waitsFor(Side side) {}
     }
 
     /** The two sides of a body on its way. */
-    enum Side { SOURCE, SINK }
+    enum Side {
+        SOURCE,
+        SINK
+    }
 
     /**
-     * Seconds without a byte after which a side counts as broken, and the bytes a second that a source has to
-     * give at least, 0 for any. What one side takes because the other does is not counted against it.
+     * Seconds without a byte after which a side counts as broken, and the bytes a second that a source has to give at
+     * least, 0 for any. What one side takes because the other does is not counted against it.
      */
-    record Patience(double source, double sourceRate, double sink) { }
+    record Patience(double source, double sourceRate, double sink) {}
 
     /** Bytes: known is -1 where it is not; a source of more than the most is broken. */
-    record Size(long known, long most) { }
+    record Size(long known, long most) {}
 
     /** Others have their turn after so many bytes. */
     private static final int AT_ONCE = 256 * 1024;
+
     private static final double LOOK_EVERY = 0.5;
     private static final double RATE_OVER = 4;
     private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
 
-    private enum Waits { NOBODY, SOURCE, SINK }
+    private enum Waits {
+        NOBODY,
+        SOURCE,
+        SINK
+    }
 
     private final Loop loop;
     private final ByteBufferPool pool;
@@ -78,11 +85,19 @@
     private double waitsSince;
     /** Time spent waiting for the source, and what it gave, since the last look at its rate. */
     private double waited;
+
     private long given;
 
     /** First is what has come already. */
-    Pump(Loop loop, ByteBufferPool pool, StreamSourceChannel from, StreamSinkChannel to, byte[] first,
-            Size size, Patience patience, Ends ends) {
+    Pump(
+            Loop loop,
+            ByteBufferPool pool,
+            StreamSourceChannel from,
+            StreamSinkChannel to,
+            byte[] first,
+            Size size,
+            Patience patience,
+            Ends ends) {
         this.loop = loop;
         this.pool = pool;
         this.from = from;
--- a/daemon/src/main/java/portrelay/net/QueryGuard.java
+++ b/daemon/src/main/java/portrelay/net/QueryGuard.java
@@ -22,6 +22,7 @@
     private final Framing framing = Framing.ofQueries();
     /** What a look ahead took, until it is read; null where there is none. */
     private ByteBuffer ahead;
+
     private boolean letsThrough;
     private long bytes;
 
@@ -34,8 +35,8 @@
     }
 
     /**
-     * Whether bytes wait that nobody has read. A connection that is to be closed is looked at first: a query
-     * that has come would be lost with it. Whoever goes on after this has to wake the reader up.
+     * Whether bytes wait that nobody has read. A connection that is to be closed is looked at first: a query that has
+     * come would be lost with it. Whoever goes on after this has to wake the reader up.
      */
     boolean peek() throws IOException {
         look();
