--- a/Makefile
+++ b/Makefile
@@ -12,9 +12,9 @@
 format:
 	mvn -q -B spotless:apply
 
-# The compiler's warnings count as errors here.
+# Format, the compiler's warnings and Error Prone's, which count as errors in every build.
 lint:
-	mvn -q -B -DskipTests -Dmaven.compiler.failOnWarning=true clean compile
+	mvn -q -B clean test-compile
 
 # One sidecar with the example's configuration; start the toy first, in another shell.
 run: build
--- a/core/src/main/java/portrelay/gossip/Homes.java
+++ b/core/src/main/java/portrelay/gossip/Homes.java
@@ -52,7 +52,7 @@
             group.sort(Comparator.comparingDouble((Integer i) -> -seats.get(i).size)
                     .thenComparing(i -> seats.get(i).listed.id().value()));
             double sharing = sidecars * size(group) / all;
-            int n = (int) Math.min(Math.ceil(sharing / mostSharers), group.size() / FEWEST);
+            int n = (int) Math.min(Math.ceil(sharing / mostSharers), Math.floorDiv(group.size(), FEWEST));
             n = Math.max(Math.max(1, n), (group.size() + Gossip.CODES - 1) / Gossip.CODES);
             for (int i = 0; i < n; i++) {
                 List<Integer> part = new ArrayList<>();
--- a/core/src/main/java/portrelay/model/AdaptiveLimit.java
+++ b/core/src/main/java/portrelay/model/AdaptiveLimit.java
@@ -23,9 +23,9 @@
     private boolean full;
     private int inFlight;
 
-    /** An attempt goes out. */
-    public void began() {
-        inFlight++;
+    /** So many attempts go out. */
+    public void began(int attempts) {
+        inFlight += attempts;
     }
 
     /** Whether the last round had so many late outcomes that the limit is cut. */
--- a/core/src/main/java/portrelay/model/ListSchedule.java
+++ b/core/src/main/java/portrelay/model/ListSchedule.java
@@ -33,8 +33,11 @@
         nextAt = now + rule.backOff(failures++, lot);
     }
 
-    /** Discovery has answered. */
-    public void answered() {
+    /** A list has come; one that is only remembered from before is no answer. */
+    public void answered(ListNews news) {
+        if (news == ListNews.REMEMBERED) {
+            return;
+        }
         failures = 0;
         nextAt = Double.POSITIVE_INFINITY;
     }
--- a/core/src/main/java/portrelay/model/Table.java
+++ b/core/src/main/java/portrelay/model/Table.java
@@ -5,6 +5,8 @@
  * nothing: timers can't be taken back and come late. S and I are the states and inputs, D what decides, Q what it
  * decides on.
  */
+// The rows are an array: a step is on the path of every request.
+@SuppressWarnings("EnumOrdinal")
 public final class Table<S extends Enum<S>, I extends Enum<I>, D, Q extends Table.Subject<S>> {
 
     /** Whatever has a state; the table alone changes it. */
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -244,11 +244,12 @@
             armAlarm();
             return;
         }
-        if (news != ListNews.REMEMBERED) {
-            listSchedule.answered();
-        }
+        listSchedule.answered(news);
         if (news != ListNews.CHANGES) {
-            roster.forEach(u -> u.ready = !(u.gone = true));
+            roster.forEach(u -> {
+                u.ready = false;
+                u.gone = true;
+            });
         }
         for (Listed row : rows) {
             Upstream u = known.get(row.id());
@@ -291,7 +292,8 @@
         Upstream u = (isOut ? banned.add(id) : banned.remove(id)) ? known.get(id) : null;
         if (u != null && !isOut) {
             // It was restarted meanwhile: cold from here on, and owed a query to show what it is.
-            u.anew(u.backAt = now, 1);
+            u.backAt = now;
+            u.anew(now, 1);
             u.paces.clear();
             u.prompt.clear();
             u.owed = true;
@@ -587,9 +589,7 @@
             u.told.begun(site.me(), now);
             part.tell(Gossip.Word.BEGUN, u, TenantId.number(q.asked.tenant()), 0);
         }
-        if (!q.asked.once()) {
-            total.began();
-        }
+        total.began(q.asked.once() ? 0 : 1);
         cold.sent(u, now);
         out.send(q.asked.id(), u.id);
     }
--- a/core/src/main/java/portrelay/policy/Part.java
+++ b/core/src/main/java/portrelay/policy/Part.java
@@ -107,8 +107,9 @@
         Map<Integer, Homes.Piece> homes = laid.place(gossip.members(), gossip.fewKnown());
         Homes.Piece mine = homes.getOrDefault(site.me(), laid.pieces().get(0));
         homes.remove(site.me());
-        gossip.sharers(
-                homes.keySet().stream().filter(each -> homes.get(each) == mine).toList());
+        gossip.sharers(homes.keySet().stream()
+                .filter(each -> homes.get(each).equals(mine))
+                .toList());
         upstreams = mine.seats().stream().map(ready::get).toList();
     }
 
--- a/core/src/test/java/portrelay/door/DoorTest.java
+++ b/core/src/test/java/portrelay/door/DoorTest.java
@@ -28,7 +28,6 @@
 
     /** The world: a clock, a fleet of PLACES, and clients that do as they are told. */
     private static final class World implements DoorEffects {
-        final DoorSettings settings;
         final Door door;
         final PriorityQueue<Event> events = new PriorityQueue<>(
                 (a, b) -> a.time != b.time ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
@@ -43,7 +42,6 @@
         int peak;
 
         World(DoorSettings settings) {
-            this.settings = settings;
             door = new Door(settings, LONGEST, 7, this);
         }
 
--- a/core/src/test/java/portrelay/door/FairQueueTest.java
+++ b/core/src/test/java/portrelay/door/FairQueueTest.java
@@ -112,7 +112,7 @@
             } else {
                 Caller next = queue.next();
                 assertEquals(plain.isEmpty(), next == null);
-                assertTrue(next == null || plain.remove(next.id()) == next);
+                assertTrue(next == null || next.equals(plain.remove(next.id())));
             }
             assertEquals(plain.size(), queue.size());
             assertEquals(plain.values().stream().mapToLong(Caller::bytes).sum(), queue.bytes());
--- a/core/src/test/java/portrelay/door/RoomTest.java
+++ b/core/src/test/java/portrelay/door/RoomTest.java
@@ -18,6 +18,7 @@
 class RoomTest {
 
     private static final int MOST = 8;
+    private static final List<Room.Phase> PHASES = List.of(Room.Phase.values());
 
     private static ClientId id(long n) {
         return new ClientId(n);
@@ -41,7 +42,7 @@
                         .skip(step % plain.size())
                         .findFirst()
                         .orElseThrow();
-                Room.Phase phase = Room.Phase.values()[step % 5];
+                Room.Phase phase = PHASES.get(step % PHASES.size());
                 plain.put(one, phase);
                 room.at(now, one, phase);
             }
--- a/core/src/test/java/portrelay/policy/SeenLoadTest.java
+++ b/core/src/test/java/portrelay/policy/SeenLoadTest.java
@@ -114,7 +114,7 @@
                     more += told.size() - at;
                     for (Rig.Told each : List.copyOf(told.subList(at, told.size()))) {
                         rigs.forEach((to, rig) -> {
-                            if (to != from.getKey() && (each.to() == Rig.ALL || each.to() == to)) {
+                            if (!to.equals(from.getKey()) && (each.to() == Rig.ALL || each.to() == to)) {
                                 rig.decide.heard(rig.now, from.getKey(), each.text());
                             }
                         });
--- a/core/src/test/java/portrelay/sources/AskingTest.java
+++ b/core/src/test/java/portrelay/sources/AskingTest.java
@@ -78,7 +78,6 @@
         final List<Double> waits = new ArrayList<>();
         int failures;
         double toldAt = Double.POSITIVE_INFINITY;
-        int calls;
 
         void ask() {
             asking.ask(false);
@@ -86,7 +85,6 @@
 
         @Override
         public void begin(int call, double wait, double patience) {
-            calls++;
             out.add(call);
             waits.add(wait);
             assertTrue(out.size() <= 2, "more than two at once");
--- a/daemon/src/main/java/portrelay/cli/ServeCommand.java
+++ b/daemon/src/main/java/portrelay/cli/ServeCommand.java
@@ -26,7 +26,7 @@
         AtomicBoolean ends = new AtomicBoolean();
         Log log = new Log(System.err, config.name());
         config.inVain().forEach(each -> log.warn("not yet on sockets: " + each));
-        onHangUp(() -> opened.thenAccept(sidecar -> reload(sidecar, log)));
+        onHangUp(() -> reloadOnceOpened(opened, log));
         // Before anything listens: clients are served from then on, and SIGTERM may come while it gets warm.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(opened, ends)));
         String folder = System.getenv("TMPDIR");
@@ -77,6 +77,12 @@
         }
     }
 
+    /** Reload logs its own faults, so the future has nothing more to tell. */
+    @SuppressWarnings("FutureReturnValueIgnored")
+    private void reloadOnceOpened(CompletableFuture<Sidecar> opened, Log log) {
+        opened.thenAccept(sidecar -> reload(sidecar, log));
+    }
+
     /** In the order of the signals: the file as the last one found it is what holds. */
     private synchronized void reload(Sidecar sidecar, Log log) {
         log.info("told to read the configuration again");
--- a/daemon/src/main/java/portrelay/json/Tree.java
+++ b/daemon/src/main/java/portrelay/json/Tree.java
@@ -82,32 +82,31 @@
         if (token == null) {
             throw new JsonParseException(json, "input ended before a value did");
         }
-        switch (token) {
-            case START_OBJECT: {
-                Map<String, Object> map = new LinkedHashMap<>();
-                while (json.nextToken() == JsonToken.FIELD_NAME) {
-                    String name = json.currentName();
-                    map.put(name, read(json, json.nextToken()));
-                }
-                return map;
-            }
-            case START_ARRAY: {
-                List<Object> list = new ArrayList<>();
-                while (json.nextToken() != JsonToken.END_ARRAY) {
-                    list.add(read(json, json.currentToken()));
-                }
-                return list;
-            }
-            case VALUE_STRING:
-                return json.getText();
-            case VALUE_TRUE:
-                return Boolean.TRUE;
-            case VALUE_FALSE:
-                return Boolean.FALSE;
-            case VALUE_NULL:
-                return null;
-            default:
-                return json.getDoubleValue();
+        return switch (token) {
+            case START_OBJECT -> readObject(json);
+            case START_ARRAY -> readArray(json);
+            case VALUE_STRING -> json.getText();
+            case VALUE_TRUE -> true;
+            case VALUE_FALSE -> false;
+            case VALUE_NULL -> null;
+            default -> json.getDoubleValue();
+        };
+    }
+
+    private static Map<String, Object> readObject(JsonParser json) throws IOException {
+        Map<String, Object> map = new LinkedHashMap<>();
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            String name = json.currentName();
+            map.put(name, read(json, json.nextToken()));
+        }
+        return map;
+    }
+
+    private static List<Object> readArray(JsonParser json) throws IOException {
+        List<Object> list = new ArrayList<>();
+        while (json.nextToken() != JsonToken.END_ARRAY) {
+            list.add(read(json, json.currentToken()));
         }
+        return list;
     }
 }
--- a/daemon/src/main/java/portrelay/net/Handover.java
+++ b/daemon/src/main/java/portrelay/net/Handover.java
@@ -262,6 +262,8 @@
 
     // ---- On the owner's thread --------------------------------------------------------------------------
 
+    // Post logs its own faults; the future has nothing more to tell.
+    @SuppressWarnings("FutureReturnValueIgnored")
     private void turn() {
         look();
         write();
--- a/daemon/src/main/java/portrelay/net/Passing.java
+++ b/daemon/src/main/java/portrelay/net/Passing.java
@@ -49,7 +49,7 @@
     }
 
     private static boolean names(String list, HttpString name) {
-        for (String each : list.split(",")) {
+        for (String each : list.split(",", -1)) {
             if (each.trim().equals(name.toString().toLowerCase(Locale.ROOT))) {
                 return true;
             }
--- a/daemon/src/test/java/portrelay/net/DoorNetTest.java
+++ b/daemon/src/test/java/portrelay/net/DoorNetTest.java
@@ -53,7 +53,7 @@
         ExecutorService threads = Executors.newCachedThreadPool();
         try (Town town = new Town(120, answer("200 OK", "ok"))) {
             for (int i = 0; i < 10; i++) {
-                threads.submit(() -> {
+                Future<?> ignored = threads.submit(() -> {
                     // Back the instant it is closed, and never a word.
                     while (until.getCount() > 0) {
                         try (Socket on = town.connect()) {
--- a/daemon/src/test/java/portrelay/net/EndingCrossingsTest.java
+++ b/daemon/src/test/java/portrelay/net/EndingCrossingsTest.java
@@ -456,7 +456,7 @@
                 Sidecar theirs = Sidecar.start(each, new PrintStream(theirLog, true), dir);
                 Thread.sleep(600);
                 try (Socket client = connect(theirs.address())) {
-                    if (each == elsewhere) {
+                    if (each.equals(elsewhere)) {
                         assertEquals(
                                 200,
                                 Town.ask(client, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
--- a/daemon/src/test/java/portrelay/net/Held.java
+++ b/daemon/src/test/java/portrelay/net/Held.java
@@ -19,7 +19,6 @@
     private record End(String state, long unread) {}
 
     private static final String OPEN = "01";
-    private static final String ENDED = "08";
     private static final long PATIENCE = 5_000_000_000L;
 
     private final CountDownLatch go = new CountDownLatch(1);
--- a/daemon/src/test/java/portrelay/net/MigrateNetTest.java
+++ b/daemon/src/test/java/portrelay/net/MigrateNetTest.java
@@ -1,6 +1,7 @@
 package portrelay.net;
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -41,6 +42,8 @@
 /** An old configuration, made into its counterpart for a new shape, serves on loopback. */
 class MigrateNetTest {
 
+    private static final List<Outcome> OUTCOMES = List.of(Outcome.values()).subList(0, 3);
+
     private static final String SHAPE = "{\"settings\":{\"siblings\":57,\"me\":3,\"dcs\":[\"a\",\"b\"],"
             + "\"zone\":\"a\",\"discovery\":\"pushed\",\"weights\":\"live\","
             + "\"load-report\":{\"how\":\"piggyback\",\"columns\":[\"load_share\",\"tps\"]},"
@@ -58,12 +61,12 @@
                 .toArray(String[]::new);
         PrintStream before = System.err;
         ByteArrayOutputStream said = new ByteArrayOutputStream();
-        System.setErr(new PrintStream(said));
+        System.setErr(new PrintStream(said, true, UTF_8));
         try {
             return Main.run("portrelay", Map.of(), args);
         } finally {
             System.setErr(before);
-            errors = said.toString();
+            errors = said.toString(UTF_8);
         }
     }
 
@@ -245,7 +248,7 @@
             decide.arrival(
                     now, new Asked(id, new OfferingId(i % 3), new TenantId(i % 2), null, now + 0.8, Double.NaN, false));
             QueryId ended = new QueryId("q" + (i - chance.nextInt(4)));
-            Outcome outcome = Outcome.values()[chance.nextInt(3)];
+            Outcome outcome = OUTCOMES.get(chance.nextInt(OUTCOMES.size()));
             decide.outcome(now + 0.04, ended, 0, outcome, outcome == Outcome.HANDLED, null);
         }
         return acts;
--- a/daemon/src/test/java/portrelay/net/OpenRequestTest.java
+++ b/daemon/src/test/java/portrelay/net/OpenRequestTest.java
@@ -1,5 +1,6 @@
 package portrelay.net;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -27,11 +28,11 @@
     @Test
     void debugLinesAreWrittenOnlyWhereTheyAreWanted() {
         ByteArrayOutputStream said = new ByteArrayOutputStream();
-        new Log(new PrintStream(said, true), "n", false).debug(() -> {
+        new Log(new PrintStream(said, true, UTF_8), "n", false).debug(() -> {
             throw new AssertionError("made for nobody");
         });
         assertEquals(0, said.size());
-        new Log(new PrintStream(said, true), "n", true).debug(() -> "seen");
-        assertTrue(said.toString().endsWith(" n debug seen" + System.lineSeparator()), said.toString());
+        new Log(new PrintStream(said, true, UTF_8), "n", true).debug(() -> "seen");
+        assertTrue(said.toString(UTF_8).endsWith(" n debug seen" + System.lineSeparator()), said.toString(UTF_8));
     }
 }
--- a/kit/src/main/java/portrelay/fleet/HollowSidecar.java
+++ b/kit/src/main/java/portrelay/fleet/HollowSidecar.java
@@ -25,12 +25,7 @@
     private static final double LATE = 0.5;
 
     private static final class Attempt {
-        final HollowUpstream at;
         Outcome outcome;
-
-        Attempt(HollowUpstream at) {
-            this.at = at;
-        }
     }
 
     private static final class Request {
@@ -189,7 +184,7 @@
         }
         fleet.tally.attempts++;
         int index = q.attempts.size();
-        q.attempts.add(new Attempt(to));
+        q.attempts.add(new Attempt());
         q.out++;
         int its = life;
         if (to.gone && !to.silent) {
--- a/kit/src/main/java/portrelay/fleet/Scenario.java
+++ b/kit/src/main/java/portrelay/fleet/Scenario.java
@@ -55,6 +55,8 @@
     CHANGE("every sidecar is told its list anew", HollowFleet::allChanged);
 
     final String what;
+    /** A method of the fleet, which holds no state. */
+    @SuppressWarnings("ImmutableEnumChecker")
     private final Consumer<HollowFleet> begins;
 
     Scenario(String what, Consumer<HollowFleet> begins) {
--- a/kit/src/main/java/portrelay/fleet/Slopes.java
+++ b/kit/src/main/java/portrelay/fleet/Slopes.java
@@ -41,7 +41,6 @@
     private static final class Sink implements Effects {
         UpstreamId last;
         String said;
-        int datagrams;
 
         @Override
         public void send(QueryId query, UpstreamId upstream) {
@@ -80,13 +79,11 @@
 
         @Override
         public void tell(int sidecar, String text) {
-            datagrams++;
             said = text;
         }
 
         @Override
         public void tellAll(String text) {
-            datagrams++;
             said = text;
         }
 
--- a/kit/src/main/java/portrelay/kit/cli/ScaleCommand.java
+++ b/kit/src/main/java/portrelay/kit/cli/ScaleCommand.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.stream.Stream;
 import portrelay.cli.Command;
 import portrelay.fleet.Depth;
 import portrelay.fleet.Growth;
@@ -108,13 +109,15 @@
             System.out.printf(
                     Locale.ROOT,
                     "%9.0f %8.0f  %13.0f  %14.1f  %10.1f  %7.2f  %12.0f%n",
-                    f.get("upstreams"),
-                    f.get("sidecars"),
-                    f.get("first_list_us"),
-                    f.get("changed_row_us"),
-                    f.get("request_us"),
-                    f.get("word_us"),
-                    f.get("memory_bytes"));
+                    figures(
+                            f,
+                            "upstreams",
+                            "sidecars",
+                            "first_list_us",
+                            "changed_row_us",
+                            "request_us",
+                            "word_us",
+                            "memory_bytes"));
         }
         grow(runs, "first_list_us", "changed_row_us", "request_us", "word_us", "memory_bytes");
         for (double failing : new double[] {0.01, 0.1, 0.5, 1}) {
@@ -172,21 +175,28 @@
                 Locale.ROOT,
                 "%-9s %8.0f %9.0f  %6.3f  %6.3f  %6.3f  %8.2f  %9.1f  %11.0f"
                         + "  %8.0f (%.0f)  %8.0f (%.0f)  %10.1f  %12.4f  %10.0f%n",
-                f.get("scenario"),
-                f.get("sidecars"),
-                f.get("upstreams"),
-                f.get("served"),
-                f.get("in_time"),
-                f.get("refused"),
-                f.get("attempts_a_request"),
-                f.get("cold_over"),
-                f.get("datagrams_s_mean"),
-                f.get("bytes_s_mean"),
-                f.get("bytes_s_most"),
-                f.get("heard_bytes_s_mean"),
-                f.get("heard_bytes_s_most"),
-                f.get("request_us"),
-                f.get("control_core"),
-                f.get("memory_kb"));
+                figures(
+                        f,
+                        "scenario",
+                        "sidecars",
+                        "upstreams",
+                        "served",
+                        "in_time",
+                        "refused",
+                        "attempts_a_request",
+                        "cold_over",
+                        "datagrams_s_mean",
+                        "bytes_s_mean",
+                        "bytes_s_most",
+                        "heard_bytes_s_mean",
+                        "heard_bytes_s_most",
+                        "request_us",
+                        "control_core",
+                        "memory_kb"));
+    }
+
+    /** The figures of those names, in their order, as arguments of a format. */
+    private static Object[] figures(Map<String, Object> run, String... names) {
+        return Stream.of(names).map(run::get).toArray();
     }
 }
