--- /dev/null
+++ b/daemon/src/test/java/portrelay/net/SizeNetTest.java
@@ -0,0 +1,71 @@
+package portrelay.net;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static portrelay.net.Town.answer;
+
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import portrelay.net.Town.Toy;
+
+/** 1,200 upstreams in the list and 1,200 peers in the configuration, over real sockets. */
+@Timeout(60)
+class SizeNetTest {
+
+    private static final int MANY = 1_200;
+    /** Peers that nobody listens for: what is told to them is lost, as the network may lose it. */
+    private static final int FIRST_DEAF_PORT = 61_000;
+
+    private static String rows(Function<Integer, String> row) {
+        return IntStream.range(0, MANY).mapToObj(row::apply).collect(Collectors.joining(","));
+    }
+
+    private static String peers(int ours) {
+        String others = IntStream.range(1, MANY)
+                .mapToObj(i -> "\"127.0.0.1:" + (FIRST_DEAF_PORT + i) + "\"")
+                .collect(Collectors.joining(","));
+        return "\"peer_listen\":\"127.0.0.1:" + ours + "\",\"peers\":[\"127.0.0.1:" + ours + "\"," + others + "]";
+    }
+
+    private static int freePort() throws Exception {
+        try (DatagramSocket free = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
+            return free.getLocalPort();
+        }
+    }
+
+    @Test
+    void manyUpstreamsAndPeersAreServedAndAChangeOfEveryRowIsFollowed() throws Exception {
+        int port = freePort();
+        try (Toy before = new Toy(answer("200 OK", "before"));
+                Toy after = new Toy(answer("200 OK", "after"));
+                Town town = new Town(
+                        1024,
+                        "{}",
+                        config -> config.replace("\"siblings\":1", "\"siblings\":" + MANY + ",\"me\":0")
+                                .replace("\"allowed\":{", "\"allowed\":{\"peers\":true,")
+                                .replace("\"seed\"", peers(port) + ",\"seed\"")
+                                .replace(
+                                        "\"hosts\":[]",
+                                        "\"hosts\":[" + rows(i -> Town.host("s-" + i, before.address(), "SERVING"))
+                                                + "]"))) {
+            assertEquals("before", new String(town.ask(Town.read("a", 900)).body(), ISO_8859_1));
+            town.discovery.next();
+            String moved = rows(i -> Town.host("s-" + i, after.address(), "SERVING"));
+            answer("200 OK", "{\"seq\":9,\"whole\":true,\"hosts\":[" + moved + "]}")
+                    .play(null, town.discovery.accepted.get(0));
+            String next = town.discovery.next().first();
+            assertTrue(next.startsWith("GET /discovery/hosts?index=9&wait="), next);
+            for (String id : List.of("b", "c", "d")) {
+                assertEquals("after", new String(town.ask(Town.read(id, 900)).body(), ISO_8859_1));
+            }
+        }
+    }
+}
