--- a/daemon/src/test/java/portrelay/net/BodiesNetTest.java
+++ b/daemon/src/test/java/portrelay/net/BodiesNetTest.java
@@ -212,6 +212,50 @@
         }
     }
 
+    /**
+     * A reset is no end: also where the last bytes before it come in the same read, about as long as a short answer.
+     */
+    @Test
+    void anAnswerWithNoLengthThatIsResetIsNeverTakenForWhole() throws Exception {
+        for (int length : new int[] {100, 65_535, 65_536, 65_537, 90_000, 300_000}) {
+            Script reset = (message, on) -> {
+                said("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + "x".repeat(length))
+                        .play(message, on);
+                on.setSoLinger(true, 0);
+                on.close();
+            };
+            for (String version : List.of("HTTP/1.1", "HTTP/1.0")) {
+                try (Town town = new Town(reset)) {
+                    Socket client = town.connect();
+                    String request = Town.issue("a", 900).replace("HTTP/1.1", version);
+                    client.getOutputStream().write(request.getBytes(ISO_8859_1));
+                    String end = endOf(client);
+                    assertTrue(
+                            end.equals("reset") || end.equals("not served"),
+                            version + ", " + length + " bytes: " + end);
+                }
+            }
+        }
+    }
+
+    /** What a client makes of its connection's end: reset, not served, whole, or cut off where it can tell. */
+    private static String endOf(Socket client) throws IOException {
+        Message head = Message.read(client.getInputStream());
+        if (head == null || head.status() != 200) {
+            return "not served";
+        }
+        try {
+            if (head.header("Transfer-Encoding") != null) {
+                dechunked(client.getInputStream());
+                return "whole";
+            }
+            client.getInputStream().readAllBytes();
+            return "whole";
+        } catch (IOException e) {
+            return "reset";
+        }
+    }
+
     @Test
     void theLoserOfALongAnswerIsCalledOffWhenTheFirstBegins() throws Exception {
         Script begins = said("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + "x".repeat(70_000));
