Passed-over upstreams are used where only cold ones that had their due are left

`Decide.pick` used passed-over ones only where all were passed over; a cold one without credit is none that may take a request, so nothing was left and two in five requests were refused.

Change: a cold upstream that has had its due no longer keeps passed-over ones from being used.

The new test refuses 20 of 20 on the build before and none on this one.

--- a/core/src/main/java/portrelay/policy/Cold.java
+++ b/core/src/main/java/portrelay/policy/Cold.java
@@ -50,6 +50,11 @@
         return u.coldCredit >= 1 && ramp(u, now) < 1;
     }
 
+    /** It is cold and has had what it is due. */
+    boolean spent(Upstream u, double now) {
+        return u.coldCredit < 1 && ramp(u, now) < 1;
+    }
+
     void sent(Upstream to, double now) {
         to.coldCredit -= ramp(to, now) < 1 ? 1 : 0;
     }
--- a/core/src/main/java/portrelay/policy/Decide.java
+++ b/core/src/main/java/portrelay/policy/Decide.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.ToDoubleFunction;
 import portrelay.gossip.Gossip;
 import portrelay.model.AdaptiveLimit;
 import portrelay.model.Alarm;
@@ -276,11 +277,7 @@
         total.start((double) roster.stream().filter(u -> u.ready).count() / site.sidecars());
         if (part != null) {
             part.listed(roster, now);
-            crowd = roster.stream()
-                    .filter(u -> u.ready)
-                    .mapToDouble(u -> u.weight.held() / u.weight.cores())
-                    .average()
-                    .orElse(0);
+            crowd = meanOfReady(u -> u.weight.held() / u.weight.cores());
         }
         placeHeld();
         armAlarm();
@@ -425,13 +422,7 @@
         if ((!seen || deaf() && crowd > 1) && !room()) {
             return null;
         }
-        double mean = seen
-                ? 0
-                : roster.stream()
-                        .filter(u -> u.ready)
-                        .mapToInt(u -> u.inFlight)
-                        .average()
-                        .orElse(0);
+        double mean = seen ? 0 : meanOfReady(u -> u.inFlight);
         boolean mayTry = first && q.offering.repeats() == Offering.Repeats.REISSUABLE;
         Upstream u = roster.stream()
                 .filter(each -> mayTry
@@ -442,8 +433,8 @@
                 .findFirst()
                 .orElse(null);
         blindToo = site.looks() && roster.stream().noneMatch(each -> !blind(each) && mayTake(q, each));
-        // Shunned while there are others: a choked upstream has to rest before it works as usual again.
-        boolean all = u == null && ours().stream().allMatch(each -> !each.ready || each.passedOver() || silent(each));
+        // Shunned while others may take it: a choked upstream has to rest before it works as usual again.
+        boolean all = u == null && ours().stream().allMatch(each -> shunned(each) || cold.spent(each, now));
         List<Upstream> due = seen || !first
                 ? List.of()
                 : ours().stream()
@@ -453,7 +444,7 @@
         u = u != null
                 ? u
                 : due.stream()
-                        .filter(each -> ownLoad(each) == 0 && !each.passedOver() && !silent(each))
+                        .filter(each -> ownLoad(each) == 0 && !shunned(each))
                         .findFirst()
                         .orElse(null);
         u = u != null ? u : pickAmong(q, mean, Health.OWN_FAULT, all);
@@ -464,6 +455,10 @@
         return pick;
     }
 
+    private double meanOfReady(ToDoubleFunction<Upstream> of) {
+        return roster.stream().filter(u -> u.ready).mapToDouble(of).average().orElse(0);
+    }
+
     private double ownLoad(Upstream u) {
         return part == null ? u.inFlight : load(u);
     }
@@ -477,6 +472,10 @@
         return site.byLot() && !deaf() && u.told.silence(now) > of.longestTarget();
     }
 
+    private boolean shunned(Upstream u) {
+        return !u.ready || u.passedOver() || silent(u);
+    }
+
     /** What is out where nobody is answered is no work that the fleet does: it takes no room. */
     private boolean room() {
         return total.hasRoom(0)
@@ -487,11 +486,7 @@
     }
 
     private boolean mayTake(Query q, Upstream u) {
-        return u.ready
-                && (part == null || part.ours.contains(u))
-                && !q.at(u)
-                && maySend(q, u)
-                && (u.coldCredit >= 1 || cold.ramp(u, now) >= 1);
+        return u.ready && (part == null || part.ours.contains(u)) && !q.at(u) && maySend(q, u) && !cold.spent(u, now);
     }
 
     private Upstream pickAmong(Query q, double mean, double worstPace, boolean shunnedToo) {
@@ -499,8 +494,7 @@
         double least = Double.POSITIVE_INFINITY;
         for (Upstream u : roster) {
             // The cheap questions first: in a burst a sidecar asks them of all upstreams thousands of times.
-            boolean not =
-                    !mayTake(q, u) || !shunnedToo && (u.passedOver() || silent(u)) || seen && blind(u) && !blindToo;
+            boolean not = !mayTake(q, u) || !shunnedToo && shunned(u) || seen && blind(u) && !blindToo;
             double pace = not ? worstPace : health.pace(u, now);
             double cost = pace >= worstPace
                     ? Double.POSITIVE_INFINITY
--- a/core/src/test/java/portrelay/policy/FailuresTest.java
+++ b/core/src/test/java/portrelay/policy/FailuresTest.java
@@ -288,4 +288,31 @@
         rig.decide.left(rig.now, id);
         assertTrue(rig.decide.hasRoom(rig.now));
     }
+
+    /**
+     * Issue "Zone days": a third of all connections came up late, so nearly all warm upstreams were passed over; what
+     * was left was cold and had had its due, and two in five requests were refused with nothing in flight.
+     */
+    @Test
+    void passedOverUpstreamsAreUsedWhereOnlySpentColdOnesAreLeft() {
+        Rig rig = new Rig(3, 50);
+        rig.ready(3);
+        rig.ask("fails", Rig.AT_MOST_ONCE, 0.4);
+        for (int upstream = 0; upstream < 3; upstream++) {
+            rig.end(rig.last(), Outcome.NO_CONNECTION);
+        }
+        assertEquals(3, rig.sent.size());
+        rig.decide.list(rig.now, ListNews.CHANGES, List.of(Rig.row(3, Listed.Health.READY, rig.now)));
+        int before = rig.sent.size();
+        int deniedBefore = rig.denied.size();
+        for (int i = 0; i < 20; i++) {
+            rig.ask("then" + i, Rig.REISSUABLE, 0.4);
+            if (rig.sent.size() > before + i) {
+                rig.end(rig.last(), Outcome.HANDLED);
+            }
+            rig.pass(0.2);
+        }
+        assertEquals(deniedBefore, rig.denied.size(), "refused though three upstreams could be tried");
+        assertTrue(rig.sent.size() >= before + 20);
+    }
 }
