Majority leases without disk: pure state machines, explored exhaustively, with planted defects

Tasks that one process at a time should do need a lease; the platform has no disk that lasts.

Change: package portrelay.lease after PaxosLease: Ballot, Acceptor, Proposer, Replica, VoterSet, LeaseTerms and sealed messages, all immutable. The issue asks that a change of one voter be allowed, as majorities of sets that differ by one meet; that holds where one comes or goes and not where one takes another's place ({1, 2} of {0, 1, 2}, {0, 3} of {0, 2, 3}): VoterSet refuses the latter, and the explorer finds two holders there.

Rejections are modelled as lost messages.

--- /dev/null
+++ b/core/src/test/java/portrelay/lease/LeaseExplorerTest.java
@@ -0,0 +1,122 @@
+package portrelay.lease;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import portrelay.lease.LeaseWorld.Defect;
+import portrelay.lease.LeaseWorld.Next;
+import portrelay.lease.LeaseWorld.Rules;
+
+/**
+ * Every way in which the real machines can go on, breadth first, to a depth: two that may act at one moment of true
+ * time, and a token that goes back, are found if they can come at all. Each planted defect is.
+ */
+class LeaseExplorerTest {
+
+    private static final VoterSet THREE = new VoterSet(List.of(0, 1, 2));
+    private static final double SLOW = 1 - LeaseWorld.DRIFT;
+    private static final double FAST = 1 + LeaseWorld.DRIFT;
+
+    /** A state, and how it was come to: the steps before it hang on one another. */
+    private record Reached(LeaseWorld world, int depth, String action, Reached before) {
+
+        List<String> trace() {
+            List<String> steps = new ArrayList<>();
+            for (Reached each = this; each.before != null; each = each.before) {
+                steps.add(0, each.action);
+            }
+            return steps;
+        }
+    }
+
+    private record Result(Reached broken, int states, int depth) {}
+
+    private static Result explore(LeaseWorld start, int mostDepth) {
+        Set<LeaseWorld> seen = new HashSet<>();
+        Deque<Reached> open = new ArrayDeque<>();
+        open.add(new Reached(start, 0, "", null));
+        seen.add(start);
+        int depth = 0;
+        while (!open.isEmpty()) {
+            Reached at = open.poll();
+            depth = at.depth;
+            if (at.world.broken() != null) {
+                return new Result(at, seen.size(), depth);
+            }
+            if (at.depth == mostDepth) {
+                continue;
+            }
+            for (Next next : at.world.next()) {
+                if (seen.add(next.world())) {
+                    open.add(new Reached(next.world(), at.depth + 1, next.action(), at));
+                }
+            }
+        }
+        return new Result(null, seen.size(), depth);
+    }
+
+    private static void assertSafe(String what, Result result) {
+        System.out.println("lease, " + what + ": " + result.states + " states to depth " + result.depth);
+        assertNull(result.broken, () -> result.broken.world.broken() + " by " + result.broken.trace());
+    }
+
+    @Test
+    void twoContendersNeverActAtOnce() {
+        Rules rules = new Rules(Defect.NONE, Set.of(0, 2), false, null, 3);
+        assertSafe("two contenders", explore(LeaseWorld.start(rules, THREE, 0, 2, SLOW, FAST, FAST), 10));
+    }
+
+    @Test
+    void aRestartDoesNotLetTwoActAtOnce() {
+        Rules rules = new Rules(Defect.NONE, Set.of(0, 2), true, null, 3);
+        assertSafe("a restart", explore(LeaseWorld.start(rules, THREE, 1, 2, SLOW, FAST, FAST), 13));
+    }
+
+    @Test
+    void oneVoterMayBeAddedWhileProcessesRun() {
+        VoterSet four = new VoterSet(List.of(0, 1, 2, 3));
+        Rules rules = new Rules(Defect.NONE, Set.of(0, 3), false, four, 1);
+        assertSafe("a voter added", explore(LeaseWorld.start(rules, THREE, 0, 2, SLOW, FAST, FAST, FAST), 10));
+    }
+
+    /** The same search that finds each defect finds nothing in the program as it is. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Defect.class,
+            names = {"TWO_VOTERS_CHANGED_AT_ONCE"},
+            mode = EnumSource.Mode.EXCLUDE)
+    void eachPlantedDefectIsFoundAndOnlyThose(Defect defect) {
+        int restarts = defect == Defect.NONE || defect == Defect.NO_SILENCE_AFTER_RESTART ? 1 : 0;
+        Rules rules = new Rules(defect, Set.of(0, 2), !defect.needsDuel(), null, 2);
+        Result result = explore(LeaseWorld.start(rules, THREE, restarts, 2, SLOW, FAST, FAST), 13);
+        if (defect == Defect.NONE) {
+            assertSafe("the search for defects", result);
+            return;
+        }
+        assertNotNull(result.broken, defect + " was not found in " + result.states + " states");
+        System.out.println("lease, " + defect + " after " + result.states + " states: " + result.broken.world.broken()
+                + " by " + result.broken.trace());
+    }
+
+    /** Two for two, and one for another: either way majorities of the two sets need not meet. */
+    @Test
+    void changingTwoVotersAtOnceLetsTwoActAtOnce() {
+        VoterSet old = new VoterSet(List.of(0, 1, 2));
+        VoterSet replaced = new VoterSet(List.of(0, 2, 3));
+        assertTrue(old.refusesChangeTo(replaced).isPresent());
+        Rules rules = new Rules(Defect.TWO_VOTERS_CHANGED_AT_ONCE, Set.of(1, 3), true, replaced, 0);
+        LeaseWorld start = LeaseWorld.start(rules, old, 0, 2, 1, 1, 1, 1);
+        Result result = explore(start, 12);
+        assertNotNull(result.broken, "not found in " + result.states + " states");
+    }
+}
