A slow client whose long body is answered early keeps its connection until it has read the answer

Cause, shown on sockets: where an upstream breaks off early in a long body, the client gets its refusal at once and `Lingering` closed the connection 0.5 s later, while a client at 64 kB a second was still sending: a close on unread bytes is a reset, and the answer went with it.

--- a/daemon/src/main/java/portrelay/net/Front.java
+++ b/daemon/src/main/java/portrelay/net/Front.java
@@ -62,6 +62,7 @@
     private boolean ready;
     private final Clients clients;
     private final DoorCounts counts;
+    private final Lingering brief;
     private final Lingering lingering;
     /** Where bytes may come behind a request that came whole. */
     private final Lingering lingersOn;
@@ -90,8 +91,9 @@
         this.doorkeeper = doorkeeper;
         this.counts = counts;
         clients = new Clients(loop, log, room, counts);
-        lingering = new Lingering(loop, clients, false);
-        lingersOn = new Lingering(loop, clients, true);
+        brief = new Lingering(loop, clients, false, Lingering.BRIEF);
+        lingering = new Lingering(loop, clients, false, Lingering.FOR_THE_BODY);
+        lingersOn = new Lingering(loop, clients, true, Lingering.BRIEF);
         http = new HttpOpenListener(
                 buffers,
                 OptionMap.builder()
@@ -388,7 +390,7 @@
      */
     private void turnAwayAndClose(HttpServerExchange exchange, BadQuery why) {
         exchange.setPersistent(false);
-        turnAway(exchange, why, lingering);
+        turnAway(exchange, why, brief);
     }
 
     private void turnAway(HttpServerExchange exchange, BadQuery why, IoCallback then) {
--- a/daemon/src/main/java/portrelay/net/Operators.java
+++ b/daemon/src/main/java/portrelay/net/Operators.java
@@ -71,7 +71,7 @@
         this.front = front;
         callers = new Clients(loop, log, ROOM, new DoorCounts());
         callers.most(most);
-        lingering = new Lingering(loop, callers, false);
+        lingering = new Lingering(loop, callers, false, Lingering.BRIEF);
         http = new HttpOpenListener(
                 buffers,
                 OptionMap.builder()
--- a/daemon/src/test/java/portrelay/net/BodiesNetTest.java
+++ b/daemon/src/test/java/portrelay/net/BodiesNetTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static portrelay.net.Town.SILENT;
@@ -335,6 +336,73 @@
         }
     }
 
+    /**
+     * Issue "Zone days": the last chunk of a long body has come, and its upstream resets the connection before it went
+     * on. The refusal has no body, and the client's connection was closed before its head was written.
+     */
+    @Test
+    void aLongBodyWhoseUpstreamResetsAtItsLastBytesIsAnswered() throws Exception {
+        for (boolean chunks : new boolean[] {true, false}) {
+            for (int i = 0; i < 10; i++) {
+                assertAnsweredThoughReset(chunks, "chunks " + chunks + ", round " + i);
+            }
+        }
+    }
+
+    private static void assertAnsweredThoughReset(boolean chunks, String what) throws Exception {
+        byte[] body = new byte[100_000];
+        String all = chunks
+                ? "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 25_000)
+                : "Content-Length: 100000\r\n\r\n" + new String(body, ISO_8859_1);
+        try (Town town = new Town(SILENT)) {
+            Socket client = town.connect();
+            String head = Town.head("POST /issue/x", "id", "issue", 900);
+            byte[] bytes = (head + all).getBytes(ISO_8859_1);
+            int held = bytes.length - 100;
+            client.getOutputStream().write(bytes, 0, held);
+            List<Socket> accepted = town.upstreams.get(0).accepted;
+            while (accepted.isEmpty()) {
+                Thread.onSpinWait();
+            }
+            Held.settled(town.sidecar.loop);
+            try (Held loop = new Held(town.sidecar.loop)) {
+                accepted.get(0).setSoLinger(true, 0);
+                accepted.get(0).close();
+                client.getOutputStream().write(bytes, held, bytes.length - held);
+                loop.letGo();
+            }
+            Message got = Message.read(client.getInputStream());
+            assertNotNull(got, what + ": the connection ended with no answer");
+            assertTrue(got.status() == 429 || got.status() == 502, got.first());
+        }
+    }
+
+    /**
+     * Issue "Zone days": the upstream breaks off early in a long body that comes slowly. Its client writes on and reads
+     * the answer behind its last byte; half a second after the answer its connection was reset under it.
+     */
+    @Test
+    void aSlowClientThatReadsOnlyBehindItsLongBodyFindsTheEarlyAnswer() throws Exception {
+        try (Town town = new Town(SILENT)) {
+            Socket client = town.connect();
+            String head = Town.head("POST /issue/x", "id", "issue", 900) + "Content-Length: 140000\r\n\r\n";
+            client.getOutputStream().write((head + "x".repeat(70_000)).getBytes(ISO_8859_1));
+            List<Socket> accepted = town.upstreams.get(0).accepted;
+            while (accepted.isEmpty()) {
+                Thread.onSpinWait();
+            }
+            accepted.get(0).setSoLinger(true, 0);
+            accepted.get(0).close();
+            for (int i = 0; i < 70; i++) {
+                client.getOutputStream().write(new byte[1_000]);
+                Thread.sleep(20);
+            }
+            Message got = Message.read(client.getInputStream());
+            assertNotNull(got, "the connection ended with no answer");
+            assertTrue(got.status() == 429 || got.status() == 502, got.first());
+        }
+    }
+
     @Test
     void aLongBodyIsSentOnceThoughItNeverRan() throws Exception {
         Script full = answer("503 No\r\nX-Never-Ran: 1", "");
