The look for a client that left no longer hides the last bytes of its long body

A scratch copy that also logged the pump's state showed `count 76112 known -1 waits SOURCE` and, in QueryGuard, `ahead 5 <0 CR LF CR LF>`: the last chunk. `Client.over` looks whether the client is still there in the moment before an attempt is written, and that look reads up to 512 bytes ahead (`QueryGuard.look`). The library still held bytes of its own, gave those and asked for more; the kernel had none left, so nobody was told of what the look had taken.

Change: bytes that a look took wake the reader, at once where it reads and when it resumes where it does not.

--- a/daemon/src/main/java/portrelay/net/QueryGuard.java
+++ b/daemon/src/main/java/portrelay/net/QueryGuard.java
@@ -64,10 +64,28 @@
         }
         ByteBuffer some = ByteBuffer.allocate(PEEKED);
         int count = next.read(some);
-        ahead = count > 0 ? some.flip() : null;
+        if (count > 0) {
+            ahead = some.flip();
+            wakeReader();
+        }
         return count;
     }
 
+    /** The kernel tells a reader only of bytes that it still has: of those that a look took we tell. */
+    private void wakeReader() {
+        if (next.isReadResumed()) {
+            next.wakeupReads();
+        }
+    }
+
+    @Override
+    public void resumeReads() {
+        next.resumeReads();
+        if (ahead != null) {
+            wakeReader();
+        }
+    }
+
     /** Whether the head that was read last can be read in more than one way, as with folded lines. */
     boolean unclear() {
         return framing.unclear();
--- a/daemon/src/test/java/portrelay/net/BodiesNetTest.java
+++ b/daemon/src/test/java/portrelay/net/BodiesNetTest.java
@@ -257,6 +257,44 @@
         }
     }
 
+    /** However its last bytes are cut, and whatever the upstream does with its connection behind them. */
+    @Test
+    void aLongAnswerIsWholeWhereverItsLastBytesAreCut() throws Exception {
+        byte[] body = new byte[100_000];
+        String text = new String(body, ISO_8859_1);
+        List<String> forms = List.of(
+                "Content-Length: 100000\r\n\r\n" + text,
+                "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 30_000),
+                "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(body, 30_000),
+                "Connection: close\r\nContent-Length: 100000\r\n\r\n" + text);
+        for (String form : forms) {
+            for (int cut : new int[] {0, 1, 2, 3, 4, 5, 12, 17, 20}) {
+                for (boolean closes : new boolean[] {false, true}) {
+                    byte[] all = ("HTTP/1.1 200 OK\r\n" + form).getBytes(ISO_8859_1);
+                    Script parts = (message, on) -> {
+                        on.setTcpNoDelay(true);
+                        on.getOutputStream().write(all, 0, all.length - cut);
+                        Thread.sleep(20);
+                        on.getOutputStream().write(all, all.length - cut, cut);
+                        if (closes) {
+                            on.close();
+                        }
+                    };
+                    String what = form.substring(0, 30) + ", cut " + cut + ", closes " + closes;
+                    try (Town town = new Town(parts)) {
+                        Socket client = town.connect();
+                        Message got = Town.ask(client, Town.issue("a", 900));
+                        assertEquals(200, got.status(), what);
+                        byte[] arrived = got.header("Transfer-Encoding") == null
+                                ? got.body()
+                                : dechunked(client.getInputStream());
+                        assertArrayEquals(body, arrived, what);
+                    }
+                }
+            }
+        }
+    }
+
     @Test
     void theLoserOfALongAnswerIsCalledOffWhenTheFirstBegins() throws Exception {
         Script begins = said("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + "x".repeat(70_000));
@@ -403,6 +441,70 @@
         }
     }
 
+    /** Of a body in chunks that is hardly long all has been read before it passes on: its end is found all the same. */
+    @Test
+    void aBodyInChunksThatIsHardlyLongComesWholeHoweverItIsCut() throws Exception {
+        Script takes = (message, on) -> {
+            if (message.header("Transfer-Encoding") != null) {
+                dechunked(on.getInputStream());
+            }
+            answer("200 OK", "u").play(message, on);
+        };
+        SplittableRandom chance = new SplittableRandom(11);
+        try (Town town = new Town(takes)) {
+            Socket client = town.connect();
+            for (int i = 0; i < 300; i++) {
+                int size = 65_500 + chance.nextInt(6_000);
+                int chunk = 1_000 + chance.nextInt(70_000);
+                byte[] all = (Town.head("POST /issue/x", "id" + i, "issue", 900)
+                                + "Transfer-Encoding: chunked\r\n\r\n"
+                                + chunked(new byte[size], chunk))
+                        .getBytes(ISO_8859_1);
+                int cut = all.length - chance.nextInt(i % 2 == 0 ? 60 : 8_000);
+                client.getOutputStream().write(all, 0, cut);
+                if (i % 3 > 0) {
+                    Thread.sleep(chance.nextInt(6));
+                }
+                client.getOutputStream().write(all, cut, all.length - cut);
+                Message got = Message.read(client.getInputStream());
+                String what =
+                        "round " + i + ", " + size + " bytes in chunks of " + chunk + ", last " + (all.length - cut);
+                assertNotNull(got, what);
+                assertEquals(200, got.status(), what);
+            }
+        }
+    }
+
+    /**
+     * Issue "Zone days", the loss itself: the look whether the client is still there, in the moment before an attempt
+     * is written, takes the last bytes of a body in chunks out of the kernel, while the library holds half a chunk's
+     * size line. It asks for more and is told of none, as the kernel has none left: the body was taken for one that
+     * stopped.
+     */
+    @Test
+    void theLookForTheClientDoesNotHideTheLastBytesOfItsBody() throws Exception {
+        Script takes = (message, on) -> {
+            if (message.header("Transfer-Encoding") != null) {
+                dechunked(on.getInputStream());
+                answer("200 OK", "u").play(message, on);
+            }
+        };
+        try (Town town = new Town(1024, "{\"most-inside\": 1, \"wait-share\": 0.9}", takes)) {
+            Socket before = town.connect();
+            before.getOutputStream().write(Town.read("before", 200).getBytes(ISO_8859_1));
+            town.upstreams.get(0).next();
+            Socket client = town.connect();
+            String head = Town.head("POST /issue/x", "id", "issue", 900) + "Transfer-Encoding: chunked\r\n\r\n";
+            String first = Integer.toHexString(66_000) + "\r\n" + "x".repeat(66_000) + "\r\n3";
+            client.getOutputStream().write((head + first).getBytes(ISO_8859_1));
+            Held.settled(town.sidecar.loop);
+            client.getOutputStream().write(("2\r\n" + "y".repeat(0x32) + "\r\n0\r\n\r\n").getBytes(ISO_8859_1));
+            Message got = Message.read(client.getInputStream());
+            assertNotNull(got, "the connection ended with no answer");
+            assertEquals(200, got.status());
+        }
+    }
+
     @Test
     void aLongBodyIsSentOnceThoughItNeverRan() throws Exception {
         Script full = answer("503 No\r\nX-Never-Ran: 1", "");
