--- a/core/src/main/java/portrelay/gossip/Gossip.java
+++ b/core/src/main/java/portrelay/gossip/Gossip.java
@@ -65,7 +65,7 @@
     /** Asked in vain so often, nobody of those who run knows us: all have just started. */
     private static final int IN_VAIN = 2;
     /** To more than so many it would take as long to tell all as it takes to spread from one to the next. */
-    private static final int MOST_TOLD = 2048;
+    private static final int MOST_TOLD = 1000;
     /** Who started a moment ago knows nothing yet: what he answers would pass for all there is. */
     private static final double YOUNG = 1;
 
