DoorNetTest's stand-in for a connection answers what a look asks of it now

Cause: its proxy knew only reads; the look asks whether the reader is resumed and wakes it since (a failing run of the tests, a null pointer in the test's own proxy). Change: the stand-in answers both, and the test asks that the reader is woken once. Measured: DoorNetTest passes.

--- a/daemon/src/test/java/portrelay/net/DoorNetTest.java
+++ b/daemon/src/test/java/portrelay/net/DoorNetTest.java
@@ -138,8 +138,16 @@
     void whatALookAheadTookIsReadAllTheSame() throws Exception {
         byte[] query = Town.read("a", 900).getBytes(ISO_8859_1);
         ByteBuffer wire = ByteBuffer.wrap(query);
+        AtomicInteger woken = new AtomicInteger();
         StreamSourceConduit source = (StreamSourceConduit) Proxy.newProxyInstance(
                 getClass().getClassLoader(), new Class<?>[] {StreamSourceConduit.class}, (self, method, arguments) -> {
+                    if (method.getName().equals("isReadResumed")) {
+                        return true;
+                    }
+                    if (method.getName().equals("wakeupReads")) {
+                        woken.incrementAndGet();
+                        return null;
+                    }
                     ByteBuffer to = (ByteBuffer) arguments[0];
                     int count = Math.min(Math.min(30, wire.remaining()), to.remaining());
                     to.put(wire.slice().limit(count));
@@ -149,6 +157,7 @@
         AtomicInteger heard = new AtomicInteger();
         QueryGuard guard = new QueryGuard(source, heard::incrementAndGet);
         assertTrue(guard.peek());
+        assertEquals(1, woken.get(), "the kernel tells the reader of nothing that a look took");
         assertEquals(0, heard.get());
         byte[] all = new byte[query.length];
         for (int got = 0; got < all.length; ) {
