--- a/daemon/src/main/java/portrelay/net/QueryReader.java
+++ b/daemon/src/main/java/portrelay/net/QueryReader.java
@@ -22,6 +22,7 @@
     private static final Pattern DIGITS = Pattern.compile("\\d{1,9}");
     /** The client counted from before the query reached us, and the answer has to reach it in time. */
     private static final double WAY_BACK = 0.005;
+
     private static final double LEAST = 0.001;
 
     private final Settings settings;
@@ -31,9 +32,8 @@
     }
 
     /**
-     * By the header alone, before any of a body is taken in that is too long, or whose end the next in the
-     * row could see elsewhere: that would hide a second query in it. Returns the length, -1 where it is not
-     * said.
+     * By the header alone, before any of a body is taken in that is too long, or whose end the next in the row could
+     * see elsewhere: that would hide a second query in it. Returns the length, -1 where it is not said.
      */
     long checkFraming(HttpServerExchange exchange) throws BadQuery {
         HeaderMap headers = exchange.getRequestHeaders();
@@ -61,8 +61,7 @@
     }
 
     /** Once: the body is long and passes through. */
-    Asked read(HttpServerExchange exchange, int body, boolean once, double now, double answerBy)
-            throws BadQuery {
+    Asked read(HttpServerExchange exchange, int body, boolean once, double now, double answerBy) throws BadQuery {
         HeaderMap headers = exchange.getRequestHeaders();
         String id = one(headers, Names.QUERY_ID);
         if (id == null || id.isEmpty() || id.length() > LONGEST_ID) {
@@ -92,8 +91,7 @@
         return new Asked(new QueryId(id), offering, tenant, null, now + wait, Double.NaN, again, once);
     }
 
-    private static void checkMethod(Offering offering, HttpString method, HeaderMap headers, int body)
-            throws BadQuery {
+    private static void checkMethod(Offering offering, HttpString method, HeaderMap headers, int body) throws BadQuery {
         boolean reissuable = offering.repeats() == Offering.Repeats.REISSUABLE;
         if (!method.equals(reissuable ? Methods.GET : Methods.POST)) {
             throw new BadQuery(StatusCodes.METHOD_NOT_ALLOWED, "the offering takes another method");
--- a/daemon/src/main/java/portrelay/net/Result.java
+++ b/daemon/src/main/java/portrelay/net/Result.java
@@ -4,9 +4,9 @@
 import org.xnio.channels.StreamSinkChannel;
 
 /**
- * How a call ended. Status 0: the connection broke, or what came was no whole answer; then written tells
- * whether the call's last byte had left us. Rest is null where the body is whole; else it has only begun, and
- * whoever has this passes the rest on or cancels it.
+ * How a call ended. Status 0: the connection broke, or what came was no whole answer; then written tells whether the
+ * call's last byte had left us. Rest is null where the body is whole; else it has only begun, and whoever has this
+ * passes the rest on or cancels it.
  */
 record Result(int status, HeaderMap headers, byte[] body, boolean written, Rest rest) {
 
--- a/daemon/src/main/java/portrelay/net/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/Sidecar.java
@@ -25,25 +25,29 @@
     private static final int BUFFER_SIZE = 16 * 1024;
     private static final int BUFFERS = 256;
     /**
-     * Descriptors of the JVM itself and of discovery. Half of the others are the upstreams' when they need
-     * them; what they do not hold is lent to clients, but for a spare part that is there for the next dials.
+     * Descriptors of the JVM itself and of discovery. Half of the others are the upstreams' when they need them; what
+     * they do not hold is lent to clients, but for a spare part that is there for the next dials.
      */
     private static final int OWN_SOCKETS = 64;
+
     private static final double OWN_SHARE = 0.25;
     private static final int SPARE_OF = 16;
     /** Operators' connections: so many at most, and of all descriptors one in so many. */
     private static final int CALLS = 48;
+
     private static final int CALLS_OF = 8;
     /** While two serve either has room for the usual clients of both: one in so many descriptors. */
     private static final int CLIENTS_OF = 4;
     /** Of the time after which an upstream closes an idle connection; the rest is for what is on its way. */
     private static final double IDLE_SHARE = 0.5;
+
     private static final double DEFAULT_IDLE = 10;
     private static final double ACCEPT_ON = 0.55;
     /** SIGKILL comes no sooner than this and the longest cut-off after SIGTERM. */
     private static final double LEAST_DRAIN = 0.7;
     /** However long clients may wait, SIGKILL counts no more of the longest cut-off than this. */
     private static final double MOST_CUT_OFF = 3;
+
     private static final double OWN_END = 0.1;
     /** What is left of a drain when no more is taken. */
     private static final double LAST_ANSWERS = 0.4;
@@ -58,14 +62,17 @@
     private final ListActor list;
     /** Null where operators have no door. */
     private final Operators operators;
+
     private final double longestCutOff;
     private final Config config;
     /** Null where nothing is handed over. */
     private final Handover handover;
+
     final Dialer toUpstreams;
     final ModuleActor module;
     /** Null where sidecars have no way to talk. */
     private final PeerActor peers;
+
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
     private final Warmup warmup;
     private boolean drains;
@@ -82,28 +89,47 @@
         var buffers = buffers();
         var settings = config.settings();
         String shared = config.listen().getPort() == 0 ? "" : Addresses.text(config.listen());
-        handover = Handover.open(loop, log, handoverIn,
-                new HandoverState.Owner(config.name(), shared, settings.offeringNames()));
+        handover = Handover.open(
+                loop, log, handoverIn, new HandoverState.Owner(config.name(), shared, settings.offeringNames()));
         beside = handover == null ? Handover.Beside.NOBODY : handover.beside();
         toUpstreams = new Dialer(loop, buffers, connections() / 2, open -> lend());
-        Dialer toDiscovery = new Dialer(loop, buffers, 3, open -> { });
+        Dialer toDiscovery = new Dialer(loop, buffers, 3, open -> {});
         boolean messages = config.peers() != null && settings.site().peers();
         module = new ModuleActor(loop, log, to -> settings.startOnSockets(to, config.seed(), messages));
         module.windows(asked -> settings.offering(asked.offering()).repeats() == Offering.Repeats.NUMBERED
-                ? settings.offering(asked.offering()).window() : Double.POSITIVE_INFINITY);
-        peers = messages ? new PeerActor(loop, log, worker, config.peers(), settings.site().sidecars(),
-                module::heard) : null;
+                ? settings.offering(asked.offering()).window()
+                : Double.POSITIVE_INFINITY);
+        peers = messages
+                ? new PeerActor(
+                        loop, log, worker, config.peers(), settings.site().sidecars(), module::heard)
+                : null;
         double idle = IDLE_SHARE * (settings.connectionIdle() > 0 ? settings.connectionIdle() : DEFAULT_IDLE);
-        list = new ListActor(loop, log, toDiscovery, config.discovery(), module,
+        list = new ListActor(
+                loop,
+                log,
+                toDiscovery,
+                config.discovery(),
+                module,
                 at -> new UpstreamActor(loop, log, toUpstreams, module, settings.dialWithin(), idle, at));
         doorkeeper = new DoorActor(loop, log, settings, config.door(), module, config.seed());
         tellEvery = config.door().tellEvery();
         log.info("door: at most " + config.door().bound() + " bytes for what waits");
-        front = new Front(loop, log, buffers, new QueryReader(settings), doorkeeper, config.door().room(),
+        front = new Front(
+                loop,
+                log,
+                buffers,
+                new QueryReader(settings),
+                doorkeeper,
+                config.door().room(),
                 counts);
-        longestCutOff = Math.min(MOST_CUT_OFF,
-                settings.offerings().stream().mapToDouble(Offering::cutOff).max().orElse(0));
-        operators = config.mgmt() == null ? null
+        longestCutOff = Math.min(
+                MOST_CUT_OFF,
+                settings.offerings().stream()
+                        .mapToDouble(Offering::cutOff)
+                        .max()
+                        .orElse(0));
+        operators = config.mgmt() == null
+                ? null
                 : new Operators(loop, buffers, log, Math.max(1, calls()), list, module, front, handover);
         try {
             if (operators != null) {
@@ -139,7 +165,7 @@
         if (handover != null) {
             handover.calls().forEach((id, call) -> {
                 if (call.isOut()) {
-                    module.ban(id, true, () -> { });
+                    module.ban(id, true, () -> {});
                 }
             });
             front.inService(!handover.outOfService());
@@ -156,7 +182,7 @@
     public void ban(UpstreamId id, boolean isOut) {
         log.info("told by the process beside: upstream " + Long.toHexString(id.value())
                 + (isOut ? " offline" : " online"));
-        module.ban(id, isOut, () -> { });
+        module.ban(id, isOut, () -> {});
     }
 
     @Override
@@ -234,9 +260,14 @@
     }
 
     private static XnioWorker worker() throws IOException {
-        return Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.THREAD_DAEMON, true).set(Options.WORKER_NAME, "portrelay").getMap());
+        return Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.THREAD_DAEMON, true)
+                        .set(Options.WORKER_NAME, "portrelay")
+                        .getMap());
     }
 
     private static DefaultByteBufferPool buffers() {
@@ -294,11 +325,10 @@
     }
 
     /**
-     * Returns when the sidecar listens, before it is warm: it serves from here on, and may be told to end.
-     * Whoever calls this calls {@code awaitReady} too.
+     * Returns when the sidecar listens, before it is warm: it serves from here on, and may be told to end. Whoever
+     * calls this calls {@code awaitReady} too.
      */
-    public static Sidecar open(Config config, PrintStream logTo, Path handoverIn)
-            throws IOException, BadSetting {
+    public static Sidecar open(Config config, PrintStream logTo, Path handoverIn) throws IOException, BadSetting {
         return open(config, logTo, handoverIn, null);
     }
 
@@ -309,19 +339,16 @@
     }
 
     /**
-     * The same; hands over to, and takes over from, other processes of this sidecar by files in the folder,
-     * which has to be theirs alone. Null: to nobody.
+     * The same; hands over to, and takes over from, other processes of this sidecar by files in the folder, which has
+     * to be theirs alone. Null: to nobody.
      */
-    public static Sidecar start(Config config, PrintStream logTo, Path handoverIn)
-            throws IOException, BadSetting {
+    public static Sidecar start(Config config, PrintStream logTo, Path handoverIn) throws IOException, BadSetting {
         Sidecar sidecar = open(config, logTo, handoverIn);
         sidecar.awaitReady();
         return sidecar;
     }
 
-    /**
-     * Returns when it serves, or has been told to end before it did; closed with the cause where it can't.
-     */
+    /** Returns when it serves, or has been told to end before it did; closed with the cause where it can't. */
     public void awaitReady() throws IOException {
         try {
             ready.get();
@@ -334,8 +361,8 @@
     }
 
     /**
-     * Takes over what may change under way from a configuration that replaces the one it was started with:
-     * where discovery is.
+     * Takes over what may change under way from a configuration that replaces the one it was started with: where
+     * discovery is.
      */
     public void reload(Config config) {
         list.move(config.discovery());
@@ -352,10 +379,10 @@
     }
 
     /**
-     * Goes on as before for the connections that are open and, for half a second, for those still on their
-     * way; clients have nobody else while they stay. Ends when they have gone, or when what is taken later
-     * could no longer be answered before the sidecar may be killed. With a successor that serves, the address
-     * is left to it at once. Whoever kills counts from the call: so does all of it, however late the loop is.
+     * Goes on as before for the connections that are open and, for half a second, for those still on their way; clients
+     * have nobody else while they stay. Ends when they have gone, or when what is taken later could no longer be
+     * answered before the sidecar may be killed. With a successor that serves, the address is left to it at once.
+     * Whoever kills counts from the call: so does all of it, however late the loop is.
      */
     public void drain() {
         double told = loop.now();
--- a/daemon/src/main/java/portrelay/net/Upload.java
+++ b/daemon/src/main/java/portrelay/net/Upload.java
@@ -29,7 +29,7 @@
     private final long length;
     private Pump pump;
     private Listener listener;
-    private Runnable written = () -> { };
+    private Runnable written = () -> {};
     private Runnable sinkBroke;
     private boolean whole;
     private boolean stopped;
--- a/daemon/src/main/java/portrelay/net/UpstreamActor.java
+++ b/daemon/src/main/java/portrelay/net/UpstreamActor.java
@@ -33,11 +33,11 @@
         }
     }
 
-    private record Idle(Link link, double since) { }
+    private record Idle(Link link, double since) {}
 
     /**
-     * Seconds that a connection rests at least. A second answer may come some milliseconds behind the first;
-     * to one that is written to by then it is the answer to the next query, with what nobody made for that.
+     * Seconds that a connection rests at least. A second answer may come some milliseconds behind the first; to one
+     * that is written to by then it is the answer to the next query, with what nobody made for that.
      */
     private static final double REST = 0.01;
 
@@ -53,9 +53,16 @@
     private boolean sweeping;
     /** Out by the operators' word, draining by the list's. */
     private boolean offline;
+
     private boolean drains;
 
-    UpstreamActor(Loop loop, Log log, Dialer dialer, Listener listener, double dialWithin, double idleMost,
+    UpstreamActor(
+            Loop loop,
+            Log log,
+            Dialer dialer,
+            Listener listener,
+            double dialWithin,
+            double idleMost,
             InetSocketAddress address) {
         this.loop = loop;
         this.mailbox = new Mailbox(loop, log);
@@ -111,9 +118,8 @@
     }
 
     /**
-     * Nothing is kept, and what has no connection yet gets none there: one that comes up late would be
-     * written to when the grace of a drain is over, or at an address that is another's by then. What is
-     * written ends by itself.
+     * Nothing is kept, and what has no connection yet gets none there: one that comes up late would be written to when
+     * the grace of a drain is over, or at an address that is another's by then. What is written ends by itself.
      */
     private void keepNothing() {
         closeIdle();
@@ -143,13 +149,16 @@
                 return;
             }
         }
-        one.dial = dialer.dial(address, dialWithin, link -> mailbox.post(() -> opened(id, one, link)),
+        one.dial = dialer.dial(
+                address,
+                dialWithin,
+                link -> mailbox.post(() -> opened(id, one, link)),
                 () -> mailbox.post(() -> end(id, one, Outcome.NO_CONNECTION, null)));
     }
 
     /** The newest that has rested for long enough, null where there is none. */
     private Idle pollRested() {
-        for (Iterator<Idle> newestFirst = idle.iterator(); newestFirst.hasNext();) {
+        for (Iterator<Idle> newestFirst = idle.iterator(); newestFirst.hasNext(); ) {
             Idle each = newestFirst.next();
             if (each.since + REST <= loop.now()) {
                 newestFirst.remove();
@@ -221,8 +230,8 @@
         return switch (result.status()) {
             case 0 -> result.written() ? Outcome.BROKEN : Outcome.NO_CONNECTION;
             case 200 -> Outcome.HANDLED;
-            case 503, 504 -> Names.TRUE.equals(result.headers().getFirst(Names.NEVER_RAN)) ? Outcome.FULL
-                    : Outcome.ERROR;
+            case 503, 504 ->
+                Names.TRUE.equals(result.headers().getFirst(Names.NEVER_RAN)) ? Outcome.FULL : Outcome.ERROR;
             default -> Outcome.ERROR;
         };
     }
--- a/daemon/src/main/java/portrelay/net/Warmup.java
+++ b/daemon/src/main/java/portrelay/net/Warmup.java
@@ -37,8 +37,8 @@
 import portrelay.settings.Settings;
 
 /**
- * Plays queries through a second set of actors, over pipes inside the process, before the first client comes:
- * a JVM that loads and compiles its code under the first seconds' load makes them late on one core.
+ * Plays queries through a second set of actors, over pipes inside the process, before the first client comes: a JVM
+ * that loads and compiles its code under the first seconds' load makes them late on one core.
  */
 final class Warmup {
 
@@ -53,8 +53,7 @@
     private static final int UPSTREAMS = 3;
     private static final int CONNECTIONS = 100;
     private static final byte[] BODY = new byte[256];
-    private static final InetSocketAddress NOWHERE =
-            new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+    private static final InetSocketAddress NOWHERE = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
 
     private final Loop loop;
     private final Length length;
@@ -79,13 +78,18 @@
         this.offerings = settings.offerings();
         Log quiet = new Log(new PrintStream(OutputStream.nullOutputStream()), config.name());
         module = new ModuleActor(loop, quiet, to -> settings.startAlone(to, config.seed()));
-        front = new Front(loop, quiet, buffers, new QueryReader(settings),
+        front = new Front(
+                loop,
+                quiet,
+                buffers,
+                new QueryReader(settings),
                 new DoorActor(loop, quiet, settings, DoorSettings.USUAL, module, config.seed()),
-                RoomSettings.USUAL, new DoorCounts());
+                RoomSettings.USUAL,
+                new DoorCounts());
         HttpOpenListener upstream = new HttpOpenListener(buffers);
         upstream.setRootHandler(Warmup::answer);
-        Dialer toUpstreams = new Dialer(loop, buffers, CONNECTIONS, n -> { }, pipeTo(upstream::handleEvent));
-        toFront = new Dialer(loop, buffers, CONNECTIONS, n -> { }, pipeTo(front::accept));
+        Dialer toUpstreams = new Dialer(loop, buffers, CONNECTIONS, n -> {}, pipeTo(upstream::handleEvent));
+        toFront = new Dialer(loop, buffers, CONNECTIONS, n -> {}, pipeTo(front::accept));
         for (int i = 0; i < UPSTREAMS; i++) {
             upstreams.add(new UpstreamActor(loop, quiet, toUpstreams, module, 0, 0, NOWHERE));
         }
@@ -101,18 +105,28 @@
         List<Listed> rows = new ArrayList<>();
         Map<UpstreamId, UpstreamActor> added = new HashMap<>();
         for (UpstreamActor each : upstreams) {
-            Listed row = new Listed(new UpstreamId(rows.size()), Listed.Health.READY, 0, 1, new GroupId(0),
-                    new ZoneId(0), new ShapeId(0));
+            Listed row = new Listed(
+                    new UpstreamId(rows.size()),
+                    Listed.Health.READY,
+                    0,
+                    1,
+                    new GroupId(0),
+                    new ZoneId(0),
+                    new ShapeId(0));
             rows.add(row);
             added.put(row.id(), each);
         }
-        module.start(() -> { }, null);
+        module.start(() -> {}, null);
         module.list(ListNews.WHOLE, rows, added, Set.of());
         for (int i = 0; i < CLIENTS; i++) {
-            toFront.dial(NOWHERE, 0, client -> {
-                clients.add(client);
-                ask(client);
-            }, this::end);
+            toFront.dial(
+                    NOWHERE,
+                    0,
+                    client -> {
+                        clients.add(client);
+                        ask(client);
+                    },
+                    this::end);
         }
         loop.after(length.seconds, this::end);
     }
@@ -134,7 +148,9 @@
         Offering offering = offerings.get(asked % offerings.size());
         boolean reissuable = offering.repeats() == Offering.Repeats.REISSUABLE;
         String name = settings.name(offering.id());
-        Call call = Call.of(reissuable ? Methods.GET : Methods.POST, "/" + name + "/warm-up?n=" + ++asked,
+        Call call = Call.of(
+                reissuable ? Methods.GET : Methods.POST,
+                "/" + name + "/warm-up?n=" + ++asked,
                 reissuable ? Call.NO_BODY : BODY);
         HeaderMap headers = call.headers();
         headers.put(Headers.HOST, "warm.up");
@@ -150,15 +166,18 @@
         if (!reissuable) {
             headers.put(Headers.CONTENT_LENGTH, BODY.length);
         }
-        client.call(call, Call.SHORT, result -> loop.execute(() -> {
-            done++;
-            answered += result.status() == StatusCodes.OK ? 1 : 0;
-            if (done >= length.queries) {
-                end();
-            } else {
-                ask(client);
-            }
-        }));
+        client.call(
+                call,
+                Call.SHORT,
+                result -> loop.execute(() -> {
+                    done++;
+                    answered += result.status() == StatusCodes.OK ? 1 : 0;
+                    if (done >= length.queries) {
+                        end();
+                    } else {
+                        ask(client);
+                    }
+                }));
     }
 
     private void end() {
@@ -173,8 +192,8 @@
     }
 
     private static void answer(HttpServerExchange exchange) {
-        exchange.getRequestReceiver().receiveFullBytes(
-                (whole, body) -> whole.getResponseSender().send(ByteBuffer.wrap(BODY)));
+        exchange.getRequestReceiver()
+                .receiveFullBytes((whole, body) -> whole.getResponseSender().send(ByteBuffer.wrap(BODY)));
     }
 
     private interface Server {
@@ -184,8 +203,8 @@
     private Dialer.Opener pipeTo(Server server) {
         return new Dialer.Opener() {
             @Override
-            public IoFuture<StreamConnection> open(InetSocketAddress unused,
-                    ChannelListener<? super StreamConnection> opened, OptionMap options) {
+            public IoFuture<StreamConnection> open(
+                    InetSocketAddress unused, ChannelListener<? super StreamConnection> opened, OptionMap options) {
                 try {
                     ChannelPipe<StreamConnection, StreamConnection> pipe =
                             loop.thread().createFullDuplexPipeConnection();
--- a/daemon/src/test/java/portrelay/net/Held.java
+++ b/daemon/src/test/java/portrelay/net/Held.java
@@ -10,14 +10,13 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Holds a sidecar's one I/O thread: what comes meanwhile lies in the kernel or in a mailbox, and is met in
- * one turn of the loop once that is let go. Knows by the kernel's own table of connections that it lies
- * there.
+ * Holds a sidecar's one I/O thread: what comes meanwhile lies in the kernel or in a mailbox, and is met in one turn of
+ * the loop once that is let go. Knows by the kernel's own table of connections that it lies there.
  */
 final class Held implements AutoCloseable {
 
     /** A connection's other end, as the kernel has it: state 01 is open, 08 has an end that nobody read. */
-    private record End(String state, long unread) { }
+    private record End(String state, long unread) {}
 
     private static final String OPEN = "01";
     private static final String ENDED = "08";
--- a/kit/src/main/java/portrelay/fleet/Depth.java
+++ b/kit/src/main/java/portrelay/fleet/Depth.java
@@ -3,8 +3,8 @@
 import java.util.SplittableRandom;
 
 /**
- * Calls so many deep, each level behind a sidecar that sends a failed one on again: how many attempts reach
- * the lowest level for one request at the top, where a share of the attempts there fails at random.
+ * Calls so many deep, each level behind a sidecar that sends a failed one on again: how many attempts reach the lowest
+ * level for one request at the top, where a share of the attempts there fails at random.
  */
 public final class Depth {
 
@@ -22,9 +22,7 @@
         this.attempts = new long[levels];
     }
 
-    /**
-     * Attempts at each level for one request at the top, the lowest last; most is what a request may have.
-     */
+    /** Attempts at each level for one request at the top, the lowest last; most is what a request may have. */
     public static double[] played(long seed, int levels, int most, double failing, int requests) {
         Depth depth = new Depth(seed, levels, most, failing);
         for (int i = 0; i < requests; i++) {
@@ -47,9 +45,7 @@
         return false;
     }
 
-    /**
-     * The same, worked out: at each level 1 + f + f^2 ... attempts a request, f being what fails below it.
-     */
+    /** The same, worked out: at each level 1 + f + f^2 ... attempts a request, f being what fails below it. */
     public static double workedOut(int levels, int most, double failing) {
         double all = 1;
         double fails = failing;
--- a/kit/src/main/java/portrelay/fleet/Growth.java
+++ b/kit/src/main/java/portrelay/fleet/Growth.java
@@ -1,8 +1,8 @@
 package portrelay.fleet;
 
 /**
- * How a cost grows with size: cost = factor x size ^ exponent, by least squares on the logarithms, and the
- * largest part by which a measured figure is off that line.
+ * How a cost grows with size: cost = factor x size ^ exponent, by least squares on the logarithms, and the largest part
+ * by which a measured figure is off that line.
  */
 public record Growth(double factor, double exponent, double residual) {
 
--- a/kit/src/main/java/portrelay/fleet/HollowFleet.java
+++ b/kit/src/main/java/portrelay/fleet/HollowFleet.java
@@ -20,17 +20,19 @@
 import portrelay.policy.Decide;
 
 /**
- * Many sidecars and upstreams without bodies in virtual time: the real decisions of each sidecar for each
- * service that it calls, a network and machines of a few figures around them. All chance comes from one seed;
- * the only clock that is read is the processor's, for what the decisions cost. Times are seconds.
+ * Many sidecars and upstreams without bodies in virtual time: the real decisions of each sidecar for each service that
+ * it calls, a network and machines of a few figures around them. All chance comes from one seed; the only clock that is
+ * read is the processor's, for what the decisions cost. Times are seconds.
  */
 final class HollowFleet {
 
     /** IPv4 and UDP. */
     static final int DATAGRAM_HEAD = 28;
+
     static final double NETWORK = 0.0005;
     /** As the settings' grace and the protocol's slack. */
     static final double DRAIN_GRACE = 0.55;
+
     static final ColdRule COLD = new ColdRule(0.3, 8, 4, 3);
 
     private static final double AIM = 0.4;
@@ -48,7 +50,7 @@
     private static final int[] MIX = {0, 0, 0, 0, 0, 0, 1, 1, 2, 2};
 
     /** How large, and whether sidecars may talk. */
-    record Size(int sidecars, int upstreams, int services, int calls, double rate, boolean messages) { }
+    record Size(int sidecars, int upstreams, int services, int calls, double rate, boolean messages) {}
 
     final Agenda agenda = new Agenda();
     final Tally tally = new Tally();
@@ -80,7 +82,8 @@
         for (int i = 0; i < size.sidecars(); i++) {
             int region = i % 3;
             for (int service : called(of)) {
-                HollowSidecar one = new HollowSidecar(this, i, service, callers.get(service).size(), region);
+                HollowSidecar one =
+                        new HollowSidecar(this, i, service, callers.get(service).size(), region);
                 callers.get(service).add(one);
                 sidecars.add(one);
             }
@@ -94,15 +97,14 @@
         return new Offering(new OfferingId(id), repeats, group, AIM, DEADLINE, 1, 1, 0.2, false);
     }
 
-    /**
-     * A few services are large, most small, none without an upstream: one in fifty has a tenth of a share
-     * more.
-     */
+    /** A few services are large, most small, none without an upstream: one in fifty has a tenth of a share more. */
     private static int[] sizes(int upstreams, int services) {
         int[] of = new int[services];
         Arrays.fill(of, 1);
         int left = upstreams - services;
-        double sum = IntStream.range(0, services).mapToDouble(i -> 1 / Math.sqrt(i + 1.0)).sum();
+        double sum = IntStream.range(0, services)
+                .mapToDouble(i -> 1 / Math.sqrt(i + 1.0))
+                .sum();
         for (int i = 0; i < services; i++) {
             of[i] += (int) (left / Math.sqrt(i + 1.0) / sum);
         }
@@ -138,9 +140,17 @@
     }
 
     Decide module(HollowSidecar one) {
-        Site site = new Site(one.me, callers.get(one.service).size(), null, Site.Weights.NOMINAL,
-                Site.Reports.SILENT, size.messages(), false);
-        return new Decide(one, chance.nextLong(),
+        Site site = new Site(
+                one.me,
+                callers.get(one.service).size(),
+                null,
+                Site.Weights.NOMINAL,
+                Site.Reports.SILENT,
+                size.messages(),
+                false);
+        return new Decide(
+                one,
+                chance.nextLong(),
                 new Deployment(OFFERINGS, List.of(), PERMITS, COLD, new ListRule(true, 10), site));
     }
 
@@ -175,14 +185,15 @@
     /** The whole list of the service, now; those that are cut off from a region are gone there. */
     void lists(HollowSidecar to) {
         List<Listed> rows = services.get(to.service).stream()
-                .filter(u -> !u.gone && !apart(to.region, u.zone)).map(HollowUpstream::row).toList();
+                .filter(u -> !u.gone && !apart(to.region, u.zone))
+                .map(HollowUpstream::row)
+                .toList();
         to.list(rows, ListNews.WHOLE);
     }
 
     /** Every caller of the service is told a moment later, each at its own. */
     void changed(int service) {
-        callers.get(service)
-                .forEach(each -> agenda.after(chance.nextDouble() * LIST_LATE, () -> lists(each)));
+        callers.get(service).forEach(each -> agenda.after(chance.nextDouble() * LIST_LATE, () -> lists(each)));
     }
 
     void allChanged() {
--- a/kit/src/main/java/portrelay/fleet/HollowSidecar.java
+++ b/kit/src/main/java/portrelay/fleet/HollowSidecar.java
@@ -16,8 +16,8 @@
 import portrelay.policy.Decide;
 
 /**
- * One sidecar's decisions for one service that it calls: the real module, with a hollow network around it.
- * Counts what it sends, and holds each request to the rules, written from the rules alone.
+ * One sidecar's decisions for one service that it calls: the real module, with a hollow network around it. Counts what
+ * it sends, and holds each request to the rules, written from the rules alone.
  */
 final class HollowSidecar implements Effects {
 
@@ -55,6 +55,7 @@
     final int service;
     /** Its number among those that call this service. */
     final int me;
+
     final int region;
     private Decide decide;
     private int life;
@@ -109,8 +110,9 @@
         open.put(id, q);
         int its = life;
         fleet.agenda.after(budget, () -> deadline(id, q, its));
-        request(() -> decide.arrival(now(), new Asked(id, new OfferingId(offering.id().value()), null, null,
-                q.deadline, Double.NaN, false)));
+        request(() -> decide.arrival(
+                now(),
+                new Asked(id, new OfferingId(offering.id().value()), null, null, q.deadline, Double.NaN, false)));
     }
 
     private void deadline(QueryId id, Request q, int its) {
@@ -197,8 +199,9 @@
         boolean apart = fleet.apart(region, to.zone);
         double done = apart ? Double.POSITIVE_INFINITY : to.takes(now(), fleet.weight());
         if (done < Double.POSITIVE_INFINITY) {
-            fleet.agenda.at(done + HollowFleet.NETWORK, () -> ends(query, q, index, to.silent || to.gone
-                    ? Outcome.BROKEN : Outcome.HANDLED, its));
+            fleet.agenda.at(
+                    done + HollowFleet.NETWORK,
+                    () -> ends(query, q, index, to.silent || to.gone ? Outcome.BROKEN : Outcome.HANDLED, its));
         }
     }
 
--- a/kit/src/main/java/portrelay/fleet/HollowUpstream.java
+++ b/kit/src/main/java/portrelay/fleet/HollowUpstream.java
@@ -8,9 +8,7 @@
 import portrelay.model.UpstreamId;
 import portrelay.model.ZoneId;
 
-/**
- * One upstream without a body: cores, a queue before them, a ramp while cold, and what all senders sent it.
- */
+/** One upstream without a body: cores, a queue before them, a ramp while cold, and what all senders sent it. */
 final class HollowUpstream {
 
     final UpstreamId id;
@@ -28,6 +26,7 @@
     double startedAt;
     /** By how much the most that came in the rule's time was over what it bears; under 0 it stands. */
     double over = Double.NEGATIVE_INFINITY;
+
     int sent;
 
     HollowUpstream(int id, int service, int zone, int cores, double work, ColdRule rule) {
@@ -41,10 +40,8 @@
     }
 
     Listed row() {
-        Listed.Health health = gone ? Listed.Health.GONE
-                : draining ? Listed.Health.DRAINING : Listed.Health.READY;
-        return new Listed(id, health, startedAt, 1, new GroupId(id.value() % 7), new ZoneId(zone),
-                new ShapeId(0));
+        Listed.Health health = gone ? Listed.Health.GONE : draining ? Listed.Health.DRAINING : Listed.Health.READY;
+        return new Listed(id, health, startedAt, 1, new GroupId(id.value() % 7), new ZoneId(zone), new ShapeId(0));
     }
 
     void startsCold(double now) {
@@ -81,8 +78,7 @@
             from++;
         }
         double middle = Math.max(startedAt, now - rule.tipAfter()) + rule.tipAfter() / 2;
-        double allowed = rule.overloadFactor() * free.length / work * rule.tipAfter()
-                * rule.ramp(startedAt, middle);
+        double allowed = rule.overloadFactor() * free.length / work * rule.tipAfter() * rule.ramp(startedAt, middle);
         over = Math.max(over, arrivals - from - allowed - 2 * Math.sqrt(allowed) - 2);
     }
 }
--- a/kit/src/main/java/portrelay/fleet/Run.java
+++ b/kit/src/main/java/portrelay/fleet/Run.java
@@ -13,6 +13,7 @@
 
     /** What control may cost a sidecar (the operators' figures for the fleet ahead). */
     public static final double CONTROL_BYTES = 8192;
+
     public static final double CONTROL_CORE = 0.025;
     private static final double WARM = 3;
     private static final double AFTER = 7;
@@ -30,15 +31,14 @@
      * @param called how many services each of them calls, each through decisions of its own
      * @param rate requests a second of each sidecar
      */
-    public Run(Scenario scenario, long seed, int sidecars, int smallFor, int called, double rate,
-            boolean messages) {
+    public Run(Scenario scenario, long seed, int sidecars, int smallFor, int called, double rate, boolean messages) {
         int upstreams = smallFor > 0 ? smallFor : sidecars;
         int services = smallFor > 0 ? 1 : Math.max(1, sidecars * 280 / 1800);
         int calls = smallFor > 0 ? 1 : Math.min(called, services);
         long memoryBefore = used();
         long from = System.nanoTime();
-        HollowFleet fleet = new HollowFleet(seed,
-                new HollowFleet.Size(sidecars, upstreams, services, calls, rate, messages), 12);
+        HollowFleet fleet =
+                new HollowFleet(seed, new HollowFleet.Size(sidecars, upstreams, services, calls, rate, messages), 12);
         fleet.agenda.play(WARM);
         long memory = used() - memoryBefore;
         Tally t = fleet.tally;
@@ -63,8 +63,8 @@
         }
         double asked = t.asked;
         double after = t.asked - askedBefore;
-        double coldOver = fleet.upstreams.stream().mapToDouble(u -> u.over).max()
-                .orElse(Double.NEGATIVE_INFINITY);
+        double coldOver =
+                fleet.upstreams.stream().mapToDouble(u -> u.over).max().orElse(Double.NEGATIVE_INFINITY);
         figures.put("scenario", scenario.name().toLowerCase(Locale.ROOT));
         figures.put("sidecars", (double) sidecars);
         figures.put("upstreams", (double) upstreams);
@@ -94,16 +94,13 @@
         check(t.lost == 0, broken, "rule 1: " + t.lost + " requests without an answer");
         check(t.twice == 0, broken, "rule 2: " + t.twice + " unsafe requests sent twice");
         check(t.drains == 0, broken, "rule 3: " + t.drains + " attempts at one that drains");
-        check(coldOver <= 0, broken,
-                String.format("rule 4: a cold upstream was sent %.1f over its bound", coldOver));
+        check(coldOver <= 0, broken, String.format("rule 4: a cold upstream was sent %.1f over its bound", coldOver));
         check(t.served >= LEAST_SERVED * asked, broken, "less than half is served");
         broken.addAll(t.breaches);
         double most = Math.max(at(sent, 1), at(got, 1));
-        check(most <= CONTROL_BYTES, over,
-                String.format("messages: %.0f bytes/s of %.0f", most, CONTROL_BYTES));
+        check(most <= CONTROL_BYTES, over, String.format("messages: %.0f bytes/s of %.0f", most, CONTROL_BYTES));
         double core = (double) figures.get("control_core");
-        check(core <= CONTROL_CORE, over,
-                String.format("control: %.4f of a core of %.4f", core, CONTROL_CORE));
+        check(core <= CONTROL_CORE, over, String.format("control: %.4f of a core of %.4f", core, CONTROL_CORE));
         figures.put("broken", List.copyOf(broken));
         figures.put("over_budget", List.copyOf(over));
     }
@@ -126,7 +123,10 @@
 
     private static long used() {
         System.gc();
-        return LongStream.of(Runtime.getRuntime().totalMemory(), -Runtime.getRuntime().freeMemory()).sum();
+        return LongStream.of(
+                        Runtime.getRuntime().totalMemory(),
+                        -Runtime.getRuntime().freeMemory())
+                .sum();
     }
 
     /** By name, in an order for reading; numbers, words and lists of words. */
--- a/kit/src/main/java/portrelay/fleet/Scenario.java
+++ b/kit/src/main/java/portrelay/fleet/Scenario.java
@@ -3,17 +3,13 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-/**
- * What happens to a hollow fleet from its third second on, and whether anything may be served worse for it.
- */
+/** What happens to a hollow fleet from its third second on, and whether anything may be served worse for it. */
 public enum Scenario {
 
     /** Nothing. */
-    ORDINARY("no trouble", f -> { }),
+    ORDINARY("no trouble", f -> {}),
 
-    /**
-     * Each upstream of the largest service drains, and a cold one comes in its place, one after the other.
-     */
+    /** Each upstream of the largest service drains, and a cold one comes in its place, one after the other. */
     DEPLOY("the largest service is replaced, one upstream after the other", f -> {
         List<HollowUpstream> old = f.of(0);
         for (int i = 0; i < old.size(); i++) {
@@ -31,11 +27,13 @@
     }),
 
     /** One in ten sidecars starts anew within a second: 180 of 1,800. */
-    RESTARTS("one in ten sidecars restarts within a second", f -> f.sidecars.forEach(each -> {
-        if (each.sidecar % 10 == 0) {
-            f.agenda.after(f.chance().nextDouble(), each::starts);
-        }
-    })),
+    RESTARTS(
+            "one in ten sidecars restarts within a second",
+            f -> f.sidecars.forEach(each -> {
+                if (each.sidecar % 10 == 0) {
+                    f.agenda.after(f.chance().nextDouble(), each::starts);
+                }
+            })),
 
     /** One upstream in forty vanishes without a word; the list knows it 3 s later. */
     RACK("one upstream in forty vanishes, the list knows 3 s later", f -> lose(f, 40, 3, Double.NaN)),
@@ -70,8 +68,10 @@
 
     private static void lose(HollowFleet f, int oneIn, double told, double back) {
         // Of one zone, as machines that share a switch are.
-        List<HollowUpstream> lost = f.upstreams.stream().filter(u -> u.zone == 0)
-                .limit(Math.max(1, f.upstreams.size() / oneIn)).toList();
+        List<HollowUpstream> lost = f.upstreams.stream()
+                .filter(u -> u.zone == 0)
+                .limit(Math.max(1, f.upstreams.size() / oneIn))
+                .toList();
         lost.forEach(u -> u.silent = true);
         f.agenda.after(told, () -> {
             lost.forEach(u -> u.gone = true);
--- a/kit/src/main/java/portrelay/fleet/Slopes.java
+++ b/kit/src/main/java/portrelay/fleet/Slopes.java
@@ -25,8 +25,8 @@
 import portrelay.policy.Decide;
 
 /**
- * What one sidecar's real decisions cost by the length of its list: the first list, a row that changes, a
- * request, a word that is heard, and memory. The median of several goes, after some that are not counted.
+ * What one sidecar's real decisions cost by the length of its list: the first list, a row that changes, a request, a
+ * word that is heard, and memory. The median of several goes, after some that are not counted.
  */
 public final class Slopes {
 
@@ -34,8 +34,8 @@
     private static final int UNCOUNTED = 3;
     private static final int REQUESTS = 400;
     private static final int CHANGES = 10;
-    private static final List<Offering> OFFERINGS = List.of(new Offering(new OfferingId(0),
-            Offering.Repeats.REISSUABLE, Offering.Group.ALL, 0.4, 2, 0, 1, 0, false));
+    private static final List<Offering> OFFERINGS = List.of(
+            new Offering(new OfferingId(0), Offering.Repeats.REISSUABLE, Offering.Group.ALL, 0.4, 2, 0, 1, 0, false));
 
     /** Takes what the decisions do, and answers nothing. */
     private static final class Sink implements Effects {
@@ -101,18 +101,20 @@
         }
     }
 
-    private Slopes() {
-    }
+    private Slopes() {}
 
     private static Listed row(int i, double since) {
-        return new Listed(new UpstreamId(i * 0x9E3779B97F4A7C15L), Listed.Health.READY, since, 1,
-                new GroupId(i / 6), new ZoneId(i % 12), new ShapeId(i % 3));
+        return new Listed(
+                new UpstreamId(i * 0x9E3779B97F4A7C15L),
+                Listed.Health.READY,
+                since,
+                1,
+                new GroupId(i / 6),
+                new ZoneId(i % 12),
+                new ShapeId(i % 3));
     }
 
-    /**
-     * Microseconds and bytes with a list of so many upstreams, shared by so many sidecars that talk or do
-     * not.
-     */
+    /** Microseconds and bytes with a list of so many upstreams, shared by so many sidecars that talk or do not. */
     public static Map<String, Object> of(int upstreams, int sidecars, boolean messages) {
         List<Listed> rows = new ArrayList<>();
         for (int i = 0; i < upstreams; i++) {
@@ -142,35 +144,47 @@
     private static double[] go(List<Listed> rows, int seed, int sidecars, boolean messages) {
         Sink sink = new Sink();
         long before = used();
-        Decide decide = new Decide(sink, seed, new Deployment(OFFERINGS, List.of(),
-                new Permits(4, true, true, false, 0.25), new ColdRule(0.3, 8, 4, 3), new ListRule(true, 10),
-                new Site(0, sidecars, null, Site.Weights.NOMINAL, Site.Reports.SILENT, messages, false)));
+        Decide decide = new Decide(
+                sink,
+                seed,
+                new Deployment(
+                        OFFERINGS,
+                        List.of(),
+                        new Permits(4, true, true, false, 0.25),
+                        new ColdRule(0.3, 8, 4, 3),
+                        new ListRule(true, 10),
+                        new Site(0, sidecars, null, Site.Weights.NOMINAL, Site.Reports.SILENT, messages, false)));
         decide.start(100);
         double first = micros(() -> decide.list(100, ListNews.WHOLE, rows));
         double changed = micros(() -> {
-            for (int i = 0; i < CHANGES; i++) {
-                decide.list(100.1, ListNews.CHANGES, List.of(row(i % rows.size(), 0)));
-            }
-        }) / CHANGES;
+                    for (int i = 0; i < CHANGES; i++) {
+                        decide.list(100.1, ListNews.CHANGES, List.of(row(i % rows.size(), 0)));
+                    }
+                })
+                / CHANGES;
         double[] now = {101};
         double request = micros(() -> {
-            for (int i = 0; i < REQUESTS; i++) {
-                QueryId id = new QueryId("q" + i);
-                sink.last = null;
-                decide.arrival(now[0], new Asked(id, new OfferingId(0), null, null, now[0] + 2, 0, false));
-                now[0] += 0.02;
-                if (sink.last != null) {
-                    decide.outcome(now[0], id, 0, Outcome.HANDLED, true, null);
-                }
-                now[0] += 0.005;
-            }
-        }) / REQUESTS;
+                    for (int i = 0; i < REQUESTS; i++) {
+                        QueryId id = new QueryId("q" + i);
+                        sink.last = null;
+                        decide.arrival(now[0], new Asked(id, new OfferingId(0), null, null, now[0] + 2, 0, false));
+                        now[0] += 0.02;
+                        if (sink.last != null) {
+                            decide.outcome(now[0], id, 0, Outcome.HANDLED, true, null);
+                        }
+                        now[0] += 0.005;
+                    }
+                })
+                / REQUESTS;
         String said = sink.said;
-        double word = said == null ? 0 : micros(() -> {
-            for (int i = 0; i < REQUESTS; i++) {
-                decide.heard(now[0], 1 + i % Math.max(1, sidecars - 1), said);
-            }
-        }) / REQUESTS;
+        double word = said == null
+                ? 0
+                : micros(() -> {
+                            for (int i = 0; i < REQUESTS; i++) {
+                                decide.heard(now[0], 1 + i % Math.max(1, sidecars - 1), said);
+                            }
+                        })
+                        / REQUESTS;
         double memory = Math.max(0, used() - before);
         // Held until it has been weighed.
         decide.hasRoom(now[0]);
--- a/kit/src/main/java/portrelay/fleet/Tally.java
+++ b/kit/src/main/java/portrelay/fleet/Tally.java
@@ -3,9 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/**
- * What a run came to: counts of the whole fleet, and the breaches of the rules, the first few word for word.
- */
+/** What a run came to: counts of the whole fleet, and the breaches of the rules, the first few word for word. */
 final class Tally {
 
     private static final int SAID = 5;
@@ -22,6 +20,7 @@
     long controlCalls;
     /** Breaches of rules 1 to 3. */
     long lost;
+
     long twice;
     long drains;
     final List<String> breaches = new ArrayList<>();
--- a/kit/src/main/java/portrelay/kit/cli/ReadyCommand.java
+++ b/kit/src/main/java/portrelay/kit/cli/ReadyCommand.java
@@ -41,13 +41,17 @@
 
     @Override
     public int run() {
-        String bad = processes < 1 || processes > 200 ? "--processes: 1 to 200"
-                : perCore < 1 ? "--per-core: 1 at least"
-                : upstreams < 0 || upstreams > 10_000 ? "--upstreams: 0 to 10000"
-                : refuseFor < 0 || within <= 0 || giveUp <= 0
-                        ? "--refuse-s, --within-s, --give-up-s: seconds"
-                : !Files.exists(Path.of(root, "deploy", "run.sh")) ? "--root: no deploy/run.sh in " + root
-                : null;
+        String bad = processes < 1 || processes > 200
+                ? "--processes: 1 to 200"
+                : perCore < 1
+                        ? "--per-core: 1 at least"
+                        : upstreams < 0 || upstreams > 10_000
+                                ? "--upstreams: 0 to 10000"
+                                : refuseFor < 0 || within <= 0 || giveUp <= 0
+                                        ? "--refuse-s, --within-s, --give-up-s: seconds"
+                                        : !Files.exists(Path.of(root, "deploy", "run.sh"))
+                                                ? "--root: no deploy/run.sh in " + root
+                                                : null;
         if (bad != null) {
             System.err.println("portrelay-kit ready: " + bad);
             return BAD_USE;
@@ -67,7 +71,8 @@
         Path dir = Files.createTempDirectory("portrelay-ready");
         double[] ready = new double[processes];
         Arrays.fill(ready, Double.POSITIVE_INFINITY);
-        try (Discovery discovery = new Discovery(1); Sidecars sidecars = new Sidecars(Path.of(root), dir)) {
+        try (Discovery discovery = new Discovery(1);
+                Sidecars sidecars = new Sidecars(Path.of(root), dir)) {
             String rows = Sidecars.rows(0, upstreams, "SERVING");
             discovery.list(rows, "");
             discovery.refuse(0.9, refuseFor);
@@ -78,25 +83,29 @@
             List<Thread> watchers = new ArrayList<>();
             for (int i = 0; i < processes; i++) {
                 int one = i;
-                Thread watcher = new Thread(
-                        () -> ready[one] = untilReady(sidecars.all().get(one), start));
+                Thread watcher =
+                        new Thread(() -> ready[one] = untilReady(sidecars.all().get(one), start));
                 watchers.add(watcher);
                 watcher.start();
             }
             for (Thread each : watchers) {
                 each.join();
             }
-            System.err.println("discovery: " + discovery.calls() + " calls, " + discovery.refused()
-                    + " refused");
+            System.err.println("discovery: " + discovery.calls() + " calls, " + discovery.refused() + " refused");
         }
         for (int i = 0; i < processes; i++) {
             System.out.printf(Locale.ROOT, "n%d ready after %.2f s%n", i, ready[i]);
         }
         Arrays.sort(ready);
         double nineInTen = ready[(int) Math.ceil(0.9 * processes) - 1];
-        System.out.printf(Locale.ROOT,
-                "%d processes, %d a core: half %.2f s, nine in ten %.2f s, last %.2f s%n", processes,
-                perCore, ready[(processes - 1) / 2], nineInTen, ready[processes - 1]);
+        System.out.printf(
+                Locale.ROOT,
+                "%d processes, %d a core: half %.2f s, nine in ten %.2f s, last %.2f s%n",
+                processes,
+                perCore,
+                ready[(processes - 1) / 2],
+                nineInTen,
+                ready[processes - 1]);
         return nineInTen <= within ? 0 : 1;
     }
 
--- a/kit/src/main/java/portrelay/kit/cli/ScaleCommand.java
+++ b/kit/src/main/java/portrelay/kit/cli/ScaleCommand.java
@@ -28,16 +28,13 @@
     @Parameter(names = "--sidecars", description = "sizes of the fleet, with as many upstreams")
     private List<Integer> sidecars = new ArrayList<>(List.of(14, 100, 450, 1800));
 
-    @Parameter(names = "--scenario",
-            description = "ordinary, deploy, restarts, rack, zone, regions, change, or all")
+    @Parameter(names = "--scenario", description = "ordinary, deploy, restarts, rack, zone, regions, change, or all")
     private String scenario = "ordinary";
 
-    @Parameter(names = "--small",
-            description = "one service of so many upstreams that all call; 0: many services")
+    @Parameter(names = "--small", description = "one service of so many upstreams that all call; 0: many services")
     private int small = 0;
 
-    @Parameter(names = "--calls",
-            description = "services that each calls, with decisions of its own for each")
+    @Parameter(names = "--calls", description = "services that each calls, with decisions of its own for each")
     private int calls = 1;
 
     @Parameter(names = "--rate", description = "requests a second of each sidecar")
@@ -66,12 +63,15 @@
                 all.add(each);
             }
         }
-        String bad = all.isEmpty() ? "--scenario: no " + scenario
+        String bad = all.isEmpty()
+                ? "--scenario: no " + scenario
                 : sidecars.isEmpty() || sidecars.stream().anyMatch(n -> n < 2 || n > 5000)
                         ? "--sidecars: 2 to 5000 each"
-                : small < 0 || small > 5000 ? "--small: 0 to 5000"
-                : calls < 1 || calls > 50 ? "--calls: 1 to 50"
-                : !(rate > 0 && rate <= 1000) ? "--rate: above 0, 1000 at most" : null;
+                        : small < 0 || small > 5000
+                                ? "--small: 0 to 5000"
+                                : calls < 1 || calls > 50
+                                        ? "--calls: 1 to 50"
+                                        : !(rate > 0 && rate <= 1000) ? "--rate: above 0, 1000 at most" : null;
         if (bad != null) {
             System.err.println("portrelay-kit scale: " + bad);
             return BAD_USE;
@@ -85,8 +85,7 @@
                 + "  datagrams/s  sent B/s (most)  heard B/s (most)  request us  control core  KB/sidecar");
         for (int size : sidecars) {
             for (Scenario each : all) {
-                System.err.println("playing " + each.name().toLowerCase(Locale.ROOT) + " with " + size
-                        + " ...");
+                System.err.println("playing " + each.name().toLowerCase(Locale.ROOT) + " with " + size + " ...");
                 Run run = new Run(each, seed, size, small, calls, rate, !mute);
                 runs.add(run.figures());
                 print(run.figures());
@@ -102,19 +101,28 @@
     /** What one sidecar's decisions cost by the length of its list, and what calls many deep come to. */
     private int slopes() {
         List<Object> runs = new ArrayList<>();
-        System.out.println("upstreams sidecars  first list us  changed row us  request us  word us"
-                + "  memory bytes");
+        System.out.println("upstreams sidecars  first list us  changed row us  request us  word us" + "  memory bytes");
         for (int size : sidecars) {
             Map<String, Object> f = Slopes.of(small > 0 ? small : size, size, !mute);
             runs.add(f);
-            System.out.printf(Locale.ROOT, "%9.0f %8.0f  %13.0f  %14.1f  %10.1f  %7.2f  %12.0f%n",
-                    f.get("upstreams"), f.get("sidecars"), f.get("first_list_us"), f.get("changed_row_us"),
-                    f.get("request_us"), f.get("word_us"), f.get("memory_bytes"));
+            System.out.printf(
+                    Locale.ROOT,
+                    "%9.0f %8.0f  %13.0f  %14.1f  %10.1f  %7.2f  %12.0f%n",
+                    f.get("upstreams"),
+                    f.get("sidecars"),
+                    f.get("first_list_us"),
+                    f.get("changed_row_us"),
+                    f.get("request_us"),
+                    f.get("word_us"),
+                    f.get("memory_bytes"));
         }
         grow(runs, "first_list_us", "changed_row_us", "request_us", "word_us", "memory_bytes");
         for (double failing : new double[] {0.01, 0.1, 0.5, 1}) {
-            System.out.printf(Locale.ROOT, "7 deep, %.2f of the lowest fail: %.3f attempts there with up to 4"
-                    + " each, %.3f with up to 2%n", failing, Depth.workedOut(7, 4, failing),
+            System.out.printf(
+                    Locale.ROOT,
+                    "7 deep, %.2f of the lowest fail: %.3f attempts there with up to 4" + " each, %.3f with up to 2%n",
+                    failing,
+                    Depth.workedOut(7, 4, failing),
                     Depth.workedOut(7, 2, failing));
         }
         return write(runs) ? 0 : 1;
@@ -130,10 +138,15 @@
                 sizes[i] = (double) figures.get("sidecars");
                 costs[i] = (double) figures.get(name);
             }
-            if (Arrays.stream(sizes).distinct().count() >= 3 && Arrays.stream(costs).allMatch(c -> c > 0)) {
+            if (Arrays.stream(sizes).distinct().count() >= 3
+                    && Arrays.stream(costs).allMatch(c -> c > 0)) {
                 Growth growth = Growth.of(sizes, costs);
-                System.out.printf(Locale.ROOT, "%s grows with sidecars ^ %.2f, off by %.2f at most%n",
-                        name, growth.exponent(), growth.residual());
+                System.out.printf(
+                        Locale.ROOT,
+                        "%s grows with sidecars ^ %.2f, off by %.2f at most%n",
+                        name,
+                        growth.exponent(),
+                        growth.residual());
             }
         }
     }
@@ -155,11 +168,25 @@
     }
 
     private static void print(Map<String, Object> f) {
-        System.out.printf(Locale.ROOT, "%-9s %8.0f %9.0f  %6.3f  %6.3f  %6.3f  %8.2f  %9.1f  %11.0f"
-                + "  %8.0f (%.0f)  %8.0f (%.0f)  %10.1f  %12.4f  %10.0f%n", f.get("scenario"),
-                f.get("sidecars"), f.get("upstreams"), f.get("served"), f.get("in_time"), f.get("refused"),
-                f.get("attempts_a_request"), f.get("cold_over"), f.get("datagrams_s_mean"),
-                f.get("bytes_s_mean"), f.get("bytes_s_most"), f.get("heard_bytes_s_mean"),
-                f.get("heard_bytes_s_most"), f.get("request_us"), f.get("control_core"), f.get("memory_kb"));
+        System.out.printf(
+                Locale.ROOT,
+                "%-9s %8.0f %9.0f  %6.3f  %6.3f  %6.3f  %8.2f  %9.1f  %11.0f"
+                        + "  %8.0f (%.0f)  %8.0f (%.0f)  %10.1f  %12.4f  %10.0f%n",
+                f.get("scenario"),
+                f.get("sidecars"),
+                f.get("upstreams"),
+                f.get("served"),
+                f.get("in_time"),
+                f.get("refused"),
+                f.get("attempts_a_request"),
+                f.get("cold_over"),
+                f.get("datagrams_s_mean"),
+                f.get("bytes_s_mean"),
+                f.get("bytes_s_most"),
+                f.get("heard_bytes_s_mean"),
+                f.get("heard_bytes_s_most"),
+                f.get("request_us"),
+                f.get("control_core"),
+                f.get("memory_kb"));
     }
 }
