Hold meter: looks for the event loop's thread by the name that the daemon gives it

Cause: HoldMeter looked for "XNIO-1 I/O-1"; the worker's name makes it "portrelay I/O-1". Its test planted looks only.

--- a/daemon/src/main/java/portrelay/net/eventloop/EventLoop.java
+++ b/daemon/src/main/java/portrelay/net/eventloop/EventLoop.java
@@ -20,6 +20,12 @@
  */
 public class EventLoop implements Executor {
 
+    /** Name of the XNIO worker that has the loop's thread. */
+    public static final String WORKER_NAME = "portrelay";
+
+    /** The thread's name, which is also its name in the kernel. */
+    public static final String THREAD_NAME = WORKER_NAME + " I/O-1";
+
     private final XnioIoThread thread;
     private final MonotonicClock clock;
     private final EventLoopLag lag = new EventLoopLag();
--- a/daemon/src/main/java/portrelay/net/lifecycle/SidecarComponents.java
+++ b/daemon/src/main/java/portrelay/net/lifecycle/SidecarComponents.java
@@ -108,7 +108,7 @@
                         .set(Options.WORKER_TASK_CORE_THREADS, 1)
                         .set(Options.WORKER_TASK_MAX_THREADS, 1)
                         .set(Options.THREAD_DAEMON, true)
-                        .set(Options.WORKER_NAME, "portrelay")
+                        .set(Options.WORKER_NAME, EventLoop.WORKER_NAME)
                         .getMap());
     }
 
--- a/kit/src/main/java/portrelay/faulttest/HoldMeter.java
+++ b/kit/src/main/java/portrelay/faulttest/HoldMeter.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import portrelay.net.eventloop.EventLoop;
 import portrelay.standin.DaemonThreads;
 
 /**
@@ -22,7 +23,6 @@
 
     private static final long INTERVAL_MILLIS = 10;
     private static final double NANOS_PER_SECOND = 1e9;
-    private static final String EVENT_LOOP_THREAD = "XNIO-1 I/O-1";
     /** A thread that has begun just now has the program's name. */
     private static final String UNNAMED = "java";
     /** Nobody waits for these. */
@@ -45,6 +45,7 @@
     private Look standingSince;
 
     private volatile long maxNanos;
+    private volatile boolean hasSeenEventLoop;
 
     /** Looks at the process until it ends. */
     void start(Process process) {
@@ -63,8 +64,15 @@
         });
     }
 
-    /** The longest hold so far, in seconds. */
+    /**
+     * The longest hold so far, in seconds.
+     *
+     * @throws IllegalStateException where no look has found the event loop's thread: nothing was measured then
+     */
     double maxSeconds() {
+        if (!hasSeenEventLoop) {
+            throw new IllegalStateException("hold meter: no thread " + EventLoop.THREAD_NAME + " was found");
+        }
         return maxNanos / NANOS_PER_SECOND;
     }
 
@@ -77,7 +85,7 @@
             for (Path thread : threads) {
                 String name = name(thread);
                 Progress progress = progress(thread);
-                if (name.equals(EVENT_LOOP_THREAD)) {
+                if (name.equals(EventLoop.THREAD_NAME)) {
                     eventLoop = progress;
                 }
                 if (!name.matches(COMPILER_THREADS)) {
@@ -93,6 +101,7 @@
 
     /** Takes in one look; the looks are in the order of their times. */
     void update(Look look) {
+        hasSeenEventLoop = true;
         if (last != null && look.eventLoop().slices() > last.eventLoop().slices()) {
             // The longest of the loop's waits for a core is no shorter than their mean.
             long waits = look.eventLoop().slices() - last.eventLoop().slices();
--- a/kit/src/test/java/portrelay/faulttest/HoldMeterTest.java
+++ b/kit/src/test/java/portrelay/faulttest/HoldMeterTest.java
@@ -1,6 +1,7 @@
 package portrelay.faulttest;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import org.junit.jupiter.api.Test;
 import portrelay.faulttest.HoldMeter.Look;
@@ -22,6 +23,11 @@
         }
     }
 
+    @Test
+    void withoutTheEventLoopsThreadNothingWasMeasured() {
+        assertThrows(IllegalStateException.class, meter::maxSeconds);
+    }
+
     @Test
     void aStoppedProcessIsHeld() {
         look(300, STANDING, 0, true);
