Shutdown rounds: a plan that was played late does not count, and one error ends no soak

Cause: the rig measured its own lateness only in pauses. And the first error of a round was the command's. Change: each play prints the planned and the real time of every signal, of the clients' start and the share for which it was stopped; a signal over 0.05 s late (as a pause may be longer), clients that start for longer than any plan runs, or a share 0.1 short makes it NOT-PLAYED, printed with what broke in it and played again. An error is its round's result: named, counted, exit code 1. Found by it at once: a pause from -0.149 s was always played at -0.093, as the timeline began 0.1 s before SIGTERM; it begins with its first signal now. What follows SIGTERM is planned from when that was sent, so that a late SIGTERM takes no time from the kill.

--- a/kit/src/main/java/portrelay/faulttest/PauseMeter.java
+++ b/kit/src/main/java/portrelay/faulttest/PauseMeter.java
@@ -9,6 +9,7 @@
 
     private long pausedAt = NOT_PAUSED;
     private long maxNanos;
+    private long totalNanos;
 
     /**
      * A signal was sent.
@@ -20,12 +21,18 @@
             pausedAt = sentAt;
         } else if ((signal == Signal.CONT || signal == Signal.KILL) && pausedAt != NOT_PAUSED) {
             maxNanos = Math.max(maxNanos, sentAt - pausedAt);
+            totalNanos += sentAt - pausedAt;
             pausedAt = NOT_PAUSED;
         }
     }
 
-    /** In seconds. */
+    /** The longest pause, in seconds. */
     double max() {
         return maxNanos / 1e9;
     }
+
+    /** All pauses together, in seconds. */
+    double total() {
+        return totalNanos / 1e9;
+    }
 }
--- a/kit/src/main/java/portrelay/faulttest/ShutdownPlan.java
+++ b/kit/src/main/java/portrelay/faulttest/ShutdownPlan.java
@@ -45,6 +45,9 @@
     /** How long one pause lasts. */
     public static final double PAUSE = 0.15;
 
+    /** The longest time from ready to SIGTERM that is drawn. */
+    static final double MAX_RUNS_FOR = 0.8;
+
     private static final int USUAL_CLIENTS = 24;
     private static final int MANY_CLIENTS = 150;
     private static final int MANY_RESTING = 250;
@@ -82,7 +85,7 @@
                 random.nextInt(4) == 0 ? 2 : 0,
                 USUAL_HANGING_SHARE,
                 isBeforeReady,
-                isBeforeReady ? random.nextDouble(0, 0.6) : random.nextDouble(0.3, 0.8),
+                isBeforeReady ? random.nextDouble(0, 0.6) : random.nextDouble(0.3, MAX_RUNS_FOR),
                 Series.values()[random.nextInt(Series.values().length)],
                 isStarved ? List.of() : pauses(random, deadline + KILL_GRACE),
                 isStarved ? STARVED_SHARE : 0,
--- a/kit/src/main/java/portrelay/faulttest/ShutdownReport.java
+++ b/kit/src/main/java/portrelay/faulttest/ShutdownReport.java
@@ -11,6 +11,7 @@
  * @param rejected how many of these were rejections
  * @param endedAfter seconds from SIGTERM to the end of the process, infinite where SIGKILL ended it
  * @param maxHold how long the process got no core at most, in seconds, as measured: stopped, or waiting for one
+ * @param times when the plan's parts were played in fact
  * @param verdict what became of the requests that were not answered, and the rules that were broken
  * @param log the lines that the sidecar wrote
  */
@@ -21,15 +22,30 @@
         int rejected,
         double endedAfter,
         double maxHold,
+        PlayedTimes times,
         ShutdownRuleChecker.Verdict verdict,
         List<String> log) {
 
-    /** A hold may be longer than a planned pause by so much, in seconds. */
-    private static final double MAX_OVERRUN = 0.05;
+    /** Whether a round counts. */
+    public enum Validity {
+        COUNTED,
+        /** The machine held the process for longer than the plan. */
+        VOID,
+        /** The clients or the signals came later than planned. */
+        NOT_PLAYED
+    }
+
+    /** Whether the machine let the round be what its plan says: else its outcome says nothing. */
+    public Validity validity() {
+        if (!times.notPlayedBecause().isEmpty()) {
+            return Validity.NOT_PLAYED;
+        }
+        return maxHold < ShutdownPlan.PAUSE + PlayedTimes.MAX_LATE_SECONDS ? Validity.COUNTED : Validity.VOID;
+    }
 
-    /** Whether the round kept to its plan: else the machine was too busy, and its outcome says nothing. */
+    /** Whether it counts. */
     public boolean isValid() {
-        return maxHold < ShutdownPlan.PAUSE + MAX_OVERRUN;
+        return validity() == Validity.COUNTED;
     }
 
     /** The rules that were broken. */
@@ -42,7 +58,7 @@
         return String.format(
                 Locale.ROOT,
                 "%s: requests=%d answered=%d refused=%d ended=%.3f longest-hold=%.3f written-after-end=%d"
-                        + " crossed-close-in-service=%d crossed-close-in-shutdown=%d breaks=%d%s",
+                        + " crossed-close-in-service=%d crossed-close-in-shutdown=%d breaks=%d%s\n  %s",
                 plan,
                 requests,
                 answered,
@@ -53,6 +69,15 @@
                 verdict.crossedCloseInService(),
                 verdict.crossedCloseInShutdown(),
                 violations().size(),
-                isValid() ? "" : String.format(Locale.ROOT, " VOID (held for %.3f s)", maxHold));
+                invalidity(),
+                times);
+    }
+
+    private String invalidity() {
+        return switch (validity()) {
+            case COUNTED -> "";
+            case VOID -> String.format(Locale.ROOT, " VOID (held for %.3f s)", maxHold);
+            case NOT_PLAYED -> " NOT-PLAYED (" + times.notPlayedBecause() + ")";
+        };
     }
 }
--- a/kit/src/main/java/portrelay/faulttest/ShutdownRound.java
+++ b/kit/src/main/java/portrelay/faulttest/ShutdownRound.java
@@ -45,7 +45,9 @@
     private final List<Thread> clients = new ArrayList<>();
     private final PauseMeter pauses = new PauseMeter();
     private final HoldMeter holds = new HoldMeter();
+    private final List<PlayedTimes.SentSignal> sentSignals = new ArrayList<>();
     private final long startedAt = System.nanoTime();
+    private double clientsStartedIn;
 
     /**
      * A round that can be played once.
@@ -58,7 +60,8 @@
     }
 
     /**
-     * Plays the plan; once more where the machine was too busy for the first play to count.
+     * Plays the plan; once more where the machine was too busy for the first play to count, be it that the process was
+     * held or that the plan was played late.
      *
      * @param files a folder for the files of each play
      * @return the plays; the last one counts if any does
@@ -109,18 +112,19 @@
                 sidecar.awaitReady(START_TIMEOUT);
             }
             holds.start(sidecar.process());
+            long clientsFrom = System.nanoTime();
             startClients(port);
+            clientsStartedIn = (System.nanoTime() - clientsFrom) / NANOS_PER_SECOND;
             SidecarProcess successor = null;
             double runsFor = plan.runsFor();
             if (plan.successor() > 0) {
                 successor = SidecarProcess.start(port, configuration, files.resolve("successor"), shared);
                 runsFor = plan.successor();
             }
-            ShutdownClock.sleepUntil(System.nanoTime() + nanos(runsFor));
-            for (HangingUpstream each : upstreams) {
-                each.hang(plan.hangingShare());
-            }
-            double endedAfter = shutDown(signals, sidecar);
+            List<SignalTimeline.TimedSignal> timeline = SignalTimeline.of(plan);
+            double disturbedBefore = Math.max(HANG_BEFORE, -timeline.get(0).at());
+            long plannedTermAt = System.nanoTime() + nanos(runsFor + disturbedBefore);
+            double endedAfter = shutDown(signals, sidecar, upstreams, timeline, plannedTermAt);
             joinClients();
             List<SidecarProcess> sidecars = new ArrayList<>(List.of(sidecar));
             if (successor != null) {
@@ -132,21 +136,30 @@
     }
 
     /** Returns the seconds from SIGTERM to the end of the process, infinite where SIGKILL ended it. */
-    private double shutDown(Signals signals, SidecarProcess sidecar) throws IOException, InterruptedException {
+    private double shutDown(
+            Signals signals,
+            SidecarProcess sidecar,
+            List<HangingUpstream> upstreams,
+            List<SignalTimeline.TimedSignal> timeline,
+            long plannedTermAt)
+            throws IOException, InterruptedException {
         CompletableFuture<Long> exit = sidecar.process().onExit().thenApply(process -> System.nanoTime());
-        long termAt = System.nanoTime() + nanos(HANG_BEFORE);
-        for (SignalTimeline.TimedSignal each : SignalTimeline.of(plan)) {
-            long at = termAt + nanos(each.at());
+        boolean isHanging = false;
+        boolean isTermSent = false;
+        for (SignalTimeline.TimedSignal each : timeline) {
+            if (!isHanging && each.at() >= -HANG_BEFORE) {
+                ShutdownClock.sleepUntil(plannedTermAt - nanos(HANG_BEFORE));
+                upstreams.forEach(upstream -> upstream.hang(plan.hangingShare()));
+                isHanging = true;
+            }
+            // What follows SIGTERM is planned from when that was sent.
+            long at = (isTermSent ? clock.termAt() : plannedTermAt) + nanos(each.at());
             ShutdownClock.sleepUntil(at);
             if (each.signal() == Signal.TERM && each.at() == 0) {
                 clock.term();
+                isTermSent = true;
             }
-            boolean isLate = System.nanoTime() - at > nanos(LATE_SIGNAL);
-            if (!(isLate && each.signal() == Signal.STOP && plan.stoppedShare() > 0)) {
-                // A late stop would follow the end of the one before it at once: the process would never run.
-                signals.send(each.signal(), sidecar.process());
-                pauses.signalSent(each.signal(), System.nanoTime());
-            }
+            send(signals, sidecar, each, at);
         }
         clock.over();
         if (!sidecar.process().waitFor(JOIN_MILLIS, TimeUnit.MILLISECONDS)) {
@@ -156,6 +169,24 @@
         return isKilled ? Double.POSITIVE_INFINITY : (exit.join() - clock.termAt()) / NANOS_PER_SECOND;
     }
 
+    private void send(Signals signals, SidecarProcess sidecar, SignalTimeline.TimedSignal signal, long plannedAt)
+            throws IOException {
+        boolean isStarving =
+                plan.stoppedShare() > 0 && (signal.signal() == Signal.STOP || signal.signal() == Signal.CONT);
+        boolean isLate = System.nanoTime() - plannedAt > nanos(LATE_SIGNAL);
+        if (isLate && isStarving && signal.signal() == Signal.STOP) {
+            // A late stop would follow the end of the one before it at once: the process would never run.
+            return;
+        }
+        signals.send(signal.signal(), sidecar.process());
+        long sentAt = System.nanoTime();
+        pauses.signalSent(signal.signal(), sentAt);
+        if (!isStarving) {
+            double late = (sentAt - plannedAt) / NANOS_PER_SECOND;
+            sentSignals.add(new PlayedTimes.SentSignal(signal.signal(), signal.at(), signal.at() + late));
+        }
+    }
+
     private static long nanos(double seconds) {
         return (long) (seconds * NANOS_PER_SECOND);
     }
@@ -184,6 +215,12 @@
         }
     }
 
+    private PlayedTimes playedTimes() {
+        boolean isStarved = plan.stoppedShare() > 0;
+        double stoppedShare = isStarved ? pauses.total() / plan.killAt() : 0;
+        return new PlayedTimes(clientsStartedIn, List.copyOf(sentSignals), stoppedShare, plan.stoppedShare());
+    }
+
     private ShutdownReport report(List<SidecarProcess> sidecars, List<HangingUpstream> upstreams, double endedAfter)
             throws IOException {
         List<SidecarLog> logs = new ArrayList<>();
@@ -204,6 +241,7 @@
                 rejected,
                 endedAfter,
                 Math.max(pauses.max(), holds.maxSeconds()),
+                playedTimes(),
                 checker.judge(requests, arrivals, logs),
                 sidecars.get(0).log());
     }
--- a/kit/src/main/java/portrelay/kit/cli/ShutdownCommand.java
+++ b/kit/src/main/java/portrelay/kit/cli/ShutdownCommand.java
@@ -15,6 +15,7 @@
 import portrelay.faulttest.ShutdownPlan;
 import portrelay.faulttest.ShutdownReport;
 import portrelay.faulttest.ShutdownRound;
+import portrelay.faulttest.ShutdownTotals;
 
 @Parameters(
         commandDescription = "shut real sidecars down under drawn disturbances and judge what became of each request")
@@ -46,7 +47,7 @@
         }
         try {
             return play();
-        } catch (IOException | ExecutionException e) {
+        } catch (IOException e) {
             System.err.println("portrelay-kit shutdown: " + e.getMessage());
             return FAILED;
         } catch (InterruptedException e) {
@@ -66,7 +67,7 @@
         return null;
     }
 
-    private int play() throws IOException, InterruptedException, ExecutionException {
+    private int play() throws IOException, InterruptedException {
         Path folder = filesFolder == null ? Files.createTempDirectory("portrelay-shutdown") : Path.of(filesFolder);
         ExecutorService workers = Executors.newFixedThreadPool(atOnce);
         List<Future<List<ShutdownReport>>> rounds = new ArrayList<>();
@@ -79,28 +80,23 @@
         return print(rounds, folder);
     }
 
-    /** Prints each play of each round; the last play of a round is the one that counts. */
-    private int print(List<Future<List<ShutdownReport>>> rounds, Path folder)
-            throws InterruptedException, ExecutionException {
-        int requests = 0;
-        int violations = 0;
-        int brokenRounds = 0;
-        int voidRounds = 0;
-        int replayed = 0;
+    /** Prints each play of each round as it ends, and the sum. A round that fails to be played ends no other one. */
+    private int print(List<Future<List<ShutdownReport>>> rounds, Path folder) throws InterruptedException {
+        ShutdownTotals totals = new ShutdownTotals();
+        long roundSeed = seed;
         for (Future<List<ShutdownReport>> each : rounds) {
-            List<ShutdownReport> plays = each.get();
-            plays.forEach(ShutdownCommand::print);
-            ShutdownReport last = plays.get(plays.size() - 1);
-            replayed += plays.size() - 1;
-            requests += last.requests();
-            voidRounds += last.isValid() ? 0 : 1;
-            violations += last.isValid() ? last.violations().size() : 0;
-            brokenRounds += last.isValid() && !last.violations().isEmpty() ? 1 : 0;
+            try {
+                List<ShutdownReport> plays = each.get();
+                plays.forEach(ShutdownCommand::print);
+                totals.add(plays);
+            } catch (ExecutionException e) {
+                System.out.println("seed=" + roundSeed + ": ERROR " + e.getCause());
+                totals.addError();
+            }
+            roundSeed++;
         }
-        System.out.println(count + " rounds from seed " + seed + ": requests=" + requests + " breaks=" + violations
-                + " in rounds=" + brokenRounds + " void=" + voidRounds + " played-again=" + replayed + "; logs in "
-                + folder);
-        return brokenRounds == 0 ? 0 : FAILED;
+        System.out.println(count + " rounds from seed " + seed + ": " + totals + "; logs in " + folder);
+        return totals.isGood() ? 0 : FAILED;
     }
 
     private static void print(ShutdownReport report) {
