Listener: nothing lies between the last accept and the kernel's close, and it is not the first close

Callers saw: a reset instead of an answer, on a new connection, as a process closes its listener beside its successor: the kernel resets whom it lets in between the last accept and the close. Cause: XNIO's close asks the selector first, in the same turn but behind the last accept, connections were handed on in between, and a process closes its listener once: always with cold code. Change: the key is cancelled first, the queue is emptied, the plain channel closes at once, then what was accepted is handed on. The warm-up ends with one such close on a free port of loopback. SharedAddress is SharedListener now, as it owns the closing too. Test: ClientListenerTest.theQueueIsHandedOnOnceTheListenerIsClosed; with the hand-over put back before the close it failed (the listener let others in at each: 1,025 accepted where 3 lay in the queue), now passes. The two system calls themselves stay a window.

--- a/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
@@ -93,6 +93,11 @@
         listener.listen(worker, at, maxClients);
     }
 
+    /** Part of the warm-up: the listener is closed once, when connections depend on how long that takes. */
+    public void warmUpStopListening(XnioWorker worker) {
+        listener.warmUpClose(worker);
+    }
+
     /** Whether it has ever listened. */
     public boolean isListening() {
         return listener.hasListened();
--- a/daemon/src/main/java/portrelay/net/client/ClientListener.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientListener.java
@@ -2,19 +2,20 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
-import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
-import org.xnio.nio.SharedAddress;
+import org.xnio.nio.SharedListener;
 import portrelay.net.eventloop.Log;
 
 /**
- * Owner of the listening socket. Hands on each connection as it is accepted and, before the socket closes, those that
- * the kernel still has in its queue; whoever gets a connection owns it.
+ * Owner of the listening socket. Hands on each connection as it is accepted and, once the socket is closed, those that
+ * the kernel still had in its queue; whoever gets a connection owns it.
  */
 final class ClientListener {
 
@@ -32,7 +33,7 @@
     private final Consumer<StreamConnection> accepted;
     private final Runnable freeDescriptors;
     /** Null before it listens. */
-    private AcceptingChannel<StreamConnection> socket;
+    private SharedListener listener;
 
     /** {@code freeDescriptors} is called where an accept fails, as for want of descriptors. */
     ClientListener(Log log, Consumer<StreamConnection> accepted, Runnable freeDescriptors) {
@@ -48,7 +49,7 @@
      * @throws IOException where the address can't be bound
      */
     void listen(XnioWorker worker, InetSocketAddress at, int maxClients) throws IOException {
-        socket = SharedAddress.listen(
+        listener = SharedListener.listen(
                 worker,
                 at,
                 BACKLOG,
@@ -58,16 +59,25 @@
                         .set(Options.CONNECTION_HIGH_WATER, maxClients + CONNECTIONS_OVER_LIMIT)
                         .set(Options.CONNECTION_LOW_WATER, maxClients + CONNECTIONS_OVER_LIMIT - 1)
                         .getMap());
-        socket.resumeAccepts();
+        listener.socket().resumeAccepts();
+    }
+
+    /** Runs the code that closes a listener once, on another one: the first time takes milliseconds. */
+    void warmUpClose(XnioWorker worker) {
+        try {
+            SharedListener.warmUp(worker);
+        } catch (IOException e) {
+            log.warn("closing a listener is not warmed up: cause=" + e.getMessage());
+        }
     }
 
     /** Whether {@link #listen} has succeeded; also after {@link #close}. */
     boolean hasListened() {
-        return socket != null;
+        return listener != null;
     }
 
     InetSocketAddress address() {
-        return socket.getLocalAddress(InetSocketAddress.class);
+        return listener.socket().getLocalAddress(InetSocketAddress.class);
     }
 
     private void acceptAvailable(AcceptingChannel<StreamConnection> from) {
@@ -85,33 +95,36 @@
     /**
      * No new connections from here on. Those that the kernel has queued are accepted first: closed with the socket they
      * would be reset, although the kernel may have acknowledged their requests. What comes between the last accept and
-     * the close is lost.
+     * the close is reset, so nothing else is done between the two.
      */
     void close() {
-        if (socket == null || !socket.isOpen()) {
+        if (listener == null || !listener.socket().isOpen()) {
             return;
         }
         try {
-            socket.setOption(Options.CONNECTION_HIGH_WATER, Integer.MAX_VALUE);
+            listener.socket().setOption(Options.CONNECTION_HIGH_WATER, Integer.MAX_VALUE);
         } catch (IOException | IllegalArgumentException e) {
             log.warn("listener keeps its connection limit: cause=" + e.getMessage());
         }
-        acceptQueued();
-        IoUtils.safeClose(socket);
+        listener.stopPolling();
+        List<StreamConnection> queued = new ArrayList<>();
+        acceptQueued(queued);
+        listener.close();
+        queued.forEach(accepted);
     }
 
     /**
      * Goes on after a failure: a connection that broke in the queue, or a lack of descriptors, must not cost the rest.
      */
-    private void acceptQueued() {
+    private void acceptQueued(List<StreamConnection> queued) {
         int failures = 0;
         for (int count = 0; count <= BACKLOG && failures < MAX_ACCEPT_FAILURES; count++) {
             try {
-                StreamConnection client = socket.accept();
+                StreamConnection client = listener.socket().accept();
                 if (client == null) {
                     return;
                 }
-                accepted.accept(client);
+                queued.add(client);
             } catch (IOException e) {
                 failures++;
                 logFailure(e);
--- a/daemon/src/main/java/portrelay/net/lifecycle/Startup.java
+++ b/daemon/src/main/java/portrelay/net/lifecycle/Startup.java
@@ -47,6 +47,7 @@
     }
 
     void warmUpEnded() {
+        components.frontend.warmUpStopListening(components.worker);
         if (components.isShuttingDown()) {
             // A process that shuts down must neither announce that it serves nor begin to listen.
             ready.complete(null);
