HandoverNetTest names each request that failed, with its times after the drain began

Change: the message has the status or the error of each, when it was sent and when it ended after the drain began, and how long that took. The bound (at most one) and what counts as failed are as before. Which process answered is not told: both listen at one address.

--- a/daemon/src/test/java/portrelay/net/HandoverNetTest.java
+++ b/daemon/src/test/java/portrelay/net/HandoverNetTest.java
@@ -20,7 +20,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
+import java.util.Queue;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.logging.LogManager;
@@ -119,18 +122,41 @@
         return say(sidecar.address(), "GET /up HTTP/1.1\r\nHost: a\r\n\r\n").status() == 200;
     }
 
+    /**
+     * A request without its answer 200.
+     *
+     * @param cause the status that came instead, or the error of the connection
+     */
+    private record FailedRequest(String cause, long sentAt, long endedAt) {
+
+        /** With its times after the drain began, in seconds. */
+        String line(long drainBegan) {
+            return String.format(
+                    Locale.ROOT,
+                    "%s sent %+.4f ended %+.4f",
+                    cause.replace('\n', ' '),
+                    seconds(drainBegan, sentAt),
+                    seconds(drainBegan, endedAt));
+        }
+
+        static double seconds(long from, long to) {
+            return (to - from) / 1e9;
+        }
+    }
+
     @Test
     void noRequestFailsWhileASuccessorReplacesTheProcess() throws Exception {
         Sidecar old = start("127.0.0.1:0");
         InetSocketAddress address = old.address();
         AtomicBoolean over = new AtomicBoolean();
         AtomicInteger arrival = new AtomicInteger();
-        AtomicInteger failed = new AtomicInteger();
+        Queue<FailedRequest> failed = new ConcurrentLinkedQueue<>();
         Thread[] clients = new Thread[4];
         for (int i = 0; i < clients.length; i++) {
             int me = i;
             clients[i] = new Thread(() -> {
                 while (!over.get()) {
+                    long sentAt = System.nanoTime();
                     try {
                         arrival.incrementAndGet();
                         String id = "q" + me + "-" + arrival.get();
@@ -138,7 +164,7 @@
                                 200, say(address, SidecarFixture.read(id, 900)).status());
                         Thread.sleep(2);
                     } catch (Exception | AssertionError e) {
-                        failed.incrementAndGet();
+                        failed.add(new FailedRequest(e.toString(), sentAt, System.nanoTime()));
                     }
                 }
             });
@@ -147,7 +173,9 @@
         Thread.sleep(200);
         Sidecar next = start(at(old));
         assertEquals(200, call(next, "GET /control/ready"));
+        long drainBegan = System.nanoTime();
         old.drain();
+        double drained = FailedRequest.seconds(drainBegan, System.nanoTime());
         old.close();
         Thread.sleep(200);
         over.set(true);
@@ -157,7 +185,10 @@
         next.close();
         assertTrue(arrival.get() > 100, "too few to tell: " + arrival);
         // The kernel resets a connection that comes between the last accept and the close of the listener.
-        assertTrue(failed.get() <= 1, failed + " of " + arrival + " were failed");
+        assertTrue(
+                failed.size() <= 1,
+                () -> failed.size() + " of " + arrival + " were failed; drain took " + drained + " s: "
+                        + failed.stream().map(each -> each.line(drainBegan)).toList());
     }
 
     @Test
