Peers: the end of an attempt is reported only where its start could be

Callers saw: nothing directly; a peer was told of an end that it knew no start of, so that its next attempt there looked ended too. Cause: while the peer address is not bound, as beside a predecessor, PeerActor drops what is sent; an attempt that was out as the address was bound told its end alone. Change: LoadBalancerActions.canSendToPeers, asked as an attempt starts; its end is reported where the start was. The 429 seen once is not explained by it.

--- a/core/src/main/java/portrelay/model/LoadBalancerActions.java
+++ b/core/src/main/java/portrelay/model/LoadBalancerActions.java
@@ -37,6 +37,11 @@
     /** The same to all other sidecars. */
     void broadcastToPeers(String text);
 
+    /** Whether messages to peers leave at all; once they do, they do so from then on. */
+    default boolean canSendToPeers() {
+        return true;
+    }
+
     /** Closes the idle connections to an upstream: the next attempt there opens a new one. */
     void closeIdleConnections(UpstreamId upstream);
 
--- a/core/src/main/java/portrelay/policy/Attempt.java
+++ b/core/src/main/java/portrelay/policy/Attempt.java
@@ -21,6 +21,8 @@
     final int servedBefore;
     /** Attempts in flight at the upstream, this one included. */
     final int inFlightWhenSent;
+    /** Whether its start was reported to peers: an end without a start would tell them a wrong number in flight. */
+    boolean isStartReported;
     /** Null while in flight. */
     Outcome outcome;
 
--- a/core/src/main/java/portrelay/policy/AttemptTracker.java
+++ b/core/src/main/java/portrelay/policy/AttemptTracker.java
@@ -38,18 +38,19 @@
         upstream.isTrialInFlight |= isTrial;
         upstream.isTrialOwed = false;
         double idleSeconds = connectionIdleSeconds(upstream, nowSeconds);
-        request.attempts.add(new Attempt(
+        Attempt attempt = new Attempt(
                 upstream,
                 nowSeconds,
                 isTrial,
                 load.expectedLatencyRatio(upstream, nowSeconds),
                 idleSeconds,
                 upstream.peerInFlight.servedCount(),
-                (int) load.inFlight(upstream, nowSeconds) + 1));
+                (int) load.inFlight(upstream, nowSeconds) + 1);
+        request.attempts.add(attempt);
         upstream.inFlight++;
         upstream.inFlightOnIdleConnections += idleSeconds > 0 ? 1 : 0;
         upstream.reportedInFlight++;
-        peerReports.attemptStarted(request, upstream, nowSeconds);
+        peerReports.attemptStarted(request, attempt, nowSeconds);
         concurrencyLimit.attemptsStarted(request.arrival.singleAttempt() ? 0 : 1);
         slowStart.attemptSent(upstream, nowSeconds);
         actions.sendAttempt(request.arrival.id(), upstream.id);
--- a/core/src/main/java/portrelay/policy/PeerReports.java
+++ b/core/src/main/java/portrelay/policy/PeerReports.java
@@ -61,10 +61,14 @@
     }
 
     /** Reports an attempt of this sidecar that is being sent. */
-    void attemptStarted(OpenRequest request, UpstreamState upstream, double nowSeconds) {
-        if (subset.isActive()) {
-            upstream.peerInFlight.attemptStarted(topology.sidecarIndex(), nowSeconds);
-            subset.send(AttemptEvent.STARTED, upstream, TenantId.indexOf(request.arrival.tenant()), 0);
+    void attemptStarted(OpenRequest request, Attempt attempt, double nowSeconds) {
+        if (!subset.isActive()) {
+            return;
+        }
+        attempt.upstream.peerInFlight.attemptStarted(topology.sidecarIndex(), nowSeconds);
+        attempt.isStartReported = subset.canReport();
+        if (attempt.isStartReported) {
+            subset.send(AttemptEvent.STARTED, attempt.upstream, TenantId.indexOf(request.arrival.tenant()), 0);
         }
     }
 
@@ -90,7 +94,9 @@
                 / latencies.typicalSeconds(request.requestClass)
                 / attempt.inFlightWhenSent;
         latencies.recordDuration(upstream, isServed, durationRatio, nowSeconds);
-        subset.send(event, upstream, NO_TENANT, durationRatio);
+        if (attempt.isStartReported) {
+            subset.send(event, upstream, NO_TENANT, durationRatio);
+        }
     }
 
     /** Enough later attempts were served there: not the upstream is at fault but the connection, which was idle. */
--- a/core/src/main/java/portrelay/policy/Subset.java
+++ b/core/src/main/java/portrelay/policy/Subset.java
@@ -111,6 +111,11 @@
         }
     }
 
+    /** Whether reports reach any peer now. */
+    boolean canReport() {
+        return actions.canSendToPeers();
+    }
+
     /** Reports that a connection was lost that had been idle for so long. */
     void sendConnectionLost(double idleSeconds, boolean toAllSidecars) {
         membership.sendConnectionLost(idleSeconds, toAllSidecars);
--- a/core/src/test/java/portrelay/policy/LoadBalancerHarness.java
+++ b/core/src/test/java/portrelay/policy/LoadBalancerHarness.java
@@ -67,6 +67,7 @@
     final List<UpstreamId> idleClosed = new ArrayList<>();
     final List<Message> messages = new ArrayList<>();
     int discoveryPolls;
+    boolean canSendToPeers = true;
     private final Topology topology;
     double now = 100;
     LoadBalancer loadBalancer;
@@ -222,6 +223,11 @@
         messages.add(new Message(sidecar, text));
     }
 
+    @Override
+    public boolean canSendToPeers() {
+        return canSendToPeers;
+    }
+
     @Override
     public void broadcastToPeers(String text) {
         messages.add(new Message(ALL_SIDECARS, text));
--- a/core/src/test/java/portrelay/policy/RendezvousSubsetTest.java
+++ b/core/src/test/java/portrelay/policy/RendezvousSubsetTest.java
@@ -200,4 +200,19 @@
                 EndpointUpdate.INCREMENTAL,
                 List.of(LoadBalancerHarness.endpoint(0, Endpoint.Health.GONE, 0)));
     }
+
+    /** Guards against an end that no peer knows a start of, as after the address was bound late. */
+    @Test
+    void anAttemptWhoseStartNoPeerCouldHearIsNotReportedAtItsEnd() {
+        LoadBalancerHarness harness = harness(0, 2, 1);
+        harness.messages.clear();
+        harness.canSendToPeers = false;
+        harness.arrive("a", LoadBalancerHarness.SAFE, 2);
+        harness.canSendToPeers = true;
+        harness.attemptEnds(harness.lastSent(), Outcome.SERVED);
+        assertEquals(List.of(), harness.messages);
+        harness.arrive("b", LoadBalancerHarness.SAFE, 2);
+        harness.attemptEnds(harness.lastSent(), Outcome.SERVED);
+        assertEquals(2, harness.messages.size(), "start and end");
+    }
 }
--- a/daemon/src/main/java/portrelay/net/balancer/SocketActions.java
+++ b/daemon/src/main/java/portrelay/net/balancer/SocketActions.java
@@ -103,6 +103,11 @@
         peers.send(sidecar, text);
     }
 
+    @Override
+    public boolean canSendToPeers() {
+        return peers.isBound();
+    }
+
     @Override
     public void broadcastToPeers(String text) {
         peers.broadcast(text);
--- a/daemon/src/main/java/portrelay/net/peer/PeerActor.java
+++ b/daemon/src/main/java/portrelay/net/peer/PeerActor.java
@@ -98,6 +98,11 @@
         mailbox.post(this::bind);
     }
 
+    /** Whether the address is bound: before, nothing is sent. */
+    public boolean isBound() {
+        return channel != null;
+    }
+
     /** Does nothing where the number is no sidecar's. */
     public void send(int sidecar, String text) {
         mailbox.post(() -> {
