Upstream selection: one slow answer takes no upstream out of service, and an idle slow one may be used

Callers saw: after a start and at low traffic one answer of four times the typical latency (a first one on a new connection or on cold code) sent all requests of a sidecar elsewhere for 5 s, whatever was in flight there. Cause: the ratio's prior counts as one sample: (1 + 4) / 2 = 2.5, from 2 on an upstream is passed over, before what is in flight is looked at. Planted here: RendezvousSubsetTest.afterOneSlowAnswer... failed before ("sent where a peer waits: expected 1 but was 0"); UpstreamSelectorTest has both rules. Change: two recent answers of twice the expected make an upstream slow, one does not. Where an upstream's load is known from own and peers' attempts and all others are busy, an idle slow one goes before them if it is expected to answer sooner: (in flight + 1) x ratio.

--- a/core/src/main/java/portrelay/model/Samples.java
+++ b/core/src/main/java/portrelay/model/Samples.java
@@ -63,6 +63,15 @@
         return count >= values.length && Arrays.stream(values).allMatch(each -> each > value);
     }
 
+    /** How many of the samples since a time are that large or larger. */
+    public int countAtLeast(double value, double since) {
+        int found = 0;
+        for (int i = 0; i < size(); i++) {
+            found += times[i] >= since && values[i] >= value ? 1 : 0;
+        }
+        return found;
+    }
+
     /** Mean of the samples since a time, together with so many prior samples of the given value. */
     public double mean(double since, double priorSamples, double priorValue) {
         double sum = priorSamples * priorValue;
--- a/core/src/main/java/portrelay/policy/LatencyTracker.java
+++ b/core/src/main/java/portrelay/policy/LatencyTracker.java
@@ -15,6 +15,9 @@
     /** Latency ratio from which on an upstream is slow by itself, and not because of its load. */
     static final double SLOW_LATENCY_RATIO = 2;
 
+    /** One slow answer may be that of a new connection, or of cold code. */
+    private static final int MIN_SLOW_SAMPLES = 2;
+
     /** Older samples of an upstream are ignored: it may have recovered. */
     private static final double MAX_SAMPLE_AGE_SECONDS = 5;
 
@@ -51,6 +54,17 @@
         return upstream.latencyRatios.mean(nowSeconds - MAX_SAMPLE_AGE_SECONDS, 1, 1);
     }
 
+    /**
+     * Whether the upstream is slow by itself: its recent latencies are, and more than one of them.
+     *
+     * @param latencyRatio that of {@link #latencyRatio} at the time
+     */
+    boolean isSlow(UpstreamState upstream, double latencyRatio, double nowSeconds) {
+        return latencyRatio >= SLOW_LATENCY_RATIO
+                && upstream.latencyRatios.countAtLeast(SLOW_LATENCY_RATIO, nowSeconds - MAX_SAMPLE_AGE_SECONDS)
+                        >= MIN_SLOW_SAMPLES;
+    }
+
     /** The upstream's recent duration per attempt in flight, over the typical latency. */
     double durationRatio(UpstreamState upstream, double nowSeconds) {
         return upstream.durationRatios.mean(
--- a/core/src/main/java/portrelay/policy/UpstreamSelector.java
+++ b/core/src/main/java/portrelay/policy/UpstreamSelector.java
@@ -16,6 +16,8 @@
         TRIAL,
         /** An idle upstream that is warming up gets the attempt that it has credit for. */
         WARMING_UP,
+        /** An idle upstream that is slow, but expected to answer sooner than the others, which are all busy. */
+        IDLE_THOUGH_SLOW,
         /** The cheapest of the upstreams that are not slow. */
         LOWEST_COST,
         /** The cheapest of all. */
@@ -91,12 +93,30 @@
             return new Selection(warmingUp, Rule.WARMING_UP);
         }
         Criteria criteria = criteria(request, nowSeconds);
-        UpstreamState cheapest = lowestCost(request, criteria, LatencyTracker.SLOW_LATENCY_RATIO, nowSeconds);
-        if (cheapest != null) {
+        UpstreamState cheapest = lowestCost(request, criteria, false, nowSeconds);
+        if (cheapest != null && (load.isFleetLoadKnown() || isIdle(cheapest, nowSeconds))) {
             return new Selection(cheapest, Rule.LOWEST_COST);
         }
-        UpstreamState cheapestOfAll = lowestCost(request, criteria, Double.POSITIVE_INFINITY, nowSeconds);
-        return cheapestOfAll == null ? Selection.NONE : new Selection(cheapestOfAll, Rule.LOWEST_COST_OR_SLOW);
+        UpstreamState cheapestOrSlow = lowestCost(request, criteria, true, nowSeconds);
+        if (cheapest == null) {
+            return cheapestOrSlow == null ? Selection.NONE : new Selection(cheapestOrSlow, Rule.LOWEST_COST_OR_SLOW);
+        }
+        boolean isSooner = isIdle(cheapestOrSlow, nowSeconds)
+                && expectedLatencyRatio(cheapestOrSlow, nowSeconds) < expectedLatencyRatio(cheapest, nowSeconds);
+        return isSooner
+                ? new Selection(cheapestOrSlow, Rule.IDLE_THOUGH_SLOW)
+                : new Selection(cheapest, Rule.LOWEST_COST);
+    }
+
+    private boolean isIdle(UpstreamState upstream, double nowSeconds) {
+        return load.inFlightWithoutProbes(upstream, nowSeconds) == 0;
+    }
+
+    /** Latency of one more attempt there by what is in flight, as a multiple of the typical one. */
+    private double expectedLatencyRatio(UpstreamState upstream, double nowSeconds) {
+        return (load.inFlightWithoutProbes(upstream, nowSeconds) + 1)
+                * latencies.latencyRatio(upstream, nowSeconds)
+                / upstream.capacity;
     }
 
     /** The first upstream whose trial is due, and idle where that is known. Only safe requests take part in trials. */
@@ -142,9 +162,8 @@
         return new Criteria(eligibility.areAllAvoided(nowSeconds), allowsUnknownLoad, meanInFlight);
     }
 
-    /** The cheapest eligible upstream below the latency ratio; null where there is none. */
-    private UpstreamState lowestCost(
-            OpenRequest request, Criteria criteria, double maxLatencyRatio, double nowSeconds) {
+    /** The cheapest eligible upstream; null where there is none. */
+    private UpstreamState lowestCost(OpenRequest request, Criteria criteria, boolean includesSlow, double nowSeconds) {
         boolean isLoadKnown = load.isFleetLoadKnown();
         UpstreamState cheapest = null;
         double lowest = Double.POSITIVE_INFINITY;
@@ -156,7 +175,7 @@
                 continue;
             }
             double latencyRatio = latencies.latencyRatio(each, nowSeconds);
-            if (latencyRatio >= maxLatencyRatio) {
+            if (!includesSlow && latencies.isSlow(each, latencyRatio, nowSeconds)) {
                 continue;
             }
             double candidateCost = isLoadKnown
--- a/core/src/test/java/portrelay/policy/RendezvousSubsetTest.java
+++ b/core/src/test/java/portrelay/policy/RendezvousSubsetTest.java
@@ -1,6 +1,7 @@
 package portrelay.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -25,6 +26,7 @@
 
     private static final int SIDECARS = 100;
     private static final int UPSTREAMS = 60;
+    private static final double TYPICAL_SECONDS = 0.01;
 
     private static Topology topology(int sidecar, int sidecars) {
         return new Topology(sidecar, sidecars, null, Topology.Weights.NOMINAL, Topology.Reports.SILENT, true, false);
@@ -215,4 +217,30 @@
         harness.attemptEnds(harness.lastSent(), Outcome.SERVED);
         assertEquals(2, harness.messages.size(), "start and end");
     }
+
+    /** Guards against one slow answer that takes an upstream out of service while peers wait at the other one. */
+    @Test
+    void afterOneSlowAnswerAnIdleUpstreamIsStillUsedBeforeOneWhereAPeerWaits() {
+        LoadBalancerHarness harness = harness(0, 2, 2);
+        harness.messages.clear();
+        UpstreamId usual = serve(harness, "a", TYPICAL_SECONDS);
+        String begun = harness.messages.get(0).text();
+        for (int i = 0; i < 3; i++) {
+            harness.loadBalancer.peerMessageReceived(harness.now, 1, begun);
+        }
+        UpstreamId slow = serve(harness, "b", 4 * TYPICAL_SECONDS);
+        assertNotEquals(usual, slow);
+        for (int i = 0; i < 5; i++) {
+            assertEquals(slow, serve(harness, "c" + i, TYPICAL_SECONDS), "sent where a peer waits");
+        }
+    }
+
+    /** Plays a request whose answer takes that long, and returns the upstream that served it. */
+    private static UpstreamId serve(LoadBalancerHarness harness, String name, double seconds) {
+        harness.arrive(name, LoadBalancerHarness.SAFE, 2);
+        LoadBalancerHarness.Sent sent = harness.lastSent();
+        harness.now += seconds;
+        harness.attemptEnds(sent, Outcome.SERVED);
+        return sent.upstream();
+    }
 }
--- a/core/src/test/java/portrelay/policy/UpstreamSelectorTest.java
+++ b/core/src/test/java/portrelay/policy/UpstreamSelectorTest.java
@@ -108,6 +108,31 @@
         assertEquals(Rule.LOWEST_COST_OR_SLOW, select(LoadBalancerHarness.SAFE).rule());
     }
 
+    /** Two upstreams that are not slow have so many in flight, and the third one so many slow answers. */
+    private Selection selectBesideBusy(int inFlight, int slowAnswers) {
+        for (int each = 0; each < UPSTREAMS - 1; each++) {
+            upstream(each).inFlight = inFlight;
+        }
+        for (int sample = 0; sample < slowAnswers; sample++) {
+            upstream(UPSTREAMS - 1).latencyRatios.add(NOW, 4);
+        }
+        return select(LoadBalancerHarness.SAFE);
+    }
+
+    /** Guards against one slow answer, as each first one is, that sends all requests elsewhere for seconds. */
+    @Test
+    void oneSlowAnswerMakesNoUpstreamSlow() {
+        assertEquals(new Selection(upstream(UPSTREAMS - 1), Rule.LOWEST_COST), selectBesideBusy(1, 1));
+    }
+
+    /** Two of 4 times the typical latency make 3 expected, beside (2 + 1) and (3 + 1) where all others are busy. */
+    @Test
+    void anIdleSlowUpstreamIsUsedWhereItIsExpectedToAnswerSooner() {
+        assertEquals(Rule.LOWEST_COST, selectBesideBusy(2, 2).rule());
+        assertNotEquals(upstream(UPSTREAMS - 1), selectBesideBusy(2, 0).upstream());
+        assertEquals(new Selection(upstream(UPSTREAMS - 1), Rule.IDLE_THOUGH_SLOW), selectBesideBusy(3, 0));
+    }
+
     @Test
     void noneIsChosenWhereTheConcurrencyLimitIsReached() {
         concurrencyLimit.attemptsStarted(LIMIT);
