--- a/daemon/src/test/java/portrelay/net/PeersNetTest.java
+++ b/daemon/src/test/java/portrelay/net/PeersNetTest.java
@@ -124,7 +124,6 @@
         }
     }
 
-    /** The previous process still has the address: the successor serves, and binds later. */
     /** Guards the form of messages, printable ASCII, at its upper end: 0x7f is a control character. */
     @Test
     void noControlCharacterReachesTheListener() throws Exception {
@@ -154,6 +153,7 @@
         }
     }
 
+    /** The previous process still has the address: the successor serves, and binds later. */
     @Test
     void aTakenPeerAddressDoesNotPreventServing() throws Exception {
         try (DatagramSocket other = socket();
