Fault tests: a sidecar ends with the JVM that started it

Change: a shutdown hook ends what still runs. Test: SidecarProcessTest starts a sidecar in a program that exits; it failed without the hook (TimeoutException), passes.

--- a/kit/src/main/java/portrelay/standin/SidecarProcess.java
+++ b/kit/src/main/java/portrelay/standin/SidecarProcess.java
@@ -7,14 +7,25 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
-/** One real sidecar in a process of its own, run from the classes of this JVM with a debug log. */
+/**
+ * One real sidecar in a process of its own, run from the classes of this JVM with a debug log. It ends with this JVM at
+ * the latest: one that stayed behind would go on calling its discovery, at a port that others have by then.
+ */
 public final class SidecarProcess implements AutoCloseable {
 
     private static final int POLL_MILLIS = 2;
     private static final int ANSWER_TIMEOUT_MILLIS = 1000;
 
+    private static final Set<Process> RUNNING = ConcurrentHashMap.newKeySet();
+
+    static {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> RUNNING.forEach(Process::destroyForcibly)));
+    }
+
     private final Process process;
     private final int port;
     private final Path log;
@@ -60,7 +71,9 @@
                 .redirectOutput(log.toFile());
         builder.environment().put("LB_LOG", "debug");
         builder.environment().put("TMPDIR", shared.toAbsolutePath().toString());
-        return new SidecarProcess(builder.start(), port, log);
+        Process process = builder.start();
+        RUNNING.add(process);
+        return new SidecarProcess(process, port, log);
     }
 
     public Process process() {
@@ -121,5 +134,6 @@
     @Override
     public void close() {
         process.destroyForcibly();
+        RUNNING.remove(process);
     }
 }
