Listener: a long listen queue is handled in slices, so that a shutdown's timers fire between

No timer fires in such a turn: neither "rejecting" nor "failing open requests". Change: at most eight connections are handed on in a turn; the next ones follow once due timers, and what the kernel has, were handled. Those that wait count as clients, so that the process does not end before them. Accepts in service have the same limit (64 before). Result: ClientListenerTest.aTimerThatIsDueFiresBeforeALongQueueIsHandedOn failed before (60 of 60 handed on before a timer that was due), passes.

--- a/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
@@ -56,7 +56,8 @@
         listener = new ClientListener(
                 log,
                 this::accept,
-                () -> connections.closeIdle(ConnectionCapacity.Cause.NOT_NEEDED, 0, MAX_CLOSED_PER_TURN));
+                () -> connections.closeIdle(ConnectionCapacity.Cause.NOT_NEEDED, 0, MAX_CLOSED_PER_TURN),
+                loop::afterPoll);
         service = new ServiceState(loop, connections, shutdown);
         ResponseWriter responses = new ResponseWriter(loop, log, connections, service);
         dispatcher = new RequestDispatcher(
@@ -151,7 +152,7 @@
 
     /** Closes the listener and the connections at once, without a graceful shutdown. */
     public void closeNow() {
-        stopListening();
+        listener.closeNow();
         admission.close();
         connections.closeIdle(ConnectionCapacity.Cause.SHUTDOWN, 0, Integer.MAX_VALUE);
     }
@@ -166,8 +167,8 @@
         connections.setMaxConnections(maxConnections);
     }
 
-    /** How many clients are connected. */
+    /** How many clients are connected, those included whose connections still wait to be handled. */
     public int clientCount() {
-        return connections.count();
+        return connections.count() + listener.pendingCount();
     }
 }
--- a/daemon/src/main/java/portrelay/net/client/ClientListener.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientListener.java
@@ -2,9 +2,11 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
@@ -21,8 +23,8 @@
 
     /** How many are accepted past the limit: for each, one of those that are open is evicted. */
     private static final int CONNECTIONS_OVER_LIMIT = 8;
-    /** Accepted in one turn of the loop, so that others have their turn between. */
-    private static final int MAX_ACCEPTED_PER_TURN = 64;
+    /** Handed on in one turn of the loop, so that timers and other connections have their turn between. */
+    private static final int MAX_HANDED_ON_PER_TURN = 8;
 
     /** Length of the kernel's listen queue, in connections. */
     private static final int BACKLOG = 1024;
@@ -32,14 +34,21 @@
     private final Log log;
     private final Consumer<StreamConnection> accepted;
     private final Runnable freeDescriptors;
+    private final Executor laterTurn;
+    /** Accepted as the socket was closed, and not handed on yet. */
+    private final Queue<StreamConnection> pending = new ArrayDeque<>();
     /** Null before it listens. */
     private SharedListener listener;
 
-    /** {@code freeDescriptors} is called where an accept fails, as for want of descriptors. */
-    ClientListener(Log log, Consumer<StreamConnection> accepted, Runnable freeDescriptors) {
+    /**
+     * @param freeDescriptors called where an accept fails, as for want of descriptors
+     * @param laterTurn runs a task after the timers that are due and the connections that are readable
+     */
+    ClientListener(Log log, Consumer<StreamConnection> accepted, Runnable freeDescriptors, Executor laterTurn) {
         this.log = log;
         this.accepted = accepted;
         this.freeDescriptors = freeDescriptors;
+        this.laterTurn = laterTurn;
     }
 
     /**
@@ -85,7 +94,7 @@
             StreamConnection client = from.accept();
             for (int count = 1; client != null; count++) {
                 accepted.accept(client);
-                client = count < MAX_ACCEPTED_PER_TURN ? from.accept() : null;
+                client = count < MAX_HANDED_ON_PER_TURN ? from.accept() : null;
             }
         } catch (IOException e) {
             logFailure(e);
@@ -107,16 +116,37 @@
             log.warn("listener keeps its connection limit: cause=" + e.getMessage());
         }
         listener.stopPolling();
-        List<StreamConnection> queued = new ArrayList<>();
-        acceptQueued(queued);
+        acceptQueued();
         listener.close();
-        queued.forEach(accepted);
+        handOnPending();
+    }
+
+    /** As {@link #close}; closes the connections that it has not handed on. */
+    void closeNow() {
+        close();
+        pending.forEach(IoUtils::safeClose);
+        pending.clear();
+    }
+
+    /** How many connections it has accepted and not handed on. */
+    int pendingCount() {
+        return pending.size();
+    }
+
+    /** In turns: handling all of a long queue at once would hold up every timer of the shutdown. */
+    private void handOnPending() {
+        for (int count = 0; count < MAX_HANDED_ON_PER_TURN && !pending.isEmpty(); count++) {
+            accepted.accept(pending.remove());
+        }
+        if (!pending.isEmpty()) {
+            laterTurn.execute(this::handOnPending);
+        }
     }
 
     /**
      * Goes on after a failure: a connection that broke in the queue, or a lack of descriptors, must not cost the rest.
      */
-    private void acceptQueued(List<StreamConnection> queued) {
+    private void acceptQueued() {
         int failures = 0;
         for (int count = 0; count <= BACKLOG && failures < MAX_ACCEPT_FAILURES; count++) {
             try {
@@ -124,7 +154,7 @@
                 if (client == null) {
                     return;
                 }
-                queued.add(client);
+                pending.add(client);
             } catch (IOException e) {
                 failures++;
                 logFailure(e);
--- a/daemon/src/test/java/portrelay/net/client/ClientListenerTest.java
+++ b/daemon/src/test/java/portrelay/net/client/ClientListenerTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -10,9 +11,11 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -26,7 +29,9 @@
 import org.xnio.StreamConnection;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
+import portrelay.net.eventloop.EventLoop;
 import portrelay.net.eventloop.Log;
+import portrelay.net.eventloop.MonotonicClock;
 
 /** Who is in the listen queue as the listener closes is accepted, and nobody is let in and then reset. */
 @Timeout(30)
@@ -34,6 +39,9 @@
 
     private static final int MAX_CLIENTS = 100;
     private static final int QUEUED = 3;
+    private static final int LONG_QUEUE = 60;
+    /** Of a long queue no more are handed on before a timer that is due. */
+    private static final int MAX_BEFORE_TIMER = 16;
 
     private final BlockingQueue<StreamConnection> accepted = new LinkedBlockingQueue<>();
     /** For each that was accepted, whether the kernel still let others connect as it was handed on. */
@@ -53,7 +61,8 @@
     void listen() throws Exception {
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         Log log = new Log(new PrintStream(OutputStream.nullOutputStream(), true, ISO_8859_1), "t");
-        listener = new ClientListener(log, this::accept, () -> {});
+        EventLoop loop = new EventLoop(worker.getIoThread(), new MonotonicClock());
+        listener = new ClientListener(log, this::accept, () -> {}, loop::afterPoll);
         onLoop(() -> listener.listen(worker, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MAX_CLIENTS));
         address = listener.address();
     }
@@ -109,6 +118,49 @@
         assertEquals(List.of(false, false, false), letOthersIn);
     }
 
+    /** Guards against one long turn for the whole queue, in which no timer of the shutdown fires. */
+    @Test
+    void aTimerThatIsDueFiresBeforeALongQueueIsHandedOn() throws Exception {
+        CompletableFuture<Integer> handedOnByTimer = new CompletableFuture<>();
+        onLoop(() -> {
+            for (int i = 0; i < LONG_QUEUE; i++) {
+                connect();
+            }
+            worker.getIoThread()
+                    .executeAfter(() -> handedOnByTimer.complete(accepted.size()), 0, TimeUnit.MILLISECONDS);
+            listener.close();
+            assertEquals(LONG_QUEUE, accepted.size() + listener.pendingCount());
+        });
+        int handedOn = handedOnByTimer.get();
+        assertTrue(handedOn <= MAX_BEFORE_TIMER, "handed on before the timer: " + handedOn);
+        for (int i = 0; i < LONG_QUEUE; i++) {
+            assertNotNull(accepted.poll(5, TimeUnit.SECONDS), "not handed on: " + i);
+        }
+    }
+
+    @Test
+    void closingAtOnceLeavesNoConnectionOpen() throws Exception {
+        onLoop(() -> {
+            for (int i = 0; i < LONG_QUEUE; i++) {
+                connect();
+            }
+            listener.closeNow();
+        });
+        assertEquals(0, listener.pendingCount());
+        for (Socket each : clients.subList(accepted.size(), LONG_QUEUE)) {
+            assertTrue(isEnded(each), "open");
+        }
+    }
+
+    private static boolean isEnded(Socket client) throws IOException {
+        client.setSoTimeout(5000);
+        try {
+            return client.getInputStream().read() < 0;
+        } catch (SocketException e) {
+            return true;
+        }
+    }
+
     @Test
     void warmingUpTheCloseLeavesTheListenerOpen() throws Exception {
         onLoop(() -> listener.warmUpClose(worker));
