Shutdown: what is read too late to be forwarded is rejected without the usual handlers

Change: from the moment at which nothing more is forwarded a connection that awaits a request goes to LateRequestConnection: it counts complete requests by the framing that follows the bytes anyway and answers them with bytes made beforehand; the connection ends behind the last one. A request whose body is still coming is answered at its head and the rest is read and thrown away. It decides by the clock at each read, not by a timer. Readiness requests get 503, malformed ones 400, as before; bytes of a 429 as before.

--- a/daemon/src/main/java/portrelay/net/client/ClientConnection.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientConnection.java
@@ -49,6 +49,15 @@
         }
     }
 
+    /** Whether the client's end has come; in doubt, as when the connection is broken, it has. */
+    boolean hasEnded() {
+        try {
+            return filter.isAtEnd();
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     /**
      * The line that the log has of a close. A request may cross the close from the last look for unread bytes on.
      *
--- a/daemon/src/main/java/portrelay/net/client/ClientConnections.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientConnections.java
@@ -1,10 +1,10 @@
 package portrelay.net.client;
 
 import io.undertow.server.protocol.http.HttpServerConnection;
-import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.DoubleFunction;
 import java.util.function.LongSupplier;
 import org.xnio.IoUtils;
@@ -101,29 +101,32 @@
 
     /** Bytes of the response have been written. */
     void responseBytesSent(HttpServerConnection connection) {
-        ClientConnection known = find(connection);
-        if (known != null) {
-            known.bytesSent(loop.now());
-        }
+        ifKnown(connection, known -> known.bytesSent(loop.now()));
     }
 
     /** The response to the open request is written, to its last byte. */
     void responseCompleted(HttpServerConnection connection) {
-        ClientConnection known = find(connection);
-        if (known != null) {
-            known.request = null;
-        }
+        ifKnown(connection, known -> known.request = null);
     }
 
     /** Closes the connection, also where a request is open on it. */
     void close(HttpServerConnection connection, RequestProgress.EndCause cause) {
-        ClientConnection known = find(connection);
-        if (known != null) {
-            known.requestEndsBy(cause);
-        }
+        ifKnown(connection, known -> known.requestEndsBy(cause));
         IoUtils.safeClose(connection);
     }
 
+    /** Whether no request is open on it and nothing of the next one has been read. */
+    boolean awaitsRequest(StreamConnection socket) {
+        ConnectionCapacity.Phase phase = capacity.phase(ids.get(socket));
+        return phase == ConnectionCapacity.Phase.SILENT || phase == ConnectionCapacity.Phase.IDLE;
+    }
+
+    /** Closes a connection whose last response is written. */
+    void closeAnswered(StreamConnection socket) {
+        IoUtils.safeClose(socket);
+        forget(socket);
+    }
+
     /** Whether the last head that was read can be read in more than one way. */
     boolean hasAmbiguousHead(HttpServerConnection connection) {
         ClientConnection known = find(connection);
@@ -132,10 +135,7 @@
 
     /** The next request on it is handled from here on. */
     void nextRequestStarted(HttpServerConnection connection) {
-        ClientConnection known = find(connection);
-        if (known != null) {
-            known.filter.nextRequestStarted();
-        }
+        ifKnown(connection, known -> known.filter.nextRequestStarted());
     }
 
     /**
@@ -151,19 +151,12 @@
     /** Whether the client's end has come; in doubt, as when the connection is broken or closed, it has. */
     boolean hasEnded(HttpServerConnection connection) {
         ClientConnection known = find(connection);
-        try {
-            return known == null || known.filter.isAtEnd();
-        } catch (IOException e) {
-            return true;
-        }
+        return known == null || known.hasEnded();
     }
 
     /** What comes from here on is no request: it is read up to its end and thrown away. */
     void stopParsing(HttpServerConnection connection) {
-        ClientConnection known = find(connection);
-        if (known != null) {
-            known.filter.stopParsing();
-        }
+        ifKnown(connection, known -> known.filter.stopParsing());
     }
 
     /** Whether more requests wait for responses than there may be connections. */
@@ -184,6 +177,13 @@
         forgetClosed();
     }
 
+    private void ifKnown(HttpServerConnection connection, Consumer<ClientConnection> action) {
+        ClientConnection known = find(connection);
+        if (known != null) {
+            action.accept(known);
+        }
+    }
+
     private ClientConnection find(HttpServerConnection connection) {
         ClientId id = ids.get(connection.getChannel());
         return id == null ? null : connections.get(id);
@@ -232,7 +232,10 @@
         boolean isUnreadingClient = isOverdue && eviction.phase() == ConnectionCapacity.Phase.ANSWERING;
         long lookedAt = System.nanoTime();
         if (!isUnreadingClient && connection.hasUnreadBytes()) {
-            capacity.phaseChanged(loop.now(), eviction.id(), ConnectionCapacity.Phase.SENDING);
+            if (eviction.cause() != ConnectionCapacity.Cause.SHUTDOWN) {
+                // In a shutdown the request counts as begun once it is read: it may go to another reader.
+                capacity.phaseChanged(loop.now(), eviction.id(), ConnectionCapacity.Phase.SENDING);
+            }
             socket.getSourceChannel().wakeupReads();
             return;
         }
--- a/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
@@ -33,6 +33,7 @@
     private final ClientListener listener;
     private final ServiceState service;
     private final RequestDispatcher dispatcher;
+    private final LateRequestRejecter lateRequests;
     private final HttpOpenListener http;
 
     /**
@@ -62,6 +63,7 @@
         ResponseWriter responses = new ResponseWriter(loop, log, connections, service);
         dispatcher = new RequestDispatcher(
                 loop, log, reader, admission, connections, counters, responses, shutdown, retryAfterSeconds);
+        lateRequests = new LateRequestRejecter(loop, connections, shutdown, retryAfterSeconds);
         http = new HttpOpenListener(buffers, undertowOptions());
         http.setRootHandler(new HttpContinueReadHandler(
                 new RequestHandler(loop, reader, connections, service, responses, dispatcher)));
@@ -117,7 +119,9 @@
                 client.getSourceChannel().getConduit(), () -> connections.bytesReceived(client), loop::earliestArrival);
         client.getSourceChannel().setConduit(filter);
         connections.opened(client, filter);
-        http.handleEvent(client);
+        if (!lateRequests.watch(client, filter)) {
+            http.handleEvent(client);
+        }
     }
 
     /** What the readiness path says from here on, as long as the sidecar is in service. */
@@ -159,7 +163,7 @@
 
     /** How many requests were rejected because the process shuts down. */
     public int rejectedDuringShutdown() {
-        return dispatcher.rejectedDuringShutdown();
+        return dispatcher.rejectedDuringShutdown() + lateRequests.rejectedCount();
     }
 
     /** Clients may hold so many connections from here on; those past the limit are evicted at once. */
--- a/daemon/src/main/java/portrelay/net/client/ClientResponder.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientResponder.java
@@ -150,14 +150,17 @@
     public void rejected(double retryAfterSeconds) {
         if (beginResponse(StatusCodes.TOO_MANY_REQUESTS)) {
             if (retryAfterSeconds > 0) {
-                // Rounded up to milliseconds: a client that keeps to it is never early.
-                String retryAfter = Double.toString(Math.ceil(retryAfterSeconds * 1e3) / 1e3);
-                exchange.getResponseHeaders().put(Headers.RETRY_AFTER, retryAfter);
+                exchange.getResponseHeaders().put(Headers.RETRY_AFTER, retryAfterText(retryAfterSeconds));
             }
             responses.send(exchange, HttpCall.NO_BODY, unread());
         }
     }
 
+    /** Rounded up to milliseconds: a client that keeps to it is never early. */
+    static String retryAfterText(double seconds) {
+        return Double.toString(Math.ceil(seconds * 1e3) / 1e3);
+    }
+
     @Override
     public void failed() {
         if (beginResponse(StatusCodes.BAD_GATEWAY)) {
--- /dev/null
+++ b/daemon/src/main/java/portrelay/net/client/LateRequestConnection.java
@@ -0,0 +1,172 @@
+package portrelay.net.client;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.StreamConnection;
+import org.xnio.conduits.ConduitStreamSinkChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.StreamSinkConduit;
+import portrelay.net.eventloop.EventLoop;
+
+/**
+ * A client's connection whose requests come too late to be forwarded. Once taken over it answers each complete request
+ * and ends the connection, unless a further request has begun behind it; a request whose body is still coming is
+ * answered at its head, and the rest of the body is thrown away.
+ */
+final class LateRequestConnection {
+
+    /** Reads in one turn of the loop, so that others have their turn between. */
+    private static final int MAX_READS_PER_TURN = 64;
+
+    /** For how long the rest of a body is thrown away, or what follows a malformed request. */
+    private static final double MAX_DISCARD_SECONDS = LingeringClose.BRIEF.maxTotal();
+
+    private final EventLoop loop;
+    private final LateRequestRejecter rejecter;
+    private final ClientConnections connections;
+    private final StreamConnection socket;
+    private final RequestFramingFilter filter;
+    /** The lowest one, under those of Undertow. */
+    private final StreamSinkConduit sink;
+
+    /** Of the messages on this connection, those that are answered. */
+    private int answeredMessages;
+    /** Null where all is written. */
+    private ByteBuffer unsent;
+    /** The last answer is given: what comes is thrown away. */
+    private boolean isDiscarding;
+
+    LateRequestConnection(
+            EventLoop loop,
+            LateRequestRejecter rejecter,
+            ClientConnections connections,
+            StreamConnection socket,
+            RequestFramingFilter filter) {
+        this.loop = loop;
+        this.rejecter = rejecter;
+        this.connections = connections;
+        this.socket = socket;
+        this.filter = filter;
+        this.sink = socket.getSinkChannel().getConduit();
+    }
+
+    /** Whether no request is open and nothing of the next one has been read. */
+    boolean awaitsRequest() {
+        return connections.awaitsRequest(socket);
+    }
+
+    /** From here on nobody else reads from or writes to the connection. */
+    void takeOver() {
+        filter.stopIntercepting();
+        answeredMessages = filter.messages();
+        socket.getSinkChannel().setConduit(sink);
+        ConduitStreamSourceChannel source = socket.getSourceChannel();
+        source.setConduit(filter);
+        source.setReadListener(this::read);
+        read(source);
+        if (socket.isOpen() && unsent == null) {
+            source.resumeReads();
+        }
+    }
+
+    private void read(ConduitStreamSourceChannel source) {
+        boolean isReadinessRequest = false;
+        try {
+            int count = 1;
+            for (int reads = 0; reads < MAX_READS_PER_TURN && count > 0; reads++) {
+                boolean isFirstRead = filter.isBetweenMessages() && filter.messages() == answeredMessages;
+                ByteBuffer bytes = rejecter.readBuffer();
+                count = source.read(bytes);
+                isReadinessRequest |= isFirstRead && LateRequestRejecter.isReadinessRequest(bytes.flip());
+            }
+            answer(isReadinessRequest);
+            if (count < 0) {
+                close();
+            }
+        } catch (RequestFramingFilter.MalformedFramingException e) {
+            answerMalformed();
+        } catch (IOException e) {
+            close();
+        }
+    }
+
+    /** Answers what is complete, and what can't be completed without its body being read. */
+    private void answer(boolean isReadinessRequest) throws IOException {
+        boolean isInBody = !filter.isBetweenMessages() && !filter.isInHead();
+        int count = filter.messages() - answeredMessages + (isInBody ? 1 : 0);
+        if (isDiscarding) {
+            closeBehindBody();
+        } else if (count > 0) {
+            answeredMessages += count;
+            boolean isLast = isInBody || filter.isBetweenMessages();
+            isDiscarding = isLast;
+            boolean isReadiness = isReadinessRequest && count == 1 && isLast;
+            write(isReadiness ? rejecter.notReady() : rejecter.responses(count, isLast));
+            discardBody(isInBody);
+        }
+    }
+
+    private void answerMalformed() {
+        filter.stopParsing();
+        if (isDiscarding) {
+            return;
+        }
+        isDiscarding = true;
+        try {
+            write(rejecter.malformed(filter.messages() - answeredMessages));
+            discardBody(true);
+        } catch (IOException e) {
+            close();
+        }
+    }
+
+    /** Unless there is none: then the connection ends as soon as the answer is written. */
+    private void discardBody(boolean hasBody) throws IOException {
+        if (!isDiscarding) {
+            return;
+        }
+        if (hasBody) {
+            loop.schedule(MAX_DISCARD_SECONDS, this::close);
+        } else {
+            closeBehindBody();
+        }
+    }
+
+    private void closeBehindBody() {
+        if (unsent == null && filter.isBetweenMessages()) {
+            close();
+        }
+    }
+
+    private void write(ByteBuffer bytes) throws IOException {
+        ConduitStreamSinkChannel channel = socket.getSinkChannel();
+        channel.write(bytes);
+        if (bytes.hasRemaining()) {
+            unsent = bytes;
+            socket.getSourceChannel().suspendReads();
+            channel.setWriteListener(ignored -> writeRest());
+            channel.resumeWrites();
+        }
+    }
+
+    private void writeRest() {
+        try {
+            socket.getSinkChannel().write(unsent);
+            if (unsent.hasRemaining()) {
+                return;
+            }
+            unsent = null;
+            socket.getSinkChannel().suspendWrites();
+            socket.getSourceChannel().resumeReads();
+            if (isDiscarding) {
+                closeBehindBody();
+            }
+        } catch (IOException e) {
+            close();
+        }
+    }
+
+    private void close() {
+        connections.closeAnswered(socket);
+    }
+}
--- a/daemon/src/main/java/portrelay/net/client/RequestFramingFilter.java
+++ b/daemon/src/main/java/portrelay/net/client/RequestFramingFilter.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import org.xnio.conduits.StreamSourceConduit;
 import portrelay.net.http.Framing;
@@ -36,6 +37,11 @@
     /** What was read ahead by a look; null where there is nothing. */
     private ByteBuffer peeked;
 
+    /** Whether the request that begins now goes to another reader; null where none is intercepted. */
+    private BooleanSupplier interceptor;
+    /** Nothing is given to the present reader any more. */
+    private boolean isIntercepted;
+
     private boolean isParsing = true;
     private long bytes;
     private int requestsStarted;
@@ -64,6 +70,9 @@
         if (framing.isMalformed() && isParsing) {
             throw new MalformedFramingException();
         }
+        if (isIntercepted()) {
+            return 0;
+        }
         int start = target.position();
         int count = peeked == null ? next.read(target) : takePeeked(target);
         bytes += Math.max(0, count);
@@ -87,6 +96,42 @@
         }
     }
 
+    /**
+     * Asks the interceptor at each read between two requests; once it says yes, reads return nothing until
+     * {@link #stopIntercepting}.
+     */
+    void interceptRequests(BooleanSupplier interceptor) {
+        this.interceptor = interceptor;
+    }
+
+    /** Reads return what has come. */
+    void stopIntercepting() {
+        interceptor = null;
+        isIntercepted = false;
+    }
+
+    private boolean isIntercepted() {
+        if (!isIntercepted && interceptor != null && isBetweenMessages()) {
+            isIntercepted = interceptor.getAsBoolean();
+        }
+        return isIntercepted;
+    }
+
+    /** Whether nothing has been read behind the last complete request. */
+    boolean isBetweenMessages() {
+        return framing.isBetweenMessages();
+    }
+
+    /** Whether it stands in the head of a request, or before it. */
+    boolean isInHead() {
+        return framing.isInHead();
+    }
+
+    /** How many requests have been read completely. */
+    int messages() {
+        return framing.messages();
+    }
+
     /** The next request on this connection is handled from here on; the moment of the one before is dropped. */
     void nextRequestStarted() {
         if (requestsStarted > 0) {
--- a/daemon/src/main/java/portrelay/net/http/Framing.java
+++ b/daemon/src/main/java/portrelay/net/http/Framing.java
@@ -94,6 +94,11 @@
         return messages;
     }
 
+    /** Whether nothing has come of a message that is not complete. */
+    public boolean isBetweenMessages() {
+        return state == State.COMPLETE || state == State.FIRST_LINE && headBytes == 0;
+    }
+
     /** Whether it stands in the head of a message, or before it. */
     public boolean isInHead() {
         return state == State.FIRST_LINE || state == State.HEADERS;
