Shutdown: an event loop that is later than a hold explains forwards nothing more

Change: once the loop is over 0.2 s late in a shutdown, what is read is rejected unsent, at a fraction of the cost. A process may be held for 0.15 s; that alone changes nothing. Open connections stay open and listening goes on as before. The log has a line for it. LateRequestsNetTest.aLoopThatIsLaterThanAHold... failed while only the clock of a read was looked at and not the lateness of the shutdown's own timer; ShutdownTest.forwardsNothingMoreOnceTheLoop... is new with the rule.

--- a/core/src/main/java/portrelay/model/EventLoopLag.java
+++ b/core/src/main/java/portrelay/model/EventLoopLag.java
@@ -75,6 +75,11 @@
         return Math.max(earliest, now - MAX_ARRIVAL_AGE_SECONDS);
     }
 
+    /** How late the next beat is by now, in seconds; 0 where it is not due yet. */
+    public double overdue(double now) {
+        return Double.isNaN(lastBeat) ? 0 : Math.max(0, now - lastBeat - BEAT_INTERVAL);
+    }
+
     /** The largest lateness of a beat in seconds since this was last called. */
     public double takeMaxLag() {
         double lag = maxLag;
--- a/core/src/main/java/portrelay/shutdown/Shutdown.java
+++ b/core/src/main/java/portrelay/shutdown/Shutdown.java
@@ -49,6 +49,9 @@
             .row(Phase.CLOSING, Input.CLIENTS_GONE, Phase.ENDED, Shutdown::end)
             .row(Phase.CLOSING, Input.TIME_OVER, Phase.ENDED, Shutdown::end);
 
+    /** The process may be held for 0.15 s at a time; an event loop that is later than this has too much to do. */
+    private static final double MAX_FORWARDING_LAG_SECONDS = 0.2;
+
     private final double maxDeadline;
     private final ShutdownActions actions;
     private final State state = new State();
@@ -60,6 +63,8 @@
     private boolean hasNeverListened;
     /** Whether a successor serves already. */
     private boolean isHandingOver;
+    /** Whether the event loop has been too late to forward what comes and answer it by the kill. */
+    private boolean hasFallenBehind;
 
     /**
      * The shutdown of a process that serves.
@@ -129,6 +134,16 @@
         }
     }
 
+    /**
+     * The event loop runs so late. From the first time on that this is more than a hold explains, what is read is
+     * rejected: forwarding costs many times as much, and what can't be read by the kill is lost.
+     */
+    public void loopLagged(double seconds) {
+        if (budget != null && seconds > MAX_FORWARDING_LAG_SECONDS) {
+            hasFallenBehind = true;
+        }
+    }
+
     /** No client is connected; while the process listens, or may have just stopped, another may come. */
     public void noClients(double now) {
         if (budget != null && !isListening && (isHandingOver || hasNeverListened || now >= budget.stayUntil())) {
@@ -150,7 +165,12 @@
 
     /** Whether a request that is read now may be forwarded; by the time, as {@link #wakeUp} may be late. */
     public boolean mayForward(double now) {
-        return budget == null || state.state() == Phase.DRAINING && now < budget.forwardUntil();
+        return budget == null || state.state() == Phase.DRAINING && now < budget.forwardUntil() && !hasFallenBehind;
+    }
+
+    /** Whether requests are rejected because the event loop was too late. */
+    public boolean hasFallenBehind() {
+        return hasFallenBehind;
     }
 
     /** Whether a connection without an open request is closed. */
--- a/core/src/test/java/portrelay/model/EventLoopLagTest.java
+++ b/core/src/test/java/portrelay/model/EventLoopLagTest.java
@@ -69,6 +69,14 @@
         assertEquals(7, new EventLoopLag().earliestArrival(7), TOLERANCE);
     }
 
+    @Test
+    void theNextBeatIsOverdueOnceItsTimeHasPassed() {
+        EventLoopLag lag = punctualLoop(1);
+        assertEquals(0, lag.overdue(1.05), TOLERANCE);
+        assertEquals(0.25, lag.overdue(1.3), TOLERANCE);
+        assertEquals(0, new EventLoopLag().overdue(1.3), TOLERANCE);
+    }
+
     @Test
     void arrivalAfterAGapIsDatedBackToItsBeginning() {
         EventLoopLag lag = punctualLoop(1);
--- a/core/src/test/java/portrelay/shutdown/ShutdownTest.java
+++ b/core/src/test/java/portrelay/shutdown/ShutdownTest.java
@@ -87,6 +87,20 @@
         assertEquals(Shutdown.Phase.DRAINING, shutdown.phase());
     }
 
+    /** A process may be held for 0.15 s: that alone is no reason to reject. */
+    @Test
+    void forwardsNothingMoreOnceTheLoopIsLaterThanAHold() {
+        shutdown.loopLagged(1);
+        signalled();
+        shutdown.loopLagged(0.15);
+        assertTrue(shutdown.mayForward(SIGNAL_AT), "what was late before the signal, or held, still forwards");
+        shutdown.loopLagged(0.25);
+        shutdown.loopLagged(0);
+        assertFalse(shutdown.mayForward(SIGNAL_AT));
+        assertFalse(shutdown.closesConnections(), "open connections stay open");
+        assertEquals(List.of("drain"), actions.steps);
+    }
+
     @Test
     void oneLateWakeUpDoesAllThatIsDueInItsOrder() {
         signalled();
--- a/daemon/src/main/java/portrelay/net/client/LateRequestRejecter.java
+++ b/daemon/src/main/java/portrelay/net/client/LateRequestRejecter.java
@@ -110,7 +110,9 @@
     }
 
     private boolean isTooLate() {
-        return !shutdown.mayForward(loop.now());
+        double now = loop.now();
+        shutdown.loopLagged(loop.lag().overdue(now));
+        return !shutdown.mayForward(now);
     }
 
     /** Called within a read by Undertow, which sets its own listener behind it: taken over in a task of its own. */
--- a/daemon/src/main/java/portrelay/net/lifecycle/ShutdownActor.java
+++ b/daemon/src/main/java/portrelay/net/lifecycle/ShutdownActor.java
@@ -173,11 +173,16 @@
         // Counts the lag up to now, as the signal may have been sent during it.
         loop.lag().beat(loop.now());
         shutdown.signalled(loop.now(), loop.lag().earliestSignal(signalledAt), signalledAt);
-        poll();
+        poll(loop.now());
     }
 
-    /** Until the end: closes idle connections, answers what is due, and ends with the last client. */
-    private void poll() {
+    /**
+     * Until the end: closes idle connections, answers what is due, and ends with the last client.
+     *
+     * @param dueAt when it was to be called
+     */
+    private void poll(double dueAt) {
+        observeLag(loop.now() - dueAt);
         Shutdown.Phase phase = shutdown.phase();
         if (phase == Shutdown.Phase.ENDED) {
             return;
@@ -191,7 +196,16 @@
         if (frontend.clientCount() == 0) {
             shutdown.noClients(loop.now());
         }
-        loop.schedule(POLL_INTERVAL_SECONDS, this::poll);
+        double next = loop.now() + POLL_INTERVAL_SECONDS;
+        loop.schedule(POLL_INTERVAL_SECONDS, () -> poll(next));
+    }
+
+    private void observeLag(double seconds) {
+        boolean wasBehind = shutdown.hasFallenBehind();
+        shutdown.loopLagged(seconds);
+        if (!wasBehind && shutdown.hasFallenBehind()) {
+            logStep("event loop too late, forwarding nothing more");
+        }
     }
 
     /** Never early: the timer may run some milliseconds before the loop's clock reaches the time. */
--- a/daemon/src/test/java/portrelay/net/LateRequestsNetTest.java
+++ b/daemon/src/test/java/portrelay/net/LateRequestsNetTest.java
@@ -31,6 +31,8 @@
 
     /** Seconds since the signal at which nothing is forwarded, and idle connections are still open. */
     private static final double TOO_LATE = 1;
+    /** More than a hold explains, which may last 0.15 s. */
+    private static final double OVERLOAD_SECONDS = 0.3;
 
     private static final int CROWD = 60;
     private static final String READINESS_REQUEST = "GET /up HTTP/1.1\r\nHost: app.svc\r\n\r\n";
@@ -214,4 +216,28 @@
         assertEquals("close", last.header("Connection"));
         assertNothingForwarded();
     }
+
+    /** Guards against forwarding, at many times the cost of a rejection, while the rest can't be read by the kill. */
+    @Test
+    void aLoopThatIsLaterThanAHoldForwardsNothingMoreInAShutdown() throws Exception {
+        try (HeldEventLoop held = new HeldEventLoop(sidecar.loop)) {
+            drain(0);
+            held.letGo();
+        }
+        HeldEventLoop.settled(sidecar.loop);
+        try (HeldEventLoop held = new HeldEventLoop(sidecar.loop)) {
+            for (int i = 0; i < CROWD; i++) {
+                write(connect(), SidecarFixture.issue("a" + i, 900));
+            }
+            double until = sidecar.loop.now() + OVERLOAD_SECONDS;
+            while (sidecar.loop.now() < until) {
+                Thread.onSpinWait();
+            }
+            held.letGo();
+        }
+        for (Socket each : clients) {
+            assertEquals(WHOLE_REJECTION, all(each));
+        }
+        assertNothingForwarded();
+    }
 }
