Shutdown rounds: clients wait for their start, and signals come from a process of their own

"The sidecar outlives SIGKILL" at load 40: signals by a shell that got no core. Cause: 400 threads were made once the sidecar listened, and signals left by the main thread of that same JVM and by a shell behind it; the times that the report had were those of the write to the shell. Change: the clients' threads are made before the sidecar starts and let go at once; their start is over when the last one runs. The timeline goes to a small JVM that sends each signal itself (kill(2) by JNA, pinned) and reports its time. No bound is changed.

--- a/kit/src/main/java/portrelay/faulttest/ShutdownClock.java
+++ b/kit/src/main/java/portrelay/faulttest/ShutdownClock.java
@@ -16,9 +16,9 @@
     private volatile long termAt = Long.MAX_VALUE;
     private volatile boolean isOver;
 
-    /** SIGTERM is sent now. */
-    void term() {
-        termAt = System.nanoTime();
+    /** SIGTERM was sent at that time. */
+    void term(long sentAt) {
+        termAt = sentAt;
         term.countDown();
     }
 
--- a/kit/src/main/java/portrelay/faulttest/ShutdownRound.java
+++ b/kit/src/main/java/portrelay/faulttest/ShutdownRound.java
@@ -9,12 +9,12 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import portrelay.standin.DaemonThreads;
 import portrelay.standin.Discovery;
 import portrelay.standin.HangingUpstream;
 import portrelay.standin.SidecarProcess;
-import portrelay.standin.Signals;
 import portrelay.standin.Signals.Signal;
 
 /**
@@ -29,8 +29,6 @@
     private static final int MAX_PLAYS = 2;
     /** The upstreams begin to hang so long before SIGTERM. */
     private static final double HANG_BEFORE = 0.1;
-    /** A signal that is sent later than this after its time counts as late. */
-    private static final double LATE_SIGNAL = 0.002;
 
     private static final long CLIENT_SEED_OFFSET = 100;
     private static final long JOIN_MILLIS = 5000;
@@ -43,6 +41,8 @@
     private final ShutdownClock clock = new ShutdownClock();
     private final Queue<RequestRecord> records = new ConcurrentLinkedQueue<>();
     private final List<Thread> clients = new ArrayList<>();
+    private final CountDownLatch clientsMayStart = new CountDownLatch(1);
+    private final CountDownLatch clientsHaveStarted;
     private final PauseMeter pauses = new PauseMeter();
     private final HoldMeter holds = new HoldMeter();
     private final List<PlayedTimes.SentSignal> sentSignals = new ArrayList<>();
@@ -57,6 +57,7 @@
     public ShutdownRound(ShutdownPlan plan, Path files) {
         this.plan = plan;
         this.files = files;
+        clientsHaveStarted = new CountDownLatch(plan.clients() + plan.resting() + plan.uploads());
     }
 
     /**
@@ -86,7 +87,7 @@
      */
     public ShutdownReport play() throws IOException, InterruptedException {
         List<HangingUpstream> upstreams = new ArrayList<>();
-        try (Signals signals = new Signals();
+        try (SignalScheduler signals = new SignalScheduler();
                 Discovery discovery = new Discovery(plan.seed())) {
             for (int i = 0; i < UPSTREAMS; i++) {
                 upstreams.add(new HangingUpstream(plan.seed() + i));
@@ -97,15 +98,20 @@
             String configuration = RoundConfiguration.json(port, discovery.address(), rows, plan.maxDeadline());
             return play(signals, upstreams, port, configuration);
         } finally {
+            // Where the round failed they may still wait to start, or go on connecting.
+            clients.forEach(Thread::interrupt);
             for (HangingUpstream each : upstreams) {
                 each.close();
             }
         }
     }
 
-    private ShutdownReport play(Signals signals, List<HangingUpstream> upstreams, int port, String configuration)
+    private ShutdownReport play(
+            SignalScheduler signals, List<HangingUpstream> upstreams, int port, String configuration)
             throws IOException, InterruptedException {
         Path shared = files.resolve("tmp");
+        makeClients(port);
+        signals.awaitReady();
         try (SidecarProcess sidecar = SidecarProcess.start(port, configuration, files.resolve("process"), shared)) {
             sidecar.awaitListening(START_TIMEOUT);
             if (!plan.isBeforeReady()) {
@@ -113,7 +119,8 @@
             }
             holds.start(sidecar.process());
             long clientsFrom = System.nanoTime();
-            startClients(port);
+            clientsMayStart.countDown();
+            clientsHaveStarted.await();
             clientsStartedIn = (System.nanoTime() - clientsFrom) / NANOS_PER_SECOND;
             SidecarProcess successor = null;
             double runsFor = plan.runsFor();
@@ -137,29 +144,23 @@
 
     /** Returns the seconds from SIGTERM to the end of the process, infinite where SIGKILL ended it. */
     private double shutDown(
-            Signals signals,
+            SignalScheduler signals,
             SidecarProcess sidecar,
             List<HangingUpstream> upstreams,
             List<SignalTimeline.TimedSignal> timeline,
             long plannedTermAt)
             throws IOException, InterruptedException {
         CompletableFuture<Long> exit = sidecar.process().onExit().thenApply(process -> System.nanoTime());
-        boolean isHanging = false;
-        boolean isTermSent = false;
+        boolean isStarved = plan.stoppedShare() > 0;
+        signals.play(timeline, sidecar.process().pid(), plannedTermAt, isStarved);
+        ShutdownClock.sleepUntil(plannedTermAt - nanos(HANG_BEFORE));
+        upstreams.forEach(upstream -> upstream.hang(plan.hangingShare()));
         for (SignalTimeline.TimedSignal each : timeline) {
-            if (!isHanging && each.at() >= -HANG_BEFORE) {
-                ShutdownClock.sleepUntil(plannedTermAt - nanos(HANG_BEFORE));
-                upstreams.forEach(upstream -> upstream.hang(plan.hangingShare()));
-                isHanging = true;
-            }
-            // What follows SIGTERM is planned from when that was sent.
-            long at = (isTermSent ? clock.termAt() : plannedTermAt) + nanos(each.at());
-            ShutdownClock.sleepUntil(at);
-            if (each.signal() == Signal.TERM && each.at() == 0) {
-                clock.term();
-                isTermSent = true;
+            SignalScheduler.Sent sent = signals.next();
+            if (each.isTerm()) {
+                clock.term(sent.sentAt());
             }
-            send(signals, sidecar, each, at);
+            record(sent);
         }
         clock.over();
         if (!sidecar.process().waitFor(JOIN_MILLIS, TimeUnit.MILLISECONDS)) {
@@ -169,21 +170,15 @@
         return isKilled ? Double.POSITIVE_INFINITY : (exit.join() - clock.termAt()) / NANOS_PER_SECOND;
     }
 
-    private void send(Signals signals, SidecarProcess sidecar, SignalTimeline.TimedSignal signal, long plannedAt)
-            throws IOException {
-        boolean isStarving =
-                plan.stoppedShare() > 0 && (signal.signal() == Signal.STOP || signal.signal() == Signal.CONT);
-        boolean isLate = System.nanoTime() - plannedAt > nanos(LATE_SIGNAL);
-        if (isLate && isStarving && signal.signal() == Signal.STOP) {
-            // A late stop would follow the end of the one before it at once: the process would never run.
+    private void record(SignalScheduler.Sent sent) {
+        if (sent.isSkipped()) {
             return;
         }
-        signals.send(signal.signal(), sidecar.process());
-        long sentAt = System.nanoTime();
-        pauses.signalSent(signal.signal(), sentAt);
+        boolean isStarving = plan.stoppedShare() > 0 && (sent.signal() == Signal.STOP || sent.signal() == Signal.CONT);
+        pauses.signalSent(sent.signal(), sent.sentAt());
         if (!isStarving) {
-            double late = (sentAt - plannedAt) / NANOS_PER_SECOND;
-            sentSignals.add(new PlayedTimes.SentSignal(signal.signal(), signal.at(), signal.at() + late));
+            double late = (sent.sentAt() - sent.plannedAt()) / NANOS_PER_SECOND;
+            sentSignals.add(new PlayedTimes.SentSignal(sent.signal(), sent.at(), sent.at() + late));
         }
     }
 
@@ -191,21 +186,33 @@
         return (long) (seconds * NANOS_PER_SECOND);
     }
 
-    private void startClients(int port) {
+    /** Each on a thread of its own that waits to start: making them all takes longer than any plan says. */
+    private void makeClients(int port) {
         SplittableRandom random = new SplittableRandom(plan.seed() + CLIENT_SEED_OFFSET);
-        start(port, FaultTestClient.Habit.ASKS_ON, plan.clients() - plan.pipelining(), random);
-        start(port, FaultTestClient.Habit.PIPELINES, plan.pipelining(), random);
-        start(port, FaultTestClient.Habit.RESTS, plan.resting(), random);
-        start(port, FaultTestClient.Habit.UPLOADS, plan.uploads(), random);
+        make(port, FaultTestClient.Habit.ASKS_ON, plan.clients() - plan.pipelining(), random);
+        make(port, FaultTestClient.Habit.PIPELINES, plan.pipelining(), random);
+        make(port, FaultTestClient.Habit.RESTS, plan.resting(), random);
+        make(port, FaultTestClient.Habit.UPLOADS, plan.uploads(), random);
     }
 
-    private void start(int port, FaultTestClient.Habit habit, int count, SplittableRandom random) {
+    private void make(int port, FaultTestClient.Habit habit, int count, SplittableRandom random) {
         for (int i = 0; i < count; i++) {
             String name = habit.name().toLowerCase(Locale.ROOT) + "-" + i;
             FaultTestClient client =
                     new FaultTestClient(clock, port, name, habit, plan.maxDeadline(), records, random.split());
-            clients.add(DaemonThreads.start("client-" + name, client));
+            clients.add(DaemonThreads.start("client-" + name, () -> startWithOthers(client)));
+        }
+    }
+
+    private void startWithOthers(FaultTestClient client) {
+        try {
+            clientsMayStart.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return;
         }
+        clientsHaveStarted.countDown();
+        client.run();
     }
 
     private void joinClients() throws InterruptedException {
--- a/kit/src/main/java/portrelay/faulttest/SignalTimeline.java
+++ b/kit/src/main/java/portrelay/faulttest/SignalTimeline.java
@@ -14,7 +14,14 @@
 
     private SignalTimeline() {}
 
-    record TimedSignal(double at, Signal signal) {}
+    /** A signal and its time in seconds after SIGTERM. */
+    record TimedSignal(double at, Signal signal) {
+
+        /** Whether it is the SIGTERM that all times count from. */
+        boolean isTerm() {
+            return signal == Signal.TERM && at == 0;
+        }
+    }
 
     /** From the first one before SIGTERM to SIGKILL. */
     static List<TimedSignal> of(ShutdownPlan plan) {
--- a/kit/src/main/java/portrelay/standin/Signals.java
+++ b/kit/src/main/java/portrelay/standin/Signals.java
@@ -14,11 +14,22 @@
 
     /** By their POSIX names. */
     public enum Signal {
-        TERM,
-        HUP,
-        STOP,
-        CONT,
-        KILL
+        TERM(15),
+        HUP(1),
+        STOP(19),
+        CONT(18),
+        KILL(9);
+
+        private final int number;
+
+        Signal(int number) {
+            this.number = number;
+        }
+
+        /** On Linux. */
+        public int number() {
+            return number;
+        }
     }
 
     private final Process shell;
