Listener: a turn of accepts is bounded by time, no longer by eight connections in service

Cause: each turn of the loop serves all connections that are readable, and let eight new ones in; 400 took fifty such turns. Change: up to 64 a turn, and past the eighth no longer than 10 ms, for accepts in service and for the queue at the close.

--- a/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
@@ -55,10 +55,10 @@
         this.admission = admission;
         connections = new ClientConnections(loop, log, capacity, counters);
         listener = new ClientListener(
+                loop,
                 log,
                 this::accept,
-                () -> connections.closeIdle(ConnectionCapacity.Cause.NOT_NEEDED, 0, MAX_CLOSED_PER_TURN),
-                loop::afterPoll);
+                () -> connections.closeIdle(ConnectionCapacity.Cause.NOT_NEEDED, 0, MAX_CLOSED_PER_TURN));
         service = new ServiceState(loop, connections, shutdown);
         ResponseWriter responses = new ResponseWriter(loop, log, connections, service);
         dispatcher = new RequestDispatcher(
--- a/daemon/src/main/java/portrelay/net/client/ClientListener.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientListener.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Queue;
-import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -13,6 +12,7 @@
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 import org.xnio.nio.SharedListener;
+import portrelay.net.eventloop.EventLoop;
 import portrelay.net.eventloop.Log;
 
 /**
@@ -24,7 +24,11 @@
     /** How many are accepted past the limit: for each, one of those that are open is evicted. */
     private static final int CONNECTIONS_OVER_LIMIT = 8;
     /** Handed on in one turn of the loop, so that timers and other connections have their turn between. */
-    private static final int MAX_HANDED_ON_PER_TURN = 8;
+    private static final int MAX_PER_TURN = 64;
+    /** Handed on in a turn however long that takes. */
+    private static final int MIN_PER_TURN = 8;
+    /** Past the minimum a turn ends after so long: cold code, or little of a core, makes each connection dear. */
+    private static final double MAX_TURN_SECONDS = 0.01;
 
     /** Length of the kernel's listen queue, in connections. */
     private static final int BACKLOG = 1024;
@@ -34,21 +38,18 @@
     private final Log log;
     private final Consumer<StreamConnection> accepted;
     private final Runnable freeDescriptors;
-    private final Executor laterTurn;
+    private final EventLoop loop;
     /** Accepted as the socket was closed, and not handed on yet. */
     private final Queue<StreamConnection> pending = new ArrayDeque<>();
     /** Null before it listens. */
     private SharedListener listener;
 
-    /**
-     * @param freeDescriptors called where an accept fails, as for want of descriptors
-     * @param laterTurn runs a task after the timers that are due and the connections that are readable
-     */
-    ClientListener(Log log, Consumer<StreamConnection> accepted, Runnable freeDescriptors, Executor laterTurn) {
+    /** {@code freeDescriptors} is called where an accept fails, as for want of descriptors. */
+    ClientListener(EventLoop loop, Log log, Consumer<StreamConnection> accepted, Runnable freeDescriptors) {
+        this.loop = loop;
         this.log = log;
         this.accepted = accepted;
         this.freeDescriptors = freeDescriptors;
-        this.laterTurn = laterTurn;
     }
 
     /**
@@ -91,10 +92,11 @@
 
     private void acceptAvailable(AcceptingChannel<StreamConnection> from) {
         try {
+            double startedAt = loop.now();
             StreamConnection client = from.accept();
             for (int count = 1; client != null; count++) {
                 accepted.accept(client);
-                client = count < MAX_HANDED_ON_PER_TURN ? from.accept() : null;
+                client = isTurnOver(count, startedAt) ? null : from.accept();
             }
         } catch (IOException e) {
             logFailure(e);
@@ -135,14 +137,19 @@
 
     /** In turns: handling all of a long queue at once would hold up every timer of the shutdown. */
     private void handOnPending() {
-        for (int count = 0; count < MAX_HANDED_ON_PER_TURN && !pending.isEmpty(); count++) {
+        double startedAt = loop.now();
+        for (int count = 0; !isTurnOver(count, startedAt) && !pending.isEmpty(); count++) {
             accepted.accept(pending.remove());
         }
         if (!pending.isEmpty()) {
-            laterTurn.execute(this::handOnPending);
+            loop.afterPoll(this::handOnPending);
         }
     }
 
+    private boolean isTurnOver(int handedOn, double startedAt) {
+        return handedOn >= MAX_PER_TURN || handedOn >= MIN_PER_TURN && loop.now() > startedAt + MAX_TURN_SECONDS;
+    }
+
     /**
      * Goes on after a failure: a connection that broke in the queue, or a lack of descriptors, must not cost the rest.
      */
