--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -86,7 +86,8 @@
         Rig.await(25, () -> WHOLE.get() + VISIBLY_CUT.get() + WRONG.get() + OTHER.get() == CLIENTS);
         rig.record("long answers: whole " + WHOLE + ", cut off and the client can tell " + VISIBLY_CUT
                 + ", a part given as a whole answer " + WRONG + ", other answers " + OTHER);
-        if (WHOLE.get() + VISIBLY_CUT.get() + WRONG.get() + OTHER.get() < CLIENTS || next != null && !next.process.isAlive()) {
+        if (WHOLE.get() + VISIBLY_CUT.get() + WRONG.get() + OTHER.get() < CLIENTS
+                || next != null && !next.process.isAlive()) {
             throw new Rig.CannotRun("not all clients are done, or the new process has ended");
         }
         return WRONG.get() == 0;
@@ -107,9 +108,10 @@
             }
             Http.Message head;
             try {
-                socket.getOutputStream().write(Http.bytes("GET /tile-read/" + (isLong ? "long" : "short")
-                        + " HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: " + id
-                        + "\r\nX-Qos: tile-read\r\nX-Expires-In-Ms: 600\r\n\r\n"));
+                socket.getOutputStream()
+                        .write(Http.bytes("GET /tile-read/" + (isLong ? "long" : "short")
+                                + " HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: " + id
+                                + "\r\nX-Qos: tile-read\r\nX-Expires-In-Ms: 600\r\n\r\n"));
                 head = Http.readHead(in);
             } catch (IOException e) {
                 head = null;
@@ -179,8 +181,8 @@
                 boolean isLong = request.target().endsWith("long");
                 Rig.sleep(isLong ? LONG_WORK : SHORT_WORK);
                 if (!isLong) {
-                    out.write(Http.bytes("HTTP/1.1 200 OK\r\nContent-Length: " + SHORT_BODY + "\r\n\r\n"
-                            + "t".repeat(SHORT_BODY)));
+                    out.write(Http.bytes(
+                            "HTTP/1.1 200 OK\r\nContent-Length: " + SHORT_BODY + "\r\n\r\n" + "t".repeat(SHORT_BODY)));
                     continue;
                 }
                 out.write(Http.bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -55,7 +55,8 @@
                     Threads.start("upstream-connection", () -> answer(rig, socket));
                 }
             });
-            discovery.set("s-" + i, Discovery.row("s-" + i, "127.0.0.1:" + listener.getLocalPort(), i / 6, "SERVING", 0));
+            discovery.set(
+                    "s-" + i, Discovery.row("s-" + i, "127.0.0.1:" + listener.getLocalPort(), i / 6, "SERVING", 0));
         }
         int port = Rig.freePort();
         Rig.Sidecar sidecar = rig.startSidecar(
@@ -98,12 +99,13 @@
             try (Socket socket = Rig.connect(port)) {
                 socket.setSoTimeout(15_000);
                 InputStream in = new BufferedInputStream(socket.getInputStream());
-                socket.getOutputStream().write(Http.bytes("GET /tile-read/" + number + " HTTP/1.1\r\nHost: app.svc\r\n"
-                        + "X-Trace-Id: " + id + "\r\nX-Qos: tile-read\r\nX-Expires-In-Ms: 600\r\n\r\n"));
+                socket.getOutputStream()
+                        .write(Http.bytes("GET /tile-read/" + number + " HTTP/1.1\r\nHost: app.svc\r\n" + "X-Trace-Id: "
+                                + id + "\r\nX-Qos: tile-read\r\nX-Expires-In-Ms: 600\r\n\r\n"));
                 Http.Message head = Http.readHead(in);
                 if (head != null && head.status() == 200) {
                     OPEN.incrementAndGet();
-                    receive(rig, id, head, in);
+                    receive(head, in);
                     return;
                 }
                 (head != null && head.status() == 429 ? REFUSED : FAILED).incrementAndGet();
@@ -116,7 +118,7 @@
         }
     }
 
-    private static void receive(Rig rig, String id, Http.Message head, InputStream in) {
+    private static void receive(Http.Message head, InputStream in) {
         try {
             int length = Http.bodyLength(in, head);
             (length == PIECE * PIECES ? SERVED : CUT_OFF).incrementAndGet();
--- a/review/3/Case3.java
+++ b/review/3/Case3.java
@@ -22,6 +22,7 @@
     private static final int UPSTREAMS = 12;
     /** A half of the upstreams. */
     private static final int HANGING = 6;
+
     private static final int DEADLINE_MS = 2000;
     /** Half a second in which an answer only earns nothing, and the slack of the rules on sockets. */
     private static final double SLACK = 0.5 + 0.05;
--- a/review/standin/Discovery.java
+++ b/review/standin/Discovery.java
@@ -15,14 +15,16 @@
 
     /** Returns a row of the list. */
     static String row(String id, String address, int cell, String health, long bornMs) {
-        return "{\"host\":\"" + id + "\",\"dial\":\"" + address + "\",\"site\":\"munnar\",\"class\":\"new-rack\",\"block\":"
-                + cell + ",\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":" + bornMs + "}";
+        return "{\"host\":\"" + id + "\",\"dial\":\"" + address
+                + "\",\"site\":\"munnar\",\"class\":\"new-rack\",\"block\":" + cell + ",\"health\":\"" + health
+                + "\",\"share\":1.0,\"born_ms\":" + bornMs + "}";
     }
 
     private final ServerSocket listener;
     private final Map<String, String> rows = new LinkedHashMap<>();
     /** The changed row of each version. */
     private final TreeMap<Long, String> changes = new TreeMap<>();
+
     private long version = 1;
 
     Discovery() throws IOException {
--- a/review/standin/Http.java
+++ b/review/standin/Http.java
@@ -52,7 +52,9 @@
         Map<String, String> headers = new HashMap<>();
         for (int i = 1; i < lines.length; i++) {
             int colon = lines[i].indexOf(':');
-            headers.put(lines[i].substring(0, colon).toLowerCase(Locale.ROOT), lines[i].substring(colon + 1).trim());
+            headers.put(
+                    lines[i].substring(0, colon).toLowerCase(Locale.ROOT),
+                    lines[i].substring(colon + 1).trim());
         }
         return new Message(lines[0], headers, new byte[0]);
     }
@@ -122,8 +124,9 @@
     static int call(int port, String method, String path) {
         try (Socket socket = Rig.connect(port)) {
             socket.setSoTimeout(2000);
-            socket.getOutputStream().write(bytes(
-                    method + " " + path + " HTTP/1.1\r\nHost: app.svc\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"));
+            socket.getOutputStream()
+                    .write(bytes(method + " " + path
+                            + " HTTP/1.1\r\nHost: app.svc\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"));
             Message answer = read(new BufferedInputStream(socket.getInputStream()));
             return answer == null ? -1 : answer.status();
         } catch (IOException | RuntimeException e) {
--- a/review/standin/Rig.java
+++ b/review/standin/Rig.java
@@ -38,12 +38,13 @@
     }
 
     /** The request classes of idukki-maps, with its targets, deadlines and effects. */
-    static final String CLASSES = "{\"name\":\"tile-read\",\"effect\":\"read_like\",\"group\":\"all\",\"aim-us\":300000,"
-            + "\"hard-limit-us\":600000,\"dedup-window-us\":5000000,\"worth\":5.0,\"late-worth\":0.25,\"streaming\":false},"
-            + "{\"name\":\"route-save\",\"effect\":\"idempotency_key\",\"group\":\"cell\",\"aim-us\":600000,"
-            + "\"hard-limit-us\":2000000,\"dedup-window-us\":1200000,\"worth\":10.0,\"late-worth\":0.2,\"streaming\":false},"
-            + "{\"name\":\"permit-issue\",\"effect\":\"non_idempotent\",\"group\":\"all\",\"aim-us\":600000,"
-            + "\"hard-limit-us\":2000000,\"dedup-window-us\":5000000,\"worth\":8.0,\"late-worth\":0.2,\"streaming\":false}";
+    static final String CLASSES =
+            "{\"name\":\"tile-read\",\"effect\":\"read_like\",\"group\":\"all\",\"aim-us\":300000,"
+                + "\"hard-limit-us\":600000,\"dedup-window-us\":5000000,\"worth\":5.0,\"late-worth\":0.25,\"streaming\":false},"
+                + "{\"name\":\"route-save\",\"effect\":\"idempotency_key\",\"group\":\"cell\",\"aim-us\":600000,"
+                + "\"hard-limit-us\":2000000,\"dedup-window-us\":1200000,\"worth\":10.0,\"late-worth\":0.2,\"streaming\":false},"
+                + "{\"name\":\"permit-issue\",\"effect\":\"non_idempotent\",\"group\":\"all\",\"aim-us\":600000,"
+                + "\"hard-limit-us\":2000000,\"dedup-window-us\":5000000,\"worth\":8.0,\"late-worth\":0.2,\"streaming\":false}";
 
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     final Path root;
@@ -63,7 +64,8 @@
     static void main(String[] args, Case body) {
         int exit = 2;
         try {
-            Rig rig = new Rig(Path.of(args[0]).toAbsolutePath(), Path.of(args[1]).toAbsolutePath());
+            Rig rig =
+                    new Rig(Path.of(args[0]).toAbsolutePath(), Path.of(args[1]).toAbsolutePath());
             Runtime.getRuntime().addShutdownHook(new Thread(rig::close));
             Threads.start("limit", () -> {
                 sleep(MOST_SECONDS);
@@ -132,9 +134,10 @@
                 + "\",\"seed\":\"" + Long.toHexString(System.nanoTime()) + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
                 + memoryMb + ",\"sockets\":" + sockets + "},\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts
                 + "]},\"settings\":{\"classes\":[" + CLASSES + "],\"tenants\":[],\"allowed\":{\"cancel\":true,"
-                + "\"parallel-tries\":true,\"probes\":false,\"peers\":false,\"streams-per-conn\":1,\"retry-after\":true,"
-                + "\"max-retry-after-us\":2000000,\"max-attempts\":6,\"dial-timeout-us\":120000,"
-                + "\"conn-idle-us\":10000000" + allowed + "},\"invariants\":{\"ask-within-us\":10000000,\"cold-share\":0.32,"
+                                                             + "\"parallel-tries\":true,\"probes\":false,\"peers\":false,\"streams-per-conn\":1,\"retry-after\":true,"
+                                                             + "\"max-retry-after-us\":2000000,\"max-attempts\":6,\"dial-timeout-us\":120000,"
+                                                             + "\"conn-idle-us\":10000000" + allowed
+                + "},\"invariants\":{\"ask-within-us\":10000000,\"cold-share\":0.32,"
                 + "\"cold-us\":8100000,\"overload-factor\":4.0,\"tip-after-us\":3000000,\"drain-grace-us\":500000,"
                 + "\"grace-to-answer-us\":20000},\"discovery\":\"on_request\",\"siblings\":1,\"me\":0,"
                 + "\"dcs\":[\"thodupuzha\",\"munnar\",\"kumily\"],\"zone\":\"munnar\","
@@ -178,7 +181,9 @@
         /** Sends a signal to the program that the deploy file's command started. */
         void signal(String signal) throws IOException, InterruptedException {
             record("SIG" + signal + " to " + name);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
         }
     }
 
