--- a/daemon/src/main/java/portrelay/net/balancer/LoadBalancerActor.java
+++ b/daemon/src/main/java/portrelay/net/balancer/LoadBalancerActor.java
@@ -257,8 +257,8 @@
         if (outcome == Outcome.SERVED && !wasAnswered) {
             openRequests.markAnswered(request);
             request.incoming.responder().served(result);
-        } else if (result != null && result.remainder() != null) {
-            result.remainder().cancel();
+        } else if (result != null && result.streamedBody() != null) {
+            result.streamedBody().cancel();
         }
         openRequests.removeIfDone(request);
         boolean isAnswered = wasAnswered || outcome == Outcome.SERVED;
--- a/daemon/src/main/java/portrelay/net/client/ChunkedBodyCollector.java
+++ b/daemon/src/main/java/portrelay/net/client/ChunkedBodyCollector.java
@@ -1,14 +1,14 @@
 package portrelay.net.client;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.xnio.channels.StreamSourceChannel;
 import portrelay.net.connection.HttpCall;
+import portrelay.net.http.BodyBuffer;
 
 /**
  * Reads a body of unknown length until it is complete or longer than {@link HttpCall#MAX_BUFFERED_BODY}. Owns its
- * buffer; the channel remains owned by its exchange.
+ * buffers until it passes their content on; the channel remains owned by its exchange.
  */
 final class ChunkedBodyCollector {
 
@@ -32,7 +32,7 @@
 
     private final StreamSourceChannel source;
     private final Listener listener;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final BodyBuffer body = new BodyBuffer(HttpCall.MAX_BUFFERED_BODY + READ_BYTES);
     private final ByteBuffer buffer = ByteBuffer.allocate(READ_BYTES);
 
     ChunkedBodyCollector(StreamSourceChannel source, Listener listener) {
@@ -46,7 +46,7 @@
             while (body.size() <= HttpCall.MAX_BUFFERED_BODY) {
                 int count = source.read(buffer.clear());
                 if (count < 0) {
-                    listener.completed(body.toByteArray());
+                    listener.completed(body.take());
                     return;
                 }
                 if (count == 0) {
@@ -54,10 +54,10 @@
                     source.resumeReads();
                     return;
                 }
-                body.write(buffer.array(), 0, count);
+                body.append(buffer.flip());
             }
             source.suspendReads();
-            listener.exceedsBuffer(body.toByteArray());
+            listener.exceedsBuffer(body.take());
         } catch (IOException e) {
             listener.failed();
         }
--- a/daemon/src/main/java/portrelay/net/client/ClientResponder.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientResponder.java
@@ -133,15 +133,15 @@
 
     @Override
     public void served(HttpResult result) {
-        HttpResult.BodyRemainder remainder = result.remainder();
+        HttpResult.StreamedBody streamedBody = result.streamedBody();
         if (!beginResponse(StatusCodes.OK)) {
-            if (remainder != null) {
-                remainder.cancel();
+            if (streamedBody != null) {
+                streamedBody.cancel();
             }
             return;
         }
         HeaderForwarding.copy(result.headers(), exchange.getResponseHeaders());
-        if (remainder == null) {
+        if (streamedBody == null) {
             responses.send(exchange, result.body(), unreadInput());
             return;
         }
@@ -149,7 +149,7 @@
         if (length != null) {
             exchange.setResponseContentLength(Long.parseLong(length.trim()));
         }
-        remainder.transferTo(exchange.getResponseChannel(), new ResponseStream(loop, log, connections, connection));
+        streamedBody.transferTo(exchange.getResponseChannel(), new ResponseStream(loop, log, connections, connection));
     }
 
     @Override
--- a/daemon/src/main/java/portrelay/net/client/ResponseWriter.java
+++ b/daemon/src/main/java/portrelay/net/client/ResponseWriter.java
@@ -1,10 +1,13 @@
 package portrelay.net.client;
 
 import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
+import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import portrelay.admission.ConnectionCapacity;
 import portrelay.net.eventloop.EventLoop;
 import portrelay.net.eventloop.Log;
@@ -22,6 +25,9 @@
         AFTER_REQUEST
     }
 
+    /** Bytes of a body that are sent together with its head. */
+    private static final int MAX_BYTES_WITH_HEAD = 8 * 1024;
+
     private final Log log;
     private final ClientConnections connections;
     private final ServiceState service;
@@ -50,13 +56,40 @@
 
     /** Sends the body of a response whose head is set. */
     void send(HttpServerExchange exchange, byte[] body, UnreadInput unreadInput) {
-        if (unreadInput == UnreadInput.NOTHING) {
-            exchange.getResponseSender().send(ByteBuffer.wrap(body));
+        exchange.setResponseContentLength(body.length);
+        send(exchange, body, whenSent(unreadInput));
+    }
+
+    private IoCallback whenSent(UnreadInput unreadInput) {
+        return switch (unreadInput) {
+            case NOTHING -> IoCallback.END_EXCHANGE;
+            case BODY -> closeAfterBody;
+            case AFTER_REQUEST -> closeAfterComplete;
+        };
+    }
+
+    /**
+     * Sends the body. Of a long one, only a copy of its beginning is sent together with the head: Undertow refers to
+     * the buffer that it writes with the head until the connection closes or writes its next head.
+     */
+    private static void send(HttpServerExchange exchange, byte[] body, IoCallback whenSent) {
+        Sender sender = exchange.getResponseSender();
+        if (body.length <= MAX_BYTES_WITH_HEAD) {
+            sender.send(ByteBuffer.wrap(body), whenSent);
             return;
         }
-        exchange.setResponseContentLength(body.length);
-        LingeringClose close = unreadInput == UnreadInput.BODY ? closeAfterBody : closeAfterComplete;
-        exchange.getResponseSender().send(ByteBuffer.wrap(body), close);
+        ByteBuffer rest = ByteBuffer.wrap(body, MAX_BYTES_WITH_HEAD, body.length - MAX_BYTES_WITH_HEAD);
+        sender.send(ByteBuffer.wrap(Arrays.copyOf(body, MAX_BYTES_WITH_HEAD)), new IoCallback() {
+            @Override
+            public void onComplete(HttpServerExchange sent, Sender sameSender) {
+                sameSender.send(rest, whenSent);
+            }
+
+            @Override
+            public void onException(HttpServerExchange failed, Sender sameSender, IOException cause) {
+                whenSent.onException(failed, sameSender, cause);
+            }
+        });
     }
 
     /** Answers a request that is complete but can't be accepted; the connection stays open. */
--- a/daemon/src/main/java/portrelay/net/connection/HttpExchange.java
+++ b/daemon/src/main/java/portrelay/net/connection/HttpExchange.java
@@ -2,34 +2,43 @@
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
+import portrelay.net.http.BodyBuffer;
 
 /**
  * One request and its response on an {@link HttpConnection}. Writes the request, buffers a short response, and passes
- * on a long one before its body is complete. Any failure closes the connection and ends the exchange, once.
+ * on a long one before its body is complete. Holds no bytes that were written or passed on: a long response may take
+ * minutes. Any failure closes the connection and ends the exchange, once.
  */
 final class HttpExchange implements ClientCallback<ClientExchange> {
 
     /** The size of one read in bytes; most responses are shorter. */
     private static final int READ_BYTES = 4 * 1024;
 
+    private static final ByteBuffer EMPTY_BUFFER = ByteBuffer.allocate(0);
+
     private final HttpConnection connection;
-    private final HttpCall call;
+    private final ClientRequest requestHead;
+    /** A long request body; null if there is none. */
+    private final RequestBody requestBody;
+
+    private final boolean hasBufferedRequestBody;
+
     private final int maxBuffered;
     private final boolean mayStream;
     private final Consumer<HttpResult> done;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final BodyBuffer responseBody;
     private final long bytesSentBefore;
-    /** The unwritten rest of a buffered request body. */
-    private final ByteBuffer unwritten;
+    /** The unwritten rest of a buffered request body; empty if there is none. */
+    private ByteBuffer unwritten;
 
     private ClientResponse head;
     /** Whether {@link #read} is running; it handles the end of the connection itself. */
@@ -47,29 +56,27 @@
     HttpExchange(
             HttpConnection connection, HttpCall call, int maxBuffered, boolean mayStream, Consumer<HttpResult> done) {
         this.connection = connection;
-        this.call = call;
+        this.requestHead = call.head();
+        this.requestBody = call.requestBody();
+        this.hasBufferedRequestBody = call.body().length > 0;
         this.maxBuffered = maxBuffered;
         this.mayStream = mayStream;
         this.done = done;
+        this.responseBody = new BodyBuffer(maxBuffered + READ_BYTES);
         this.bytesSentBefore = connection.bytesSent();
         this.unwritten = ByteBuffer.wrap(call.body());
     }
 
     void start() {
-        failOnException(() -> connection.sendRequest(call.head(), this));
+        failOnException(() -> connection.sendRequest(requestHead, this));
     }
 
     /** Whether the last byte of the request was sent. */
     boolean isRequestWritten() {
-        if (call.requestBody() != null) {
-            return call.requestBody().isWritten();
+        if (requestBody != null) {
+            return requestBody.isWritten();
         }
-        return call.body().length == 0 ? connection.bytesSent() > bytesSentBefore : !unwritten.hasRemaining();
-    }
-
-    /** Returns the bytes of the response body that were read so far. */
-    byte[] bufferedBody() {
-        return body.toByteArray();
+        return hasBufferedRequestBody ? !unwritten.hasRemaining() : connection.bytesSent() > bytesSentBefore;
     }
 
     /** Called when the head of the request is sent, or queued for sending. */
@@ -86,8 +93,8 @@
                 fail();
             }
         });
-        if (call.requestBody() != null) {
-            call.requestBody().transferTo(exchange.getRequestChannel(), this::fail);
+        if (requestBody != null) {
+            requestBody.transferTo(exchange.getRequestChannel(), this::fail);
         } else if (unwritten.hasRemaining()) {
             write(exchange.getRequestChannel());
         }
@@ -126,6 +133,7 @@
                     return;
                 }
             }
+            unwritten = EMPTY_BUFFER;
             sink.shutdownWrites();
             if (sink.flush()) {
                 sink.suspendWrites();
@@ -173,9 +181,9 @@
                     complete();
                     return;
                 }
-                body.write(buffer.array(), 0, count);
+                responseBody.append(buffer.flip());
                 buffer.clear();
-                if (body.size() > maxBuffered) {
+                if (responseBody.size() > maxBuffered) {
                     streamOrFail(source);
                     return;
                 }
@@ -203,7 +211,7 @@
     private void stream(StreamSourceChannel source) {
         isStreaming = true;
         isReading = false;
-        done.accept(result(new StreamedResponse(connection, this, source)));
+        done.accept(result(HttpCall.NO_BODY, new StreamedResponse(connection, this, source, responseBody.take())));
     }
 
     private void complete() {
@@ -215,7 +223,7 @@
             return;
         }
         connection.exchangeCompleted();
-        done.accept(result(null));
+        done.accept(result(responseBody.take(), null));
     }
 
     private void fail() {
@@ -227,7 +235,7 @@
         done.accept(HttpResult.connectionLost(isWritten));
     }
 
-    private HttpResult result(HttpResult.BodyRemainder remainder) {
-        return new HttpResult(head.getResponseCode(), head.getResponseHeaders(), bufferedBody(), true, remainder);
+    private HttpResult result(byte[] body, HttpResult.StreamedBody streamedBody) {
+        return new HttpResult(head.getResponseCode(), head.getResponseHeaders(), body, true, streamedBody);
     }
 }
--- a/daemon/src/main/java/portrelay/net/connection/HttpResult.java
+++ b/daemon/src/main/java/portrelay/net/connection/HttpResult.java
@@ -10,15 +10,16 @@
  * @param status the status code of the response, or 0 if the connection was lost or the response was incomplete or
  *     malformed
  * @param headers the headers of the response; empty if the status is 0
- * @param body the complete body; if there is a remainder, the bytes read so far, which the remainder writes as well
+ * @param body the complete body; empty if {@code streamedBody} is given
  * @param requestWritten whether the last byte of the request was sent; relevant if the status is 0
- * @param remainder null if the response is complete; otherwise the rest of the body, which the owner of this result
- *     must either transfer or cancel
+ * @param streamedBody a long body that is not complete yet, which the owner of this result must either transfer or
+ *     cancel; null if {@code body} is the complete body
  */
-public record HttpResult(int status, HeaderMap headers, byte[] body, boolean requestWritten, BodyRemainder remainder) {
+public record HttpResult(
+        int status, HeaderMap headers, byte[] body, boolean requestWritten, StreamedBody streamedBody) {
 
-    /** The unread rest of a long response. Exactly one of the methods is called, once. */
-    public interface BodyRemainder {
+    /** The body of a long response, from its first byte. Exactly one of the methods is called, once. */
+    public interface StreamedBody {
 
         /** Writes the bytes read so far and forwards the rest as it arrives; the listener is notified of the end. */
         void transferTo(StreamSinkChannel sink, BodyTransfer.Listener listener);
--- a/daemon/src/main/java/portrelay/net/connection/RequestBody.java
+++ b/daemon/src/main/java/portrelay/net/connection/RequestBody.java
@@ -36,7 +36,9 @@
     private final EventLoop loop;
     private final ByteBufferPool pool;
     private final StreamSourceChannel source;
-    private final byte[] beginning;
+    /** The bytes that were read before the transfer; null once it has started. */
+    private byte[] beginning;
+
     private final long length;
     /** Null until an attempt starts to send the body. */
     private BodyTransfer transfer;
@@ -95,6 +97,7 @@
         }
         transfer = new BodyTransfer(
                 loop, pool, source, sink, beginning, new BodyTransfer.Size(length, HttpCall.MAX_BODY), TIMEOUTS, this);
+        beginning = null;
         transfer.start();
     }
 
--- a/daemon/src/main/java/portrelay/net/connection/StreamedResponse.java
+++ b/daemon/src/main/java/portrelay/net/connection/StreamedResponse.java
@@ -9,7 +9,7 @@
  * A long response whose first bytes have been received. Closes the connection if the response is cancelled or breaks
  * off; once the response is complete, the connection can carry the next exchange.
  */
-final class StreamedResponse implements HttpResult.BodyRemainder, BodyTransfer.Listener {
+final class StreamedResponse implements HttpResult.StreamedBody, BodyTransfer.Listener {
 
     /** An upstream may be silent for 10 s and has no minimum rate; a client must continue to read within 5 s. */
     private static final TransferTimeouts TIMEOUTS = new TransferTimeouts(10, 0, 5);
@@ -17,28 +17,33 @@
     private final HttpConnection connection;
     private final HttpExchange exchange;
     private final StreamSourceChannel source;
+    /** The bytes read so far; null once the transfer has started. */
+    private byte[] beginning;
     /** Null until the transfer starts. */
     private BodyTransfer.Listener listener;
 
-    StreamedResponse(HttpConnection connection, HttpExchange exchange, StreamSourceChannel source) {
+    /** @param beginning the bytes of the body that were read so far */
+    StreamedResponse(HttpConnection connection, HttpExchange exchange, StreamSourceChannel source, byte[] beginning) {
         this.connection = connection;
         this.exchange = exchange;
         this.source = source;
+        this.beginning = beginning;
     }
 
     @Override
     public void transferTo(StreamSinkChannel sink, BodyTransfer.Listener transferListener) {
         listener = transferListener;
-        new BodyTransfer(
-                        connection.loop(),
-                        connection.bufferPool(),
-                        source,
-                        sink,
-                        exchange.bufferedBody(),
-                        new BodyTransfer.Size(-1, HttpCall.MAX_BODY),
-                        TIMEOUTS,
-                        this)
-                .start();
+        BodyTransfer transfer = new BodyTransfer(
+                connection.loop(),
+                connection.bufferPool(),
+                source,
+                sink,
+                beginning,
+                new BodyTransfer.Size(-1, HttpCall.MAX_BODY),
+                TIMEOUTS,
+                this);
+        beginning = null;
+        transfer.start();
     }
 
     @Override
--- a/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
+++ b/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
@@ -10,9 +10,9 @@
 
 /**
  * Moves one body from a source to a sink, piece by piece as it arrives. Holds one pooled buffer while there are
- * unwritten bytes, and reads nothing meanwhile, so that the slower side determines the rate. The channels remain owned
- * by their exchanges. Notifies its listener once that the body is complete or which side failed; after {@link #stop},
- * it makes no further calls.
+ * unwritten bytes, and reads nothing meanwhile, so that the slower side determines the rate; of the bytes that were
+ * read before, it holds the unwritten ones. The channels remain owned by their exchanges. Notifies its listener once
+ * that the body is complete or which side failed; after {@link #stop}, it makes no further calls.
  */
 public final class BodyTransfer {
 
@@ -82,8 +82,10 @@
     private final Listener listener;
     /** Null while there are no unwritten bytes. */
     private PooledByteBuffer pooled;
-    /** The bytes read and not yet written: in the pooled buffer, or read before the transfer started. */
-    private ByteBuffer piece;
+    /** The bytes read and not yet written, in the pooled buffer. */
+    private ByteBuffer piece = EMPTY_BUFFER;
+    /** The bytes that were read before the transfer and are not yet in a piece. */
+    private ByteBuffer beginning;
 
     private boolean isSourceAtEnd;
     private boolean isCompletionAllowed;
@@ -111,8 +113,7 @@
         this.size = size;
         this.waits = new TransferWaits(timeouts);
         this.listener = listener;
-        this.piece = ByteBuffer.wrap(beginning);
-        this.bytesRead = beginning.length;
+        this.beginning = ByteBuffer.wrap(beginning);
     }
 
     /** Sets the callbacks of both channels and moves the bytes that are available. */
@@ -126,9 +127,7 @@
     /** Ends the transfer and releases the buffer; neither channel is used afterwards. */
     public void stop() {
         if (!isOver) {
-            isOver = true;
-            releaseBuffer();
-            source.suspendReads();
+            end();
             sink.suspendWrites();
         }
     }
@@ -197,7 +196,6 @@
     private boolean read() {
         int count = readPiece();
         bytesRead += Math.max(0, count);
-        waits.received(Math.max(0, count));
         if (count > 0 && !isTooLong()) {
             return true;
         }
@@ -220,14 +218,30 @@
             pooled = pool.allocate();
         }
         ByteBuffer buffer = pooled.getBuffer().clear();
-        int count;
+        int count = beginning.hasRemaining() ? takeBeginning(buffer) : readSource(buffer);
+        piece = count > 0 ? buffer.flip() : EMPTY_BUFFER;
+        return count;
+    }
+
+    /**
+     * Copies the beginning piece by piece: a sink may refer to the first buffer that it was given for as long as its
+     * connection is open, as Undertow's does.
+     */
+    private int takeBeginning(ByteBuffer buffer) {
+        int count = Math.min(buffer.remaining(), beginning.remaining());
+        buffer.put(beginning.slice().limit(count));
+        beginning = count < beginning.remaining() ? beginning.position(beginning.position() + count) : EMPTY_BUFFER;
+        return count;
+    }
+
+    private int readSource(ByteBuffer buffer) {
         try {
-            count = source.read(buffer);
+            int count = source.read(buffer);
+            waits.received(Math.max(0, count));
+            return count;
         } catch (IOException | RuntimeException e) {
-            count = READ_FAILED;
+            return READ_FAILED;
         }
-        piece = count > 0 ? buffer.flip() : EMPTY_BUFFER;
-        return count;
     }
 
     /** Flushes the sink first, so that bytes in its chunk encoder are not delayed until the next piece. */
@@ -293,6 +307,7 @@
 
     private void end() {
         isOver = true;
+        beginning = EMPTY_BUFFER;
         releaseBuffer();
         source.suspendReads();
     }
--- a/daemon/src/main/java/portrelay/net/upstream/UpstreamActor.java
+++ b/daemon/src/main/java/portrelay/net/upstream/UpstreamActor.java
@@ -187,7 +187,7 @@
         if (running.get(id) == attempt && connection.isUsable()) {
             write(id, attempt, connection);
         } else if (connection.isUsable()) {
-            keepIdle(attempt, connection);
+            keepIdle(attempt.address, connection);
         } else {
             end(id, attempt, Outcome.CONNECT_FAILED, null);
         }
@@ -196,14 +196,14 @@
     private void write(AttemptId id, RunningAttempt attempt, HttpConnection connection) {
         if (attempt.request.responder().isOver()) {
             // The client left while the attempt was waiting for a connection.
-            keepIdle(attempt, connection);
+            keepIdle(attempt.address, connection);
             end(id, attempt, Outcome.CANCELLED, null);
             return;
         }
         if (loop.now() >= Math.min(attempt.sendBefore, attempt.request.arrival().deadline())) {
             // The connect took too long: the upstream may have discarded the idempotency key and would execute the
             // request twice, or the request's deadline has passed.
-            keepIdle(attempt, connection);
+            keepIdle(attempt.address, connection);
             end(id, attempt, Outcome.NOT_SENT, null);
             return;
         }
@@ -229,15 +229,18 @@
 
     private void handleResult(AttemptId id, RunningAttempt attempt, HttpResult result) {
         if (running.get(id) != attempt) {
-            if (result.remainder() != null) {
-                result.remainder().cancel();
+            if (result.streamedBody() != null) {
+                result.streamedBody().cancel();
             }
             return;
         }
-        if (result.remainder() != null) {
-            attempt.connection.onReusable(() -> mailbox.post(() -> keepIdle(attempt, attempt.connection)));
-        } else if (attempt.connection.isUsable()) {
-            keepIdle(attempt, attempt.connection);
+        HttpConnection connection = attempt.connection;
+        if (result.streamedBody() != null) {
+            // Refers to the address alone: the request must not stay in memory as long as its response is passed on.
+            InetSocketAddress connectedTo = attempt.address;
+            connection.onReusable(() -> mailbox.post(() -> keepIdle(connectedTo, connection)));
+        } else if (connection.isUsable()) {
+            keepIdle(attempt.address, connection);
         }
         end(id, attempt, outcome(result), result);
     }
@@ -278,9 +281,9 @@
         }
     }
 
-    /** Keeps the attempt's connection for reuse; closes it if the address it is connected to is no longer in use. */
-    private void keepIdle(RunningAttempt attempt, HttpConnection connection) {
-        if (isUsable(attempt.address)) {
+    /** Keeps a connection for reuse; closes it if the address it is connected to is no longer in use. */
+    private void keepIdle(InetSocketAddress connectedTo, HttpConnection connection) {
+        if (isUsable(connectedTo)) {
             idleConnections.add(connection);
         } else {
             connection.close();
--- a/kit/src/main/java/portrelay/faulttest/RoundConfiguration.java
+++ b/kit/src/main/java/portrelay/faulttest/RoundConfiguration.java
@@ -8,6 +8,8 @@
  */
 final class RoundConfiguration {
 
+    private static final int DEFAULT_SOCKETS = 1024;
+
     private RoundConfiguration() {}
 
     /** Returns one row per upstream of an endpoint list in the protocol's format, without the enclosing brackets. */
@@ -32,8 +34,18 @@
      * @param deadline the deadline of each request class, in seconds
      */
     static String json(int port, String discovery, String rows, double deadline) {
+        return json(port, discovery, rows, deadline, DEFAULT_SOCKETS);
+    }
+
+    /**
+     * Returns the configuration of one sidecar with a limit of descriptors.
+     *
+     * @param sockets the number of descriptors that the sidecar may use
+     */
+    static String json(int port, String discovery, String rows, double deadline, int sockets) {
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery
-                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + sockets
+                + "},"
                 + "\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[" + rows + "]},\"settings\":{"
                 + "\"discovery\":\"on_request\",\"siblings\":1,"
                 + "\"tenants\":[{\"name\":\"acme\",\"share\":1}],\"classes\":["
--- a/kit/src/main/java/portrelay/standin/HttpReader.java
+++ b/kit/src/main/java/portrelay/standin/HttpReader.java
@@ -71,16 +71,36 @@
      * @throws IOException if the connection ends within the body
      */
     public void skipBody(Head head) throws IOException {
+        readBody(head);
+    }
+
+    /**
+     * Reads and discards the body of the message, as {@link #skipBody} does, and returns its length in bytes.
+     *
+     * @throws IOException if the connection ends within the body
+     */
+    public long readBody(Head head) throws IOException {
         if ("chunked".equalsIgnoreCase(head.header("transfer-encoding"))) {
-            int size;
-            do {
-                size = Integer.parseInt(requireLine(), HEXADECIMAL);
-                in.skipNBytes(size);
-                requireLine();
-            } while (size > 0);
-        } else if (head.header("content-length") != null) {
-            in.skipNBytes(Long.parseLong(head.header("content-length")));
+            return skipChunks();
+        }
+        String length = head.header("content-length");
+        if (length == null) {
+            return 0;
         }
+        in.skipNBytes(Long.parseLong(length));
+        return Long.parseLong(length);
+    }
+
+    private long skipChunks() throws IOException {
+        long total = 0;
+        int size;
+        do {
+            size = Integer.parseInt(requireLine(), HEXADECIMAL);
+            in.skipNBytes(size);
+            requireLine();
+            total += size;
+        } while (size > 0);
+        return total;
     }
 
     private String requireLine() throws IOException {
--- a/kit/src/main/java/portrelay/standin/SidecarProcess.java
+++ b/kit/src/main/java/portrelay/standin/SidecarProcess.java
@@ -19,6 +19,7 @@
 
     private static final int POLL_MILLIS = 2;
     private static final int ANSWER_TIMEOUT_MILLIS = 1000;
+    private static final int DEFAULT_HEAP_MB = 96;
 
     private static final Set<Process> RUNNING = ConcurrentHashMap.newKeySet();
 
@@ -44,7 +45,7 @@
     }
 
     /**
-     * Starts a sidecar.
+     * Starts a sidecar with the usual heap.
      *
      * @param port the port on which it listens by its configuration
      * @param configuration the configuration as JSON
@@ -52,6 +53,16 @@
      * @param sharedTmp its TMPDIR, which it shares with a successor
      */
     public static SidecarProcess start(int port, String configuration, Path files, Path sharedTmp) throws IOException {
+        return start(port, configuration, files, sharedTmp, DEFAULT_HEAP_MB);
+    }
+
+    /**
+     * Starts a sidecar with the given heap, as {@link #start(int, String, Path, Path)} does.
+     *
+     * @param heapMb the maximum size of the heap; the process ends if that does not suffice
+     */
+    public static SidecarProcess start(int port, String configuration, Path files, Path sharedTmp, int heapMb)
+            throws IOException {
         Files.createDirectories(files);
         Files.createDirectories(sharedTmp);
         Path configurationFile = Files.writeString(files.resolve("config.json"), configuration);
@@ -61,7 +72,9 @@
                         "-XX:+UseSerialGC",
                         "-XX:TieredStopAtLevel=1",
                         "-XX:-UsePerfData",
-                        "-Xmx96m",
+                        "-XX:+ExitOnOutOfMemoryError",
+                        "-XX:MaxDirectMemorySize=16m",
+                        "-Xmx" + heapMb + "m",
                         "-cp",
                         System.getProperty("java.class.path"),
                         "portrelay.cli.Main",
