--- a/daemon/src/main/java/portrelay/net/balancer/LoadBalancerActor.java
+++ b/daemon/src/main/java/portrelay/net/balancer/LoadBalancerActor.java
@@ -36,6 +36,9 @@
         void watch();
     }
 
+    /** Interval at which the arrival of a streamed body is observed; the platform's time limits have this tolerance. */
+    private static final double BODY_CHECK_INTERVAL_SECONDS = 0.05;
+
     private final EventLoop loop;
     private final Log log;
     private final Mailbox mailbox;
@@ -191,21 +194,37 @@
             return;
         }
         double now = loop.now();
-        double remainingSeconds = incoming.arrival().deadline() - now;
         if (incoming.requestBody() == null) {
-            startDeadlineTimer(request, remainingSeconds);
+            double remainingSeconds = incoming.arrival().deadline() - now;
+            request.deadlineTimer = loop.schedule(remainingSeconds, () -> mailbox.post(() -> handleDeadline(request)));
         } else {
-            // The time to the deadline runs from when the last byte of the body is forwarded, as the client may send
-            // the body slowly.
-            incoming.requestBody()
-                    .onWritten(() -> mailbox.post(() -> startDeadlineTimer(
-                            request, Math.min(remainingSeconds, shutdown.answerDeadline() - loop.now()))));
+            mailbox.post(() -> checkDeadlineOfStreamedRequest(request));
         }
         loadBalancer.requestArrived(now, incoming.arrival());
     }
 
-    private void startDeadlineTimer(OpenRequest request, double seconds) {
-        request.deadlineTimer = loop.schedule(seconds, () -> mailbox.post(() -> handleDeadline(request)));
+    /**
+     * Handles the deadline of a streamed request once it is due, and checks again until then. The client's time runs
+     * from the arrival of the last byte of the body, as the client may send the body slowly; not from when that byte is
+     * forwarded, as the upstream may never accept it.
+     */
+    private void checkDeadlineOfStreamedRequest(OpenRequest request) {
+        if (openRequests.get(request.id()) != request) {
+            return;
+        }
+        double deadline = request.incoming.arrival().deadline()
+                + request.incoming.requestBody().secondsToLastByte();
+        double remainingSeconds = deadline - loop.now();
+        if (deadline != Double.POSITIVE_INFINITY) {
+            remainingSeconds = Math.min(remainingSeconds, shutdown.answerDeadline() - loop.now());
+        }
+        if (remainingSeconds <= 0) {
+            handleDeadline(request);
+            return;
+        }
+        request.deadlineTimer = loop.schedule(
+                Math.min(remainingSeconds, BODY_CHECK_INTERVAL_SECONDS),
+                () -> mailbox.post(() -> checkDeadlineOfStreamedRequest(request)));
     }
 
     /** Ends the running attempts as timed out. The load balancer is notified of each, and answers the request. */
--- a/daemon/src/main/java/portrelay/net/balancer/OpenRequest.java
+++ b/daemon/src/main/java/portrelay/net/balancer/OpenRequest.java
@@ -20,7 +20,7 @@
     boolean isAnswered;
     /**
      * Ends every attempt that is still running at the deadline, also after the request was answered: if attempts may
-     * not be cancelled, nothing else ends them. Null until the whole body of a streamed request has been sent.
+     * not be cancelled, nothing else ends them. For a streamed request, the next check of its deadline.
      */
     XnioExecutor.Key deadlineTimer;
 
--- a/daemon/src/main/java/portrelay/net/client/ClientConnection.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientConnection.java
@@ -4,10 +4,11 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import org.xnio.StreamConnection;
+import org.xnio.nio.ReceiveQueue;
 import portrelay.admission.ConnectionCapacity;
 
 /** An open client connection, as tracked by {@link ClientConnections}. Used on the loop only. */
-final class ClientConnection {
+final class ClientConnection implements BodyReception {
 
     final StreamConnection socket;
     final RequestFramingFilter filter;
@@ -40,6 +41,36 @@
         }
     }
 
+    // ---- Reception of a streamed body -------------------------------------------------------------------
+
+    @Override
+    public long bytesRead() {
+        return filter.bytesRead();
+    }
+
+    @Override
+    public long bytesUnread() {
+        int inKernel = ReceiveQueue.length(socket);
+        return inKernel == ReceiveQueue.UNKNOWN ? UNKNOWN : filter.bytesPeeked() + inKernel;
+    }
+
+    @Override
+    public long bodyBytesLeft() {
+        return filter.bodyBytesLeft();
+    }
+
+    @Override
+    public double completedAt() {
+        return filter.completedAt();
+    }
+
+    @Override
+    public boolean isReading() {
+        return filter.isReadResumed();
+    }
+
+    // ---- Close ------------------------------------------------------------------------------------------
+
     /** Whether bytes from the client have arrived that are still unread; false when the connection is broken. */
     boolean hasUnreadBytes() {
         try {
--- a/daemon/src/main/java/portrelay/net/client/ClientConnections.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientConnections.java
@@ -12,6 +12,7 @@
 import portrelay.admission.ClientId;
 import portrelay.admission.ConnectionCapacity;
 import portrelay.admission.ConnectionCapacityConfig;
+import portrelay.net.connection.RequestBody;
 import portrelay.net.eventloop.EventLoop;
 import portrelay.net.eventloop.Log;
 
@@ -154,6 +155,14 @@
         return Double.isNaN(completedAt) ? loop.earliestArrival() : completedAt;
     }
 
+    /** Observes the arrival of the body of the request being handled; on a closed connection, no more of it arrives. */
+    RequestBody.ArrivalObserver observeBody(HttpServerConnection connection) {
+        ClientConnection client = find(connection);
+        return client == null
+                ? () -> Double.POSITIVE_INFINITY
+                : new BodyArrivalObserver(loop::now, client, earliestArrival(connection));
+    }
+
     /** Whether the client has closed its side; also true when the connection is broken or already closed. */
     boolean hasClientClosed(HttpServerConnection connection) {
         ClientConnection client = find(connection);
--- a/daemon/src/main/java/portrelay/net/client/RequestFramingFilter.java
+++ b/daemon/src/main/java/portrelay/net/client/RequestFramingFilter.java
@@ -156,6 +156,16 @@
         return bytesRead;
     }
 
+    /** Returns the number of bytes that were read ahead by a peek and are not yet taken. */
+    int bytesPeeked() {
+        return peeked == null ? 0 : peeked.remaining();
+    }
+
+    /** Returns the number of bytes of the current body that have not been read, or -1 if its length is not known. */
+    long bodyBytesLeft() {
+        return framing.bodyBytesLeft();
+    }
+
     /** Passes all further bytes on unparsed; the reader discards them and waits for the end of the stream. */
     void stopParsing() {
         isParsing = false;
--- a/daemon/src/main/java/portrelay/net/client/RequestHandler.java
+++ b/daemon/src/main/java/portrelay/net/client/RequestHandler.java
@@ -134,7 +134,9 @@
     private void dispatchStreamed(
             HttpServerExchange exchange, StreamSourceChannel source, byte[] beginning, long length) {
         ByteBufferPool pool = exchange.getConnection().getByteBufferPool();
-        dispatcher.dispatch(exchange, HttpCall.NO_BODY, new RequestBody(loop, pool, source, beginning, length));
+        RequestBody.ArrivalObserver arrival = connections.observeBody(connection(exchange));
+        dispatcher.dispatch(
+                exchange, HttpCall.NO_BODY, new RequestBody(loop, pool, source, beginning, length, arrival));
     }
 
     private void rejectIncompleteBody(HttpServerExchange exchange) {
--- a/daemon/src/main/java/portrelay/net/connection/RequestBody.java
+++ b/daemon/src/main/java/portrelay/net/connection/RequestBody.java
@@ -33,6 +33,17 @@
         void clientFailed(boolean isTooLong);
     }
 
+    /** Observes when the body arrives, independently of whether an upstream accepts it. Called on the loop. */
+    public interface ArrivalObserver {
+
+        /**
+         * Returns the seconds from the arrival of the request's head to the earliest time at which the last byte of the
+         * body may have arrived; infinite as long as it can't have arrived. To be called repeatedly, at intervals: the
+         * result may grow while bytes arrive, and is as accurate as the interval.
+         */
+        double secondsToLastByte();
+    }
+
     private final EventLoop loop;
     private final ByteBufferPool pool;
     private final StreamSourceChannel source;
@@ -40,11 +51,11 @@
     private byte[] beginning;
 
     private final long length;
+    private final ArrivalObserver arrival;
     /** Null until an attempt starts to send the body. */
     private BodyTransfer transfer;
 
     private Listener listener;
-    private Runnable writtenListener = () -> {};
     private Runnable upstreamFailed;
     private boolean isWritten;
     private boolean isStopped;
@@ -55,13 +66,21 @@
      * @param source the channel of the client's exchange, which remains its owner
      * @param beginning the bytes that have already been read
      * @param length in bytes, -1 if the client does not announce it
+     * @param arrival observes the whole body, including the beginning
      */
-    public RequestBody(EventLoop loop, ByteBufferPool pool, StreamSourceChannel source, byte[] beginning, long length) {
+    public RequestBody(
+            EventLoop loop,
+            ByteBufferPool pool,
+            StreamSourceChannel source,
+            byte[] beginning,
+            long length,
+            ArrivalObserver arrival) {
         this.loop = loop;
         this.pool = pool;
         this.source = source;
         this.beginning = beginning;
         this.length = length;
+        this.arrival = arrival;
     }
 
     /** Returns the length in bytes, or -1 if the client does not announce it. */
@@ -79,9 +98,9 @@
         listener = clientSide;
     }
 
-    /** Sets a callback that runs once, when the last byte was sent to the upstream. */
-    public void onWritten(Runnable callback) {
-        writtenListener = callback;
+    /** As {@link ArrivalObserver#secondsToLastByte}. */
+    public double secondsToLastByte() {
+        return arrival.secondsToLastByte();
     }
 
     /**
@@ -122,7 +141,6 @@
     @Override
     public void completed() {
         isWritten = true;
-        writtenListener.run();
         listener.forwarded();
     }
 
--- a/daemon/src/main/java/portrelay/net/http/Framing.java
+++ b/daemon/src/main/java/portrelay/net/http/Framing.java
@@ -77,6 +77,11 @@
         return state == State.MALFORMED;
     }
 
+    /** Returns the number of bytes that are missing from a body with a length; -1 for another body or none. */
+    public long bodyBytesLeft() {
+        return state == State.BODY ? bytesLeft : -1;
+    }
+
     /** Whether the current message is complete by its own framing. */
     public boolean isComplete() {
         return state == State.COMPLETE;
