--- a/daemon/src/main/java/portrelay/net/client/ClientResponder.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientResponder.java
@@ -145,11 +145,30 @@
             responses.send(exchange, result.body(), unreadInput());
             return;
         }
-        String length = result.headers().getFirst(Headers.CONTENT_LENGTH);
+        ResponseStream stream = new ResponseStream(loop, log, connections, connection);
+        if (!setFraming(result.headers().getFirst(Headers.CONTENT_LENGTH))) {
+            stream.resetOnEarlyClose();
+        }
+        streamedBody.transferTo(exchange.getResponseChannel(), stream);
+    }
+
+    /**
+     * Sets the framing of a streamed response, so that the client can tell a complete body from one that broke off,
+     * whatever ends it. Returns false for a client of HTTP/1.0 if the length is unknown: only the end of the connection
+     * can delimit the body then. Undertow would choose that for HTTP/1.1, too, if the connection is not kept.
+     *
+     * @param length the value of the upstream's Content-Length; null if there is none
+     */
+    private boolean setFraming(String length) {
         if (length != null) {
             exchange.setResponseContentLength(Long.parseLong(length.trim()));
+            return true;
+        }
+        if (exchange.isHttp11()) {
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+            return true;
         }
-        streamedBody.transferTo(exchange.getResponseChannel(), new ResponseStream(loop, log, connections, connection));
+        return false;
     }
 
     @Override
--- a/daemon/src/main/java/portrelay/net/client/ResponseStream.java
+++ b/daemon/src/main/java/portrelay/net/client/ResponseStream.java
@@ -23,6 +23,10 @@
     private boolean waitsForClient = true;
 
     private double phaseRenewedAt;
+    /**
+     * Whether only the end of the connection delimits the body, and the connection is reset until the body is complete.
+     */
+    private boolean resetsOnEarlyClose;
 
     ResponseStream(EventLoop loop, Log log, ClientConnections connections, HttpServerConnection connection) {
         this.loop = loop;
@@ -31,6 +35,25 @@
         this.connection = connection;
     }
 
+    /**
+     * Makes every close of the connection a reset until the body is complete, including the close by the kernel at the
+     * end of the process. Called before the transfer starts, for a body that only the end of the connection delimits:
+     * the client would take any other end for the end of the body.
+     */
+    void resetOnEarlyClose() {
+        resetsOnEarlyClose = true;
+        setResetOnClose(true);
+    }
+
+    /** From here on, all bytes are written, and a reset would destroy those that the client has not read yet. */
+    @Override
+    public boolean mayComplete() {
+        if (resetsOnEarlyClose) {
+            setResetOnClose(false);
+        }
+        return true;
+    }
+
     /** Renews the phase: a client that reads, however slowly, must not be evicted as one that does not. */
     @Override
     public void transferred() {
@@ -61,17 +84,10 @@
         // The exchange has ended with its last byte.
     }
 
-    /**
-     * Closes with a reset: the client must see that the body is incomplete, even if only the end of the connection
-     * marks the end of the body.
-     */
+    /** Closes with a reset, so that the client sees at once that the body is incomplete. */
     @Override
     public void sourceFailed() {
-        try {
-            connection.getChannel().setOption(Options.CLOSE_ABORT, true);
-        } catch (IOException | IllegalArgumentException e) {
-            log.warn("incomplete response closed without a reset: cause=" + e.getMessage());
-        }
+        setResetOnClose(true);
         connections.close(connection, RequestProgress.EndCause.UPSTREAM_BROKE_OFF);
     }
 
@@ -79,4 +95,12 @@
     public void sinkFailed() {
         connections.close(connection, RequestProgress.EndCause.CLIENT_UNREADING);
     }
+
+    private void setResetOnClose(boolean isReset) {
+        try {
+            connection.getChannel().setOption(Options.CLOSE_ABORT, isReset);
+        } catch (IOException | IllegalArgumentException e) {
+            log.warn("end of a response not set: reset=" + isReset + " cause=" + e.getMessage());
+        }
+    }
 }
--- a/daemon/src/main/java/portrelay/net/connection/StreamedResponse.java
+++ b/daemon/src/main/java/portrelay/net/connection/StreamedResponse.java
@@ -56,6 +56,11 @@
         return connection.isResponseComplete();
     }
 
+    @Override
+    public boolean mayComplete() {
+        return listener.mayComplete();
+    }
+
     @Override
     public void transferred() {
         listener.transferred();
