--- a/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
+++ b/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
@@ -1,18 +1,16 @@
 package portrelay.net.http;
 
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.connector.PooledByteBuffer;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 import portrelay.net.eventloop.EventLoop;
 
 /**
- * Moves one body from a source to a sink, piece by piece as it arrives. Holds one pooled buffer while there are
- * unwritten bytes, and reads nothing meanwhile, so that the slower side determines the rate; of the bytes that were
- * read before, it holds the unwritten ones. The channels remain owned by their exchanges. Notifies its listener once
- * that the body is complete or which side failed; after {@link #stop}, it makes no further calls.
+ * Moves one body from a source to a sink, piece by piece as it arrives. Reads nothing while there are unwritten bytes,
+ * so that the slower side determines the rate; a {@link BodySource} holds them. The channels remain owned by their
+ * exchanges. Notifies its listener once that the body is complete or which side failed; after {@link #stop}, it makes
+ * no further calls.
  */
 public final class BodyTransfer {
 
@@ -67,26 +65,13 @@
     private static final int MAX_BYTES_PER_TURN = 256 * 1024;
 
     private static final double CHECK_INTERVAL_SECONDS = 0.5;
-    /** The result of a read at the source's end, as in NIO. */
-    private static final int AT_END = -1;
-
-    private static final int READ_FAILED = -2;
-    private static final ByteBuffer EMPTY_BUFFER = ByteBuffer.allocate(0);
-
     private final EventLoop loop;
-    private final ByteBufferPool pool;
     private final StreamSourceChannel source;
     private final StreamSinkChannel sink;
     private final Size size;
     private final TransferWaits waits;
+    private final BodySource body;
     private final Listener listener;
-    /** Null while there are no unwritten bytes. */
-    private PooledByteBuffer pooled;
-    /** The bytes read and not yet written, in the pooled buffer. */
-    private ByteBuffer piece = EMPTY_BUFFER;
-    /** The bytes that were read before the transfer and are not yet in a piece. */
-    private ByteBuffer beginning;
-
     private boolean isSourceAtEnd;
     private boolean isCompletionAllowed;
     private boolean isOver;
@@ -107,13 +92,12 @@
             TransferTimeouts timeouts,
             Listener listener) {
         this.loop = loop;
-        this.pool = pool;
         this.source = source;
         this.sink = sink;
         this.size = size;
         this.waits = new TransferWaits(timeouts);
+        this.body = new BodySource(pool, source, beginning, waits);
         this.listener = listener;
-        this.beginning = ByteBuffer.wrap(beginning);
     }
 
     /** Sets the callbacks of both channels and moves the bytes that are available. */
@@ -152,7 +136,7 @@
                     return;
                 }
             }
-            if (piece.hasRemaining()) {
+            if (body.piece().hasRemaining()) {
                 int count = write();
                 if (count == 0) {
                     return;
@@ -179,7 +163,7 @@
     /** Writes as much of the piece as the sink accepts; returns 0 if it accepts nothing now or has failed. */
     private int write() {
         try {
-            int count = sink.write(piece);
+            int count = sink.write(body.piece());
             if (count == 0) {
                 await(Side.SINK);
             } else {
@@ -194,17 +178,16 @@
 
     /** Reads a piece; returns false if none is available or the transfer is over. */
     private boolean read() {
-        int count = readPiece();
+        int count = body.read();
         bytesRead += Math.max(0, count);
         if (count > 0 && !isTooLong()) {
             return true;
         }
-        releaseBuffer();
         if (count == 0) {
             flushAndAwaitSource();
             return false;
         }
-        if (count == AT_END && listener.isSourceComplete()) {
+        if (count == BodySource.AT_END && listener.isSourceComplete()) {
             isSourceAtEnd = true;
             return true;
         }
@@ -212,38 +195,6 @@
         return false;
     }
 
-    /** Returns the number of bytes read, or {@link #AT_END} or {@link #READ_FAILED}. */
-    private int readPiece() {
-        if (pooled == null) {
-            pooled = pool.allocate();
-        }
-        ByteBuffer buffer = pooled.getBuffer().clear();
-        int count = beginning.hasRemaining() ? takeBeginning(buffer) : readSource(buffer);
-        piece = count > 0 ? buffer.flip() : EMPTY_BUFFER;
-        return count;
-    }
-
-    /**
-     * Copies the beginning piece by piece: a sink may refer to the first buffer that it was given for as long as its
-     * connection is open, as Undertow's does.
-     */
-    private int takeBeginning(ByteBuffer buffer) {
-        int count = Math.min(buffer.remaining(), beginning.remaining());
-        buffer.put(beginning.slice().limit(count));
-        beginning = count < beginning.remaining() ? beginning.position(beginning.position() + count) : EMPTY_BUFFER;
-        return count;
-    }
-
-    private int readSource(ByteBuffer buffer) {
-        try {
-            int count = source.read(buffer);
-            waits.received(Math.max(0, count));
-            return count;
-        } catch (IOException | RuntimeException e) {
-            return READ_FAILED;
-        }
-    }
-
     /** Flushes the sink first, so that bytes in its chunk encoder are not delayed until the next piece. */
     private void flushAndAwaitSource() {
         try {
@@ -307,16 +258,7 @@
 
     private void end() {
         isOver = true;
-        beginning = EMPTY_BUFFER;
-        releaseBuffer();
+        body.release();
         source.suspendReads();
     }
-
-    private void releaseBuffer() {
-        if (pooled != null) {
-            pooled.close();
-            pooled = null;
-            piece = EMPTY_BUFFER;
-        }
-    }
 }
