StalledBodiesNetTest: a request whose upstream hangs in its body, in a shutdown

Cause: the related path of a planned restart had no test of its own: the deadline of a stalled body is far, and the shutdown has to answer it. Change: one more test, with Connection: close and a body that never arrives in full. Whether it failed before the mend was not tried.

--- a/daemon/src/test/java/portrelay/net/StalledBodiesNetTest.java
+++ b/daemon/src/test/java/portrelay/net/StalledBodiesNetTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import portrelay.net.SidecarFixture.Message;
@@ -30,6 +31,7 @@
 class StalledBodiesNetTest {
 
     private static final int DEADLINE_MILLIS = 1000;
+    private static final int LONG_DEADLINE_MILLIS = 9000;
     /** Far less than the 10 s after which an upstream that reads nothing fails, far more than the deadline. */
     private static final double MAX_SECONDS = 6;
 
@@ -101,8 +103,14 @@
     }
 
     private static SidecarFixture sidecarBefore(StallingUpstream upstream) throws Exception {
+        return sidecarBefore(upstream, config -> config);
+    }
+
+    private static SidecarFixture sidecarBefore(StallingUpstream upstream, UnaryOperator<String> adjustment)
+            throws Exception {
         String row = SidecarFixture.endpointRow("s-0", "127.0.0.1:" + upstream.listener.getLocalPort(), "SERVING");
-        return new SidecarFixture(1024, "{}", config -> config.replace("\"hosts\":[]", "\"hosts\":[" + row + "]"));
+        return new SidecarFixture(
+                1024, "{}", config -> adjustment.apply(config.replace("\"hosts\":[]", "\"hosts\":[" + row + "]")));
     }
 
     private static byte[] head(String id, String framing) {
@@ -112,6 +120,10 @@
 
     private static void writeLength(OutputStream out, String id, int length, AtomicLong written) throws IOException {
         out.write(head(id, "Content-Length: " + length));
+        writeBody(out, length, written);
+    }
+
+    private static void writeBody(OutputStream out, int length, AtomicLong written) throws IOException {
         byte[] piece = new byte[PIECE_BYTES];
         while (written.get() < length) {
             int count = (int) Math.min(piece.length, length - written.get());
@@ -190,6 +202,24 @@
         assertArrivedBodiesAreAnsweredByTheirDeadlines(TRICKLES);
     }
 
+    /** The shutdown ends long before the request's own deadline; the process must not end without an answer. */
+    @Test
+    void aRequestWhoseUpstreamHangsInItsBodyIsAnsweredInAShutdown() throws Exception {
+        try (StallingUpstream upstream = new StallingUpstream(HANGS);
+                SidecarFixture sidecar = sidecarBefore(upstream, SidecarFixture.longDeadlines())) {
+            Socket client = sidecar.connect();
+            AtomicLong written = new AtomicLong();
+            String head = SidecarFixture.requestHead("POST /issue/x", "a", "issue", LONG_DEADLINE_MILLIS)
+                    + "Content-Length: " + ENDLESS_BYTES + "\r\nConnection: close\r\n\r\n";
+            client.getOutputStream().write(head.getBytes(ISO_8859_1));
+            startDaemon(() -> writeBody(client.getOutputStream(), ENDLESS_BYTES, written));
+            awaitStalled(written);
+            long start = System.nanoTime();
+            startDaemon(sidecar.sidecar::drain);
+            assertAnsweredInTime(client, start, "in a shutdown");
+        }
+    }
+
     private static void assertArrivedBodiesAreAnsweredByTheirDeadlines(Reader reader) throws Exception {
         try (StallingUpstream upstream = new StallingUpstream(reader);
                 SidecarFixture sidecar = sidecarBefore(upstream)) {
