--- /dev/null
+++ b/kit/src/main/java/portrelay/faulttest/scale/ProcessMeter.java
@@ -0,0 +1,90 @@
+package portrelay.faulttest.scale;
+
+import java.io.IOException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Samples what a process uses, from Linux's /proc. */
+final class ProcessMeter {
+
+    private static final double TICKS_PER_SECOND = 100;
+    /** Index of the field utime after the thread's name in /proc/PID/task/TID/stat. */
+    private static final int USER_TIME_FIELD = 11;
+
+    private static final double KIB_PER_MIB = 1024;
+
+    private final Path proc;
+    private int maxDescriptors;
+    private int maxThreads;
+    private double peakMemoryMb;
+    private Map<String, Double> cpuSecondsByThread = Map.of();
+
+    ProcessMeter(long processId) {
+        proc = Path.of("/proc", Long.toString(processId));
+    }
+
+    /** Takes a sample; keeps the values of the last one if the process has ended. */
+    void sample() {
+        try {
+            maxDescriptors = Math.max(maxDescriptors, count(proc.resolve("fd")));
+            maxThreads = Math.max(maxThreads, count(proc.resolve("task")));
+            for (String line : Files.readAllLines(proc.resolve("status"))) {
+                if (line.startsWith("VmHWM:")) {
+                    peakMemoryMb = Double.parseDouble(line.replaceAll("[^0-9]", "")) / KIB_PER_MIB;
+                }
+            }
+            cpuSecondsByThread = readCpuSeconds();
+        } catch (IOException e) {
+            // The process has ended.
+        }
+    }
+
+    private static int count(Path folder) throws IOException {
+        int count = 0;
+        try (DirectoryStream<Path> entries = Files.newDirectoryStream(folder)) {
+            for (Path entry : entries) {
+                count += entry.getFileName() == null ? 0 : 1;
+            }
+        }
+        return count;
+    }
+
+    private Map<String, Double> readCpuSeconds() throws IOException {
+        Map<String, Double> seconds = new TreeMap<>();
+        try (DirectoryStream<Path> threads = Files.newDirectoryStream(proc.resolve("task"))) {
+            for (Path thread : threads) {
+                String stat = Files.readString(thread.resolve("stat"));
+                String name = stat.substring(stat.indexOf('(') + 1, stat.lastIndexOf(')'));
+                String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+                double ticks = Long.parseLong(fields[USER_TIME_FIELD]) + Long.parseLong(fields[USER_TIME_FIELD + 1]);
+                seconds.merge(name, ticks / TICKS_PER_SECOND, Double::sum);
+            }
+        }
+        return seconds;
+    }
+
+    @Override
+    public String toString() {
+        double total = cpuSecondsByThread.values().stream()
+                .mapToDouble(Double::doubleValue)
+                .sum();
+        StringBuilder threads = new StringBuilder();
+        cpuSecondsByThread.forEach((name, seconds) -> {
+            if (seconds >= 0.1) {
+                threads.append(String.format(Locale.ROOT, " %s:%.1f", name.replace(' ', '_'), seconds));
+            }
+        });
+        return String.format(
+                Locale.ROOT,
+                "cpu-s=%.1f%s peak-mb=%.0f descriptors=%d threads=%d",
+                total,
+                threads,
+                peakMemoryMb,
+                maxDescriptors,
+                maxThreads);
+    }
+}
--- /dev/null
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScaleReport.java
@@ -0,0 +1,67 @@
+package portrelay.faulttest.scale;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * The result of a round.
+ *
+ * @param requests the number of requests that clients sent completely
+ * @param arrivals the number of requests that upstreams received completely
+ * @param ends how many requests ended in which way
+ * @param readySeconds the longest time that a process took to be ready, without a predecessor
+ * @param successorReadySeconds the longest time that a successor took to be ready
+ * @param killed the number of processes that SIGKILL ended
+ * @param processes what each process used
+ * @param discoveryBytes the number of bytes that discovery sent
+ */
+public record ScaleReport(
+        ScalePlan plan,
+        int requests,
+        int arrivals,
+        Map<String, Integer> ends,
+        double readySeconds,
+        double successorReadySeconds,
+        int killed,
+        List<String> processes,
+        long discoveryBytes,
+        List<ScaleViolation> violations) {
+
+    /** Returns how often each rule was violated. */
+    public Map<ScaleViolation.Rule, Integer> violationCounts() {
+        Map<ScaleViolation.Rule, Integer> counts = new EnumMap<>(ScaleViolation.Rule.class);
+        violations.forEach(violation -> counts.merge(violation.rule(), 1, Integer::sum));
+        return counts;
+    }
+
+    /** Returns up to the given number of violations of each rule. */
+    public List<ScaleViolation> examples(int perRule) {
+        Map<ScaleViolation.Rule, Integer> seen = new EnumMap<>(ScaleViolation.Rule.class);
+        List<ScaleViolation> examples = new ArrayList<>();
+        for (ScaleViolation violation : violations) {
+            if (seen.merge(violation.rule(), 1, Integer::sum) <= perRule) {
+                examples.add(violation);
+            }
+        }
+        return examples;
+    }
+
+    @Override
+    public String toString() {
+        return String.format(
+                Locale.ROOT,
+                "%s requests=%d %s arrivals=%d ready-s=%.1f successor-ready-s=%.1f killed=%d list-bytes=%d violations=%s",
+                plan,
+                requests,
+                ends,
+                arrivals,
+                readySeconds,
+                successorReadySeconds,
+                killed,
+                discoveryBytes,
+                violationCounts());
+    }
+}
--- /dev/null
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScaleRound.java
@@ -0,0 +1,298 @@
+package portrelay.faulttest.scale;
+
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import portrelay.faulttest.scale.ScaleRuleChecker.ShutdownWindow;
+import portrelay.faulttest.scale.ScaleViolation.Rule;
+import portrelay.standin.DaemonThreads;
+import portrelay.standin.Discovery;
+import portrelay.standin.SidecarProcess;
+import portrelay.standin.Signals;
+import portrelay.standin.UpstreamFleet;
+
+/**
+ * Plays one round: real sidecars under load while their endpoint lists change, SIGHUP in a row, a successor for each,
+ * SIGTERM and SIGKILL at the earliest time that the protocol allows, and the same for the successors. An instance plays
+ * one round.
+ */
+public final class ScaleRound {
+
+    private static final double START_TIMEOUT_SECONDS = 30;
+    /** The launcher's rule: what the memory limit leaves beside the rest of the JVM, within bounds. */
+    private static final int MEMORY_BESIDE_HEAP_MB = 60;
+
+    private static final int MIN_HEAP_MB = 32;
+    private static final int MAX_HEAP_MB = 128;
+    /** Below the range from which the system takes the ports of outgoing connections. */
+    private static final int FIRST_PORT = 20_000;
+
+    private static final int PORTS = 12_000;
+    private static final double SAMPLE_INTERVAL_SECONDS = 0.25;
+    private static final double HANGUP_INTERVAL_SECONDS = 0.2;
+    /** How long after SIGTERM clients may open connections. */
+    private static final double CONNECT_AFTER_TERM_SECONDS = 0.4;
+
+    private static final long JOIN_TIMEOUT_MILLIS = 8000;
+    private static final long EXIT_TIMEOUT_SECONDS = 5;
+
+    private final ScalePlan plan;
+    private final Path files;
+    private final SplittableRandom random;
+    private final Queue<SentRequest> records = new ConcurrentLinkedQueue<>();
+    private final List<ScaleViolation> processViolations = new ArrayList<>();
+    private final List<ShutdownWindow> shutdowns = new ArrayList<>();
+    private final List<SidecarProcess> processes = new ArrayList<>();
+    private final List<ProcessMeter> meters = new ArrayList<>();
+    private final List<ScaleClient> clients = new ArrayList<>();
+    private final List<Thread> clientThreads = new ArrayList<>();
+    private volatile boolean isOver;
+    private double readySeconds;
+    private double successorReadySeconds;
+    private int killed;
+
+    /** @param files the folder for the configuration and the log of each process */
+    public ScaleRound(ScalePlan plan, Path files) {
+        this.plan = plan;
+        this.files = files;
+        random = new SplittableRandom(plan.seed());
+    }
+
+    /**
+     * Plays the round.
+     *
+     * @throws IOException if a process can't be started, or a signal can't be sent
+     */
+    public ScaleReport play() throws IOException, InterruptedException {
+        try (UpstreamFleet fleet = new UpstreamFleet(plan.rows(), plan.seed());
+                Discovery discovery = new Discovery(plan.seed());
+                Signals signals = new Signals()) {
+            ListPublisher lists = new ListPublisher(plan, fleet, discovery);
+            lists.publishFirst();
+            play(fleet, discovery, signals, lists);
+            return report(fleet, discovery, lists);
+        } finally {
+            isOver = true;
+            clientThreads.forEach(Thread::interrupt);
+            processes.forEach(SidecarProcess::close);
+        }
+    }
+
+    private void play(UpstreamFleet fleet, Discovery discovery, Signals signals, ListPublisher lists)
+            throws IOException, InterruptedException {
+        List<Integer> ports = new ArrayList<>();
+        List<Integer> peerPorts = new ArrayList<>();
+        for (int i = 0; i < plan.sidecars(); i++) {
+            ports.add(freePort());
+            peerPorts.add(freeUdpPort());
+        }
+        Thread background = DaemonThreads.start("background", () -> changeListsAndSample(lists));
+        List<SidecarProcess> first = startAll(ports, peerPorts, discovery, lists, "first");
+        readySeconds = awaitReady(first, "first");
+        startClients(ports);
+        fleet.setTroubledShare(plan.troubledShare());
+        fleet.refuseFrom((int) Math.ceil(plan.rows() * (1 - plan.refusingShare())));
+        sleep(plan.runSeconds() / 3);
+        hangUp(signals, first);
+        List<SidecarProcess> successors = startAll(ports, peerPorts, discovery, lists, "successor");
+        successorReadySeconds = awaitReady(successors, "successor");
+        shutDown(signals, first, "first", false);
+        sleep(plan.runSeconds() / 3);
+        shutDown(signals, successors, "successor", true);
+        isOver = true;
+        joinClients();
+        background.join(JOIN_TIMEOUT_MILLIS);
+    }
+
+    private List<SidecarProcess> startAll(
+            List<Integer> ports, List<Integer> peerPorts, Discovery discovery, ListPublisher lists, String name)
+            throws IOException {
+        List<SidecarProcess> started = new ArrayList<>();
+        String rows = plan.isListConfigured() ? lists.rows() : "";
+        for (int i = 0; i < plan.sidecars(); i++) {
+            String json = ScaleConfiguration.json(plan, i, ports.get(i), discovery.address(), rows, peerPorts);
+            Path folder = files.resolve("n" + i);
+            int heapMb = Math.max(MIN_HEAP_MB, Math.min(MAX_HEAP_MB, plan.memoryMb() - MEMORY_BESIDE_HEAP_MB));
+            SidecarProcess process =
+                    SidecarProcess.start(ports.get(i), json, folder.resolve(name), folder.resolve("tmp"), heapMb);
+            started.add(process);
+            synchronized (meters) {
+                meters.add(new ProcessMeter(process.process().pid()));
+            }
+        }
+        processes.addAll(started);
+        return started;
+    }
+
+    /**
+     * Waits until all are ready, by the log as the port may be another process's, and returns the seconds that took.
+     */
+    private double awaitReady(List<SidecarProcess> started, String name) throws IOException, InterruptedException {
+        long from = System.nanoTime();
+        for (int i = 0; i < started.size(); i++) {
+            SidecarProcess process = started.get(i);
+            while (process.log().stream().noneMatch(line -> line.contains("ready: listen="))) {
+                boolean isLate = System.nanoTime() - from > START_TIMEOUT_SECONDS * 1e9;
+                if (isLate || !process.process().isAlive()) {
+                    violation(Rule.NOT_READY, name + " " + i, describeEnd(process));
+                    break;
+                }
+                sleep(0.02);
+            }
+        }
+        return (System.nanoTime() - from) / 1e9;
+    }
+
+    private void startClients(List<Integer> ports) {
+        for (int i = 0; i < ports.size(); i++) {
+            for (int c = 0; c < plan.clients(); c++) {
+                String name = "r" + Long.toHexString(plan.seed()) + "-" + i + "-" + c;
+                ScaleClient client = new ScaleClient(ports.get(i), name, random.split(), records);
+                clients.add(client);
+                clientThreads.add(DaemonThreads.start(name, client));
+            }
+        }
+    }
+
+    private void hangUp(Signals signals, List<SidecarProcess> targets) throws IOException, InterruptedException {
+        for (int i = 0; i < plan.hangups(); i++) {
+            for (SidecarProcess target : targets) {
+                signals.send(Signals.Signal.HUP, target.process());
+            }
+            sleep(HANGUP_INTERVAL_SECONDS);
+        }
+    }
+
+    /** Sends SIGTERM to all, and SIGKILL at the earliest time to those that are still there. */
+    private void shutDown(Signals signals, List<SidecarProcess> targets, String name, boolean isLast)
+            throws IOException, InterruptedException {
+        long termAt = System.nanoTime();
+        for (int i = 0; i < targets.size(); i++) {
+            SidecarProcess target = targets.get(i);
+            if (!target.process().isAlive()) {
+                violation(Rule.EXITED, name + " " + i, describeEnd(target));
+            }
+            signals.send(Signals.Signal.TERM, target.process());
+        }
+        sleep(CONNECT_AFTER_TERM_SECONDS);
+        if (isLast) {
+            clients.forEach(ScaleClient::stopConnecting);
+        }
+        sleepUntil(termAt + (long) (ScalePlan.KILL_DELAY_SECONDS * 1e9));
+        for (SidecarProcess target : targets) {
+            killed += target.process().isAlive() ? 1 : 0;
+            signals.send(Signals.Signal.KILL, target.process());
+        }
+        shutdowns.add(new ShutdownWindow(termAt, System.nanoTime()));
+        for (SidecarProcess target : targets) {
+            if (!target.process().waitFor(EXIT_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+                throw new IOException("a sidecar outlives SIGKILL");
+            }
+        }
+    }
+
+    private void changeListsAndSample(ListPublisher lists) {
+        long nextListAt = System.nanoTime() + (long) (plan.listIntervalSeconds() * 1e9);
+        try {
+            while (!isOver) {
+                sleep(SAMPLE_INTERVAL_SECONDS);
+                synchronized (meters) {
+                    meters.forEach(ProcessMeter::sample);
+                }
+                if (System.nanoTime() >= nextListAt) {
+                    nextListAt += (long) (plan.listIntervalSeconds() * 1e9);
+                    lists.publishNext();
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void joinClients() throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(JOIN_TIMEOUT_MILLIS);
+        for (Thread thread : clientThreads) {
+            thread.join(Math.max(1, TimeUnit.NANOSECONDS.toMillis(until - System.nanoTime())));
+        }
+    }
+
+    private ScaleReport report(UpstreamFleet fleet, Discovery discovery, ListPublisher lists) throws IOException {
+        List<SentRequest> requests = List.copyOf(records);
+        List<UpstreamFleet.Arrival> arrivals = fleet.arrivals();
+        ScaleRuleChecker checker = new ScaleRuleChecker(plan, requests, shutdowns);
+        processViolations.forEach(each -> checker.add(each.rule(), each.subject(), each.evidence()));
+        checker.checkDrains(
+                arrivals,
+                lists.published(),
+                lists.published().stream()
+                        .map(list -> discovery.writtenAt(list.version()))
+                        .toList());
+        Map<String, Integer> ends = new TreeMap<>();
+        requests.forEach(request -> ends.merge(request.end().name(), 1, Integer::sum));
+        return new ScaleReport(
+                plan,
+                requests.size(),
+                arrivals.size(),
+                ends,
+                readySeconds,
+                successorReadySeconds,
+                killed,
+                meters.stream().map(ProcessMeter::toString).toList(),
+                discovery.bytesSent(),
+                checker.check(arrivals, fleet.malformed()));
+    }
+
+    private void violation(Rule rule, String subject, String evidence) {
+        processViolations.add(new ScaleViolation(rule, subject, evidence));
+    }
+
+    private static String describeEnd(SidecarProcess process) throws IOException {
+        String exit = process.process().isAlive()
+                ? "alive"
+                : "exit code " + process.process().exitValue();
+        List<String> log = process.log();
+        return exit + ", last line: " + (log.isEmpty() ? "none" : log.get(log.size() - 1));
+    }
+
+    private int freePort() throws IOException {
+        while (true) {
+            int port = FIRST_PORT + random.nextInt(PORTS);
+            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return probe.getLocalPort();
+            } catch (IOException e) {
+                // Taken: the next one.
+            }
+        }
+    }
+
+    private int freeUdpPort() throws IOException {
+        while (true) {
+            int port = FIRST_PORT + random.nextInt(PORTS);
+            try (DatagramSocket probe =
+                    new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))) {
+                return probe.getLocalPort();
+            } catch (IOException e) {
+                // Taken: the next one.
+            }
+        }
+    }
+
+    private static void sleep(double seconds) throws InterruptedException {
+        TimeUnit.MICROSECONDS.sleep((long) (seconds * 1e6));
+    }
+
+    private static void sleepUntil(long nanoTime) throws InterruptedException {
+        TimeUnit.NANOSECONDS.sleep(Math.max(0, nanoTime - System.nanoTime()));
+    }
+}
--- /dev/null
+++ b/kit/src/main/java/portrelay/faulttest/scale/SentRequest.java
@@ -0,0 +1,60 @@
+package portrelay.faulttest.scale;
+
+/**
+ * A request that a client has sent, or begun to send, and how it ended for the client.
+ *
+ * @param id the request id, which no other request has
+ * @param line the method, the target and the version
+ * @param bodyBytes the length of the body, which belongs to the id
+ * @param requestClass the class of the request
+ * @param deadlineSeconds how long the client waits for the answer
+ * @param sentAt when its last byte was written
+ * @param endedAt when the last byte of the answer arrived, or when the client gave up
+ * @param end how it ended
+ */
+record SentRequest(
+        String id,
+        String line,
+        int bodyBytes,
+        RequestKind requestClass,
+        double deadlineSeconds,
+        long sentAt,
+        long endedAt,
+        End end) {
+
+    /** The request classes, with the effect of a repeated execution. */
+    enum RequestKind {
+        READ,
+        SAVE,
+        ISSUE
+    }
+
+    /** How a request ended. */
+    enum End {
+        /** Status 200 with the body that belongs to the id. */
+        SERVED,
+        /** Status 200 with another body. */
+        WRONG_ANSWER,
+        /** Status 429 or 503. */
+        REJECTED,
+        /** Any other status. */
+        FAILED,
+        /** The connection ended within the answer, which the client can tell. */
+        CUT_SHORT,
+        /** The connection ended before the request was written completely. */
+        NOT_WRITTEN,
+        /** The connection ended without an answer, as it may for a request that was not read. */
+        CLOSED,
+        /** No answer until the client gave up. */
+        SILENT
+    }
+
+    /** Whether the request has a final answer, whichever it is. */
+    boolean isAnswered() {
+        return end != End.NOT_WRITTEN && end != End.CLOSED && end != End.SILENT;
+    }
+
+    double secondsToEnd() {
+        return (endedAt - sentAt) / 1e9;
+    }
+}
--- a/kit/src/main/java/portrelay/kit/cli/KitMain.java
+++ b/kit/src/main/java/portrelay/kit/cli/KitMain.java
@@ -11,8 +11,15 @@
 
     /** Runs a command and exits with its exit code. */
     public static void main(String[] args) {
-        Map<String, Command> commands =
-                Map.of("ready", new ReadyCommand(), "scale", new ScaleCommand(), "shutdown", new ShutdownCommand());
+        Map<String, Command> commands = Map.of(
+                "ready",
+                new ReadyCommand(),
+                "scale",
+                new ScaleCommand(),
+                "shutdown",
+                new ShutdownCommand(),
+                "soak",
+                new SoakCommand());
         System.exit(Main.run("portrelay-kit", commands, args));
     }
 }
--- a/kit/src/main/java/portrelay/standin/Discovery.java
+++ b/kit/src/main/java/portrelay/standin/Discovery.java
@@ -40,6 +40,9 @@
     private long refusingUntil = Long.MIN_VALUE;
     private int calls;
     private int refused;
+    private long bytesSent;
+    /** When each version was written to the last of the callers that asked for it, of {@link System#nanoTime}. */
+    private final Map<Long, Long> writtenAt = new HashMap<>();
 
     /**
      * Starts to listen on a free loopback port.
@@ -64,7 +67,8 @@
      * Sets the endpoint list and answers the waiting polls.
      *
      * @param allRows all rows in the protocol's format, without the enclosing brackets
-     * @param changedRows the rows that differ from the preceding version, in the same format
+     * @param changedRows the rows that differ from the preceding version, in the same format; null to answer with all
+     *     rows
      * @return the new version of the list
      */
     public synchronized long publish(String allRows, String changedRows) {
@@ -91,6 +95,25 @@
         return refused;
     }
 
+    /** Returns the number of bytes of lists and changes that were sent so far. */
+    public synchronized long bytesSent() {
+        return bytesSent;
+    }
+
+    /**
+     * Returns when the version was written to the last of the callers that asked for it, of {@link System#nanoTime};
+     * null if nobody has it.
+     */
+    public synchronized Long writtenAt(long listVersion) {
+        return writtenAt.get(listVersion);
+    }
+
+    private synchronized void recordSent(int bytes, String body) {
+        bytesSent += bytes;
+        long sentVersion = Long.parseLong(body.substring(body.indexOf(':') + 1, body.indexOf(',')));
+        writtenAt.put(sentVersion, System.nanoTime());
+    }
+
     private static Map<String, Long> parameters(String query) {
         Map<String, Long> parameters = new HashMap<>();
         for (String parameter : query == null ? new String[0] : query.split("&")) {
@@ -120,6 +143,7 @@
             byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
             exchange.sendResponseHeaders(200, bytes.length);
             exchange.getResponseBody().write(bytes);
+            recordSent(bytes.length, body);
         }
     }
 
@@ -147,7 +171,7 @@
         if (version <= knownVersion) {
             return "{\"seq\":" + version + ",\"whole\":false,\"hosts\":[]}";
         }
-        boolean isNext = version == knownVersion + 1;
+        boolean isNext = version == knownVersion + 1 && changedRows != null;
         return "{\"seq\":" + version + ",\"whole\":" + !isNext + ",\"hosts\":[" + (isNext ? changedRows : allRows)
                 + "]}";
     }
--- a/kit/src/main/java/portrelay/standin/HttpReader.java
+++ b/kit/src/main/java/portrelay/standin/HttpReader.java
@@ -1,6 +1,7 @@
 package portrelay.standin;
 
 import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
@@ -91,6 +92,37 @@
         return Long.parseLong(length);
     }
 
+    /**
+     * Reads the body of the message and returns it.
+     *
+     * @throws IOException if the connection ends within the body
+     */
+    public byte[] readBodyBytes(Head head) throws IOException {
+        String length = head.header("content-length");
+        if (length != null) {
+            return readExactly(Integer.parseInt(length));
+        }
+        if (!"chunked".equalsIgnoreCase(head.header("transfer-encoding"))) {
+            return new byte[0];
+        }
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        int size;
+        do {
+            size = Integer.parseInt(requireLine(), HEXADECIMAL);
+            body.writeBytes(readExactly(size));
+            requireLine();
+        } while (size > 0);
+        return body.toByteArray();
+    }
+
+    private byte[] readExactly(int count) throws IOException {
+        byte[] bytes = in.readNBytes(count);
+        if (bytes.length < count) {
+            throw new EOFException("the connection ended within a message body");
+        }
+        return bytes;
+    }
+
     private long skipChunks() throws IOException {
         long total = 0;
         int size;
--- /dev/null
+++ b/kit/src/main/java/portrelay/standin/UpstreamFleet.java
@@ -0,0 +1,326 @@
+package portrelay.standin;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/**
+ * Many upstreams on loopback, each with an address of its own, served by one thread. Answers a request after a random
+ * delay with a body that belongs to its id ({@link MessageBody}); a share of the exchanges goes wrong in one of the
+ * ways of {@link Trouble}. Records each complete request and all bytes that are no request. Thread-safe.
+ */
+public final class UpstreamFleet implements AutoCloseable {
+
+    /** What goes wrong with an exchange. */
+    private enum Trouble {
+        NONE,
+        /** The connection is reset instead of an answer. */
+        RESET,
+        /** There is no answer. */
+        HANG,
+        /** The connection ends within the answer. */
+        CUT_SHORT,
+        /** The connection is closed a moment after the answer, while it is idle. */
+        CLOSE_IDLE
+    }
+
+    private static final Trouble[] TROUBLES = {Trouble.RESET, Trouble.HANG, Trouble.CUT_SHORT, Trouble.CLOSE_IDLE};
+
+    private static final double MIN_DELAY_SECONDS = 0.002;
+    private static final double MAX_DELAY_SECONDS = 0.08;
+    /** Skews the random delays and lengths: most are small, some are large. */
+    private static final double SKEW = 3;
+
+    private static final double CLOSE_IDLE_DELAY_SECONDS = 0.05;
+    private static final int MIN_ANSWER_BYTES = 64;
+    private static final int MAX_ANSWER_BYTES = 70_000;
+    private static final int READ_BYTES = 64 * 1024;
+    private static final int ADDRESSES_PER_BLOCK = 250;
+
+    /**
+     * A request that arrived completely.
+     *
+     * @param upstream the number of the upstream that received it
+     * @param id the request id; null without one
+     * @param line the method, the target and the version
+     * @param bodyBytes the length of the body
+     * @param hasBodyOfId whether all bytes of the body belong to the request id
+     * @param beganAt when its first byte arrived, of {@link System#nanoTime}
+     */
+    public record Arrival(int upstream, String id, String line, int bodyBytes, boolean hasBodyOfId, long beganAt) {}
+
+    /** Bytes that are no request, and the number of the upstream that received them. */
+    public record Malformed(int upstream, String bytes) {}
+
+    private record Task(long dueAt, Runnable action) {}
+
+    private final List<ServerSocketChannel> listeners = new ArrayList<>();
+    private final Selector selector;
+    private final SplittableRandom random;
+    private final PriorityQueue<Task> tasks = new PriorityQueue<>(Comparator.comparingLong(Task::dueAt));
+    private final Queue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
+    private final Queue<Malformed> malformed = new ConcurrentLinkedQueue<>();
+    private final ByteBuffer readBuffer = ByteBuffer.allocate(READ_BYTES);
+    private volatile double troubledShare;
+    /** Upstreams from this number on reset each connection. */
+    private volatile int firstRefusing = Integer.MAX_VALUE;
+
+    private volatile boolean isClosed;
+
+    /**
+     * Starts to listen on loopback addresses with ports that the system chooses.
+     *
+     * @param seed the seed of the delays, lengths and troubles
+     */
+    public UpstreamFleet(int count, long seed) throws IOException {
+        random = new SplittableRandom(seed);
+        selector = Selector.open();
+        for (int i = 0; i < count; i++) {
+            ServerSocketChannel listener = ServerSocketChannel.open();
+            listener.bind(new InetSocketAddress(hostOf(i), 0));
+            listener.configureBlocking(false);
+            listener.register(selector, SelectionKey.OP_ACCEPT, i);
+            listeners.add(listener);
+        }
+        DaemonThreads.start("upstreams", this::run);
+    }
+
+    /** Returns the address of the upstream as host:port, the form that an endpoint list uses. */
+    public String address(int upstream) {
+        return hostOf(upstream) + ":" + listeners.get(upstream).socket().getLocalPort();
+    }
+
+    /** Returns the number of upstreams. */
+    public int size() {
+        return listeners.size();
+    }
+
+    /** Sets the share (0 to 1) of the exchanges that go wrong from now on. */
+    public void setTroubledShare(double share) {
+        troubledShare = share;
+    }
+
+    /** Makes the upstreams from the given number on reset each connection from now on. */
+    public void refuseFrom(int upstream) {
+        firstRefusing = upstream;
+    }
+
+    /** Returns the requests that have arrived completely so far. */
+    public List<Arrival> arrivals() {
+        return List.copyOf(arrivals);
+    }
+
+    /** Returns what arrived so far and is no request. */
+    public List<Malformed> malformed() {
+        return List.copyOf(malformed);
+    }
+
+    private static String hostOf(int upstream) {
+        return "127." + (1 + upstream / (ADDRESSES_PER_BLOCK * ADDRESSES_PER_BLOCK)) + "."
+                + upstream / ADDRESSES_PER_BLOCK % ADDRESSES_PER_BLOCK + "." + (1 + upstream % ADDRESSES_PER_BLOCK);
+    }
+
+    private void run() {
+        try {
+            while (!isClosed) {
+                selector.select(millisToNextTask());
+                runDueTasks();
+                for (SelectionKey key : selector.selectedKeys()) {
+                    handle(key);
+                }
+                selector.selectedKeys().clear();
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException("the upstreams have ended", e);
+        } finally {
+            closeAll();
+        }
+    }
+
+    /** Returns the time to wait for events; 0 means without a limit, as {@link Selector#select} has it. */
+    private long millisToNextTask() {
+        return tasks.isEmpty() ? 0 : Math.max(1, (tasks.peek().dueAt - System.nanoTime()) / 1_000_000);
+    }
+
+    private void runDueTasks() {
+        while (!tasks.isEmpty() && tasks.peek().dueAt <= System.nanoTime()) {
+            tasks.poll().action.run();
+        }
+    }
+
+    private void schedule(double delaySeconds, Runnable action) {
+        tasks.add(new Task(System.nanoTime() + (long) (delaySeconds * 1e9), action));
+    }
+
+    private void handle(SelectionKey key) throws IOException {
+        if (!key.isValid()) {
+            return;
+        }
+        if (key.isAcceptable()) {
+            accept((ServerSocketChannel) key.channel(), (Integer) key.attachment());
+        } else {
+            Connection connection = (Connection) key.attachment();
+            if (key.isReadable()) {
+                connection.read();
+            }
+            if (key.isValid() && key.isWritable()) {
+                connection.write();
+            }
+        }
+    }
+
+    private void accept(ServerSocketChannel listener, int upstream) throws IOException {
+        SocketChannel channel = listener.accept();
+        if (channel == null) {
+            return;
+        }
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        channel.configureBlocking(false);
+        Connection connection = new Connection(upstream, channel);
+        connection.key = channel.register(selector, SelectionKey.OP_READ, connection);
+        if (upstream >= firstRefusing) {
+            connection.reset();
+        }
+    }
+
+    private void closeAll() {
+        try {
+            for (SelectionKey key : selector.keys()) {
+                SelectableChannel channel = key.channel();
+                channel.close();
+            }
+            selector.close();
+        } catch (IOException e) {
+            throw new IllegalStateException("the upstreams are not closed", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        isClosed = true;
+        selector.wakeup();
+    }
+
+    /** One accepted connection; used by the upstreams' thread alone. */
+    private final class Connection {
+
+        private final int upstream;
+        private final SocketChannel channel;
+        private final RequestParser parser = new RequestParser();
+        private SelectionKey key;
+        private ByteBuffer unwritten = ByteBuffer.allocate(0);
+        private boolean closesOnceWritten;
+        private long requestBeganAt;
+
+        Connection(int upstream, SocketChannel channel) {
+            this.upstream = upstream;
+            this.channel = channel;
+        }
+
+        void read() {
+            try {
+                int count = channel.read(readBuffer.clear());
+                if (count < 0) {
+                    close();
+                    return;
+                }
+                if (parser.unparsedBytes() == 0) {
+                    requestBeganAt = System.nanoTime();
+                }
+                parser.add(readBuffer.flip());
+                for (RequestParser.Request request = parser.next(); request != null; request = parser.next()) {
+                    arrived(request);
+                }
+            } catch (IOException e) {
+                close();
+            } catch (IllegalArgumentException e) {
+                malformed.add(new Malformed(upstream, parser.unparsedText()));
+                close();
+            }
+        }
+
+        private void arrived(RequestParser.Request request) {
+            String id = request.headers().get("x-trace-id");
+            boolean hasBodyOfId = MessageBody.belongsTo(String.valueOf(id), request.body());
+            arrivals.add(
+                    new Arrival(upstream, id, request.firstLine(), request.body().length, hasBodyOfId, requestBeganAt));
+            Trouble trouble =
+                    random.nextDouble() < troubledShare ? TROUBLES[random.nextInt(TROUBLES.length)] : Trouble.NONE;
+            if (trouble == Trouble.HANG) {
+                return;
+            }
+            double delay =
+                    MIN_DELAY_SECONDS + (MAX_DELAY_SECONDS - MIN_DELAY_SECONDS) * Math.pow(random.nextDouble(), SKEW);
+            int length = MIN_ANSWER_BYTES
+                    + (int) ((MAX_ANSWER_BYTES - MIN_ANSWER_BYTES) * Math.pow(random.nextDouble(), SKEW));
+            schedule(delay, () -> answer(String.valueOf(id), length, trouble));
+        }
+
+        private void answer(String id, int length, Trouble trouble) {
+            if (trouble == Trouble.RESET) {
+                reset();
+                return;
+            }
+            byte[] head =
+                    ("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
+            closesOnceWritten = trouble == Trouble.CUT_SHORT;
+            int written = closesOnceWritten ? length / 2 : length;
+            ByteBuffer answer = ByteBuffer.allocate(unwritten.remaining() + head.length + written);
+            answer.put(unwritten).put(head).put(MessageBody.of(id, length), 0, written);
+            unwritten = answer.flip();
+            write();
+            if (trouble == Trouble.CLOSE_IDLE) {
+                schedule(CLOSE_IDLE_DELAY_SECONDS, this::close);
+            }
+        }
+
+        void write() {
+            if (!channel.isOpen()) {
+                return;
+            }
+            try {
+                channel.write(unwritten);
+                if (!unwritten.hasRemaining() && closesOnceWritten) {
+                    close();
+                } else {
+                    key.interestOps(SelectionKey.OP_READ | (unwritten.hasRemaining() ? SelectionKey.OP_WRITE : 0));
+                }
+            } catch (IOException e) {
+                close();
+            }
+        }
+
+        void reset() {
+            try {
+                if (channel.isOpen()) {
+                    channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+                }
+            } catch (IOException e) {
+                // The other side has closed it.
+            }
+            close();
+        }
+
+        void close() {
+            try {
+                channel.close();
+            } catch (IOException e) {
+                // The other side has closed it.
+            }
+        }
+    }
+}
