--- a/core/src/main/java/portrelay/gossip/PeerInFlight.java
+++ b/core/src/main/java/portrelay/gossip/PeerInFlight.java
@@ -9,11 +9,14 @@
  */
 public final class PeerInFlight {
 
+    /** Number of attempts from which on expired ones are removed even if nobody asks for those in flight. */
+    private static final int MAX_ATTEMPTS_UNCHECKED = 256;
+
     private record Attempt(int sidecar, double startedAt) {}
 
     private final double maxAge;
     /** In the order of the reports, the oldest first. */
-    private final List<Attempt> attempts = new ArrayList<>();
+    private final List<Attempt> attempts = new ArrayList<>(0);
 
     private double lastServedAt = Double.NEGATIVE_INFINITY;
     private int servedCount;
@@ -29,6 +32,10 @@
 
     /** Records that the sidecar has started an attempt at this upstream. */
     public void attemptStarted(int sidecar, double now) {
+        if (attempts.size() >= MAX_ATTEMPTS_UNCHECKED) {
+            // Nobody has asked for this upstream for long.
+            removeExpired(now);
+        }
         attempts.add(new Attempt(sidecar, now));
     }
 
@@ -58,10 +65,14 @@
 
     /** Returns the number of attempts in flight. */
     public int inFlight(double now) {
+        removeExpired(now);
+        return attempts.size();
+    }
+
+    private void removeExpired(double now) {
         while (!attempts.isEmpty() && attempts.get(0).startedAt < now - maxAge) {
             attempts.remove(0);
         }
-        return attempts.size();
     }
 
     /** Returns the number of attempts of all sidecars that the upstream has served since this instance was created. */
--- a/core/src/main/java/portrelay/model/LoadWeight.java
+++ b/core/src/main/java/portrelay/model/LoadWeight.java
@@ -23,7 +23,9 @@
     public void update(double weight, boolean isLive) {
         capacity = isLive ? Math.max(capacity, weight) : weight;
         double perCore = isLive && weight > 0 ? capacity / weight - 1 : 0;
-        inFlightPerCore.add(perCore);
+        if (isLive) {
+            inFlightPerCore.add(perCore);
+        }
         step = perCore > MIN_STEP ? Math.min(step, perCore) : step;
     }
 
--- a/core/src/main/java/portrelay/model/Samples.java
+++ b/core/src/main/java/portrelay/model/Samples.java
@@ -4,14 +4,18 @@
 
 /** A ring buffer of fixed capacity with the most recent samples of one measured value and their times. */
 public final class Samples {
-    private final double[] values;
-    private final double[] times;
+    private static final double[] NONE = {};
+
+    private final int capacity;
+    /** Allocated with the first sample, as most rings of a long endpoint list stay empty. */
+    private double[] values = NONE;
+
+    private double[] times = NONE;
     private int count;
 
     /** Creates an empty ring. */
     public Samples(int capacity) {
-        values = new double[capacity];
-        times = new double[capacity];
+        this.capacity = capacity;
     }
 
     /** Adds a sample with time 0, for users that do not select samples by time. */
@@ -21,6 +25,10 @@
 
     /** Adds a sample; replaces the oldest one if the ring is full. */
     public void add(double time, double value) {
+        if (values.length == 0) {
+            values = new double[capacity];
+            times = new double[capacity];
+        }
         values[count % values.length] = value;
         times[count % values.length] = time;
         count++;
@@ -64,7 +72,7 @@
 
     /** Whether the ring is full and all samples are above the value. */
     public boolean allAbove(double value) {
-        return count >= values.length && Arrays.stream(values).allMatch(each -> each > value);
+        return count >= capacity && Arrays.stream(values).allMatch(each -> each > value);
     }
 
     /** Returns the number of samples since the given time that are at least the given value. */
--- a/core/src/main/java/portrelay/policy/AttemptTracker.java
+++ b/core/src/main/java/portrelay/policy/AttemptTracker.java
@@ -47,7 +47,7 @@
                 upstream.peerInFlight.servedCount(),
                 (int) load.inFlight(upstream, nowSeconds) + 1);
         request.attempts.add(attempt);
-        upstream.inFlight++;
+        fleet.endpoints().attemptStarted(upstream);
         upstream.inFlightOnIdleConnections += idleSeconds > 0 ? 1 : 0;
         upstream.reportedInFlight++;
         peerReports.attemptStarted(request, attempt, nowSeconds);
@@ -59,9 +59,9 @@
     /** Records the outcome of an attempt that was in flight until now. */
     void end(OpenRequest request, Attempt attempt, Outcome outcome, double nowSeconds) {
         attempt.outcome = outcome;
-        attempt.upstream.inFlight--;
+        fleet.endpoints().attemptEnded(attempt.upstream);
         if (outcome == Outcome.SERVED) {
-            slowStart.attemptServed(attempt.upstream, fleet.subsetUpstreams(), nowSeconds);
+            slowStart.attemptServed(attempt.upstream, fleet.candidates().subsetUpstreams(), nowSeconds);
         }
         // The duration of a single attempt depends on its streamed body and does not measure the upstream.
         if (!request.arrival.singleAttempt()) {
--- a/core/src/main/java/portrelay/policy/EndpointTable.java
+++ b/core/src/main/java/portrelay/policy/EndpointTable.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.ToDoubleFunction;
+import portrelay.model.CellId;
 import portrelay.model.Endpoint;
 import portrelay.model.EndpointUpdate;
 import portrelay.model.InstanceTypeId;
@@ -25,6 +26,12 @@
     private final List<UpstreamState> upstreams = new ArrayList<>();
 
     private final Set<UpstreamId> disabled = new HashSet<>();
+    /** The upstreams with attempts of this sidecar in flight. */
+    private final Set<UpstreamState> busy = new HashSet<>();
+    /** The upstreams of each cell; null until it is needed, and after each change. */
+    private Map<CellId, List<UpstreamState>> byCell;
+
+    private int readyCount;
 
     EndpointTable(Topology topology, double maxDeadlineSeconds, SplittableRandom random) {
         this.topology = topology;
@@ -55,13 +62,53 @@
                 .orElse(0);
     }
 
+    /** Returns the mean number of attempts in flight over the ready upstreams; 0 if there are none. */
+    double meanInFlightOfReady() {
+        int inFlight = 0;
+        for (UpstreamState upstream : busy) {
+            inFlight += upstream.isReady ? upstream.inFlight : 0;
+        }
+        return readyCount == 0 ? 0 : (double) inFlight / readyCount;
+    }
+
+    /** Returns the upstreams with attempts of this sidecar in flight. */
+    Set<UpstreamState> busy() {
+        return busy;
+    }
+
+    /** Returns the upstreams of a cell, in the order of the table. */
+    List<UpstreamState> upstreamsOfCell(CellId cell) {
+        if (byCell == null) {
+            byCell = new HashMap<>();
+            upstreams.forEach(each -> byCell.computeIfAbsent(each.endpoint.cell(), key -> new ArrayList<>())
+                    .add(each));
+        }
+        return byCell.getOrDefault(cell, List.of());
+    }
+
     int readyCount() {
-        return (int) upstreams.stream().filter(each -> each.isReady).count();
+        return readyCount;
+    }
+
+    /** Records that an attempt of this sidecar has been sent to the upstream. */
+    void attemptStarted(UpstreamState upstream) {
+        upstream.inFlight++;
+        busy.add(upstream);
+    }
+
+    /** Records that an attempt of this sidecar at the upstream has ended. */
+    void attemptEnded(UpstreamState upstream) {
+        upstream.inFlight--;
+        if (upstream.inFlight == 0) {
+            busy.remove(upstream);
+        }
     }
 
     /** Whether operators have disabled every listed upstream. */
     boolean areAllDisabled() {
-        return !disabled.isEmpty() && upstreams.stream().allMatch(each -> disabled.contains(each.id));
+        return !disabled.isEmpty()
+                && disabled.size() >= upstreams.size()
+                && upstreams.stream().allMatch(each -> disabled.contains(each.id));
     }
 
     /** Applies rows of the endpoint list. The update must not be {@link EndpointUpdate#FAILED}. */
@@ -74,7 +121,9 @@
         }
         rows.forEach(row -> updateRow(update, row, nowSeconds));
         updateCapacities();
-        removeGone();
+        removeAllGone();
+        byCell = null;
+        updateReadyCount();
     }
 
     /**
@@ -98,17 +147,32 @@
             upstream.isUntriedSinceEnabled = true;
         }
         upstream.isReady = !isDisabled && upstream.endpoint.health() == Endpoint.Health.READY;
+        updateReadyCount();
         return true;
     }
 
+    /** Removes the upstream if it is no longer listed and has nothing in flight, as {@link #update} does for all. */
+    void removeIfGone(UpstreamState upstream) {
+        if (isRemovable(upstream) && byId.remove(upstream.id, upstream)) {
+            upstreams.remove(upstream);
+            byCell = null;
+        }
+    }
+
     /**
      * Removes upstreams that are no longer listed and have nothing in flight. Prevents unbounded growth where upstreams
      * are replaced continually.
      */
-    void removeGone() {
-        if (upstreams.removeIf(each -> each.isGone && each.inFlight == 0)) {
-            byId.values().retainAll(upstreams);
-        }
+    private void removeAllGone() {
+        upstreams.removeIf(each -> isRemovable(each) && byId.remove(each.id, each));
+    }
+
+    private static boolean isRemovable(UpstreamState upstream) {
+        return upstream.isGone && upstream.inFlight == 0;
+    }
+
+    private void updateReadyCount() {
+        readyCount = (int) upstreams.stream().filter(each -> each.isReady).count();
     }
 
     private void updateRow(EndpointUpdate update, Endpoint row, double nowSeconds) {
--- a/core/src/main/java/portrelay/policy/LoadBalancer.java
+++ b/core/src/main/java/portrelay/policy/LoadBalancer.java
@@ -104,7 +104,10 @@
 
     /** Handles the arrival of a request. Its id must differ from those of all open requests. */
     public void requestArrived(double time, RequestArrival arrival) {
-        fleet.slowStart().timeElapsed(time - lastArrivalAt, fleet.subsetUpstreams(), time);
+        CandidateWindow candidates = fleet.candidates();
+        // Each upstream is in the window only for a part of the time, so it earns that much more there.
+        double seconds = (time - lastArrivalAt) * candidates.subsetPerWindow();
+        fleet.slowStart().timeElapsed(seconds, candidates.subsetUpstreams(), time);
         nowSeconds = time;
         lastArrivalAt = time;
         RequestClass requestClass =
@@ -158,7 +161,7 @@
         }
         Attempt endedAttempt = request.attempts.get(attempt);
         attempts.end(request, endedAttempt, outcome, time);
-        endpoints.removeGone();
+        endpoints.removeIfGone(endedAttempt.upstream);
         if (isRequestEnded && request.state() != RequestState.CLOSED) {
             request.answeredAttempt = endedAttempt;
             requests.applyInput(
@@ -240,7 +243,7 @@
         SlowStart slowStart = new SlowStart(config.slowStart(), topology.sidecarCount());
         LoadEstimator load = new LoadEstimator(
                 topology, endpoints, subset, slowStart, observations.idleConnectionAge(), config.maxLatencyObjective());
-        return new FleetState(topology, endpoints, subset, slowStart, load);
+        return new FleetState(topology, endpoints, subset, new CandidateWindow(endpoints, subset), slowStart, load);
     }
 
     private void requestWakeUp() {
--- a/core/src/main/java/portrelay/policy/LoadEstimator.java
+++ b/core/src/main/java/portrelay/policy/LoadEstimator.java
@@ -1,5 +1,6 @@
 package portrelay.policy;
 
+import java.util.Collection;
 import portrelay.model.IdleConnectionAge;
 import portrelay.model.Topology;
 
@@ -93,6 +94,17 @@
                 && upstream.peerInFlight.unansweredFor(nowSeconds) > maxLatencyObjectiveSeconds;
     }
 
+    /** Returns the number of attempts of this sidecar that are in flight at unresponsive upstreams. */
+    int unresponsiveInFlight(Collection<UpstreamState> busy, double nowSeconds) {
+        if (!topology.usesRendezvousSubsets()) {
+            return 0;
+        }
+        return busy.stream()
+                .filter(each -> isUnresponsive(each, nowSeconds))
+                .mapToInt(each -> each.inFlight)
+                .sum();
+    }
+
     /**
      * Returns the expected latency of one more attempt at the upstream, as a multiple of the typical latency; 1 if the
      * load of the fleet is unknown.
--- a/core/src/main/java/portrelay/policy/OpenRequest.java
+++ b/core/src/main/java/portrelay/policy/OpenRequest.java
@@ -36,11 +36,21 @@
 
     /** Returns the first attempt that its upstream may have executed; null if there is none. */
     Attempt firstPossiblyExecuted() {
-        return attempts.stream().filter(Attempt::mayHaveExecuted).findFirst().orElse(null);
+        for (Attempt attempt : attempts) {
+            if (attempt.mayHaveExecuted()) {
+                return attempt;
+            }
+        }
+        return null;
     }
 
     boolean wasSentTo(UpstreamState upstream) {
-        return attempts.stream().anyMatch(each -> each.upstream == upstream);
+        for (Attempt attempt : attempts) {
+            if (attempt.upstream == upstream) {
+                return true;
+            }
+        }
+        return false;
     }
 
     boolean hasAttemptInFlight() {
--- a/core/src/main/java/portrelay/policy/Subset.java
+++ b/core/src/main/java/portrelay/policy/Subset.java
@@ -1,5 +1,6 @@
 package portrelay.policy;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -44,6 +45,9 @@
 
     private List<UpstreamState> upstreams = List.of();
     private Set<UpstreamState> upstreamSet = Set.of();
+    /** By the code in messages; empty unless rendezvous hashing chooses the subset. */
+    private Map<Integer, UpstreamState> upstreamsByCode = Map.of();
+
     private List<UpstreamState> readyUpstreams = List.of();
     private double readyCapacity;
     /** The time at which the next assignment is due; infinite if none is. */
@@ -100,10 +104,7 @@
     /** Returns the upstream that a code in a peer message denotes; null if there is none. */
     UpstreamState upstreamByCode(int code) {
         if (topology.usesRendezvousSubsets()) {
-            return upstreams.stream()
-                    .filter(each -> PeerMembership.upstreamCode(each.id) == code)
-                    .findFirst()
-                    .orElse(null);
+            return upstreamsByCode.get(code);
         }
         return code < 0 || code >= upstreams.size() ? null : upstreams.get(code);
     }
@@ -157,6 +158,7 @@
             wasMinorityKnown = membership.isMinorityKnown();
             upstreams = topology.usesRendezvousSubsets() ? rendezvousUpstreams() : assignSegment();
             upstreamSet = new HashSet<>(upstreams);
+            upstreamsByCode = topology.usesRendezvousSubsets() ? indexByCode(upstreams) : Map.of();
         }
         membership.advance(nowSeconds);
     }
@@ -168,6 +170,12 @@
                 : Math.min(nextAssignAt, membership.nextWakeUp());
     }
 
+    private static Map<Integer, UpstreamState> indexByCode(List<UpstreamState> upstreams) {
+        Map<Integer, UpstreamState> byCode = new HashMap<>();
+        upstreams.forEach(each -> byCode.putIfAbsent(PeerMembership.upstreamCode(each.id), each));
+        return byCode;
+    }
+
     private List<UpstreamState> rendezvousUpstreams() {
         List<UpstreamState> assigned = readyUpstreams.stream()
                 .filter(each -> sharingSidecars(each).contains(topology.sidecarIndex()))
--- a/core/src/main/java/portrelay/policy/UpstreamEligibility.java
+++ b/core/src/main/java/portrelay/policy/UpstreamEligibility.java
@@ -7,6 +7,7 @@
 
     private final EndpointTable endpoints;
     private final Subset subset;
+    private final CandidateWindow candidates;
     private final RetryPolicy retries;
     private final SlowStart slowStart;
     private final LoadEstimator load;
@@ -15,6 +16,7 @@
     UpstreamEligibility(FleetState fleet, RetryPolicy retries, AdaptiveLimit concurrencyLimit) {
         this.endpoints = fleet.endpoints();
         this.subset = fleet.subset();
+        this.candidates = fleet.candidates();
         this.retries = retries;
         this.slowStart = fleet.slowStart();
         this.load = fleet.load();
@@ -24,10 +26,7 @@
     /** Whether the concurrency limit allows another attempt; those at unresponsive upstreams do not count. */
     boolean hasCapacity(double nowSeconds) {
         return concurrencyLimit.hasCapacity(0)
-                || concurrencyLimit.hasCapacity(endpoints.upstreams().stream()
-                        .filter(each -> load.isUnresponsive(each, nowSeconds))
-                        .mapToInt(each -> each.inFlight)
-                        .sum());
+                || concurrencyLimit.hasCapacity(load.unresponsiveInFlight(endpoints.busy(), nowSeconds));
     }
 
     /** Whether the upstream may get an attempt of the request. */
@@ -47,9 +46,9 @@
         return !upstream.isReady || upstream.isEjected() || load.isUnresponsive(upstream, nowSeconds);
     }
 
-    /** Whether every upstream of the subset is avoided, or is warming up without credit for an attempt. */
+    /** Whether every candidate of the subset is avoided, or is warming up without credit for an attempt. */
     boolean areAllAvoided(double nowSeconds) {
-        return subset.upstreamsOrAll(endpoints.upstreams()).stream()
+        return candidates.subsetUpstreams().stream()
                 .allMatch(each -> isAvoided(each, nowSeconds) || slowStart.isCreditSpent(each, nowSeconds));
     }
 }
--- a/core/src/main/java/portrelay/policy/UpstreamSelector.java
+++ b/core/src/main/java/portrelay/policy/UpstreamSelector.java
@@ -35,6 +35,7 @@
     private record Criteria(boolean includesAvoided, boolean allowsUnknownLoad, double meanInFlight) {}
 
     private final EndpointTable endpoints;
+    private final CandidateWindow window;
     private final Subset subset;
     private final UpstreamEligibility eligibility;
     private final LoadEstimator load;
@@ -51,6 +52,7 @@
             UpstreamCost cost,
             SplittableRandom random) {
         this.endpoints = fleet.endpoints();
+        this.window = fleet.candidates();
         this.subset = fleet.subset();
         this.eligibility = eligibility;
         this.load = fleet.load();
@@ -66,9 +68,11 @@
         if (isLimited(nowSeconds) && !eligibility.hasCapacity(nowSeconds)) {
             return Selection.NONE;
         }
+        window.moveOn(each -> eligibility.isAvoided(each, nowSeconds));
+        List<UpstreamState> candidates = window.upstreamsFor(request);
         List<UpstreamState> withCredit =
                 isFirstAttempt && !load.isFleetLoadKnown() ? warmingUpWithCredit(request, nowSeconds) : List.of();
-        Selection selection = firstMatch(request, isFirstAttempt, withCredit, nowSeconds);
+        Selection selection = firstMatch(request, candidates, isFirstAttempt, withCredit, nowSeconds);
         if (selection.upstream() != null) {
             withCredit.stream()
                     .filter(each -> each != selection.upstream())
@@ -86,8 +90,12 @@
     }
 
     private Selection firstMatch(
-            OpenRequest request, boolean isFirstAttempt, List<UpstreamState> withCredit, double nowSeconds) {
-        UpstreamState trial = isFirstAttempt ? dueTrial(request, nowSeconds) : null;
+            OpenRequest request,
+            List<UpstreamState> candidates,
+            boolean isFirstAttempt,
+            List<UpstreamState> withCredit,
+            double nowSeconds) {
+        UpstreamState trial = isFirstAttempt ? dueTrial(request, candidates, nowSeconds) : null;
         if (trial != null) {
             return new Selection(trial, Rule.TRIAL);
         }
@@ -95,12 +103,12 @@
         if (warmingUp != null) {
             return new Selection(warmingUp, Rule.WARMING_UP);
         }
-        Criteria criteria = criteria(request, nowSeconds);
-        UpstreamState cheapest = lowestCost(request, criteria, false, nowSeconds);
+        Criteria criteria = criteria(request, candidates, nowSeconds);
+        UpstreamState cheapest = lowestCost(request, candidates, criteria, false, nowSeconds);
         if (cheapest != null && (load.isFleetLoadKnown() || isIdle(cheapest, nowSeconds))) {
             return new Selection(cheapest, Rule.LOWEST_COST);
         }
-        UpstreamState cheapestOrSlow = lowestCost(request, criteria, true, nowSeconds);
+        UpstreamState cheapestOrSlow = lowestCost(request, candidates, criteria, true, nowSeconds);
         if (cheapest == null) {
             return cheapestOrSlow == null ? Selection.NONE : new Selection(cheapestOrSlow, Rule.LOWEST_COST_OR_SLOW);
         }
@@ -129,11 +137,11 @@
      * Returns the first upstream whose trial request is due; null if there is none. If the load of the fleet is known,
      * the upstream must also be idle. Only safe requests are used as trial requests.
      */
-    private UpstreamState dueTrial(OpenRequest request, double nowSeconds) {
+    private UpstreamState dueTrial(OpenRequest request, List<UpstreamState> candidates, double nowSeconds) {
         if (request.requestClass.idempotency() != RequestClass.Idempotency.SAFE) {
             return null;
         }
-        for (UpstreamState upstream : endpoints.upstreams()) {
+        for (UpstreamState upstream : candidates) {
             boolean isDue = upstream.isUntriedSinceEnabled && nowSeconds >= upstream.enabledAt + TRIAL_DELAY_SECONDS
                     || upstream.isTrialDue(nowSeconds) && !upstream.isTrialInFlight;
             if (isDue
@@ -147,7 +155,7 @@
     }
 
     private List<UpstreamState> warmingUpWithCredit(OpenRequest request, double nowSeconds) {
-        return subset.upstreamsOrAll(endpoints.upstreams()).stream()
+        return window.subsetUpstreams().stream()
                 .filter(each ->
                         slowStart.hasCredit(each, nowSeconds) && eligibility.isEligible(request, each, nowSeconds))
                 .toList();
@@ -165,22 +173,27 @@
                 .orElse(null);
     }
 
-    private Criteria criteria(OpenRequest request, double nowSeconds) {
+    private Criteria criteria(OpenRequest request, List<UpstreamState> candidates, double nowSeconds) {
         boolean allowsUnknownLoad = usesProbes
-                && endpoints.upstreams().stream()
+                && candidates.stream()
                         .noneMatch(each ->
                                 !load.isUnknown(each, nowSeconds) && eligibility.isEligible(request, each, nowSeconds));
-        double meanInFlight = load.isFleetLoadKnown() ? 0 : endpoints.meanOfReady(each -> each.inFlight);
+        double meanInFlight = load.isFleetLoadKnown() ? 0 : endpoints.meanInFlightOfReady();
         return new Criteria(eligibility.areAllAvoided(nowSeconds), allowsUnknownLoad, meanInFlight);
     }
 
     /** Returns the cheapest eligible upstream; null if there is none. */
-    private UpstreamState lowestCost(OpenRequest request, Criteria criteria, boolean includesSlow, double nowSeconds) {
+    private UpstreamState lowestCost(
+            OpenRequest request,
+            List<UpstreamState> candidates,
+            Criteria criteria,
+            boolean includesSlow,
+            double nowSeconds) {
         boolean isLoadKnown = load.isFleetLoadKnown();
         UpstreamState cheapest = null;
         double lowest = Double.POSITIVE_INFINITY;
-        for (UpstreamState candidate : endpoints.upstreams()) {
-            // The quickest checks come first, as this loop runs for each endpoint at each selection.
+        for (UpstreamState candidate : candidates) {
+            // The quickest checks come first, as this loop runs for each candidate at each selection.
             if (!eligibility.isEligible(request, candidate, nowSeconds)
                     || !criteria.includesAvoided && eligibility.isAvoided(candidate, nowSeconds)
                     || isLoadKnown && !criteria.allowsUnknownLoad && load.isUnknown(candidate, nowSeconds)) {
--- a/core/src/test/java/portrelay/policy/UpstreamSelectorTest.java
+++ b/core/src/test/java/portrelay/policy/UpstreamSelectorTest.java
@@ -41,7 +41,8 @@
         Subset subset = new Subset(new LoadBalancerHarness(1), topology);
         SlowStart slowStart = new SlowStart(LoadBalancerHarness.SLOW_START, 1);
         LoadEstimator load = new LoadEstimator(topology, endpoints, subset, slowStart, new IdleConnectionAge(), 0.4);
-        FleetState fleet = new FleetState(topology, endpoints, subset, slowStart, load);
+        CandidateWindow candidates = new CandidateWindow(endpoints, subset);
+        FleetState fleet = new FleetState(topology, endpoints, subset, candidates, slowStart, load);
         LatencyTracker latencies = new LatencyTracker(LoadBalancerHarness.REQUEST_CLASSES.size());
         UpstreamEligibility eligibility = new UpstreamEligibility(
                 fleet, new RetryPolicy(LoadBalancerHarness.ATTEMPT_RULES, load), concurrencyLimit);
