An idle connection to an upstream keeps no buffers

Callers saw: with thousands of upstreams, and so hundreds of idle connections, collections that stop the process, and its end out of memory. Cause: ResponseFramingFilter kept 17 KiB a connection for as long as it was open. Change: the buffers are allocated with a request and freed with the last byte of its response.

--- a/daemon/src/main/java/portrelay/net/connection/ResponseFramingFilter.java
+++ b/daemon/src/main/java/portrelay/net/connection/ResponseFramingFilter.java
@@ -15,13 +15,14 @@
 
     private static final int READ_BYTES = 16 * 1024;
     private static final int HEAD_BYTES = 1024;
+    private static final ByteBuffer EMPTY_BUFFER = ByteBuffer.allocate(0);
 
     /** Received bytes that are not yet parsed. */
-    private final ByteBuffer raw = ByteBuffer.allocate(READ_BYTES).limit(0);
-    /** The head that is being read; buffered because the filter may have to change it. */
-    private ByteBuffer head = ByteBuffer.allocate(HEAD_BYTES);
+    private ByteBuffer raw = EMPTY_BUFFER;
+    /** The head that is being read; buffered because the filter may have to change it. Empty between responses. */
+    private ByteBuffer head = EMPTY_BUFFER;
     /** Well-formed bytes that are not yet passed on; a view of {@link #raw}, or the filtered head. */
-    private ByteBuffer ready = ByteBuffer.allocate(0);
+    private ByteBuffer ready = EMPTY_BUFFER;
 
     /** The parser of the current response; null before the first request. */
     private Framing framing;
@@ -33,7 +34,7 @@
     /** Allows one response; called when a request is sent. */
     void expectResponse() {
         framing = Framing.ofResponse();
-        head.clear();
+        head = ByteBuffer.allocate(HEAD_BYTES);
     }
 
     /** Whether the response is complete by its own framing, or is delimited by the end of the connection. */
@@ -53,6 +54,9 @@
                 return readWhileIdle(target);
             }
             if (!raw.hasRemaining()) {
+                if (raw.capacity() == 0) {
+                    raw = ByteBuffer.allocate(READ_BYTES);
+                }
                 int count = next.read(raw.clear());
                 raw.flip();
                 if (count <= 0) {
@@ -64,9 +68,19 @@
         int count = Math.min(target.remaining(), ready.remaining());
         target.put(ready.slice().limit(count));
         ready.position(ready.position() + count);
+        if (hasNothingUnread()) {
+            releaseBuffers();
+        }
         return count;
     }
 
+    /** Frees the memory: most connections to many upstreams are idle. */
+    private void releaseBuffers() {
+        raw = EMPTY_BUFFER;
+        head = EMPTY_BUFFER;
+        ready = EMPTY_BUFFER;
+    }
+
     /**
      * Reads while no response is expected; any byte received now belongs to no request. Reports it as a failure rather
      * than as the end of the stream, as a connection that Undertow shuts down stays open for 10 s if the other side
