An endpoint list is read piece by piece, held once and bounded by the heap

Callers saw: at 6,400 rows processes ended out of memory (exit code 3), their successors before they were ready; 12,000 configured rows: never started; a list over 4 MiB: never applied, each request rejected; operators' calls for the first rows of a list over 4,096: 404. Cause: each row's tree was kept by the registry, the configuration and the hand-over, a change was written as one array that doubled as it grew, a successor parsed all of it again, and SIGHUP the configured list. Change: EndpointListReader takes the bytes as they arrive, one row as a tree at a time, 64 KiB a turn; a row is kept as its text; EndpointListLimit holds what fits into a quarter of the heap, by a hash of the ids, and the log says how many rows are left out; the state file is streamed, and read without lists once started; mailboxes and deques are allocated on use; listed ids are never forgotten.

--- a/daemon/src/main/java/portrelay/cli/ConfigCommand.java
+++ b/daemon/src/main/java/portrelay/cli/ConfigCommand.java
@@ -43,7 +43,7 @@
                     SidecarConfig.CONFIG_FILE_VARIABLE + ": expected a file's name, or --config FILE");
         }
         try {
-            return run(read());
+            return run(withOtherSources(SidecarConfig.parse(readConfigFile())));
         } catch (InvalidSettingException e) {
             return reportInvalidConfiguration(e.getMessage());
         } catch (IOException e) {
@@ -53,12 +53,21 @@
         }
     }
 
+    /** Reads the configuration from its files again, without the cached endpoint list, which takes memory. */
+    final SidecarConfig readAgain() throws InvalidSettingException {
+        return withOtherSources(SidecarConfig.parseWithoutCachedEndpoints(readConfigFile()));
+    }
+
+    private byte[] readConfigFile() throws InvalidSettingException {
+        return readFile(SidecarConfig.CONFIG_FILE_VARIABLE, configFile);
+    }
+
     /**
-     * Reads the configuration from its files, again with each call. An admin address in the environment takes
-     * precedence over that in the file, as it applies to this process only.
+     * Applies the other sources of the configuration. An admin address in the environment takes precedence over that in
+     * the file, as it applies to this process only.
      */
-    final SidecarConfig read() throws InvalidSettingException {
-        SidecarConfig config = SidecarConfig.parse(readFile(SidecarConfig.CONFIG_FILE_VARIABLE, configFile));
+    private SidecarConfig withOtherSources(SidecarConfig parsed) throws InvalidSettingException {
+        SidecarConfig config = parsed;
         String adminAddress = System.getenv(SidecarConfig.ADMIN_ADDRESS_VARIABLE);
         if (adminAddress != null && !adminAddress.isEmpty()) {
             config = config.withAdminAddress(adminAddress);
--- a/daemon/src/main/java/portrelay/cli/ServeCommand.java
+++ b/daemon/src/main/java/portrelay/cli/ServeCommand.java
@@ -39,6 +39,8 @@
             Sidecar sidecar =
                     Sidecar.open(config, System.err, handoverDirectory == null ? null : Path.of(handoverDirectory));
             opened.complete(sidecar);
+            // This frame lasts as long as the process, and a cached endpoint list takes memory.
+            config = config.withoutCachedEndpoints();
             sidecar.awaitReady();
         } catch (IOException | InvalidSettingException | RuntimeException e) {
             opened.completeExceptionally(e);
@@ -93,7 +95,7 @@
     private synchronized void reload(Sidecar sidecar, Log log) {
         log.info("configuration reload: signal=SIGHUP");
         try {
-            sidecar.reload(read());
+            sidecar.reload(readAgain());
         } catch (InvalidSettingException e) {
             log.warn("configuration reload failed, the old one stays: cause=" + e.getMessage());
         } catch (RuntimeException e) {
--- a/daemon/src/main/java/portrelay/json/JsonTree.java
+++ b/daemon/src/main/java/portrelay/json/JsonTree.java
@@ -7,6 +7,8 @@
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -22,6 +24,9 @@
     /** Doubles represent every whole number below this exactly; larger numbers are written as doubles. */
     private static final double MAX_WHOLE_NUMBER = 1e15;
 
+    /** Thread-safe, and costly to create for each of thousands of small documents. */
+    private static final JsonFactory FACTORY = new JsonFactory();
+
     private JsonTree() {}
 
     /**
@@ -30,7 +35,7 @@
      * @throws IOException if the document is not well-formed or has more than one value
      */
     public static Object parse(byte[] json) throws IOException {
-        return parse(new JsonFactory(), json);
+        return parse(FACTORY.createParser(json), Map.of());
     }
 
     /**
@@ -40,12 +45,41 @@
      * @throws IOException if the document is not well-formed, has more than one value or has a duplicate name
      */
     public static Object parseStrict(byte[] json) throws IOException {
-        return parse(new JsonFactory().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION), json);
+        return parseStrict(json, Map.of());
+    }
+
+    /**
+     * Parses a document like {@link #parseStrict(byte[])}, but reads some of its values into something other than a
+     * tree, as they may be long.
+     *
+     * @param readers by the names of fields of the document's object
+     */
+    public static <E extends Exception> Object parseStrict(byte[] json, Map<String, ValueReader<E>> readers)
+            throws IOException, E {
+        JsonFactory factory = new JsonFactory().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
+        return parse(factory.createParser(json), readers);
+    }
+
+    /**
+     * Parses a document like {@link #parse(byte[])}, as it is read from a stream.
+     *
+     * @param readers by the names of fields of the document's object
+     */
+    public static <E extends Exception> Object parse(InputStream json, Map<String, ValueReader<E>> readers)
+            throws IOException, E {
+        return parse(FACTORY.createParser(json), readers);
     }
 
-    private static Object parse(JsonFactory factory, byte[] json) throws IOException {
-        try (JsonParser parser = factory.createParser(json)) {
-            Object value = read(parser, parser.nextToken());
+    /** Returns a parser that accepts its input in pieces, see {@link JsonParser#getNonBlockingInputFeeder}. */
+    public static JsonParser createNonBlockingParser() throws IOException {
+        return FACTORY.createNonBlockingByteArrayParser();
+    }
+
+    private static <E extends Exception> Object parse(JsonParser json, Map<String, ValueReader<E>> readers)
+            throws IOException, E {
+        try (JsonParser parser = json) {
+            JsonToken first = parser.nextToken();
+            Object value = first == JsonToken.START_OBJECT ? readObject(parser, readers) : read(parser, first);
             if (parser.nextToken() != null) {
                 throw new JsonParseException(parser, "more than one value");
             }
@@ -61,12 +95,36 @@
      */
     public static byte[] write(Object tree) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        try (JsonGenerator json = new JsonFactory().createGenerator(out).useDefaultPrettyPrinter()) {
-            write(json, tree);
+        try {
+            write(tree, out);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
+        return out.toByteArray();
+    }
+
+    /**
+     * Writes a document like {@link #write(Object)} to a stream.
+     *
+     * @param tree may have an {@link Iterable} in place of a list, whose elements are created as they are written
+     */
+    public static void write(Object tree, OutputStream out) throws IOException {
+        try (JsonGenerator json = FACTORY.createGenerator(out)
+                .disable(JsonGenerator.Feature.AUTO_CLOSE_TARGET)
+                .useDefaultPrettyPrinter()) {
+            write(json, tree);
+        }
         out.write('\n');
+    }
+
+    /** Returns a document in UTF-8 without any blanks; otherwise like {@link #write(Object)}. */
+    public static byte[] writeCompact(Object tree) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (JsonGenerator json = FACTORY.createGenerator(out)) {
+            write(json, tree);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
         return out.toByteArray();
     }
 
@@ -78,9 +136,9 @@
                 write(json, entry.getValue());
             }
             json.writeEndObject();
-        } else if (tree instanceof List<?> list) {
+        } else if (tree instanceof Iterable<?> elements) {
             json.writeStartArray();
-            for (Object element : list) {
+            for (Object element : elements) {
                 write(json, element);
             }
             json.writeEndArray();
@@ -129,6 +187,18 @@
         return map;
     }
 
+    private static <E extends Exception> Map<String, Object> readObject(
+            JsonParser json, Map<String, ValueReader<E>> readers) throws IOException, E {
+        Map<String, Object> map = new LinkedHashMap<>();
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            String name = json.currentName();
+            JsonToken first = json.nextToken();
+            ValueReader<E> reader = readers.get(name);
+            map.put(name, reader == null ? read(json, first) : reader.read(json));
+        }
+        return map;
+    }
+
     private static List<Object> readArray(JsonParser json) throws IOException {
         List<Object> list = new ArrayList<>();
         while (json.nextToken() != JsonToken.END_ARRAY) {
--- a/daemon/src/main/java/portrelay/net/connection/HttpConnection.java
+++ b/daemon/src/main/java/portrelay/net/connection/HttpConnection.java
@@ -97,7 +97,17 @@
      * @param done called once, on the loop; possibly before this method returns
      */
     public void exchange(HttpCall call, int maxBody, Consumer<HttpResult> done) {
-        exchange(call, maxBody, false, done);
+        exchange(new HttpExchange(this, call, maxBody, false, null, done));
+    }
+
+    /**
+     * Sends a request on an idle connection, as {@link #exchange(HttpCall, int, Consumer)} does, and passes the body of
+     * a response with status 200 on as it arrives; the result then has no body.
+     *
+     * @param pieces called with each piece of the body, on the loop; a piece is valid during the call only
+     */
+    public void exchange(HttpCall call, int maxBody, Consumer<ByteBuffer> pieces, Consumer<HttpResult> done) {
+        exchange(new HttpExchange(this, call, maxBody, false, pieces, done));
     }
 
     /**
@@ -107,11 +117,10 @@
      * @param done called once, on the loop; possibly before this method returns
      */
     public void beginExchange(HttpCall call, Consumer<HttpResult> done) {
-        exchange(call, HttpCall.MAX_BUFFERED_BODY, true, done);
+        exchange(new HttpExchange(this, call, HttpCall.MAX_BUFFERED_BODY, true, null, done));
     }
 
-    private void exchange(HttpCall call, int maxBuffered, boolean mayStream, Consumer<HttpResult> done) {
-        HttpExchange exchange = new HttpExchange(this, call, maxBuffered, mayStream, done);
+    private void exchange(HttpExchange exchange) {
         current = exchange;
         filter.expectResponse();
         exchange.start();
--- a/daemon/src/main/java/portrelay/net/connection/HttpExchange.java
+++ b/daemon/src/main/java/portrelay/net/connection/HttpExchange.java
@@ -23,6 +23,9 @@
     /** The size of one read in bytes; most responses are shorter. */
     private static final int READ_BYTES = 4 * 1024;
 
+    /** The reads in one turn of the event loop when a body is passed on in pieces: other events follow in between. */
+    private static final int READS_PER_TURN = 16;
+
     private static final ByteBuffer EMPTY_BUFFER = ByteBuffer.allocate(0);
 
     private final HttpConnection connection;
@@ -34,6 +37,9 @@
 
     private final int maxBuffered;
     private final boolean mayStream;
+    /** Receives the body of a response with status 200 piece by piece; null if it is buffered. */
+    private final Consumer<ByteBuffer> pieces;
+
     private final Consumer<HttpResult> done;
     private final BodyBuffer responseBody;
     private final long bytesSentBefore;
@@ -41,6 +47,8 @@
     private ByteBuffer unwritten;
 
     private ClientResponse head;
+    /** The number of bytes of the body that were passed on in pieces. */
+    private long passedOn;
     /** Whether {@link #read} is running; it handles the end of the connection itself. */
     private boolean isReading;
     /** Whether the response was passed on as a stream; the transfer then detects the end of the connection. */
@@ -51,16 +59,23 @@
      *
      * @param maxBuffered the maximum number of bytes of a response body that are buffered
      * @param mayStream whether a longer response with status 200 is passed on as a stream instead of failing
+     * @param pieces receives the body of a response with status 200 piece by piece; null to buffer it
      * @param done called once, unless the owner of the connection closes it first
      */
     HttpExchange(
-            HttpConnection connection, HttpCall call, int maxBuffered, boolean mayStream, Consumer<HttpResult> done) {
+            HttpConnection connection,
+            HttpCall call,
+            int maxBuffered,
+            boolean mayStream,
+            Consumer<ByteBuffer> pieces,
+            Consumer<HttpResult> done) {
         this.connection = connection;
         this.requestHead = call.head();
         this.requestBody = call.requestBody();
         this.hasBufferedRequestBody = call.body().length > 0;
         this.maxBuffered = maxBuffered;
         this.mayStream = mayStream;
+        this.pieces = pieces;
         this.done = done;
         this.responseBody = new BodyBuffer(maxBuffered + READ_BYTES);
         this.bytesSentBefore = connection.bytesSent();
@@ -176,17 +191,22 @@
         ByteBuffer buffer = ByteBuffer.allocate(READ_BYTES);
         isReading = true;
         try {
+            int reads = 0;
             for (int count = source.read(buffer); count != 0; count = source.read(buffer)) {
                 if (count < 0) {
                     complete();
                     return;
                 }
-                responseBody.append(buffer.flip());
+                take(buffer.flip());
                 buffer.clear();
-                if (responseBody.size() > maxBuffered) {
+                if (responseBody.size() > maxBuffered || passedOn > maxBuffered) {
                     streamOrFail(source);
                     return;
                 }
+                if (pieces != null && ++reads >= READS_PER_TURN) {
+                    readOn(source);
+                    return;
+                }
             }
             isReading = false;
             if (connection.isSocketOpen()) {
@@ -200,6 +220,25 @@
         }
     }
 
+    private void take(ByteBuffer bytes) {
+        if (pieces != null && head.getResponseCode() == StatusCodes.OK) {
+            passedOn += bytes.remaining();
+            pieces.accept(bytes);
+        } else {
+            responseBody.append(bytes);
+        }
+    }
+
+    /** Reads on in a later turn of the loop, as bytes may be left that cause no event. */
+    private void readOn(StreamSourceChannel source) {
+        isReading = false;
+        connection.loop().execute(() -> {
+            if (connection.isCurrent(this)) {
+                read(source);
+            }
+        });
+    }
+
     private void streamOrFail(StreamSourceChannel source) {
         if (isStreamable()) {
             stream(source);
--- a/daemon/src/main/java/portrelay/net/discovery/DiscoveryActor.java
+++ b/daemon/src/main/java/portrelay/net/discovery/DiscoveryActor.java
@@ -9,13 +9,10 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.xnio.XnioExecutor;
 import portrelay.discovery.WatchCalls;
-import portrelay.json.JsonTree;
 import portrelay.model.EndpointUpdate;
 import portrelay.model.UpstreamId;
 import portrelay.net.balancer.LoadBalancerActor;
@@ -30,7 +27,6 @@
 import portrelay.net.http.WireNames;
 import portrelay.net.upstream.UpstreamActor;
 import portrelay.settings.InvalidSettingException;
-import portrelay.settings.JsonFields;
 
 /**
  * Watches the endpoint list: owns the connections to discovery and performs the calls that {@link WatchCalls} decides
@@ -38,7 +34,8 @@
  */
 public final class DiscoveryActor implements LoadBalancerActor.Watch, WatchCalls.Actions {
 
-    private static final int MAX_LIST_BYTES = 4 * 1024 * 1024;
+    /** Longer than any list that a process can hold; read piece by piece, so it bounds no memory. */
+    private static final int MAX_LIST_BYTES = 256 * 1024 * 1024;
     /**
      * The version while there is no list, or one that incremental changes cannot be applied to. The next call then
      * fetches the complete list.
@@ -59,6 +56,7 @@
     private final Mailbox mailbox;
     private final Connector connector;
     private final EndpointRegistry registry;
+    private final EndpointListLimit limit;
     private final WatchCalls watchCalls = new WatchCalls(this);
     private final Map<Integer, OutstandingCall> outstanding = new HashMap<>();
     private InetSocketAddress address;
@@ -79,22 +77,19 @@
             Connector connector,
             InetSocketAddress address,
             LoadBalancerActor loadBalancer,
+            EndpointListLimit limit,
             Function<InetSocketAddress, UpstreamActor> upstreamFactory) {
         this.loop = loop;
         this.log = log;
         this.connector = connector;
         this.address = address;
         mailbox = new Mailbox(loop, log);
-        registry = new EndpointRegistry(log, loadBalancer, upstreamFactory);
+        this.limit = limit;
+        registry = new EndpointRegistry(log, loadBalancer, limit, upstreamFactory);
     }
 
-    /**
-     * Loads the cached endpoint list, which is used until discovery answers.
-     *
-     * @throws InvalidSettingException if a field is missing or invalid; names the field
-     */
-    public void loadCached(JsonFields list) throws InvalidSettingException {
-        EndpointListPage page = EndpointListPage.read(list);
+    /** Loads the cached endpoint list, which is used until discovery answers. */
+    public void loadCached(EndpointListPage page) {
         version = page.version();
         registry.apply(page, EndpointUpdate.CACHED);
     }
@@ -132,16 +127,15 @@
     }
 
     /**
-     * Sets the listener for changes of the endpoint list. It receives the ids that were ever listed, and the complete
-     * list in discovery's format. The listener may keep both, as they are not modified afterwards.
+     * Sets the listener for changes of the endpoint list.
      *
      * @param knownIds ids to be treated as listed before
      */
-    public void onUpdate(BiConsumer<Set<UpstreamId>, Object> listener, Set<UpstreamId> knownIds) {
+    public void onUpdate(Consumer<EndpointListSnapshot> listener, Iterable<UpstreamId> knownIds) {
         registry.onUpdate(listener, knownIds);
     }
 
-    /** Returns the rows of the current endpoint list in discovery's format. */
+    /** Returns the rows of the current endpoint list in discovery's format, as JSON trees. */
     public Collection<Object> endpointRows() {
         return registry.rows();
     }
@@ -207,20 +201,26 @@
                         + WireNames.WATCH_WAIT_MS + "=" + (long) (waitSeconds * 1e3);
         HttpCall request = HttpCall.of(Methods.GET, target, HttpCall.NO_BODY);
         request.headers().put(Headers.HOST, SocketAddresses.format(address));
-        connection.exchange(request, MAX_LIST_BYTES, result -> mailbox.post(() -> handleResult(callId, call, result)));
+        ListTransfer transfer = new ListTransfer(limit);
+        connection.exchange(
+                request,
+                MAX_LIST_BYTES,
+                transfer::receive,
+                result -> mailbox.post(() -> handleResult(callId, call, result, transfer)));
     }
 
-    private void handleResult(int callId, OutstandingCall call, HttpResult result) {
+    private void handleResult(int callId, OutstandingCall call, HttpResult result, ListTransfer transfer) {
         if (outstanding.get(callId) != call) {
             return;
         }
-        EndpointListPage page = result.status() == StatusCodes.OK ? parse(result) : null;
+        EndpointListPage page = result.status() == StatusCodes.OK ? parse(transfer) : null;
         if (page == null) {
             handleFailure(callId, "answer status=" + result.status());
             return;
         }
         log.info("discovery call answered: call=" + callId + " version=" + page.version() + " complete="
-                + page.isComplete() + " rows=" + page.rows().size() + " bytes=" + result.body().length);
+                + page.isComplete() + " rows=" + page.rows().size() + " left-out=" + page.leftOut() + " bytes="
+                + transfer.bytes());
         outstanding.remove(callId);
         call.timeout.remove();
         idleConnection = call.connection;
@@ -232,6 +232,12 @@
             beginNextCall();
             return;
         }
+        if (!page.isComplete() && page.leftOut() > 0) {
+            log.warn("discovery sent more changes than fit into memory: the complete list is fetched");
+            version = NO_VERSION;
+            beginNextCall();
+            return;
+        }
         if (!apply(page)) {
             // The list is fetched again after the backoff; without another call no further change would be received.
             version = NO_VERSION;
@@ -257,10 +263,10 @@
         }
     }
 
-    /** Parses the response body; logs a warning and returns null if it is not an endpoint list. */
-    private EndpointListPage parse(HttpResult result) {
+    /** Returns the list that was received; logs a warning and returns null if it is not an endpoint list. */
+    private EndpointListPage parse(ListTransfer transfer) {
         try {
-            return EndpointListPage.read(JsonFields.of(JsonTree.parse(result.body()), ""));
+            return transfer.page();
         } catch (IOException | InvalidSettingException e) {
             log.warn("discovery sent no list: cause="
                     + e.getMessage().lines().findFirst().orElse(""));
--- a/daemon/src/main/java/portrelay/net/discovery/EndpointListPage.java
+++ b/daemon/src/main/java/portrelay/net/discovery/EndpointListPage.java
@@ -1,8 +1,10 @@
 package portrelay.net.discovery;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.List;
+import portrelay.json.JsonTree;
 import portrelay.model.CellId;
 import portrelay.model.Endpoint;
 import portrelay.model.Hash;
@@ -21,32 +23,48 @@
  * @param version increases with each change of the list
  * @param isComplete whether the page contains all endpoints; otherwise it contains the changed ones
  * @param rows one row for each endpoint, in the order received
+ * @param leftOut the number of rows that did not fit into {@link EndpointListLimit}
  */
-public record EndpointListPage(long version, boolean isComplete, List<Row> rows) {
+public record EndpointListPage(long version, boolean isComplete, List<Row> rows, int leftOut) {
+
+    /** The list of a process that has none yet. */
+    public static final EndpointListPage NONE = new EndpointListPage(-1, true, List.of(), 0);
 
     /**
      * The row of one endpoint.
      *
      * @param address null if the endpoint is gone
-     * @param tree the row as received, as a JSON object
+     * @param json the row as received, as a JSON object without blanks
      */
-    record Row(Endpoint endpoint, InetSocketAddress address, Object tree) {}
+    record Row(Endpoint endpoint, InetSocketAddress address, byte[] json) {
+
+        /** Returns the row as a JSON tree. */
+        Object tree() {
+            try {
+                return JsonTree.parse(json);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
 
     /**
-     * Reads an endpoint list in discovery's format.
+     * Creates a page.
      *
+     * @param fields the fields of the page other than its rows
      * @throws InvalidSettingException if a field is missing or invalid; names the first such field
      */
-    public static EndpointListPage read(JsonFields page) throws InvalidSettingException {
-        List<Row> rows = new ArrayList<>();
-        for (JsonFields row : page.objects(WireNames.ENDPOINTS)) {
-            rows.add(readRow(row));
-        }
+    static EndpointListPage of(JsonFields fields, List<Row> rows, int leftOut) throws InvalidSettingException {
         return new EndpointListPage(
-                (long) page.number(WireNames.VERSION), page.optionalBoolean(WireNames.IS_COMPLETE), rows);
+                (long) fields.number(WireNames.VERSION), fields.optionalBoolean(WireNames.IS_COMPLETE), rows, leftOut);
     }
 
-    private static Row readRow(JsonFields row) throws InvalidSettingException {
+    /**
+     * Reads a row.
+     *
+     * @throws InvalidSettingException if a field is missing or invalid; names the first such field
+     */
+    static Row readRow(JsonFields row) throws InvalidSettingException {
         Endpoint.Health health = readHealth(row);
         InetSocketAddress address = null;
         if (health != Endpoint.Health.GONE) {
@@ -63,7 +81,7 @@
                 new CellId((long) row.number(WireNames.GROUP, 0)),
                 ZoneId.of(row.string(WireNames.ZONE, "")),
                 new InstanceTypeId((int) Hash.of(row.string(WireNames.INSTANCE_TYPE, ""))));
-        return new Row(endpoint, address, row.asMap());
+        return new Row(endpoint, address, JsonTree.writeCompact(row.asMap()));
     }
 
     private static Endpoint.Health readHealth(JsonFields row) throws InvalidSettingException {
--- a/daemon/src/main/java/portrelay/net/eventloop/Mailbox.java
+++ b/daemon/src/main/java/portrelay/net/eventloop/Mailbox.java
@@ -13,12 +13,12 @@
     private final EventLoop loop;
     private final Log log;
     private final Object lock = new Object();
-    /** Guarded by the lock. */
-    private Queue<Runnable> posted = new ArrayDeque<>();
+    /** Guarded by the lock. Null until the first message: most actors of a long endpoint list never get one. */
+    private Queue<Runnable> posted;
     /** Guarded by the lock. */
     private boolean isScheduled;
-    /** Empty except while its messages are run; used on the loop only. */
-    private Queue<Runnable> running = new ArrayDeque<>();
+    /** Empty or null except while its messages are run; used on the loop only. */
+    private Queue<Runnable> running;
 
     /** Creates an empty mailbox whose messages run on the loop; a message that fails is logged. */
     public Mailbox(EventLoop loop, Log log) {
@@ -29,6 +29,9 @@
     /** Queues a message to run on the event loop. */
     public void post(Runnable message) {
         synchronized (lock) {
+            if (posted == null) {
+                posted = new ArrayDeque<>();
+            }
             posted.add(message);
             if (isScheduled) {
                 return;
--- a/daemon/src/main/java/portrelay/net/handover/HandoverDirectory.java
+++ b/daemon/src/main/java/portrelay/net/handover/HandoverDirectory.java
@@ -1,6 +1,9 @@
 package portrelay.net.handover;
 
+import java.io.BufferedOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
@@ -18,6 +21,7 @@
 import java.util.regex.Pattern;
 import portrelay.json.JsonTree;
 import portrelay.model.Hash;
+import portrelay.net.discovery.EndpointListLimit;
 import portrelay.net.eventloop.Log;
 import portrelay.settings.InvalidSettingException;
 
@@ -30,11 +34,8 @@
  */
 final class HandoverDirectory {
 
-    /**
-     * Longest state file that is read. It holds the longest endpoint list, which is 4 MiB as discovery sends it and
-     * longer as it is written here, and the rest of the state.
-     */
-    private static final long MAX_STATE_BYTES = 16 * 1024 * 1024;
+    /** Longest state file that is read: longer than one with any endpoint list that a process can hold. */
+    private static final long MAX_STATE_BYTES = 512 * 1024 * 1024;
 
     private final Path directory;
     private final String sidecarName;
@@ -46,13 +47,17 @@
     private final Map<Long, String> readVersions = new HashMap<>();
     private final Map<Long, HandoverState> readStates = new HashMap<>();
     private final Set<Long> loggedNumbers = new HashSet<>();
+    /** The part of other processes' endpoint lists that is read; null for none. */
+    private EndpointListLimit listLimit;
 
     /**
      * Takes the next number and locks its lock file.
      *
+     * @param listLimit the part of other processes' endpoint lists that is read
      * @throws IOException if the directory is missing or not writable, or if another process takes the same number
      */
-    HandoverDirectory(Path directory, String sidecarName, Log log) throws IOException {
+    HandoverDirectory(Path directory, String sidecarName, EndpointListLimit listLimit, Log log) throws IOException {
+        this.listLimit = listLimit;
         this.directory = directory;
         this.sidecarName = sidecarName;
         this.log = log;
@@ -123,7 +128,9 @@
             if (Files.size(file) > MAX_STATE_BYTES) {
                 throw new IOException("longer than " + MAX_STATE_BYTES + " bytes");
             }
-            readStates.put(number, HandoverStateCodec.decode(JsonTree.parse(Files.readAllBytes(file)), sidecarName));
+            try (InputStream json = Files.newInputStream(file)) {
+                readStates.put(number, HandoverStateCodec.decode(json, sidecarName, listLimit));
+            }
         } catch (IOException | InvalidSettingException | RuntimeException e) {
             if (loggedNumbers.add(number)) {
                 String cause =
@@ -134,11 +141,20 @@
         return readStates.get(number);
     }
 
+    /** Drops the endpoint lists that were read, and reads none from now on: this process has its own. */
+    void stopReadingLists() {
+        listLimit = null;
+        readVersions.clear();
+        readStates.clear();
+    }
+
     /** Replaces this process's state file atomically: a concurrent reader sees the previous state. */
     void write(HandoverState state) {
         Path temporary = file(ownNumber, "tmp");
         try {
-            Files.write(temporary, JsonTree.write(HandoverStateCodec.encode(state)));
+            try (OutputStream json = new BufferedOutputStream(Files.newOutputStream(temporary))) {
+                JsonTree.write(HandoverStateCodec.encode(state), json);
+            }
             Files.move(
                     temporary,
                     stateFile(ownNumber),
--- a/daemon/src/main/java/portrelay/net/handover/HandoverService.java
+++ b/daemon/src/main/java/portrelay/net/handover/HandoverService.java
@@ -10,10 +10,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import portrelay.model.UpstreamId;
+import portrelay.net.discovery.EndpointListLimit;
+import portrelay.net.discovery.EndpointListPage;
+import portrelay.net.discovery.EndpointListSnapshot;
 import portrelay.net.eventloop.EventLoop;
 import portrelay.net.eventloop.Log;
-import portrelay.settings.InvalidSettingException;
-import portrelay.settings.JsonFields;
 
 /**
  * Exchanges state with the other processes of one sidecar through files in a directory that they share. Owns the state
@@ -68,13 +69,18 @@
     /** Null before {@link #start}. */
     private Listener listener;
 
+    /** The ids that the processes found by {@link #open} had ever listed, the latest last; empty once started. */
+    private Set<UpstreamId> everListedBefore = new LinkedHashSet<>();
+
     private boolean isStateChanged = true;
     private Sibling sibling = Sibling.NONE;
 
-    private HandoverService(EventLoop loop, Log log, Path directory, HandoverState.Owner owner) throws IOException {
+    private HandoverService(
+            EventLoop loop, Log log, Path directory, HandoverState.Owner owner, EndpointListLimit listLimit)
+            throws IOException {
         this.loop = loop;
         this.log = log;
-        this.directory = new HandoverDirectory(directory, owner.name(), log);
+        this.directory = new HandoverDirectory(directory, owner.name(), listLimit, log);
         scan = new SiblingScan(this.directory, log);
         state = new HandoverState(owner);
         executor = new ScheduledThreadPoolExecutor(1, task -> {
@@ -92,14 +98,16 @@
      * Takes a number and a lock in the directory, and reads the state files of other processes.
      *
      * @param directory null to disable handover
+     * @param listLimit the part of other processes' endpoint lists that is read
      * @return null if the directory is null, or if it is missing or not writable, which is logged
      */
-    public static HandoverService open(EventLoop loop, Log log, Path directory, HandoverState.Owner owner) {
+    public static HandoverService open(
+            EventLoop loop, Log log, Path directory, HandoverState.Owner owner, EndpointListLimit listLimit) {
         if (directory == null) {
             return null;
         }
         try {
-            return new HandoverService(loop, log, directory, owner);
+            return new HandoverService(loop, log, directory, owner, listLimit);
         } catch (IOException | RuntimeException e) {
             log.warn("handover disabled: directory=" + directory + " cause=" + e);
             return null;
@@ -120,16 +128,12 @@
 
     /** Returns the ids that discovery ever listed, the latest last. */
     public Set<UpstreamId> everListed() {
-        return new LinkedHashSet<>(state.everListed);
+        return everListedBefore;
     }
 
-    /** Returns the endpoint list of a process that is alive, in discovery's format; null if there is none. */
-    public JsonFields endpointList() {
-        try {
-            return state.endpointList == null ? null : JsonFields.of(state.endpointList, "list");
-        } catch (InvalidSettingException e) {
-            return null;
-        }
+    /** Returns the endpoint list of a process that is alive; null if there is none. */
+    public EndpointListPage endpointList() {
+        return state.endpointList == null ? null : state.endpointList.page();
     }
 
     /** Returns the state of the sibling process. */
@@ -143,6 +147,8 @@
     public void start(Listener listener) {
         execute(() -> {
             this.listener = listener;
+            everListedBefore = Set.of();
+            directory.stopReadingLists();
             poll();
         });
     }
@@ -185,12 +191,9 @@
         });
     }
 
-    /**
-     * Records the endpoint list, to be written with the next poll. The caller must not change either object afterwards.
-     */
-    public void recordEndpointList(Set<UpstreamId> everListed, Object endpointList) {
+    /** Records the endpoint list, to be written with the next poll. */
+    public void recordEndpointList(EndpointListSnapshot endpointList) {
         execute(() -> {
-            state.everListed = everListed;
             state.endpointList = endpointList;
             isStateChanged = true;
         });
@@ -289,8 +292,8 @@
         }
         if (listener == null) {
             // Once started, this process has its own list.
-            state.everListed.addAll(other.everListed);
-            state.endpointList = isAlive && other.endpointList != null ? other.endpointList : state.endpointList;
+            everListedBefore.addAll(other.endpointList.everListed());
+            state.endpointList = isAlive && other.endpointList.page() != null ? other.endpointList : state.endpointList;
         }
     }
 
--- a/daemon/src/main/java/portrelay/net/handover/HandoverState.java
+++ b/daemon/src/main/java/portrelay/net/handover/HandoverState.java
@@ -1,9 +1,8 @@
 package portrelay.net.handover;
 
 import java.util.Collections;
-import java.util.LinkedHashSet;
 import java.util.Set;
-import portrelay.model.UpstreamId;
+import portrelay.net.discovery.EndpointListSnapshot;
 
 /**
  * The state that one process of a sidecar hands over to its successor. Of several operator calls for the same upstream,
@@ -59,10 +58,8 @@
     OperatorCall sidecarCall = new OperatorCall(false, 0);
 
     final OperatorCalls upstreamCalls = new OperatorCalls();
-    /** Ids that discovery ever listed, the latest last. */
-    Set<UpstreamId> everListed = new LinkedHashSet<>();
-    /** The endpoint list in discovery's format; null if there is none yet. */
-    Object endpointList;
+    /** The endpoint list, with the ids that discovery ever listed; null if there is none yet. */
+    EndpointListSnapshot endpointList;
 
     HandoverState(Owner owner) {
         this.owner = owner;
--- a/daemon/src/main/java/portrelay/net/handover/HandoverStateCodec.java
+++ b/daemon/src/main/java/portrelay/net/handover/HandoverStateCodec.java
@@ -1,12 +1,19 @@
 package portrelay.net.handover;
 
+import java.io.IOException;
+import java.io.InputStream;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import portrelay.json.JsonTree;
+import portrelay.json.ValueReader;
 import portrelay.model.UpstreamId;
+import portrelay.net.discovery.EndpointListLimit;
 import portrelay.net.discovery.EndpointListPage;
+import portrelay.net.discovery.EndpointListReader;
+import portrelay.net.discovery.EndpointListSnapshot;
 import portrelay.settings.InvalidSettingException;
 import portrelay.settings.JsonFields;
 
@@ -39,22 +46,22 @@
             calls.add(row);
         });
         tree.put("calls", calls);
-        tree.put(
-                "ever",
-                state.everListed.stream()
-                        .map(id -> (Object) Long.toHexString(id.value()))
-                        .toList());
-        tree.put("list", state.endpointList);
+        List<UpstreamId> everListed = state.endpointList == null ? List.of() : state.endpointList.everListed();
+        tree.put("ever", EndpointListSnapshot.lazily(everListed, id -> Long.toHexString(id.value())));
+        tree.put("list", state.endpointList == null ? null : state.endpointList.tree());
         return tree;
     }
 
     /**
      * Decodes the state of a process of the sidecar with the given name.
      *
-     * @throws InvalidSettingException if the tree is not in the form that {@link #encode} creates; names the field
+     * @param limit the part of its endpoint list that is decoded; null for none of it, nor of the ids ever listed
+     * @throws IOException if the state is not well-formed JSON
+     * @throws InvalidSettingException if it is not in the form that {@link #encode} creates; names the field
      */
-    static HandoverState decode(Object tree, String sidecarName) throws InvalidSettingException {
-        JsonFields root = JsonFields.of(tree, "");
+    static HandoverState decode(InputStream json, String sidecarName, EndpointListLimit limit)
+            throws IOException, InvalidSettingException {
+        JsonFields root = JsonFields.of(JsonTree.parse(json, readers(limit)), "");
         if (root.number("form") != FORM) {
             throw root.invalid("form", "1, the only form that this version reads");
         }
@@ -73,17 +80,33 @@
             var call = new HandoverState.OperatorCall(row.requiredBoolean("offline"), row.number("at"));
             state.upstreamCalls.restore(upstreamId(root, "calls", row.string("id")), call);
         }
+        List<UpstreamId> everListed = new ArrayList<>();
         for (String id : root.strings("ever")) {
-            state.everListed.add(upstreamId(root, "ever", id));
-        }
-        if (root.has("list")) {
-            // Parsed only to validate it: an invalid list must not be taken over.
-            EndpointListPage.read(root.section("list"));
-            state.endpointList = ((Map<?, ?>) tree).get("list");
+            everListed.add(upstreamId(root, "ever", id));
         }
+        EndpointListPage list = (EndpointListPage) root.asMap().get("list");
+        EndpointListPage known = list == null ? EndpointListPage.NONE : list;
+        state.endpointList = EndpointListSnapshot.of(known, everListed);
         return state;
     }
 
+    private static Map<String, ValueReader<InvalidSettingException>> readers(EndpointListLimit limit) {
+        if (limit != null) {
+            return Map.of("list", json -> EndpointListReader.read(json, "list", limit));
+        }
+        return Map.of(
+                "list",
+                json -> {
+                    json.skipChildren();
+                    return null;
+                },
+                "ever",
+                json -> {
+                    json.skipChildren();
+                    return List.of();
+                });
+    }
+
     private static UpstreamId upstreamId(JsonFields root, String field, String hex) throws InvalidSettingException {
         try {
             return new UpstreamId(Long.parseUnsignedLong(hex, 16));
--- a/daemon/src/main/java/portrelay/net/lifecycle/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/lifecycle/Sidecar.java
@@ -10,11 +10,11 @@
 import org.xnio.XnioWorker;
 import portrelay.net.balancer.LoadBalancerActor;
 import portrelay.net.connection.Connector;
+import portrelay.net.discovery.EndpointListPage;
 import portrelay.net.eventloop.EventLoop;
 import portrelay.net.eventloop.MonotonicClock;
 import portrelay.net.handover.HandoverService;
 import portrelay.settings.InvalidSettingException;
-import portrelay.settings.JsonFields;
 
 /**
  * One sidecar: its load balancing, its sockets and the event loop thread that runs both. The methods of this class may
@@ -29,28 +29,29 @@
     /** Owns the open requests; for tests, to be used on the loop. */
     public final LoadBalancerActor loadBalancer;
 
-    private final SidecarConfig config;
     private final SidecarComponents components;
     private final Startup startup;
     private volatile boolean closed;
 
     private Sidecar(SidecarConfig config, PrintStream logTo, Path handoverDirectory, WarmUp.Length warmUpLength)
             throws IOException, InvalidSettingException {
-        this.config = config;
         components = new SidecarComponents(config, logTo, handoverDirectory);
         loop = components.loop;
         upstreamConnector = components.upstreamConnector;
         loadBalancer = components.loadBalancer;
-        startup = new Startup(config, components);
+        startup = new Startup(config.withoutCachedEndpoints(), components);
         boolean hasServingSibling = components.siblingAtStart() == HandoverService.Sibling.SERVING;
         WarmUp.Length defaultLength = hasServingSibling ? WarmUp.Length.SUCCESSOR : WarmUp.Length.FIRST;
-        WarmUp warmUp =
-                new WarmUp(loop, components.buffers, config, warmUpLength == null ? defaultLength : warmUpLength);
+        WarmUp warmUp = new WarmUp(
+                loop,
+                components.buffers,
+                config.withoutCachedEndpoints(),
+                warmUpLength == null ? defaultLength : warmUpLength);
         try {
             if (components.admin != null) {
                 components.admin.listen(components.worker, config.adminAddress());
             }
-            runOnLoop(() -> startActors(warmUp));
+            runOnLoop(() -> startActors(config, warmUp));
             if (!hasServingSibling) {
                 // Listens only now: a request that is read before the actors run, or before a signal can reach them,
                 // may wait too long.
@@ -201,8 +202,8 @@
         components.worker.shutdownNow();
     }
 
-    private void startActors(WarmUp warmUp) throws InvalidSettingException {
-        restoreState();
+    private void startActors(SidecarConfig config, WarmUp warmUp) {
+        restoreState(config.cachedEndpoints());
         if (components.peers != null) {
             components.peers.start();
         }
@@ -214,8 +215,8 @@
     }
 
     /** Restores state from the previous process, or from the configuration if there was none. */
-    private void restoreState() throws InvalidSettingException {
-        JsonFields endpoints = config.cachedEndpoints();
+    private void restoreState(EndpointListPage cachedEndpoints) {
+        EndpointListPage endpoints = cachedEndpoints;
         HandoverService handover = components.handover;
         if (handover != null) {
             handover.operatorCalls().forEach((id, call) -> {
--- a/daemon/src/main/java/portrelay/net/lifecycle/SidecarComponents.java
+++ b/daemon/src/main/java/portrelay/net/lifecycle/SidecarComponents.java
@@ -19,6 +19,7 @@
 import portrelay.net.client.RequestReader;
 import portrelay.net.connection.Connector;
 import portrelay.net.discovery.DiscoveryActor;
+import portrelay.net.discovery.EndpointListLimit;
 import portrelay.net.eventloop.EventLoop;
 import portrelay.net.eventloop.Log;
 import portrelay.net.eventloop.MonotonicClock;
@@ -77,7 +78,8 @@
         worker = createWorker();
         loop = new EventLoop(worker.getIoThread(), new MonotonicClock());
         buffers = createBufferPool();
-        handover = HandoverService.open(loop, log, handoverDirectory, owner(config));
+        EndpointListLimit listLimit = EndpointListLimit.ofHeap(config.seed());
+        handover = HandoverService.open(loop, log, handoverDirectory, owner(config), listLimit);
         descriptors = new DescriptorBudget(config.descriptorLimit(), config.adminAddress() != null, siblingAtStart());
         upstreamConnector =
                 new Connector(loop, buffers, descriptors.maxUpstreamConnections(), open -> updateClientLimit());
@@ -87,7 +89,7 @@
                 loop, log, shutdown.shutdown(), actions -> settings.createForSockets(actions, config.seed(), hasPeers));
         loadBalancer.setDeduplicationWindows(arrival -> deduplicationWindowSeconds(settings, arrival));
         peers = hasPeers ? peerActor(config) : null;
-        discovery = discoveryActor(config);
+        discovery = discoveryActor(config, listLimit);
         admission = new AdmissionActor(loop, log, settings, config.admission(), loadBalancer, config.seed());
         log.info("admission: max-queued-bytes=" + config.admission().maxQueueMemory());
         frontend = new ClientFrontend(
@@ -171,7 +173,7 @@
         return new PeerActor(loop, log, worker, config.peers(), sidecarCount, loadBalancer::peerMessageReceived);
     }
 
-    private DiscoveryActor discoveryActor(SidecarConfig config) {
+    private DiscoveryActor discoveryActor(SidecarConfig config, EndpointListLimit listLimit) {
         double connectTimeoutSeconds = config.settings().connectTimeout();
         double configuredIdleTimeoutSeconds = config.settings().connectionIdleTimeout();
         double upstreamIdleTimeoutSeconds =
@@ -183,6 +185,7 @@
                 new Connector(loop, buffers, MAX_DISCOVERY_CONNECTIONS, open -> {}),
                 config.discovery(),
                 loadBalancer,
+                listLimit,
                 address -> new UpstreamActor(
                         loop,
                         log,
--- a/daemon/src/main/java/portrelay/net/lifecycle/SidecarConfig.java
+++ b/daemon/src/main/java/portrelay/net/lifecycle/SidecarConfig.java
@@ -2,10 +2,15 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import portrelay.admission.AdmissionConfig;
 import portrelay.json.JsonTree;
+import portrelay.json.ValueReader;
+import portrelay.net.discovery.EndpointListLimit;
 import portrelay.net.discovery.EndpointListPage;
+import portrelay.net.discovery.EndpointListReader;
 import portrelay.net.http.SocketAddresses;
 import portrelay.net.http.WireNames;
 import portrelay.net.peer.PeerAddresses;
@@ -22,7 +27,7 @@
  * @param adminAddress address of the admin endpoint; null for none
  * @param seed seed of the random numbers of all decisions
  * @param descriptorLimit number of file descriptors that the process may hold
- * @param cachedEndpoints last known endpoint list, in discovery's format; null for none
+ * @param cachedEndpoints last known endpoint list; null for none
  * @param peers addresses of the peers; null where sidecars exchange no messages
  */
 public record SidecarConfig(
@@ -32,7 +37,7 @@
         InetSocketAddress adminAddress,
         long seed,
         int descriptorLimit,
-        JsonFields cachedEndpoints,
+        EndpointListPage cachedEndpoints,
         Settings settings,
         AdmissionConfig admission,
         PeerAddresses peers) {
@@ -51,17 +56,25 @@
      * @throws InvalidSettingException if a field is missing or wrong; names the first such field
      */
     public static SidecarConfig parse(byte[] json) throws InvalidSettingException {
-        JsonFields root = JsonFields.of(parseTree(json), "");
+        return parse(json, EndpointListLimit.ofHeap(Arrays.hashCode(json)));
+    }
+
+    /**
+     * Reads a configuration file whose cached endpoint list is not needed; the list is checked all the same.
+     *
+     * @throws InvalidSettingException if a field is missing or wrong; names the first such field
+     */
+    public static SidecarConfig parseWithoutCachedEndpoints(byte[] json) throws InvalidSettingException {
+        return parse(json, EndpointListLimit.NOTHING).withoutCachedEndpoints();
+    }
+
+    private static SidecarConfig parse(byte[] json, EndpointListLimit limit) throws InvalidSettingException {
+        JsonFields root = JsonFields.of(parseTree(json, limit), "");
         int descriptorLimit = root.has(WireNames.LIMITS)
                 ? root.section(WireNames.LIMITS)
                         .integer(WireNames.MAX_SOCKETS, DEFAULT_DESCRIPTOR_LIMIT, 1, MAX_DESCRIPTOR_LIMIT)
                 : DEFAULT_DESCRIPTOR_LIMIT;
-        JsonFields cachedEndpoints =
-                root.has(WireNames.CACHED_ENDPOINTS) ? root.section(WireNames.CACHED_ENDPOINTS) : null;
-        if (cachedEndpoints != null) {
-            // Parsed only to validate it: an invalid list is rejected before the start.
-            EndpointListPage.read(cachedEndpoints);
-        }
+        EndpointListPage cachedEndpoints = (EndpointListPage) root.asMap().get(WireNames.CACHED_ENDPOINTS);
         return new SidecarConfig(
                 root.string(WireNames.NAME),
                 address(root, WireNames.LISTEN),
@@ -77,13 +90,19 @@
                 PeerAddresses.read(root));
     }
 
+    /** Returns a copy without a cached endpoint list, which takes memory. To be kept while the sidecar runs. */
+    public SidecarConfig withoutCachedEndpoints() {
+        return new SidecarConfig(
+                name, listen, discovery, adminAddress, seed, descriptorLimit, null, settings, admission, peers);
+    }
+
     /**
      * Returns a copy with other admission settings.
      *
      * @param json one object with the fields of the admission section
      */
     public SidecarConfig withAdmission(byte[] json) throws InvalidSettingException {
-        JsonFields fields = JsonFields.of(parseTree(json), WireNames.ADMISSION);
+        JsonFields fields = JsonFields.of(parseTree(json, EndpointListLimit.NOTHING), WireNames.ADMISSION);
         return new SidecarConfig(
                 name,
                 listen,
@@ -139,9 +158,11 @@
         return settings.unsupportedOverSockets(peers != null);
     }
 
-    private static Object parseTree(byte[] json) throws InvalidSettingException {
+    private static Object parseTree(byte[] json, EndpointListLimit limit) throws InvalidSettingException {
         try {
-            return JsonTree.parseStrict(json);
+            ValueReader<InvalidSettingException> reader =
+                    parser -> EndpointListReader.read(parser, WireNames.CACHED_ENDPOINTS, limit);
+            return JsonTree.parseStrict(json, Map.of(WireNames.CACHED_ENDPOINTS, reader));
         } catch (IOException e) {
             String cause = e.getMessage().lines().findFirst().orElse("");
             throw new InvalidSettingException("the whole", "well-formed JSON, but " + cause);
--- a/daemon/src/main/java/portrelay/net/upstream/IdleConnections.java
+++ b/daemon/src/main/java/portrelay/net/upstream/IdleConnections.java
@@ -20,13 +20,16 @@
     /** Sweeps in each timeout. An idle connection is closed late by at most the timeout divided by this number. */
     private static final int SWEEPS_PER_TIMEOUT = 4;
 
+    /** Most upstreams of a long endpoint list never have a connection. */
+    private static final int INITIAL_CAPACITY = 1;
+
     private record IdleConnection(HttpConnection connection, double idleSince) {}
 
     private final EventLoop loop;
     private final Mailbox mailbox;
     private final Connector connector;
     private final double timeoutSeconds;
-    private final Deque<IdleConnection> newestFirst = new ArrayDeque<>();
+    private final Deque<IdleConnection> newestFirst = new ArrayDeque<>(INITIAL_CAPACITY);
     private boolean isSweepScheduled;
 
     /** @param timeoutSeconds how long a connection may be idle before it is closed; 0 for no limit */
--- a/daemon/src/test/java/portrelay/net/AdminNetTest.java
+++ b/daemon/src/test/java/portrelay/net/AdminNetTest.java
@@ -18,6 +18,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import portrelay.net.SidecarFixture.Message;
 import portrelay.net.SidecarFixture.Script;
@@ -63,6 +65,26 @@
         }
     }
 
+    /** Guards against a listed upstream that operators can't disable, as a list of thousands had pushed it out. */
+    @Test
+    void anyUpstreamOfAListOfThousandsCanBeDisabled() throws Exception {
+        int count = 6400;
+        String rows = IntStream.range(0, count)
+                .mapToObj(i -> SidecarFixture.endpointRow("s-" + i, "127.0.0.1:9", "SERVING"))
+                .collect(Collectors.joining(","));
+        try (SidecarFixture fixture =
+                new SidecarFixture(1024, "{}", config -> config.replace("\"hosts\":[]", "\"hosts\":[" + rows + "]"))) {
+            for (int i : new int[] {0, count / 2, count - 1}) {
+                Message answer = fixture.callAdmin("PUT /control/upstreams/s-" + i + "/offline");
+                assertEquals(200, answer.status(), "s-" + i);
+            }
+            assertEquals(
+                    404,
+                    fixture.callAdmin("PUT /control/upstreams/s-" + count + "/offline")
+                            .status());
+        }
+    }
+
     @Test
     void aCallIsAnsweredBeforeItsBodyArrivesAndLateBodyBytesDoNotResetTheResponse() throws Exception {
         try (SidecarFixture fixture = new SidecarFixture(answer("200 OK", "u"))) {
--- a/daemon/src/test/java/portrelay/net/WatchCrossingsTest.java
+++ b/daemon/src/test/java/portrelay/net/WatchCrossingsTest.java
@@ -38,6 +38,7 @@
 import portrelay.net.balancer.LoadBalancerActor;
 import portrelay.net.connection.Connector;
 import portrelay.net.discovery.DiscoveryActor;
+import portrelay.net.discovery.EndpointListLimit;
 import portrelay.net.eventloop.Log;
 import portrelay.net.http.SocketAddresses;
 import portrelay.net.lifecycle.SidecarConfig;
@@ -77,8 +78,14 @@
                 clock, log, actions -> config.settings().createForSockets(actions, config.seed(), false));
         Connector toUpstreams = new Connector(clock, buffers, 8, n -> {});
         toDiscovery = new Connector(clock, buffers, 3, n -> {});
-        discoveryActor =
-                new DiscoveryActor(clock, log, toDiscovery, config.discovery(), loadBalancer, socketAddress -> {
+        discoveryActor = new DiscoveryActor(
+                clock,
+                log,
+                toDiscovery,
+                config.discovery(),
+                loadBalancer,
+                EndpointListLimit.ofHeap(1),
+                socketAddress -> {
                     String address = SocketAddresses.format(socketAddress);
                     createdUpstreams.merge(address, 1, Integer::sum);
                     if (address.equals(failingAddress.get())) {
--- a/daemon/src/test/java/portrelay/net/handover/HandoverStateCodecTest.java
+++ b/daemon/src/test/java/portrelay/net/handover/HandoverStateCodecTest.java
@@ -4,12 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayInputStream;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import portrelay.json.JsonTree;
 import portrelay.model.UpstreamId;
+import portrelay.net.discovery.EndpointListLimit;
 
 /** Guards the stored form against changes, as processes of other versions read it. */
 class HandoverStateCodecTest {
@@ -57,7 +59,8 @@
 
     @Test
     void recordedStateFileIsDecodedAndEncodedUnchanged() throws Exception {
-        HandoverState state = HandoverStateCodec.decode(JsonTree.parse(RECORDED.getBytes(UTF_8)), "t");
+        HandoverState state = HandoverStateCodec.decode(
+                new ByteArrayInputStream(RECORDED.getBytes(UTF_8)), "t", EndpointListLimit.ofHeap(1));
         assertEquals(new HandoverState.Owner("t", "127.0.0.1:8080", Set.of("read")), state.owner);
         assertTrue(state.isServing && state.isShuttingDown);
         assertEquals(new HandoverState.OperatorCall(true, 1764750000.25), state.sidecarCall);
@@ -68,7 +71,7 @@
                         ENABLED,
                         new HandoverState.OperatorCall(false, 1764750002)),
                 state.upstreamCalls.latest());
-        assertEquals(List.of(ENABLED, DISABLED), List.copyOf(state.everListed));
+        assertEquals(List.of(ENABLED, DISABLED), state.endpointList.everListed());
         String written = new String(JsonTree.write(HandoverStateCodec.encode(state)), UTF_8);
         assertEquals(RECORDED.strip(), written.strip());
     }
