A connection of the sidecar to itself is a failed connect

Callers may see: a request to an upstream that is gone is answered 502 (it may have run) though it never left. Cause: TCP connects a socket to itself where nobody listens at a port of the range for outgoing connections and the system happens to choose that port; the sidecar then reads its own request as the response, and the port is taken when the upstream comes back. Change: Connector compares both ends and reports a failed connect, which provably never ran.

--- a/daemon/src/main/java/portrelay/net/connection/Connector.java
+++ b/daemon/src/main/java/portrelay/net/connection/Connector.java
@@ -181,6 +181,11 @@
 
         @Override
         public void completed(ClientConnection connection) {
+            if (isConnectedToItself(ioThread.socket)) {
+                IoUtils.safeClose(ioThread.socket);
+                failed(null);
+                return;
+            }
             if (!end()) {
                 IoUtils.safeClose(ioThread.socket);
                 return;
@@ -202,6 +207,14 @@
             }
         }
 
+        /**
+         * Whether both ends are the same socket. TCP allows that: a connect to a port where nobody listens succeeds if
+         * the system happens to choose that port for this end. The sidecar would read its own request as the response.
+         */
+        private static boolean isConnectedToItself(StreamConnection socket) {
+            return socket.getPeerAddress() != null && socket.getPeerAddress().equals(socket.getLocalAddress());
+        }
+
         /** Ends the attempt; returns false if it had already ended. */
         private boolean end() {
             if (isOver) {
--- a/kit/src/main/java/portrelay/faulttest/scale/ScalePlan.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScalePlan.java
@@ -20,6 +20,8 @@
  * @param startsCold whether each new row says that its upstream has just started
  * @param hasPeers whether the sidecars exchange messages
  * @param hangups the number of SIGHUP in a row before the hand-over
+ * @param heldShare the probability with which a process is held once in each interval of samples
+ * @param refusedCallsShare the share of the calls to discovery that fail after the start of the clients
  */
 public record ScalePlan(
         long seed,
@@ -36,7 +38,9 @@
         boolean isListConfigured,
         boolean startsCold,
         boolean hasPeers,
-        int hangups) {
+        int hangups,
+        double heldShare,
+        double refusedCallsShare) {
 
     /** How an endpoint list differs from the one before. */
     public enum ListChange {
@@ -60,7 +64,7 @@
     /** The share of the rounds with few upstreams and many sidecars. */
     private static final double FEW_ROWS_SHARE = 0.4;
 
-    private static final int MAX_SIDECARS = 24;
+    private static final int MAX_SIDECARS = 12;
     private static final int MAX_SIDECARS_WITH_MANY_ROWS = 4;
     private static final int[] MEMORY_MB = {96, 128, 192};
     private static final int CROWD = 300;
@@ -91,6 +95,8 @@
                 random.nextBoolean(),
                 random.nextInt(4) == 0,
                 random.nextBoolean(),
-                random.nextInt(4));
+                random.nextInt(4),
+                random.nextBoolean() ? 0.5 : 0,
+                random.nextInt(3) == 0 ? random.nextDouble() : 0);
     }
 }
--- a/kit/src/main/java/portrelay/faulttest/scale/ScaleRound.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScaleRound.java
@@ -40,6 +40,10 @@
 
     private static final int PORTS = 12_000;
     private static final double SAMPLE_INTERVAL_SECONDS = 0.25;
+    private static final double REFUSED_CALLS_SECONDS = 3;
+    /** For how long the operators' pages allow a process to be held. */
+    private static final double HOLD_SECONDS = 0.15;
+
     private static final double HANGUP_INTERVAL_SECONDS = 0.2;
     /** How long after SIGTERM clients may open connections. */
     private static final double CONNECT_AFTER_TERM_SECONDS = 0.4;
@@ -97,11 +101,12 @@
             ports.add(freePort());
             peerPorts.add(freeUdpPort());
         }
-        Thread background = DaemonThreads.start("background", () -> changeListsAndSample(lists));
+        Thread background = DaemonThreads.start("background", () -> runBackground(lists, signals));
         List<SidecarProcess> first = startAll(ports, peerPorts, discovery, lists, "first");
         readySeconds = awaitReady(first, "first");
         startClients(ports);
         fleet.setTroubledShare(plan.troubledShare());
+        discovery.refuse(plan.refusedCallsShare(), REFUSED_CALLS_SECONDS);
         fleet.refuseFrom((int) Math.ceil(plan.rows() * (1 - plan.refusingShare())));
         sleep(plan.runSeconds() / 3);
         hangUp(signals, first);
@@ -131,7 +136,9 @@
                 meters.add(new ProcessMeter(process.process().pid()));
             }
         }
-        processes.addAll(started);
+        synchronized (meters) {
+            processes.addAll(started);
+        }
         return started;
     }
 
@@ -202,7 +209,9 @@
         }
     }
 
-    private void changeListsAndSample(ListPublisher lists) {
+    /** Publishes lists, samples what processes use, and holds some of them, until the round is over. */
+    private void runBackground(ListPublisher lists, Signals signals) {
+        SplittableRandom holds = new SplittableRandom(plan.seed());
         long nextListAt = System.nanoTime() + (long) (plan.listIntervalSeconds() * 1e9);
         try {
             while (!isOver) {
@@ -210,16 +219,34 @@
                 synchronized (meters) {
                     meters.forEach(ProcessMeter::sample);
                 }
+                if (holds.nextDouble() < plan.heldShare()) {
+                    hold(signals, holds);
+                }
                 if (System.nanoTime() >= nextListAt) {
                     nextListAt += (long) (plan.listIntervalSeconds() * 1e9);
                     lists.publishNext();
                 }
             }
+        } catch (IOException e) {
+            throw new IllegalStateException("a signal was not sent", e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private void hold(Signals signals, SplittableRandom holds) throws IOException, InterruptedException {
+        SidecarProcess held;
+        synchronized (meters) {
+            if (processes.isEmpty()) {
+                return;
+            }
+            held = processes.get(holds.nextInt(processes.size()));
+        }
+        signals.send(Signals.Signal.STOP, held.process());
+        sleep(HOLD_SECONDS);
+        signals.send(Signals.Signal.CONT, held.process());
+    }
+
     private void joinClients() throws InterruptedException {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(JOIN_TIMEOUT_MILLIS);
         for (Thread thread : clientThreads) {
--- a/kit/src/main/java/portrelay/kit/cli/SoakCommand.java
+++ b/kit/src/main/java/portrelay/kit/cli/SoakCommand.java
@@ -111,6 +111,8 @@
                 configured >= 0 ? configured == 1 : drawn.isListConfigured(),
                 cold >= 0 ? cold == 1 : drawn.startsCold(),
                 peers >= 0 ? peers == 1 : drawn.hasPeers(),
-                drawn.hangups());
+                drawn.hangups(),
+                drawn.heldShare(),
+                drawn.refusedCallsShare());
     }
 }
