A start waits for a listen address that is taken for a moment

Callers saw: a process that did not start, its clients refused. Cause: a port from the range of outgoing connections may be taken by one of them, of any process; with thousands of upstreams there are many, and the first failed bind ended the process. Change: up to 30 attempts, 0.1 s apart, each logged, for an address in use only.

--- a/daemon/src/main/java/portrelay/net/lifecycle/Sidecar.java
+++ b/daemon/src/main/java/portrelay/net/lifecycle/Sidecar.java
@@ -55,8 +55,12 @@
             if (!hasServingSibling) {
                 // Listens only now: a request that is read before the actors run, or before a signal can reach them,
                 // may wait too long.
-                startup.listen();
+                startup.listenOnceAddressIsFree();
             }
+        } catch (InterruptedException e) {
+            close();
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
         } catch (IOException e) {
             // Otherwise the JVM keeps the handover lock, and the next process assumes that this one serves.
             close();
--- a/daemon/src/main/java/portrelay/net/lifecycle/Startup.java
+++ b/daemon/src/main/java/portrelay/net/lifecycle/Startup.java
@@ -1,8 +1,10 @@
 package portrelay.net.lifecycle;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import portrelay.net.handover.HandoverService;
 import portrelay.net.http.SocketAddresses;
 
@@ -13,6 +15,10 @@
  */
 final class Startup {
 
+    private static final long LISTEN_RETRY_MILLIS = 100;
+    /** Enough for a connection of another process to end, and few enough for an error in the configuration to show. */
+    private static final int MAX_LISTEN_ATTEMPTS = 30;
+
     private final SidecarConfig config;
     private final SidecarComponents components;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
@@ -22,6 +28,30 @@
         this.components = components;
     }
 
+    /**
+     * Begins to listen, and waits for some time while the address is taken: an outgoing connection of any process may
+     * have the port for a moment. May be called from any thread but the loop's.
+     *
+     * @throws IOException if the address stays taken, or can't be bound for another reason
+     */
+    void listenOnceAddressIsFree() throws IOException, InterruptedException {
+        for (int attempt = 1; ; attempt++) {
+            try {
+                listen();
+                return;
+            } catch (IOException e) {
+                if (!(e.getCause() instanceof BindException)
+                        || attempt >= MAX_LISTEN_ATTEMPTS
+                        || components.isShuttingDown()) {
+                    throw e;
+                }
+                components.log.warn("listen address in use: attempt=" + attempt + " of=" + MAX_LISTEN_ATTEMPTS
+                        + " cause=" + e.getCause().getMessage());
+                TimeUnit.MILLISECONDS.sleep(LISTEN_RETRY_MILLIS);
+            }
+        }
+    }
+
     /** Begins to listen. May be called from any thread. */
     void listen() throws IOException {
         try {
