SendCheck decides whether an attempt is written; long messages are logged

Cause: the checks before a write stood in two methods, none compared the connection with the address, and nothing told which message had held the loop. Change: SendCheck, the one place that says whether an attempt may be written, with a reason and an outcome for each refusal, checked just before the first byte; what an earlier step should have kept away is logged as a warning. Mailbox logs each message over 0.05 s with its class.

--- a/daemon/src/main/java/portrelay/net/connection/HttpConnection.java
+++ b/daemon/src/main/java/portrelay/net/connection/HttpConnection.java
@@ -4,6 +4,7 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.connector.ByteBufferPool;
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -52,6 +53,11 @@
         return connection.isOpen() && current == null;
     }
 
+    /** Returns the address of the other end; null for a connection inside the process. */
+    public SocketAddress peerAddress() {
+        return socket.getPeerAddress();
+    }
+
     /**
      * Whether the connection is usable and nothing was received since the last exchange; such bytes would be taken for
      * the next response. Reads from the socket to find out, and closes the connection if bytes were received or the
--- a/daemon/src/main/java/portrelay/net/eventloop/Mailbox.java
+++ b/daemon/src/main/java/portrelay/net/eventloop/Mailbox.java
@@ -1,6 +1,7 @@
 package portrelay.net.eventloop;
 
 import java.util.ArrayDeque;
+import java.util.Locale;
 import java.util.Queue;
 
 /**
@@ -10,6 +11,9 @@
  */
 public final class Mailbox {
 
+    /** A message that takes longer is logged: its time must not grow with the number of upstreams or requests. */
+    private static final double MAX_MESSAGE_SECONDS = 0.05;
+
     private final EventLoop loop;
     private final Log log;
     private final Object lock = new Object();
@@ -48,12 +52,23 @@
     private void runAll() {
         swapQueues();
         while (!running.isEmpty()) {
+            Runnable message = running.remove();
+            double begunAt = loop.now();
             try {
-                running.remove().run();
+                message.run();
             } catch (RuntimeException e) {
                 // A failing message must not keep the others from running.
                 log.fault("message failed", e);
             }
+            double seconds = loop.now() - begunAt;
+            if (seconds > MAX_MESSAGE_SECONDS) {
+                // Meanwhile no request is served, and no deadline or signal handled.
+                log.warn(String.format(
+                        Locale.ROOT,
+                        "message took long: seconds=%.3f message=%s",
+                        seconds,
+                        message.getClass().getName()));
+            }
         }
     }
 
--- a/daemon/src/main/java/portrelay/net/upstream/UpstreamActor.java
+++ b/daemon/src/main/java/portrelay/net/upstream/UpstreamActor.java
@@ -56,6 +56,7 @@
     }
 
     private final EventLoop loop;
+    private final Log log;
     private final Mailbox mailbox;
     private final Connector connector;
     private final Listener listener;
@@ -84,6 +85,7 @@
             double idleTimeoutSeconds,
             InetSocketAddress address) {
         this.loop = loop;
+        this.log = log;
         this.connector = connector;
         this.listener = listener;
         this.connectTimeoutSeconds = connectTimeoutSeconds;
@@ -194,17 +196,15 @@
     }
 
     private void write(AttemptId id, RunningAttempt attempt, HttpConnection connection) {
-        if (attempt.request.responder().isOver()) {
-            // The client left while the attempt was waiting for a connection.
-            keepIdle(attempt.address, connection);
-            end(id, attempt, Outcome.CANCELLED, null);
-            return;
-        }
-        if (loop.now() >= Math.min(attempt.sendBefore, attempt.request.arrival().deadline())) {
-            // The connect took too long: the upstream may have discarded the idempotency key and would execute the
-            // request twice, or the request's deadline has passed.
-            keepIdle(attempt.address, connection);
-            end(id, attempt, Outcome.NOT_SENT, null);
+        SendCheck.Refusal refusal = SendCheck.refusal(
+                attempt.request.responder().isOver(),
+                loop.now(),
+                Math.min(attempt.sendBefore, attempt.request.arrival().deadline()),
+                attempt.address,
+                isUsable(address) ? address : null,
+                connection.peerAddress());
+        if (refusal != null) {
+            refuse(id, attempt, connection, refusal);
             return;
         }
         attempt.connection = connection;
@@ -212,6 +212,19 @@
                 createCall(attempt.request), result -> mailbox.post(() -> handleResult(id, attempt, result)));
     }
 
+    private void refuse(AttemptId id, RunningAttempt attempt, HttpConnection connection, SendCheck.Refusal refusal) {
+        if (refusal.isFault()) {
+            log.warn("attempt not written: reason=" + refusal + " request="
+                    + Log.clean(id.request().value()) + " attempt=" + id.index());
+            connection.close();
+        } else {
+            log.debug(() -> "attempt not written: reason=" + refusal + " request="
+                    + Log.clean(id.request().value()) + " attempt=" + id.index());
+            keepIdle(attempt.address, connection);
+        }
+        end(id, attempt, refusal.outcome(), null);
+    }
+
     private HttpCall createCall(IncomingRequest request) {
         RequestBody requestBody = request.requestBody();
         HttpCall call = HttpCall.of(request.method(), request.target(), request.body(), requestBody);
