A long list is read with the events of other connections in between

Cause: HttpExchange read on in a task; XNIO runs all tasks before it polls the kernel, so the whole list was read before any other connection. Change: it reads on after a poll.

--- a/daemon/src/main/java/portrelay/net/connection/HttpExchange.java
+++ b/daemon/src/main/java/portrelay/net/connection/HttpExchange.java
@@ -229,10 +229,10 @@
         }
     }
 
-    /** Reads on in a later turn of the loop, as bytes may be left that cause no event. */
+    /** Reads on once the events that have come meanwhile are handled; bytes may be left that cause no event. */
     private void readOn(StreamSourceChannel source) {
         isReading = false;
-        connection.loop().execute(() -> {
+        connection.loop().afterPoll(() -> {
             if (connection.isCurrent(this)) {
                 read(source);
             }
