Soak: each sidecar has a discovery of its own, so that its drains are judged exactly

Change: a drain binds from the last write of its list to a sidecar's processes up to the first write of the next one.

--- a/kit/src/main/java/portrelay/faulttest/scale/ListPublisher.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ListPublisher.java
@@ -21,17 +21,19 @@
 
     private final ScalePlan plan;
     private final UpstreamFleet fleet;
-    private final Discovery discovery;
+    /** One for each sidecar; all have the same versions. */
+    private final List<Discovery> discoveries;
+
     private final SplittableRandom random;
     private final List<PublishedList> published = new ArrayList<>();
     private final int[] generationOfRow;
     private int shift;
     private String rows;
 
-    ListPublisher(ScalePlan plan, UpstreamFleet fleet, Discovery discovery) {
+    ListPublisher(ScalePlan plan, UpstreamFleet fleet, List<Discovery> discoveries) {
         this.plan = plan;
         this.fleet = fleet;
-        this.discovery = discovery;
+        this.discoveries = discoveries;
         random = new SplittableRandom(plan.seed());
         generationOfRow = new int[plan.rows()];
         rows = format(new boolean[plan.rows()]);
@@ -81,7 +83,11 @@
 
     private void publish(boolean[] isDraining) {
         rows = format(isDraining);
-        published.add(new PublishedList(discovery.publish(rows, null), isDraining));
+        long version = 0;
+        for (Discovery discovery : discoveries) {
+            version = discovery.publish(rows, null);
+        }
+        published.add(new PublishedList(version, isDraining));
     }
 
     private String format(boolean[] isDraining) {
--- a/kit/src/main/java/portrelay/faulttest/scale/ScaleRound.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScaleRound.java
@@ -40,7 +40,7 @@
 
     private static final int PORTS = 12_000;
     private static final double SAMPLE_INTERVAL_SECONDS = 0.25;
-    private static final double REFUSED_CALLS_SECONDS = 3;
+    private static final double REFUSED_CALLS_SECONDS = 2;
     /** For how long the operators' pages allow a process to be held. */
     private static final double HOLD_SECONDS = 0.15;
 
@@ -59,6 +59,9 @@
     private final List<ShutdownWindow> shutdowns = new ArrayList<>();
     private final List<SidecarProcess> processes = new ArrayList<>();
     private final List<ProcessMeter> meters = new ArrayList<>();
+    /** One for each sidecar, so that it is known which lists a sidecar was told. */
+    private final List<Discovery> discoveries = new ArrayList<>();
+
     private final List<ScaleClient> clients = new ArrayList<>();
     private final List<Thread> clientThreads = new ArrayList<>();
     private volatile boolean isOver;
@@ -80,20 +83,23 @@
      */
     public ScaleReport play() throws IOException, InterruptedException {
         try (UpstreamFleet fleet = new UpstreamFleet(plan.rows(), plan.seed());
-                Discovery discovery = new Discovery(plan.seed());
                 Signals signals = new Signals()) {
-            ListPublisher lists = new ListPublisher(plan, fleet, discovery);
+            for (int i = 0; i < plan.sidecars(); i++) {
+                discoveries.add(new Discovery(plan.seed() + i));
+            }
+            ListPublisher lists = new ListPublisher(plan, fleet, discoveries);
             lists.publishFirst();
-            play(fleet, discovery, signals, lists);
-            return report(fleet, discovery, lists);
+            play(fleet, signals, lists);
+            return report(fleet, lists);
         } finally {
             isOver = true;
             clientThreads.forEach(Thread::interrupt);
             processes.forEach(SidecarProcess::close);
+            discoveries.forEach(Discovery::close);
         }
     }
 
-    private void play(UpstreamFleet fleet, Discovery discovery, Signals signals, ListPublisher lists)
+    private void play(UpstreamFleet fleet, Signals signals, ListPublisher lists)
             throws IOException, InterruptedException {
         List<Integer> ports = new ArrayList<>();
         List<Integer> peerPorts = new ArrayList<>();
@@ -102,15 +108,15 @@
             peerPorts.add(freeUdpPort());
         }
         Thread background = DaemonThreads.start("background", () -> runBackground(lists, signals));
-        List<SidecarProcess> first = startAll(ports, peerPorts, discovery, lists, "first");
+        List<SidecarProcess> first = startAll(ports, peerPorts, lists, "first");
         readySeconds = awaitReady(first, "first");
         startClients(ports);
         fleet.setTroubledShare(plan.troubledShare());
-        discovery.refuse(plan.refusedCallsShare(), REFUSED_CALLS_SECONDS);
+        discoveries.forEach(each -> each.refuse(plan.refusedCallsShare(), REFUSED_CALLS_SECONDS));
         fleet.refuseFrom((int) Math.ceil(plan.rows() * (1 - plan.refusingShare())));
         sleep(plan.runSeconds() / 3);
         hangUp(signals, first);
-        List<SidecarProcess> successors = startAll(ports, peerPorts, discovery, lists, "successor");
+        List<SidecarProcess> successors = startAll(ports, peerPorts, lists, "successor");
         successorReadySeconds = awaitReady(successors, "successor");
         shutDown(signals, first, "first", false);
         sleep(plan.runSeconds() / 3);
@@ -121,12 +127,12 @@
     }
 
     private List<SidecarProcess> startAll(
-            List<Integer> ports, List<Integer> peerPorts, Discovery discovery, ListPublisher lists, String name)
-            throws IOException {
+            List<Integer> ports, List<Integer> peerPorts, ListPublisher lists, String name) throws IOException {
         List<SidecarProcess> started = new ArrayList<>();
         String rows = plan.isListConfigured() ? lists.rows() : "";
         for (int i = 0; i < plan.sidecars(); i++) {
-            String json = ScaleConfiguration.json(plan, i, ports.get(i), discovery.address(), rows, peerPorts);
+            String json = ScaleConfiguration.json(
+                    plan, i, ports.get(i), discoveries.get(i).address(), rows, peerPorts);
             Path folder = files.resolve("n" + i);
             int heapMb = Math.max(MIN_HEAP_MB, Math.min(MAX_HEAP_MB, plan.memoryMb() - MEMORY_BESIDE_HEAP_MB));
             SidecarProcess process =
@@ -161,10 +167,14 @@
         return (System.nanoTime() - from) / 1e9;
     }
 
+    private String clientNamePrefix(int sidecar) {
+        return "r" + Long.toHexString(plan.seed()) + "-" + sidecar + "-";
+    }
+
     private void startClients(List<Integer> ports) {
         for (int i = 0; i < ports.size(); i++) {
             for (int c = 0; c < plan.clients(); c++) {
-                String name = "r" + Long.toHexString(plan.seed()) + "-" + i + "-" + c;
+                String name = clientNamePrefix(i) + c;
                 ScaleClient client = new ScaleClient(ports.get(i), name, random.split(), records);
                 clients.add(client);
                 clientThreads.add(DaemonThreads.start(name, client));
@@ -254,17 +264,18 @@
         }
     }
 
-    private ScaleReport report(UpstreamFleet fleet, Discovery discovery, ListPublisher lists) throws IOException {
+    private ScaleReport report(UpstreamFleet fleet, ListPublisher lists) throws IOException {
         List<SentRequest> requests = List.copyOf(records);
         List<UpstreamFleet.Arrival> arrivals = fleet.arrivals();
         ScaleRuleChecker checker = new ScaleRuleChecker(plan, requests, shutdowns);
         processViolations.forEach(each -> checker.add(each.rule(), each.subject(), each.evidence()));
-        checker.checkDrains(
-                arrivals,
-                lists.published(),
-                lists.published().stream()
-                        .map(list -> discovery.writtenAt(list.version()))
-                        .toList());
+        for (int i = 0; i < plan.sidecars(); i++) {
+            String prefix = clientNamePrefix(i);
+            List<UpstreamFleet.Arrival> ofSidecar = arrivals.stream()
+                    .filter(each -> String.valueOf(each.id()).startsWith(prefix))
+                    .toList();
+            checker.checkDrains(ofSidecar, lists.published(), discoveries.get(i));
+        }
         Map<String, Integer> ends = new TreeMap<>();
         requests.forEach(request -> ends.merge(request.end().name(), 1, Integer::sum));
         return new ScaleReport(
@@ -276,7 +287,7 @@
                 successorReadySeconds,
                 killed,
                 meters.stream().map(ProcessMeter::toString).toList(),
-                discovery.bytesSent(),
+                discoveries.stream().mapToLong(Discovery::bytesSent).sum(),
                 checker.check(arrivals, fleet.malformed()));
     }
 
--- a/kit/src/main/java/portrelay/faulttest/scale/ScaleRuleChecker.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScaleRuleChecker.java
@@ -9,6 +9,7 @@
 import portrelay.faulttest.scale.ScaleViolation.Rule;
 import portrelay.faulttest.scale.SentRequest.End;
 import portrelay.faulttest.scale.SentRequest.RequestKind;
+import portrelay.standin.Discovery;
 import portrelay.standin.UpstreamFleet;
 
 /** Compares what clients sent with what upstreams received, and both with the rules. */
@@ -44,18 +45,37 @@
         return violations;
     }
 
-    /** Checks that no request began at an address that the newest list of all sidecars let drain. */
-    void checkDrains(List<UpstreamFleet.Arrival> arrivals, List<PublishedList> lists, List<Long> writtenAt) {
-        for (UpstreamFleet.Arrival arrival : arrivals) {
-            for (int i = 0; i < lists.size(); i++) {
-                boolean isInForce = writtenAt.get(i) != null
-                        && arrival.beganAt() > writtenAt.get(i) + (long) (DRAIN_GRACE_SECONDS * 1e9);
-                boolean isFollowed = i + 1 < lists.size()
-                        && (writtenAt.get(i + 1) == null || arrival.beganAt() > writtenAt.get(i + 1) - 1e9);
-                if (isInForce && !isFollowed && lists.get(i).isDraining()[arrival.upstream()]) {
-                    add(Rule.DRAIN, arrival.id(), "upstream " + arrival.upstream());
+    /**
+     * Checks that no request of a sidecar began at an address that its list let drain: from when both of its processes
+     * had that list to when one of them had the next.
+     *
+     * @param discovery the discovery of that sidecar alone
+     */
+    void checkDrains(List<UpstreamFleet.Arrival> arrivals, List<PublishedList> lists, Discovery discovery) {
+        for (int i = 0; i < lists.size(); i++) {
+            Discovery.WriteTimes written = discovery.writeTimes(lists.get(i).version());
+            if (written == null) {
+                continue;
+            }
+            Discovery.WriteTimes next =
+                    i + 1 < lists.size() ? discovery.writeTimes(lists.get(i + 1).version()) : null;
+            long from = written.last() + (long) (DRAIN_GRACE_SECONDS * 1e9);
+            long to = next == null ? Long.MAX_VALUE : next.first();
+            for (UpstreamFleet.Arrival arrival : arrivals) {
+                if (arrival.beganAt() > from
+                        && arrival.beganAt() < to
+                        && lists.get(i).isDraining()[arrival.upstream()]) {
+                    add(
+                            Rule.DRAIN,
+                            arrival.id(),
+                            "upstream " + arrival.upstream() + " version "
+                                    + lists.get(i).version());
                 }
             }
+            if (next == null && i + 1 < lists.size()) {
+                // Some process may have a later list: from here on its own is not known.
+                return;
+            }
         }
     }
 
