A row of operators' calls costs one write of the state and no walk over the list each

Cause: each call for an upstream wrote the whole state, list included, and counted all ready rows anew: calls x rows, on the hand-over thread and on the loop. Change: waiting calls share one write; the number of ready rows is kept. Measured: HandoverNetTest, AdminNetTest, DisabledUpstreamTest pass; the count of writes has no test.

--- a/core/src/main/java/portrelay/policy/EndpointTable.java
+++ b/core/src/main/java/portrelay/policy/EndpointTable.java
@@ -146,8 +146,9 @@
             upstream.promptSendTimes.clear();
             upstream.isUntriedSinceEnabled = true;
         }
+        readyCount -= upstream.isReady ? 1 : 0;
         upstream.isReady = !isDisabled && upstream.endpoint.health() == Endpoint.Health.READY;
-        updateReadyCount();
+        readyCount += upstream.isReady ? 1 : 0;
         return true;
     }
 
--- a/daemon/src/main/java/portrelay/net/handover/HandoverService.java
+++ b/daemon/src/main/java/portrelay/net/handover/HandoverService.java
@@ -175,7 +175,9 @@
     public void recordDisabled(UpstreamId id, boolean isDisabled, double calledAt) {
         execute(() -> {
             state.upstreamCalls.merge(id, new HandoverState.OperatorCall(isDisabled, calledAt));
-            writeChanged();
+            isStateChanged = true;
+            // After the calls that wait already: one write for all, as each writes the whole endpoint list.
+            execute(this::writeIfChanged);
         });
     }
 
