--- a/kit/src/main/java/portrelay/faulttest/scale/ScaleClient.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScaleClient.java
@@ -91,7 +91,8 @@
             boolean isWritten = write(socket, message);
             long sentAt = System.nanoTime();
             End end = isWritten ? readAnswer(reader, id, head) : End.NOT_WRITTEN;
-            records.add(new SentRequest(id, line, bodyBytes, kind, deadline, sentAt, System.nanoTime(), end));
+            records.add(new SentRequest(
+                    id, line, bodyBytes, kind, deadline, socket.getLocalPort(), sentAt, System.nanoTime(), end));
             isOpen = head[0] != null && !head[0].closesConnection() && end != End.CUT_SHORT;
             if (end == End.REJECTED) {
                 TimeUnit.MILLISECONDS.sleep(PAUSE_AFTER_REJECTION_MILLIS);
--- a/kit/src/main/java/portrelay/faulttest/scale/ScaleRound.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScaleRound.java
@@ -282,7 +282,11 @@
     private ScaleReport report(UpstreamFleet fleet, ListPublisher lists) throws IOException {
         List<SentRequest> requests = List.copyOf(records);
         List<UpstreamFleet.Arrival> arrivals = fleet.arrivals();
-        ScaleRuleChecker checker = new ScaleRuleChecker(plan, requests, shutdowns);
+        IdleCloses idleCloses = new IdleCloses();
+        for (SidecarProcess process : processes) {
+            idleCloses.add(process.log());
+        }
+        ScaleRuleChecker checker = new ScaleRuleChecker(plan, requests, shutdowns, idleCloses);
         processViolations.forEach(each -> checker.add(each.rule(), each.subject(), each.evidence()));
         for (int i = 0; i < plan.sidecars(); i++) {
             String prefix = clientNamePrefix(i);
--- a/kit/src/main/java/portrelay/faulttest/scale/ScaleRuleChecker.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScaleRuleChecker.java
@@ -26,9 +26,12 @@
     private final ScalePlan plan;
     private final Map<String, SentRequest> requests = new HashMap<>();
     private final List<ShutdownWindow> shutdowns;
+    private final IdleCloses idleCloses;
     private final List<ScaleViolation> violations = new ArrayList<>();
 
-    ScaleRuleChecker(ScalePlan plan, List<SentRequest> requests, List<ShutdownWindow> shutdowns) {
+    ScaleRuleChecker(
+            ScalePlan plan, List<SentRequest> requests, List<ShutdownWindow> shutdowns, IdleCloses idleCloses) {
+        this.idleCloses = idleCloses;
         this.plan = plan;
         this.shutdowns = shutdowns;
         requests.forEach(request -> this.requests.put(request.id(), request));
@@ -97,7 +100,9 @@
         if (request.isAnswered() && request.secondsToEnd() > request.deadlineSeconds() + MAX_LATE_SECONDS) {
             add(Rule.LATE, request.id(), describe(request));
         }
-        boolean mayBeUnread = request.end() == End.CLOSED && arrivalCount == 0 && isInShutdown(request);
+        boolean mayBeUnread = request.end() == End.CLOSED
+                && arrivalCount == 0
+                && (isInShutdown(request) || idleCloses.crossed(request));
         boolean isCutByUpstream = plan.troubledShare() > 0 || plan.refusingShare() > 0;
         if (request.end() == End.SILENT
                 || request.end() == End.CLOSED && !mayBeUnread
--- a/kit/src/main/java/portrelay/faulttest/scale/SentRequest.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/SentRequest.java
@@ -8,6 +8,7 @@
  * @param bodyBytes the length of the body, which belongs to the id
  * @param requestClass the class of the request
  * @param deadlineSeconds how long the client waits for the answer
+ * @param clientPort the port of the client's end of the connection
  * @param sentAt when its last byte was written
  * @param endedAt when the last byte of the answer arrived, or when the client gave up
  * @param end how it ended
@@ -18,6 +19,7 @@
         int bodyBytes,
         RequestKind requestClass,
         double deadlineSeconds,
+        int clientPort,
         long sentAt,
         long endedAt,
         End end) {
