--- a/kit/src/main/java/portrelay/faulttest/scale/IdleCloses.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/IdleCloses.java
@@ -42,7 +42,8 @@
     /** Whether the connection was closed while the request was on the wire, or before it was sent. */
     boolean crossed(SentRequest request) {
         return byClientPort.getOrDefault(request.clientPort(), List.of()).stream()
-                .anyMatch(close ->
-                        request.sentAt() >= close.lookedAt - MAX_TRANSIT_NANOS && request.endedAt() >= close.closedAt);
+                .anyMatch(close -> request.sentAt() >= close.lookedAt - MAX_TRANSIT_NANOS
+                        && request.sentAt() <= close.closedAt + MAX_UNNOTICED_NANOS
+                        && request.endedAt() >= close.closedAt);
     }
 }
