--- a/kit/src/main/java/portrelay/faulttest/scale/ScaleRound.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScaleRound.java
@@ -4,7 +4,6 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -119,7 +118,7 @@
         List<Integer> ports = new ArrayList<>();
         List<Integer> peerPorts = new ArrayList<>();
         for (int i = 0; i < plan.sidecars(); i++) {
-            ports.add(freePort());
+            ports.add(SidecarProcess.freePort());
             peerPorts.add(freeUdpPort());
         }
         Thread background = DaemonThreads.start("background", () -> runBackground(lists, signals));
@@ -323,17 +322,6 @@
         return exit + ", last line: " + (log.isEmpty() ? "none" : log.get(log.size() - 1));
     }
 
-    private int freePort() throws IOException {
-        while (true) {
-            int port = FIRST_PORT + random.nextInt(PORTS);
-            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                return probe.getLocalPort();
-            } catch (IOException e) {
-                // Taken: the next one.
-            }
-        }
-    }
-
     private int freeUdpPort() throws IOException {
         while (true) {
             int port = FIRST_PORT + random.nextInt(PORTS);
--- a/kit/src/main/java/portrelay/standin/SidecarProcess.java
+++ b/kit/src/main/java/portrelay/standin/SidecarProcess.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -21,6 +22,10 @@
     private static final int ANSWER_TIMEOUT_MILLIS = 1000;
     private static final int DEFAULT_HEAP_MB = 96;
 
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 12_000;
+    private static final Set<Integer> RETURNED_PORTS = ConcurrentHashMap.newKeySet();
+
     private static final Set<Process> RUNNING = ConcurrentHashMap.newKeySet();
 
     static {
@@ -37,10 +42,21 @@
         this.log = log;
     }
 
-    /** Returns a loopback port on which no process listens at the moment. */
-    public static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+    /**
+     * Returns a loopback port that nobody uses at the moment, and that this method has not returned before. It is below
+     * the range from which Linux takes the ports of outgoing connections, one of which could have it by the time a
+     * process wants to listen there.
+     */
+    public static int freePort() {
+        while (true) {
+            int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                if (RETURNED_PORTS.add(probe.getLocalPort())) {
+                    return port;
+                }
+            } catch (IOException e) {
+                // Taken: another one.
+            }
         }
     }
 
