Ids ever listed pass through a process that had no list

Callers may see: operators' calls answered 404 after two restarts without an answer of discovery. Cause: since lists are held once, the ids stand with the list, and a process that took over ids but no list wrote none of them. Change: the ids of all predecessors are written, with an empty list where there is none. Measured: HandoverServiceTest failed before (no ids at the third process) and passes; 34 tests of hand-over, migration and operators' calls pass.

--- a/daemon/src/main/java/portrelay/net/discovery/EndpointListSnapshot.java
+++ b/daemon/src/main/java/portrelay/net/discovery/EndpointListSnapshot.java
@@ -45,8 +45,14 @@
         return version == EndpointListPage.NONE.version() ? null : new EndpointListPage(version, true, rows, 0);
     }
 
-    /** Returns the list in discovery's format as a JSON tree, whose rows are created as they are iterated over. */
+    /**
+     * Returns the list in discovery's format as a JSON tree, whose rows are created as they are iterated over; null if
+     * the process had no list.
+     */
     public Map<String, Object> tree() {
+        if (page() == null) {
+            return null;
+        }
         Map<String, Object> tree = new LinkedHashMap<>();
         tree.put(WireNames.VERSION, (double) version);
         tree.put(WireNames.IS_COMPLETE, true);
--- a/daemon/src/main/java/portrelay/net/handover/HandoverService.java
+++ b/daemon/src/main/java/portrelay/net/handover/HandoverService.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.RejectedExecutionException;
@@ -295,7 +296,10 @@
         if (listener == null) {
             // Once started, this process has its own list.
             everListedBefore.addAll(other.endpointList.everListed());
-            state.endpointList = isAlive && other.endpointList.page() != null ? other.endpointList : state.endpointList;
+            EndpointListPage known = state.endpointList == null ? null : state.endpointList.page();
+            EndpointListPage taken = isAlive && other.endpointList.page() != null ? other.endpointList.page() : known;
+            state.endpointList = EndpointListSnapshot.of(
+                    taken == null ? EndpointListPage.NONE : taken, List.copyOf(everListedBefore));
         }
     }
 
