A start reads its configuration by the buffer, not by a system call a byte

Callers saw: sidecars that did not start, only with many times the usual number of servers. Cause: deploy/run.sh was sh, whose read makes a system call for each byte of the configuration, the known endpoint list with it. Where each call is led through a filter, that is the start. Bytes are matched in the C locale.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -1,32 +1,26 @@
-#!/bin/sh
+#!/usr/bin/env bash
 # Starts one sidecar with the heap that its memory limit leaves room for. Uses shell builtins only: an environment that
-# runs sidecars in lockstep refuses forks, and `$(...)` and pipes fork. Besides the heap, the JVM was measured to take
-# 40 to 45 MB (class data, code, direct buffers, stacks); see docs/design.md, "Running".
+# runs sidecars in lockstep refuses forks, and `$(...)` and pipes fork. Needs bash, which reads a file by the buffer; sh
+# makes a system call for each byte. Besides the heap, the JVM was measured to take 40 to 45 MB (class data, code, direct
+# buffers, stacks); see docs/design.md, "Running".
+[ "${BASH_VERSION:-}" ] || exec bash "$0"    # started by sh
 set -eu
 case $0 in */*) cd "${0%/*}/.." ;; *) cd .. ;; esac
 
-# Sets memory to the number after "memory_mb", wherever the file has line breaks, or to nothing if there is none. The
-# text is first split at braces and commas, because a shell pattern takes 10 s to find a word at the end of 60 KB.
-memory=
-if [ -f "${LB_CONFIG:-}" ] && [ -r "$LB_CONFIG" ]; then
-    cut='{},'
-    key=
-    while IFS= read -r line || [ -n "$line" ]; do
-        set -f
-        IFS=$cut
-        for field in $line; do
-            case $field in *'"memory_mb"'*) key=yes; field=${field#*'"memory_mb"'} ;; esac
-            [ "$key" ] || continue
-            field=${field#"${field%%[!	 :]*}"}
-            case $field in
-            [0-9]*) memory=${field%%[!0-9]*}; break 2 ;;
-            ''|[!0-9]) ;;
-            *) break 2 ;;
-            esac
-        done
-    done < "$LB_CONFIG"
-fi
-memory=${memory#"${memory%%[!0]*}"}    # strips leading zeros: 08 is an invalid octal number and would abort the start
+# Sets memory to the number after "memory_mb", wherever the file has line breaks, or to nothing if there is none.
+read_memory_limit() {
+    local LC_ALL=C    # bytes, not characters: much faster, and any file can be read
+    local text=
+    memory=
+    if [ -f "${LB_CONFIG:-}" ] && [ -r "$LB_CONFIG" ]; then
+        IFS= read -r -d '' text < "$LB_CONFIG" || true
+        if [[ $text =~ \"memory_mb\"[[:space:]]*:[[:space:]]*0*([0-9]+) ]]; then
+            memory=${BASH_REMATCH[1]}
+        fi
+    fi
+}
+
+read_memory_limit
 case $memory in '') memory=160 ;; ???????*) memory=999999 ;; esac
 
 heap=$((memory - 60))
--- a/kit/src/main/java/portrelay/standin/Sidecars.java
+++ b/kit/src/main/java/portrelay/standin/Sidecars.java
@@ -105,7 +105,7 @@
             command.addAll(List.of("taskset", "-c", Integer.toString(core)));
         }
         command.addAll(
-                List.of("sh", root.resolve("deploy/run.sh").toAbsolutePath().toString()));
+                List.of("bash", root.resolve("deploy/run.sh").toAbsolutePath().toString()));
         Path log = files.resolve("log");
         ProcessBuilder builder = new ProcessBuilder(command)
                 .directory(root.toFile())
--- a/kit/src/test/java/portrelay/kit/RunScriptTest.java
+++ b/kit/src/test/java/portrelay/kit/RunScriptTest.java
@@ -17,19 +17,38 @@
  */
 class RunScriptTest {
 
+    private static final String STAND_IN = """
+            #!/bin/sh
+            echo "$@"
+            echo $$
+            while IFS= read -r line; do
+                case $line in syscr:*) echo "${line#syscr: }" ;; esac
+            done < /proc/$$/io
+            """;
+
+    /** The smallest part of a file that counts as read by the buffer. */
+    private static final int MIN_BYTES_PER_READ = 512;
+    /** The reads of the two shells themselves and of the script. */
+    private static final int OTHER_READS = 500;
+
     @TempDir
     private Path folder;
 
-    /** The arguments of java, and the process ids of the started shell and of java. */
-    private record StartResult(String arguments, long shellPid, long javaPid) {}
+    /**
+     * The arguments of java, the process ids of the started shell and of java, and the number of read system calls that
+     * the process has made until java runs.
+     */
+    private record StartResult(String arguments, long shellPid, long javaPid, long reads) {}
 
     /** Runs the start command of the deploy file, with only the shell and java in the path. */
     private StartResult start(String config) throws IOException, InterruptedException {
         Path bin = Files.createDirectories(folder.resolve("bin"));
-        Path java = Files.writeString(bin.resolve("java"), "#!/bin/sh\necho \"$@\"\necho $$\n");
+        Path java = Files.writeString(bin.resolve("java"), STAND_IN);
         assertTrue(java.toFile().setExecutable(true));
-        if (!Files.exists(bin.resolve("sh"))) {
-            Files.createSymbolicLink(bin.resolve("sh"), Path.of("/bin/sh"));
+        for (String shell : List.of("sh", "bash")) {
+            if (!Files.exists(bin.resolve(shell))) {
+                Files.createSymbolicLink(bin.resolve(shell), Path.of("/bin", shell));
+            }
         }
         Path file = folder.resolve("config.json");
         if (config != null) {
@@ -51,7 +70,7 @@
         assertTrue(process.waitFor(60, TimeUnit.SECONDS), "deploy/run.sh did not end within 60 s");
         assertEquals(0, process.exitValue(), Files.readString(out));
         List<String> lines = Files.readAllLines(out);
-        return new StartResult(lines.get(0), process.pid(), Long.parseLong(lines.get(1)));
+        return new StartResult(lines.get(0), process.pid(), Long.parseLong(lines.get(1)), Long.parseLong(lines.get(2)));
     }
 
     private void assertHeapMegabytes(int megabytes, String config) throws Exception {
@@ -83,6 +102,16 @@
         assertHeapMegabytes(84, "{" + limits + "," + known + "}");
     }
 
+    /** Guards against a start of a system call a byte, which lasts too long where each call is led through a filter. */
+    @Test
+    void theReadsOfAStartWith6400RowsDoNotGrowWithTheBytes() throws Exception {
+        String row = "{\"host\":\"s-00c0ffee\",\"dial\":\"127.1.2.3:20000\",\"site\":\"a\",\"class\":\"m\"},";
+        String config = "{\"known\":{\"hosts\":[" + row.repeat(6400) + "{}]},\"limits\":{\"memory_mb\":144}}";
+        StartResult result = start(config);
+        int most = config.length() / MIN_BYTES_PER_READ + OTHER_READS;
+        assertTrue(result.reads() <= most, result.reads() + " reads of " + config.length() + " bytes");
+    }
+
     /** Guards against a start that forks: operators signal the process that they started, and may forbid forks. */
     @Test
     void theSidecarRunsInTheStartedProcessWithoutForking() throws Exception {
