Soak: limits on memory and descriptors, clients that leave, time told, keyed repeats

Need: the soak started processes by flags of its own, not by deploy/run.sh, and judged no limit; its clients wrote whole requests and waited. So it could not see a process that the platform kills for memory, nor an upstream that gets what a client began and left. Change: processes start by deploy/run.sh; ResourceMeter adds the processes of a sidecar and their files up. In half of the rounds clients leave before the answer or within the request, or write in pieces. Judged besides: the idempotency key, requests not sent whole, cut requests (a beginning of what was sent?), attempts begun after the client left, time told, keyed repeats outside of cell or window. ExchangeScript comes out of UpstreamFleet. The draws of earlier plans are as they were; the new one is the last.

--- a/kit/src/main/java/portrelay/faulttest/scale/ListPublisher.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ListPublisher.java
@@ -12,7 +12,9 @@
     /** The addresses of a list are those of the one before, moved on by this many upstreams. */
     private static final int ADDRESS_SHIFT = 7;
 
-    private static final int ROWS_PER_CELL = 6;
+    /** The rows of one cell follow one another. */
+    static final int ROWS_PER_CELL = 6;
+
     private static final int ZONES = 3;
     private static final double DRAINING_SHARE = 0.1;
 
--- a/kit/src/main/java/portrelay/faulttest/scale/ProcessMeter.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ProcessMeter.java
@@ -20,8 +20,10 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final Path proc;
+    private int descriptors;
     private int maxDescriptors;
     private int maxThreads;
+    private double memoryMb;
     private double peakMemoryMb;
     private Map<String, Double> cpuSecondsByThread = Map.of();
     private long waitNanos;
@@ -31,21 +33,41 @@
         proc = Path.of("/proc", Long.toString(processId));
     }
 
-    /** Takes a sample; keeps the values of the last one if the process has ended. */
+    /** Takes a sample. Once the process has ended, it holds nothing, and the other values stay. */
     void sample() {
         try {
-            maxDescriptors = Math.max(maxDescriptors, count(proc.resolve("fd")));
+            descriptors = count(proc.resolve("fd"));
+            maxDescriptors = Math.max(maxDescriptors, descriptors);
             maxThreads = Math.max(maxThreads, count(proc.resolve("task")));
-            for (String line : Files.readAllLines(proc.resolve("status"))) {
-                if (line.startsWith("VmHWM:")) {
-                    peakMemoryMb = Double.parseDouble(line.replaceAll("[^0-9]", "")) / KIB_PER_MIB;
-                }
-            }
-            cpuSecondsByThread = readCpuSeconds();
+            memoryMb = readMemoryMb();
+            peakMemoryMb = Math.max(peakMemoryMb, memoryMb);
+            Map<String, Double> seconds = readCpuSeconds();
+            // Empty while a killed process is being taken down.
+            cpuSecondsByThread = seconds.isEmpty() ? cpuSecondsByThread : seconds;
             sampleWait();
         } catch (IOException e) {
-            // The process has ended.
+            descriptors = 0;
+            memoryMb = 0;
+        }
+    }
+
+    /** Returns the number of descriptors at the last sample. */
+    int descriptors() {
+        return descriptors;
+    }
+
+    /** Returns the memory at the last sample; that which processes share counts in parts. */
+    double memoryMb() {
+        return memoryMb;
+    }
+
+    private double readMemoryMb() throws IOException {
+        for (String line : Files.readAllLines(proc.resolve("smaps_rollup"))) {
+            if (line.startsWith("Pss:")) {
+                return Double.parseDouble(line.replaceAll("[^0-9]", "")) / KIB_PER_MIB;
+            }
         }
+        return 0;
     }
 
     /** Returns the longest time for which the event loop waited for a core between two samples, in seconds. */
--- a/kit/src/main/java/portrelay/faulttest/scale/ScaleConfiguration.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScaleConfiguration.java
@@ -6,7 +6,12 @@
 /** Builds the configuration of one sidecar of a round as JSON. */
 final class ScaleConfiguration {
 
-    private static final int SOCKETS = 1024;
+    /** The descriptors that the processes of a sidecar may hold together. */
+    static final int SOCKETS = 1024;
+
+    /** How long upstreams recognise a repeat of a keyed request. */
+    static final double WINDOW_SECONDS = 0.9;
+
     private static final long SEED = 0x8c1f30d27a5be964L;
 
     private ScaleConfiguration() {}
@@ -43,6 +48,7 @@
     private static String requestClass(String name, String effect) {
         long deadlineMicros = (long) (ScaleClient.LONG_DEADLINE_SECONDS * 1e6);
         return "{\"name\":\"" + name + "\",\"effect\":\"" + effect + "\",\"group\":\"cell\",\"aim-us\":"
-                + deadlineMicros * 3 / 10 + ",\"hard-limit-us\":" + deadlineMicros + ",\"dedup-window-us\":900000}";
+                + deadlineMicros * 3 / 10 + ",\"hard-limit-us\":" + deadlineMicros + ",\"dedup-window-us\":"
+                + (long) (WINDOW_SECONDS * 1e6) + "}";
     }
 }
--- a/kit/src/main/java/portrelay/faulttest/scale/ScalePlan.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScalePlan.java
@@ -22,6 +22,8 @@
  * @param hangups the number of SIGHUP in a row before the hand-over
  * @param heldShare the probability with which a process is held once in each interval of samples
  * @param refusedCallsShare the share of the calls to discovery that fail after the start of the clients
+ * @param leavingShare the share of the requests whose client leaves before the answer, some before the whole request is
+ *     written; as many requests are written in pieces
  */
 public record ScalePlan(
         long seed,
@@ -40,7 +42,8 @@
         boolean hasPeers,
         int hangups,
         double heldShare,
-        double refusedCallsShare) {
+        double refusedCallsShare,
+        double leavingShare) {
 
     /** How an endpoint list differs from the one before. */
     public enum ListChange {
@@ -56,6 +59,34 @@
         DRAIN_TENTH
     }
 
+    /** Returns a copy with another memory limit. */
+    ScalePlan withMemoryMb(int otherMemoryMb) {
+        return new ScalePlan(
+                seed,
+                rows,
+                sidecars,
+                otherMemoryMb,
+                clients,
+                runSeconds,
+                listChange,
+                listIntervalSeconds,
+                extraNameLength,
+                troubledShare,
+                refusingShare,
+                isListConfigured,
+                startsCold,
+                hasPeers,
+                hangups,
+                heldShare,
+                refusedCallsShare,
+                leavingShare);
+    }
+
+    /** Whether an upstream's address belongs to the same cell in every list. */
+    boolean hasFixedCells() {
+        return listChange != ListChange.REPLACE_ALL && listChange != ListChange.MOVE_ALL;
+    }
+
     /** The time from SIGTERM to SIGKILL: the longest deadline and 0.7 seconds. */
     static final double KILL_DELAY_SECONDS = ScaleClient.LONG_DEADLINE_SECONDS + 0.7;
 
@@ -70,6 +101,7 @@
     private static final int CROWD = 300;
     private static final double CROWD_SHARE = 0.15;
     private static final int MAX_LONG_NAME = 200;
+    private static final double MAX_LEAVING_SHARE = 0.3;
 
     /** Returns the plan that the seed determines. */
     public static ScalePlan draw(long seed) {
@@ -97,6 +129,7 @@
                 random.nextBoolean(),
                 random.nextInt(4),
                 random.nextBoolean() ? 0.5 : 0,
-                random.nextInt(3) == 0 ? random.nextDouble() : 0);
+                random.nextInt(3) == 0 ? random.nextDouble() : 0,
+                random.nextBoolean() ? MAX_LEAVING_SHARE * random.nextDouble() : 0);
     }
 }
--- a/kit/src/main/java/portrelay/faulttest/scale/ScaleRound.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScaleRound.java
@@ -29,11 +29,6 @@
 public final class ScaleRound {
 
     private static final double START_TIMEOUT_SECONDS = 30;
-    /** The launcher's rule: what the memory limit leaves beside the rest of the JVM, within bounds. */
-    private static final int MEMORY_BESIDE_HEAP_MB = 60;
-
-    private static final int MIN_HEAP_MB = 32;
-    private static final int MAX_HEAP_MB = 128;
     /** Below the range from which the system takes the ports of outgoing connections. */
     private static final int FIRST_PORT = 20_000;
 
@@ -41,7 +36,7 @@
     private static final double SAMPLE_INTERVAL_SECONDS = 0.25;
     private static final double REFUSED_CALLS_SECONDS = 2;
     /** For how long the operators' pages allow a process to be held. */
-    private static final double HOLD_SECONDS = 0.15;
+    static final double HOLD_SECONDS = 0.15;
 
     private static final double HANGUP_INTERVAL_SECONDS = 0.2;
     /** How long after SIGTERM clients may open connections. */
@@ -53,11 +48,11 @@
     private final ScalePlan plan;
     private final Path files;
     private final SplittableRandom random;
+    private final ResourceMeter resources;
     private final Queue<SentRequest> records = new ConcurrentLinkedQueue<>();
     private final List<ScaleViolation> processViolations = new ArrayList<>();
     private final List<ShutdownWindow> shutdowns = new ArrayList<>();
     private final List<SidecarProcess> processes = new ArrayList<>();
-    private final List<ProcessMeter> meters = new ArrayList<>();
     /** One for each sidecar, so that it is known which lists a sidecar was told. */
     private final List<Discovery> discoveries = new ArrayList<>();
 
@@ -73,6 +68,7 @@
         this.plan = plan;
         this.files = files;
         random = new SplittableRandom(plan.seed());
+        resources = new ResourceMeter(plan);
     }
 
     /**
@@ -148,15 +144,12 @@
             String json = ScaleConfiguration.json(
                     plan, i, ports.get(i), discoveries.get(i).address(), rows, peerPorts);
             Path folder = files.resolve("n" + i);
-            int heapMb = Math.max(MIN_HEAP_MB, Math.min(MAX_HEAP_MB, plan.memoryMb() - MEMORY_BESIDE_HEAP_MB));
-            SidecarProcess process =
-                    SidecarProcess.start(ports.get(i), json, folder.resolve(name), folder.resolve("tmp"), heapMb);
+            Path temporary = folder.resolve("tmp");
+            SidecarProcess process = SidecarProcess.startByScript(ports.get(i), json, folder.resolve(name), temporary);
             started.add(process);
-            synchronized (meters) {
-                meters.add(new ProcessMeter(process.process().pid()));
-            }
+            resources.add(i, process.process().pid(), temporary);
         }
-        synchronized (meters) {
+        synchronized (processes) {
             processes.addAll(started);
         }
         return started;
@@ -189,7 +182,7 @@
         for (int i = 0; i < ports.size(); i++) {
             for (int c = 0; c < plan.clients(); c++) {
                 String name = clientNamePrefix(i) + c;
-                ScaleClient client = new ScaleClient(ports.get(i), name, random.split(), records);
+                ScaleClient client = new ScaleClient(ports.get(i), name, random.split(), plan.leavingShare(), records);
                 clients.add(client);
                 clientThreads.add(DaemonThreads.start(name, client));
             }
@@ -240,9 +233,7 @@
         try {
             while (!isOver) {
                 sleep(SAMPLE_INTERVAL_SECONDS);
-                synchronized (meters) {
-                    meters.forEach(ProcessMeter::sample);
-                }
+                resources.sample();
                 if (holds.nextDouble() < plan.heldShare()) {
                     hold(signals, holds);
                 }
@@ -260,7 +251,7 @@
 
     private void hold(Signals signals, SplittableRandom holds) throws IOException, InterruptedException {
         SidecarProcess held;
-        synchronized (meters) {
+        synchronized (processes) {
             if (processes.isEmpty()) {
                 return;
             }
@@ -286,7 +277,9 @@
             idleCloses.add(process.log());
         }
         ScaleRuleChecker checker = new ScaleRuleChecker(plan, requests, shutdowns, idleCloses);
+        processViolations.addAll(resources.violations());
         processViolations.forEach(each -> checker.add(each.rule(), each.subject(), each.evidence()));
+        checker.checkUnfinished(fleet.unfinished());
         for (int i = 0; i < plan.sidecars(); i++) {
             String prefix = clientNamePrefix(i);
             List<UpstreamFleet.Arrival> ofSidecar = arrivals.stream()
@@ -300,13 +293,15 @@
                 plan,
                 requests.size(),
                 arrivals.size(),
+                fleet.connections(),
                 ends,
                 readySeconds,
                 successorReadySeconds,
                 killed,
-                meters.stream().map(ProcessMeter::toString).toList(),
+                resources.descriptions(),
+                resources.peakMemoryMb(),
                 discoveries.stream().mapToLong(Discovery::bytesSent).sum(),
-                meters.stream().mapToDouble(ProcessMeter::maxWaitSeconds).max().orElse(0),
+                resources.maxWaitSeconds(),
                 checker.check(arrivals, fleet.malformed()));
     }
 
--- a/kit/src/main/java/portrelay/faulttest/scale/SentRequest.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/SentRequest.java
@@ -10,7 +10,7 @@
  * @param deadlineSeconds how long the client waits for the answer
  * @param clientPort the port of the client's end of the connection
  * @param sentAt when its last byte was written
- * @param endedAt when the last byte of the answer arrived, or when the client gave up
+ * @param endedAt when the last byte of the answer arrived, or when the client gave up or left
  * @param end how it ended
  */
 record SentRequest(
@@ -48,12 +48,24 @@
         /** The connection ended without an answer, as it may for a request that was not read. */
         CLOSED,
         /** No answer until the client gave up. */
-        SILENT
+        SILENT,
+        /** The client closed its connection before it had an answer. */
+        LEFT,
+        /** The client closed its connection before it had written the whole request. */
+        LEFT_UNFINISHED
     }
 
     /** Whether the request has a final answer, whichever it is. */
     boolean isAnswered() {
-        return end != End.NOT_WRITTEN && end != End.CLOSED && end != End.SILENT;
+        return switch (end) {
+            case SERVED, WRONG_ANSWER, REJECTED, FAILED, CUT_SHORT -> true;
+            case NOT_WRITTEN, CLOSED, SILENT, LEFT, LEFT_UNFINISHED -> false;
+        };
+    }
+
+    /** Returns the idempotency key; null for a class that has none. */
+    String key() {
+        return requestClass == RequestKind.SAVE ? id : null;
     }
 
     double secondsToEnd() {
--- a/kit/src/main/java/portrelay/kit/cli/SoakCommand.java
+++ b/kit/src/main/java/portrelay/kit/cli/SoakCommand.java
@@ -64,6 +64,9 @@
     @Parameter(names = "--cold", description = "let new upstreams start cold: 1 or 0; drawn by default")
     private int cold = -1;
 
+    @Parameter(names = "--leaving", description = "share of the requests whose client leaves; drawn by default")
+    private double leaving = -1;
+
     @Override
     public int run() {
         if (count < 1 || count > MAX_ROUNDS || rows < 0 || rows > MAX_ROWS) {
@@ -116,6 +119,7 @@
                 peers >= 0 ? peers == 1 : drawn.hasPeers(),
                 drawn.hangups(),
                 drawn.heldShare(),
-                drawn.refusedCallsShare());
+                drawn.refusedCallsShare(),
+                leaving >= 0 ? leaving : drawn.leavingShare());
     }
 }
--- a/kit/src/main/java/portrelay/standin/SidecarProcess.java
+++ b/kit/src/main/java/portrelay/standin/SidecarProcess.java
@@ -79,26 +79,43 @@
      */
     public static SidecarProcess start(int port, String configuration, Path files, Path sharedTmp, int heapMb)
             throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:-UsePerfData",
+                "-XX:+ExitOnOutOfMemoryError",
+                "-XX:MaxDirectMemorySize=16m",
+                "-Xmx" + heapMb + "m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "portrelay.cli.Main",
+                "serve");
+        return start(builder, port, configuration, files, sharedTmp);
+    }
+
+    /**
+     * Starts a sidecar by deploy/run.sh, which derives the heap from the memory limit of the configuration.
+     *
+     * @param port the port on which it listens by its configuration
+     * @param configuration the configuration as JSON
+     * @param files the folder for its configuration and its log
+     * @param sharedTmp its TMPDIR, which it shares with a successor
+     */
+    public static SidecarProcess startByScript(int port, String configuration, Path files, Path sharedTmp)
+            throws IOException {
+        return start(RunScript.command(files), port, configuration, files, sharedTmp);
+    }
+
+    private static SidecarProcess start(
+            ProcessBuilder builder, int port, String configuration, Path files, Path sharedTmp) throws IOException {
         Files.createDirectories(files);
         Files.createDirectories(sharedTmp);
         Path configurationFile = Files.writeString(files.resolve("config.json"), configuration);
         Path log = files.resolve("log");
-        ProcessBuilder builder = new ProcessBuilder(List.of(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-XX:+UseSerialGC",
-                        "-XX:TieredStopAtLevel=1",
-                        "-XX:-UsePerfData",
-                        "-XX:+ExitOnOutOfMemoryError",
-                        "-XX:MaxDirectMemorySize=16m",
-                        "-Xmx" + heapMb + "m",
-                        "-cp",
-                        System.getProperty("java.class.path"),
-                        "portrelay.cli.Main",
-                        "serve",
-                        "--config",
-                        configurationFile.toString()))
-                .redirectErrorStream(true)
-                .redirectOutput(log.toFile());
+        builder.redirectErrorStream(true).redirectOutput(log.toFile());
+        builder.environment()
+                .put("LB_CONFIG", configurationFile.toAbsolutePath().toString());
         builder.environment().put("LB_LOG", "debug");
         builder.environment().put("TMPDIR", sharedTmp.toAbsolutePath().toString());
         Process process = builder.start();
--- a/kit/src/main/java/portrelay/standin/UpstreamFleet.java
+++ b/kit/src/main/java/portrelay/standin/UpstreamFleet.java
@@ -15,39 +15,20 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Queue;
-import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import portrelay.standin.ExchangeScript.Trouble;
 
 /**
  * Many upstreams on loopback, each with an address of its own, served by one thread. Answers a request after a random
  * delay with a body that belongs to its id ({@link MessageBody}); a share of the exchanges goes wrong in one of the
- * ways of {@link Trouble}. Records each complete request and all bytes that are no request. Thread-safe.
+ * ways of {@link ExchangeScript.Trouble}. Records each complete request, all bytes that are no request, and what had
+ * arrived of a request when its connection ended. Thread-safe.
  */
 public final class UpstreamFleet implements AutoCloseable {
 
-    /** What goes wrong with an exchange. */
-    private enum Trouble {
-        NONE,
-        /** The connection is reset instead of an answer. */
-        RESET,
-        /** There is no answer. */
-        HANG,
-        /** The connection ends within the answer. */
-        CUT_SHORT,
-        /** The connection is closed a moment after the answer, while it is idle. */
-        CLOSE_IDLE
-    }
-
-    private static final Trouble[] TROUBLES = {Trouble.RESET, Trouble.HANG, Trouble.CUT_SHORT, Trouble.CLOSE_IDLE};
-
-    private static final double MIN_DELAY_SECONDS = 0.002;
-    private static final double MAX_DELAY_SECONDS = 0.08;
-    /** Skews the random delays and lengths: most are small, some are large. */
-    private static final double SKEW = 3;
-
     private static final double CLOSE_IDLE_DELAY_SECONDS = 0.05;
-    private static final int MIN_ANSWER_BYTES = 64;
-    private static final int MAX_ANSWER_BYTES = 70_000;
+    private static final double MILLIS_PER_SECOND = 1e3;
     private static final int READ_BYTES = 64 * 1024;
     private static final int ADDRESSES_PER_BLOCK = 250;
 
@@ -59,21 +40,42 @@
      * @param line the method, the target and the version
      * @param bodyBytes the length of the body
      * @param hasBodyOfId whether all bytes of the body belong to the request id
-     * @param beganAt when its first byte arrived, of {@link System#nanoTime}
+     * @param key the idempotency key; null without one
+     * @param toldSeconds how long the sidecar says that it will wait; NaN if it doesn't say
+     * @param beganAt when its first byte was read, of {@link System#nanoTime}
+     * @param beganAfter a time at which its first byte had not arrived yet, however late it was read
      */
-    public record Arrival(int upstream, String id, String line, int bodyBytes, boolean hasBodyOfId, long beganAt) {}
+    public record Arrival(
+            int upstream,
+            String id,
+            String line,
+            int bodyBytes,
+            boolean hasBodyOfId,
+            String key,
+            double toldSeconds,
+            long beganAt,
+            long beganAfter) {}
 
     /** Bytes that are no request, and the number of the upstream that received them. */
     public record Malformed(int upstream, String bytes) {}
 
+    /** The beginning of a request whose connection ended before its last byte arrived. */
+    public record Unfinished(int upstream, String bytes) {}
+
     private record Task(long dueAt, Runnable action) {}
 
     private final List<ServerSocketChannel> listeners = new ArrayList<>();
     private final Selector selector;
-    private final SplittableRandom random;
+    private final ExchangeScript script;
     private final PriorityQueue<Task> tasks = new PriorityQueue<>(Comparator.comparingLong(Task::dueAt));
     private final Queue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
     private final Queue<Malformed> malformed = new ConcurrentLinkedQueue<>();
+    private final Queue<Unfinished> unfinished = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger connections = new AtomicInteger();
+    /** When the selector last looked for events: what is read now arrived after the time before that one. */
+    private long polledAt = System.nanoTime();
+
+    private long polledBeforeAt = polledAt;
     private final ByteBuffer readBuffer = ByteBuffer.allocate(READ_BYTES);
     private volatile double troubledShare;
     /** Upstreams from this number on reset each connection. */
@@ -87,7 +89,7 @@
      * @param seed the seed of the delays, lengths and troubles
      */
     public UpstreamFleet(int count, long seed) throws IOException {
-        random = new SplittableRandom(seed);
+        script = new ExchangeScript(seed);
         selector = Selector.open();
         for (int i = 0; i < count; i++) {
             ServerSocketChannel listener = ServerSocketChannel.open();
@@ -129,6 +131,16 @@
         return List.copyOf(malformed);
     }
 
+    /** Returns the beginnings of requests whose connections ended before the rest arrived. */
+    public List<Unfinished> unfinished() {
+        return List.copyOf(unfinished);
+    }
+
+    /** Returns the number of connections that were accepted so far. */
+    public int connections() {
+        return connections.get();
+    }
+
     private static String hostOf(int upstream) {
         return "127." + (1 + upstream / (ADDRESSES_PER_BLOCK * ADDRESSES_PER_BLOCK)) + "."
                 + upstream / ADDRESSES_PER_BLOCK % ADDRESSES_PER_BLOCK + "." + (1 + upstream % ADDRESSES_PER_BLOCK);
@@ -138,6 +150,8 @@
         try {
             while (!isClosed) {
                 selector.select(millisToNextTask());
+                polledBeforeAt = polledAt;
+                polledAt = System.nanoTime();
                 runDueTasks();
                 for (SelectionKey key : selector.selectedKeys()) {
                     handle(key);
@@ -188,6 +202,7 @@
         if (channel == null) {
             return;
         }
+        connections.incrementAndGet();
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         channel.configureBlocking(false);
         Connection connection = new Connection(upstream, channel);
@@ -225,6 +240,7 @@
         private ByteBuffer unwritten = ByteBuffer.allocate(0);
         private boolean closesOnceWritten;
         private long requestBeganAt;
+        private long requestBeganAfter;
 
         Connection(int upstream, SocketChannel channel) {
             this.upstream = upstream;
@@ -235,41 +251,60 @@
             try {
                 int count = channel.read(readBuffer.clear());
                 if (count < 0) {
-                    close();
+                    ended();
                     return;
                 }
                 if (parser.unparsedBytes() == 0) {
                     requestBeganAt = System.nanoTime();
+                    requestBeganAfter = polledBeforeAt;
                 }
                 parser.add(readBuffer.flip());
                 for (RequestParser.Request request = parser.next(); request != null; request = parser.next()) {
                     arrived(request);
                 }
             } catch (IOException e) {
-                close();
+                ended();
             } catch (IllegalArgumentException e) {
                 malformed.add(new Malformed(upstream, parser.unparsedText()));
                 close();
             }
         }
 
+        /** Records what has arrived of an unfinished request, and closes the connection. */
+        private void ended() {
+            if (parser.unparsedBytes() > 0) {
+                unfinished.add(new Unfinished(upstream, parser.unparsedText()));
+            }
+            close();
+        }
+
         private void arrived(RequestParser.Request request) {
             String id = request.headers().get("x-trace-id");
-            boolean hasBodyOfId = MessageBody.belongsTo(String.valueOf(id), request.body());
-            arrivals.add(
-                    new Arrival(upstream, id, request.firstLine(), request.body().length, hasBodyOfId, requestBeganAt));
-            Trouble trouble =
-                    random.nextDouble() < troubledShare ? TROUBLES[random.nextInt(TROUBLES.length)] : Trouble.NONE;
+            arrivals.add(new Arrival(
+                    upstream,
+                    id,
+                    request.firstLine(),
+                    request.body().length,
+                    MessageBody.belongsTo(String.valueOf(id), request.body()),
+                    request.headers().get("idempotency-key"),
+                    toldSeconds(request),
+                    requestBeganAt,
+                    requestBeganAfter));
+            requestBeganAfter = polledBeforeAt;
+            Trouble trouble = script.drawTrouble(troubledShare);
             if (trouble == Trouble.HANG) {
                 return;
             }
-            double delay =
-                    MIN_DELAY_SECONDS + (MAX_DELAY_SECONDS - MIN_DELAY_SECONDS) * Math.pow(random.nextDouble(), SKEW);
-            int length = MIN_ANSWER_BYTES
-                    + (int) ((MAX_ANSWER_BYTES - MIN_ANSWER_BYTES) * Math.pow(random.nextDouble(), SKEW));
+            double delay = script.drawDelaySeconds();
+            int length = script.drawAnswerBytes();
             schedule(delay, () -> answer(String.valueOf(id), length, trouble));
         }
 
+        private static double toldSeconds(RequestParser.Request request) {
+            String millis = request.headers().get("x-expires-in-ms");
+            return millis == null ? Double.NaN : Long.parseLong(millis) / MILLIS_PER_SECOND;
+        }
+
         private void answer(String id, int length, Trouble trouble) {
             if (trouble == Trouble.RESET) {
                 reset();
--- a/kit/src/test/java/portrelay/faulttest/scale/ManyUpstreamsFaultTest.java
+++ b/kit/src/test/java/portrelay/faulttest/scale/ManyUpstreamsFaultTest.java
@@ -16,6 +16,8 @@
 
     private static final int MEMORY_MB = 96;
     private static final int LONG_NAME = 600;
+    /** The most that the deployment page gives a sidecar, with both processes of a hand-over. */
+    private static final int MEMORY_MB_OF_TWO = 192;
 
     @TempDir
     private Path files;
@@ -45,6 +47,13 @@
         assertTrue(report.ends().getOrDefault("SERVED", 0) > 0, "no request was served: " + report);
     }
 
+    /** Guards against two heaps that grow with the rows until the limit on memory kills a process in a hand-over. */
+    @Test
+    void bothProcessesOfAHandOverWith6400RowsFitIntoTheMemoryLimit() throws Exception {
+        ScalePlan plan = plan(6400, 50, ListChange.REPLACE_ALL, 0, false);
+        assertNoViolations(plan.withMemoryMb(MEMORY_MB_OF_TWO));
+    }
+
     private static ScalePlan plan(int rows, int clients, ListChange change, int extraNameLength, boolean isConfigured) {
         return new ScalePlan(
                 79,
@@ -63,6 +72,7 @@
                 false,
                 2,
                 0,
+                0,
                 0);
     }
 
--- a/kit/src/test/java/portrelay/faulttest/scale/ScaleRuleCheckerTest.java
+++ b/kit/src/test/java/portrelay/faulttest/scale/ScaleRuleCheckerTest.java
@@ -13,6 +13,7 @@
 import portrelay.standin.Discovery;
 import portrelay.standin.UpstreamFleet.Arrival;
 import portrelay.standin.UpstreamFleet.Malformed;
+import portrelay.standin.UpstreamFleet.Unfinished;
 
 /** Tests that each violation is found, and that what is allowed is none. */
 class ScaleRuleCheckerTest {
@@ -27,12 +28,12 @@
     }
 
     private static Arrival arrival(String id, String line, int bodyBytes, boolean hasBodyOfId) {
-        return new Arrival(0, id, line, bodyBytes, hasBodyOfId, 0);
+        return new Arrival(0, id, line, bodyBytes, hasBodyOfId, "a", 1, 0, 0);
     }
 
     private static List<Rule> check(SentRequest request, Arrival... arrivals) {
-        ScalePlan plan =
-                new ScalePlan(1, 4, 1, 96, 1, 8, ScalePlan.ListChange.NONE, 1, 0, 0, 0, false, false, false, 0, 0, 0);
+        ScalePlan plan = new ScalePlan(
+                1, 4, 1, 96, 1, 8, ScalePlan.ListChange.NONE, 1, 0, 0, 0, false, false, false, 0, 0, 0, 0);
         IdleCloses closes = new IdleCloses();
         closes.add(List.of("client connection closed: client=" + PORT
                 + " phase=IDLE cause=NOT_NEEDED looked-ns=10000000 closed-ns=11000000"));
@@ -44,6 +45,7 @@
     }
 
     private static final Arrival SAME = arrival("a", "POST /x HTTP/1.1", 3, true);
+    private static final Arrival SAME_WITHOUT_KEY = new Arrival(0, "a", "POST /x HTTP/1.1", 3, true, null, 1, 0, 0);
 
     @Test
     void aServedRequestBreaksNoRule() {
@@ -60,6 +62,7 @@
         assertEquals(notSent, check(sent, arrival("a", "POST /y HTTP/1.1", 3, true)));
         assertEquals(notSent, check(sent, arrival("a", "POST /x HTTP/1.1", 2, true)));
         assertEquals(notSent, check(sent, arrival("a", "POST /x HTTP/1.1", 3, false)));
+        assertEquals(notSent, check(sent, SAME_WITHOUT_KEY));
         ScaleRuleChecker checker = new ScaleRuleChecker(PLAN, List.of(), List.of(), new IdleCloses());
         assertEquals(
                 1,
@@ -75,7 +78,61 @@
         assertEquals(List.of(Rule.LOST), check(request(RequestKind.SAVE, 3, 0.1, End.CUT_SHORT)));
         assertEquals(List.of(Rule.WRONG_ANSWER), check(request(RequestKind.SAVE, 3, 0.1, End.WRONG_ANSWER)));
         SentRequest unsafe = request(RequestKind.ISSUE, 3, 0.1, End.SERVED);
-        assertEquals(List.of(Rule.DUPLICATE), check(unsafe, SAME, SAME));
+        assertEquals(List.of(Rule.DUPLICATE), check(unsafe, SAME_WITHOUT_KEY, SAME_WITHOUT_KEY));
+    }
+
+    @Test
+    void anAttemptAfterTheClientLeftIsFound() {
+        SentRequest left = request(RequestKind.SAVE, 3, 0.2, End.LEFT);
+        assertEquals(List.of(), check(left, begun(0, 0.25, 0.29)));
+        assertEquals(List.of(Rule.SENT_AFTER_CLIENT_LEFT), check(left, begun(0, 0.31, 0.35)));
+        SentRequest unfinished = request(RequestKind.SAVE, 3, 0.2, End.LEFT_UNFINISHED);
+        assertEquals(List.of(), check(unfinished));
+        assertEquals(List.of(Rule.NOT_SENT_BY_A_CLIENT), check(unfinished, begun(0, 0, 0)));
+    }
+
+    @Test
+    void anUpstreamThatIsToldMoreTimeThanTheClientHasLeftIsFound() {
+        SentRequest sent = request(RequestKind.SAVE, 3, 0.9, End.SERVED);
+        Arrival toldTooMuch = new Arrival(0, "a", "POST /x HTTP/1.1", 3, true, "a", 0.8, 0, SECOND / 2);
+        assertEquals(List.of(Rule.TOLD_TOO_MUCH_TIME), check(sent, toldTooMuch));
+        Arrival toldNothing = new Arrival(0, "a", "POST /x HTTP/1.1", 3, true, "a", Double.NaN, 0, 0);
+        assertEquals(List.of(Rule.TOLD_TOO_MUCH_TIME), check(sent, toldNothing));
+    }
+
+    @Test
+    void aRepeatOfAKeyedRequestOutsideOfItsCellOrItsWindowIsFound() {
+        SentRequest sent = request(RequestKind.SAVE, 3, 0.9, End.SERVED);
+        int otherCell = ListPublisher.ROWS_PER_CELL;
+        assertEquals(List.of(Rule.DUPLICATE), check(sent, begun(0, 0, 0), begun(otherCell, 0.3, 0.3)));
+        assertEquals(List.of(), check(sent, begun(0, 0, 0), begun(otherCell - 1, 0.9, 0.9)));
+        assertEquals(List.of(Rule.DUPLICATE), check(sent, begun(0, 0, 0), begun(0, 1.11, 1.11)));
+    }
+
+    @Test
+    void theBeginningOfARequestThatNoClientSentIsFound() {
+        String head = "POST /x HTTP/1.1\r\nX-Trace-Id: a\r\n\r\n";
+        assertEquals(0, unfinished("POST /x HT"));
+        assertEquals(0, unfinished(head + "a|a|"));
+        assertEquals(1, unfinished("|a|a|"));
+        assertEquals(1, unfinished("POST /y HTTP/1.1\r\n"));
+        assertEquals(1, unfinished(head + "a|b|"));
+    }
+
+    /** An attempt that tells its upstream hardly any time. */
+    private static Arrival begun(int upstream, double afterSeconds, double atSeconds) {
+        long beganAfter = (long) (afterSeconds * SECOND);
+        return new Arrival(
+                upstream, "a", "POST /x HTTP/1.1", 3, true, "a", 0.001, (long) (atSeconds * SECOND), beganAfter);
+    }
+
+    private static int unfinished(String bytes) {
+        SentRequest sent = request(RequestKind.SAVE, 3, 0.9, End.SERVED);
+        ScaleRuleChecker checker = new ScaleRuleChecker(PLAN, List.of(sent), List.of(), new IdleCloses());
+        checker.checkUnfinished(List.of(new Unfinished(0, bytes)));
+        return (int) checker.check(List.of(), List.of()).stream()
+                .filter(each -> each.rule() == Rule.NOT_SENT_BY_A_CLIENT)
+                .count();
     }
 
     @Test
@@ -112,7 +169,8 @@
 
     private static int drains(List<PublishedList> lists, Discovery discovery, int upstream, long beganAt) {
         ScaleRuleChecker checker = new ScaleRuleChecker(PLAN, List.of(), List.of(), new IdleCloses());
-        checker.checkDrains(List.of(new Arrival(upstream, "a", "", 0, true, beganAt)), lists, discovery);
+        checker.checkDrains(
+                List.of(new Arrival(upstream, "a", "", 0, true, null, 1, beganAt, beganAt)), lists, discovery);
         return (int) checker.check(List.of(), List.of()).stream()
                 .filter(each -> each.rule() == Rule.DRAIN)
                 .count();
