Both processes of a hand-over fit into the memory limit: the heap begins at 32 MiB

Callers saw: processes that were ended, only with many times the usual number of servers. Cause: without -Xms the JVM begins with the whole heap where the machine has much memory (its default is a 64th of that) and fills the young part with garbage before it collects; at 192 MB that is 128 MB of heap. Two processes of a hand-over count as one sidecar against memory_mb, above which the platform kills. With few rows they happened to fit, with thousands the lists and their changes filled both. Change: -Xms32m, and a fifth of the heap free after a full collection instead of two fifths. The largest heap is as before.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -27,6 +27,6 @@
 [ "$heap" -ge 32 ] || heap=32
 [ "$heap" -le 128 ] || heap=128
 exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -XX:+ExitOnOutOfMemoryError \
-    "-Xmx${heap}m" -Xss512k -XX:MaxMetaspaceSize=32m -XX:ReservedCodeCacheSize=16m \
+    -Xms32m -XX:MinHeapFreeRatio=20 "-Xmx${heap}m" -Xss512k -XX:MaxMetaspaceSize=32m -XX:ReservedCodeCacheSize=16m \
     -XX:MaxDirectMemorySize=16m -XX:SharedArchiveFile=daemon/target/portrelay.jsa \
     -jar daemon/target/portrelay.jar serve
