Arrivals are dated back to the last poll that was handled, not to a late heartbeat

Callers saw: upstreams were told up to 0.27 s more time than the client had left (0.15 s is allowed), at thousands of rows. Cause: the time of an arrival was dated back only for a heartbeat over 0.1 s late and only until the next one in time. After a long turn (a list is applied, a collection) many requests wait; their events take longer than a beat, so the later ones counted as fresh. And the timers run between the events of one poll: all beats can be in time while nothing is polled for 0.25 s. Change: each beat marks a poll (EventLoop.afterPoll); what is seen over 0.1 s after the last beat whose poll has been handled is dated back to it. The test of the short gap held 0.125 s to be short; with the time to the write that is over the allowed 0.15 s, as measured; it now holds at 0.095 and asks for the earlier time at 0.125.

--- a/core/src/main/java/portrelay/model/EventLoopLag.java
+++ b/core/src/main/java/portrelay/model/EventLoopLag.java
@@ -22,17 +22,19 @@
     /** The most by which the time of a signal is dated back. */
     private static final double MAX_SIGNAL_AGE_SECONDS = 0.3;
 
-    /** Arrivals are not dated back for shorter gaps. */
-    private static final double MIN_ARRIVAL_GAP_SECONDS = 0.1;
+    /** Arrivals are not dated back while the last handled beat is no older. */
+    private static final double MAX_UNDATED_SECONDS = 0.1;
 
     /** The most by which the time of an arrival is dated back. */
-    private static final double MAX_ARRIVAL_AGE_SECONDS = 0.4;
+    public static final double MAX_ARRIVAL_AGE_SECONDS = 0.4;
 
     private record Gap(double from, double until) {}
 
     private final Deque<Gap> gaps = new ArrayDeque<>();
     private double lastBeat = Double.NaN;
     private double maxLag;
+    /** The last beat after which a poll was begun whose events have all been handled; NaN before the first one. */
+    private double lastHandledBeat = Double.NaN;
 
     /** Records a beat, and a gap if it is late. */
     public void beat(double now) {
@@ -49,6 +51,11 @@
         }
     }
 
+    /** Records that all events of a poll that was begun after the beat of the given time have been handled. */
+    public void arrivalsHandled(double beat) {
+        lastHandledBeat = beat;
+    }
+
     /** Returns the earliest time at which a signal that is handled at the given time may have been sent. */
     public double earliestSignal(double handledAt) {
         double earliest = handledAt;
@@ -61,20 +68,14 @@
     }
 
     /**
-     * Returns the earliest time at which data or a connection that is seen now may have arrived. An arrival during a
-     * gap is seen by the first poll after the gap; an arrival during a long turn of the loop, by the first poll after
-     * that turn.
+     * Returns the earliest time at which data or a connection that is seen now may have arrived: what arrived before a
+     * beat was seen by the poll after it, and has been handled once that poll's events are.
      */
     public double earliestArrival(double now) {
-        if (Double.isNaN(lastBeat)) {
+        if (Double.isNaN(lastHandledBeat) || now - lastHandledBeat <= MAX_UNDATED_SECONDS) {
             return now;
         }
-        Gap last = gaps.peekLast();
-        boolean isAfterGap = last != null
-                && last.until == lastBeat
-                && last.until - last.from - BEAT_INTERVAL > MIN_ARRIVAL_GAP_SECONDS;
-        double earliest = isAfterGap ? last.from + BEAT_INTERVAL : Math.min(now, lastBeat + BEAT_INTERVAL);
-        return Math.max(earliest, now - MAX_ARRIVAL_AGE_SECONDS);
+        return Math.max(Math.min(now, lastHandledBeat + BEAT_INTERVAL), now - MAX_ARRIVAL_AGE_SECONDS);
     }
 
     /** Returns by how many seconds the next beat is overdue; 0 if it is not due yet. */
--- a/core/src/test/java/portrelay/model/EventLoopLagTest.java
+++ b/core/src/test/java/portrelay/model/EventLoopLagTest.java
@@ -14,6 +14,7 @@
         EventLoopLag lag = new EventLoopLag();
         for (int beat = 0; beat * EventLoopLag.BEAT_INTERVAL <= until + TOLERANCE; beat++) {
             lag.beat(beat * EventLoopLag.BEAT_INTERVAL);
+            lag.arrivalsHandled(beat * EventLoopLag.BEAT_INTERVAL);
         }
         return lag;
     }
@@ -82,10 +83,35 @@
         EventLoopLag lag = punctualLoop(1);
         lag.beat(1.2);
         assertEquals(1.05, lag.earliestArrival(1.201), TOLERANCE);
+        lag.arrivalsHandled(1.2);
         lag.beat(1.25);
         assertEquals(1.26, lag.earliestArrival(1.26), TOLERANCE);
     }
 
+    /** Guards against more time told to an upstream than the client has left, where many requests came in a gap. */
+    @Test
+    void arrivalDuringAGapIsDatedBackHoweverLongTheEventsBeforeItTake() {
+        EventLoopLag lag = punctualLoop(1);
+        lag.beat(1.2);
+        lag.beat(1.25);
+        assertEquals(1.05, lag.earliestArrival(1.26), TOLERANCE);
+        lag.beat(1.5);
+        lag.arrivalsHandled(1.25);
+        assertEquals(1.3, lag.earliestArrival(1.6), TOLERANCE);
+        lag.arrivalsHandled(1.5);
+        assertEquals(1.58, lag.earliestArrival(1.58), TOLERANCE);
+    }
+
+    /** Guards against the same where all beats are in time, but the events of one poll take longer than they. */
+    @Test
+    void arrivalIsDatedBackIfTheEventsOfOnePollTakeLongWithoutALateBeat() {
+        EventLoopLag lag = punctualLoop(1);
+        for (int beat = 1; beat <= 4; beat++) {
+            lag.beat(1 + beat * EventLoopLag.BEAT_INTERVAL);
+        }
+        assertEquals(1.05, lag.earliestArrival(1.21), TOLERANCE);
+    }
+
     @Test
     void arrivalSeenAfterALongTurnIsDatedBackToItsBeginning() {
         assertEquals(1.05, punctualLoop(1).earliestArrival(1.3), TOLERANCE);
@@ -94,8 +120,9 @@
     @Test
     void arrivalIsNotDatedBackForAShortGap() {
         EventLoopLag lag = punctualLoop(1);
-        lag.beat(1.12);
-        assertEquals(1.125, lag.earliestArrival(1.125), TOLERANCE);
+        lag.beat(1.09);
+        assertEquals(1.095, lag.earliestArrival(1.095), TOLERANCE);
+        assertEquals(1.05, lag.earliestArrival(1.125), TOLERANCE);
     }
 
     @Test
--- a/daemon/src/main/java/portrelay/net/eventloop/EventLoop.java
+++ b/daemon/src/main/java/portrelay/net/eventloop/EventLoop.java
@@ -62,7 +62,9 @@
 
     /** Starts to measure the thread's lag, for as long as the loop runs. To be called on the loop. */
     public void startLagBeat() {
-        lag.beat(now());
+        double beat = now();
+        lag.beat(beat);
+        afterPoll(() -> lag.arrivalsHandled(beat));
         schedule(EventLoopLag.BEAT_INTERVAL, this::startLagBeat);
     }
 
