Connections that waited in the listen queue over a turn arrived before that turn

Cause: the listener takes few connections a turn; those that it leaves in the kernel's queue counted as arrived when they were accepted.

--- a/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
@@ -115,15 +115,21 @@
         return listener.address();
     }
 
-    /** Takes ownership of an open connection, accepted by the listener or made within the process, and closes it. */
+    /** Takes ownership of an open connection that was made within the process, and closes it. */
     public void accept(StreamConnection client) {
+        accept(client, loop.now());
+    }
+
+    private void accept(StreamConnection client, double arrivedAfter) {
+        ArrivalClock arrivalClock = new ArrivalClock(loop, arrivedAfter);
         RequestFramingFilter filter = new RequestFramingFilter(
-                client.getSourceChannel().getConduit(), () -> connections.bytesReceived(client), loop::earliestArrival);
+                client.getSourceChannel().getConduit(), () -> connections.bytesReceived(client), arrivalClock);
         client.getSourceChannel().setConduit(filter);
         connections.opened(client, filter);
         if (!lateRequests.interceptLateRequests(client, filter)) {
             http.handleEvent(client);
         }
+        arrivalClock.connectionHandled();
     }
 
     /** Sets what the readiness path reports while the sidecar is in service. */
--- a/daemon/src/main/java/portrelay/net/client/ClientListener.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientListener.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Queue;
-import java.util.function.Consumer;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -21,6 +20,17 @@
  */
 final class ClientListener {
 
+    /** Receives accepted connections. */
+    interface Receiver {
+
+        /**
+         * Called for each connection, on the loop.
+         *
+         * @param arrivedAfter the earliest time at which the connection, and data on it, may have arrived
+         */
+        void accepted(StreamConnection connection, double arrivedAfter);
+    }
+
     /** Number of connections accepted above the limit; for each, one of the open connections is evicted. */
     private static final int CONNECTIONS_OVER_LIMIT = 8;
     /** Maximum number delivered in one turn of the loop, so that timers and other connections run in between. */
@@ -36,22 +46,27 @@
     private static final int MAX_ACCEPT_FAILURES = 64;
 
     private final Log log;
-    private final Consumer<StreamConnection> connectionReceiver;
+    private final Receiver receiver;
     private final Runnable freeDescriptors;
     private final EventLoop loop;
     /** Connections accepted when the socket was closed and not delivered yet. */
     private final Queue<StreamConnection> pending = new ArrayDeque<>();
+    /**
+     * The earliest time at which a connection that the last turn left in the kernel's queue may have arrived; NaN if it
+     * left none.
+     */
+    private double queuedSince = Double.NaN;
     /** Null before {@link #listen}. */
     private SharedListener listener;
 
     /**
-     * @param connectionReceiver receives each accepted connection
+     * @param receiver receives each accepted connection
      * @param freeDescriptors called when an accept fails, for example for lack of file descriptors
      */
-    ClientListener(EventLoop loop, Log log, Consumer<StreamConnection> connectionReceiver, Runnable freeDescriptors) {
+    ClientListener(EventLoop loop, Log log, Receiver receiver, Runnable freeDescriptors) {
         this.loop = loop;
         this.log = log;
-        this.connectionReceiver = connectionReceiver;
+        this.receiver = receiver;
         this.freeDescriptors = freeDescriptors;
     }
 
@@ -96,16 +111,27 @@
     private void acceptAvailable(AcceptingChannel<StreamConnection> channel) {
         try {
             double startedAt = loop.now();
+            double arrivedAfter = earliestArrivalOfQueued();
             StreamConnection client = channel.accept();
+            queuedSince = Double.NaN;
             for (int count = 1; client != null; count++) {
-                connectionReceiver.accept(client);
-                client = isTurnOver(count, startedAt) ? null : channel.accept();
+                receiver.accepted(client, arrivedAfter);
+                if (isTurnOver(count, startedAt)) {
+                    queuedSince = arrivedAfter;
+                    return;
+                }
+                client = channel.accept();
             }
         } catch (IOException e) {
             logFailure(e);
         }
     }
 
+    /** Returns the earliest time at which a connection in the kernel's queue may have arrived. */
+    private double earliestArrivalOfQueued() {
+        return Double.isNaN(queuedSince) ? loop.earliestArrival() : queuedSince;
+    }
+
     /**
      * Stops accepting new connections. Those in the kernel's queue are accepted first: closing the socket would reset
      * them, although the kernel may have acknowledged their requests. A connection that arrives between the last accept
@@ -121,6 +147,7 @@
             log.warn("connection limit of the listener could not be lifted for its close: cause=" + e.getMessage());
         }
         listener.stopPolling();
+        queuedSince = earliestArrivalOfQueued();
         acceptQueued();
         listener.close();
         deliverPending();
@@ -142,7 +169,7 @@
     private void deliverPending() {
         double startedAt = loop.now();
         for (int count = 0; !isTurnOver(count, startedAt) && !pending.isEmpty(); count++) {
-            connectionReceiver.accept(pending.remove());
+            receiver.accepted(pending.remove(), queuedSince);
         }
         if (!pending.isEmpty()) {
             loop.afterPoll(this::deliverPending);
--- a/daemon/src/test/java/portrelay/net/client/ClientListenerTest.java
+++ b/daemon/src/test/java/portrelay/net/client/ClientListenerTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -51,10 +52,14 @@
     /** For each accepted connection, whether the kernel still let others connect when it was delivered. */
     private final List<Boolean> couldOthersConnect = new ArrayList<>();
 
+    /** For each accepted connection, the earliest time at which it may have arrived. */
+    private final List<Double> arrivalBounds = new CopyOnWriteArrayList<>();
+
     private final List<Socket> clients = new ArrayList<>();
     private boolean isClosing;
     private boolean isHandlingSlow;
     private XnioWorker worker;
+    private EventLoop loop;
     private ClientListener listener;
     private InetSocketAddress address;
 
@@ -66,7 +71,7 @@
     void listen() throws Exception {
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         Log log = new Log(new PrintStream(OutputStream.nullOutputStream(), true, ISO_8859_1), "t");
-        EventLoop loop = new EventLoop(worker.getIoThread(), new MonotonicClock());
+        loop = new EventLoop(worker.getIoThread(), new MonotonicClock());
         listener = new ClientListener(loop, log, this::accept, () -> {});
         onLoop(() -> listener.listen(worker, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MAX_CLIENTS));
         address = listener.address();
@@ -81,8 +86,9 @@
         worker.shutdownNow();
     }
 
-    private void accept(StreamConnection connection) {
+    private void accept(StreamConnection connection, double arrivedAfter) {
         accepted.add(connection);
+        arrivalBounds.add(arrivedAfter);
         long until = System.nanoTime() + SLOW_NANOS;
         while (isHandlingSlow && System.nanoTime() < until) {
             Thread.onSpinWait();
@@ -127,6 +133,27 @@
         assertEquals(List.of(false, false, false), couldOthersConnect);
     }
 
+    /** Guards against more time told to an upstream than the client has left, where a crowd connects at once. */
+    @Test
+    void connectionsOfALaterTurnMayHaveArrivedBeforeTheFirstTurn() throws Exception {
+        double[] connectedAt = new double[1];
+        onLoop(() -> {
+            isHandlingSlow = true;
+            for (int i = 0; i < MAX_CLIENTS; i++) {
+                connect();
+            }
+            connectedAt[0] = loop.now();
+        });
+        while (arrivalBounds.size() < MAX_CLIENTS) {
+            Thread.sleep(1);
+        }
+        double latest =
+                arrivalBounds.stream().mapToDouble(Double::doubleValue).max().orElseThrow();
+        assertTrue(
+                latest - connectedAt[0] < MAX_CLIENTS * SLOW_NANOS / 1e9 / 2,
+                "latest bound, after the connects: " + (latest - connectedAt[0]));
+    }
+
     /** Guards against one long turn of the loop for the whole queue, in which no timer of the shutdown fires. */
     @Test
     void dueTimerFiresBeforeALongQueueIsDelivered() throws Exception {
--- a/kit/src/test/java/portrelay/faulttest/scale/ManyUpstreamsFaultTest.java
+++ b/kit/src/test/java/portrelay/faulttest/scale/ManyUpstreamsFaultTest.java
@@ -54,6 +54,13 @@
         assertNoViolations(plan.withMemoryMb(MEMORY_MB_OF_TWO));
     }
 
+    /** Guards against arrival times that are too late where a crowd's requests wait behind long turns of the loop. */
+    @Test
+    void aCrowdWith6400UpstreamsIsNotSaidToHaveMoreTimeThanItHas() throws Exception {
+        ScalePlan plan = plan(6400, 250, ListChange.REPLACE_ALL, 150, false);
+        assertNoViolations(plan.withMemoryMb(MEMORY_MB_OF_TWO));
+    }
+
     private static ScalePlan plan(int rows, int clients, ListChange change, int extraNameLength, boolean isConfigured) {
         return new ScalePlan(
                 79,
