UpstreamConnection and ClientCrowd come out of UpstreamFleet and ScaleRound

Change: one accepted connection is a class of its own, and so are the clients of a round; nothing else changes, nor does the order of random draws.

--- a/kit/src/main/java/portrelay/faulttest/scale/ScaleRound.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScaleRound.java
@@ -8,10 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Queue;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import portrelay.faulttest.scale.ScaleRuleChecker.ShutdownWindow;
 import portrelay.faulttest.scale.ScaleViolation.Rule;
@@ -49,15 +47,13 @@
     private final Path files;
     private final SplittableRandom random;
     private final ResourceMeter resources;
-    private final Queue<SentRequest> records = new ConcurrentLinkedQueue<>();
+    private final ClientCrowd clients;
     private final List<ScaleViolation> processViolations = new ArrayList<>();
     private final List<ShutdownWindow> shutdowns = new ArrayList<>();
     private final List<SidecarProcess> processes = new ArrayList<>();
     /** One for each sidecar, so that it is known which lists a sidecar was told. */
     private final List<Discovery> discoveries = new ArrayList<>();
 
-    private final List<ScaleClient> clients = new ArrayList<>();
-    private final List<Thread> clientThreads = new ArrayList<>();
     private volatile boolean isOver;
     private double readySeconds;
     private double successorReadySeconds;
@@ -69,6 +65,7 @@
         this.files = files;
         random = new SplittableRandom(plan.seed());
         resources = new ResourceMeter(plan);
+        clients = new ClientCrowd(plan, random);
     }
 
     /**
@@ -103,7 +100,7 @@
             return report(fleet, lists);
         } finally {
             isOver = true;
-            clientThreads.forEach(Thread::interrupt);
+            clients.interrupt();
             processes.forEach(SidecarProcess::close);
             discoveries.forEach(Discovery::close);
         }
@@ -120,7 +117,7 @@
         Thread background = DaemonThreads.start("background", () -> runBackground(lists, signals));
         List<SidecarProcess> first = startAll(ports, peerPorts, lists, "first");
         readySeconds = awaitReady(first, "first");
-        startClients(ports);
+        clients.start(ports);
         fleet.setTroubledShare(plan.troubledShare());
         discoveries.forEach(each -> each.refuse(plan.refusedCallsShare(), REFUSED_CALLS_SECONDS));
         fleet.refuseFrom((int) Math.ceil(plan.rows() * (1 - plan.refusingShare())));
@@ -132,7 +129,7 @@
         sleep(plan.runSeconds() / 3);
         shutDown(signals, successors, "successor", true);
         isOver = true;
-        joinClients();
+        clients.join();
         background.join(JOIN_TIMEOUT_MILLIS);
     }
 
@@ -174,21 +171,6 @@
         return (System.nanoTime() - from) / 1e9;
     }
 
-    private String clientNamePrefix(int sidecar) {
-        return "r" + Long.toHexString(plan.seed()) + "-" + sidecar + "-";
-    }
-
-    private void startClients(List<Integer> ports) {
-        for (int i = 0; i < ports.size(); i++) {
-            for (int c = 0; c < plan.clients(); c++) {
-                String name = clientNamePrefix(i) + c;
-                ScaleClient client = new ScaleClient(ports.get(i), name, random.split(), plan.leavingShare(), records);
-                clients.add(client);
-                clientThreads.add(DaemonThreads.start(name, client));
-            }
-        }
-    }
-
     private void hangUp(Signals signals, List<SidecarProcess> targets) throws IOException, InterruptedException {
         for (int i = 0; i < plan.hangups(); i++) {
             for (SidecarProcess target : targets) {
@@ -211,7 +193,7 @@
         }
         sleep(CONNECT_AFTER_TERM_SECONDS);
         if (isLast) {
-            clients.forEach(ScaleClient::stopConnecting);
+            clients.stopConnecting();
         }
         sleepUntil(termAt + (long) (ScalePlan.KILL_DELAY_SECONDS * 1e9));
         for (SidecarProcess target : targets) {
@@ -262,15 +244,8 @@
         signals.send(Signals.Signal.CONT, held.process());
     }
 
-    private void joinClients() throws InterruptedException {
-        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(JOIN_TIMEOUT_MILLIS);
-        for (Thread thread : clientThreads) {
-            thread.join(Math.max(1, TimeUnit.NANOSECONDS.toMillis(until - System.nanoTime())));
-        }
-    }
-
     private ScaleReport report(UpstreamFleet fleet, ListPublisher lists) throws IOException {
-        List<SentRequest> requests = List.copyOf(records);
+        List<SentRequest> requests = clients.requests();
         List<UpstreamFleet.Arrival> arrivals = fleet.arrivals();
         IdleCloses idleCloses = new IdleCloses();
         for (SidecarProcess process : processes) {
@@ -281,7 +256,7 @@
         processViolations.forEach(each -> checker.add(each.rule(), each.subject(), each.evidence()));
         checker.checkUnfinished(fleet.unfinished());
         for (int i = 0; i < plan.sidecars(); i++) {
-            String prefix = clientNamePrefix(i);
+            String prefix = clients.namePrefix(i);
             List<UpstreamFleet.Arrival> ofSidecar = arrivals.stream()
                     .filter(each -> String.valueOf(each.id()).startsWith(prefix))
                     .toList();
--- a/kit/src/main/java/portrelay/standin/UpstreamFleet.java
+++ b/kit/src/main/java/portrelay/standin/UpstreamFleet.java
@@ -9,7 +9,6 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -17,7 +16,6 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
-import portrelay.standin.ExchangeScript.Trouble;
 
 /**
  * Many upstreams on loopback, each with an address of its own, served by one thread. Answers a request after a random
@@ -27,8 +25,6 @@
  */
 public final class UpstreamFleet implements AutoCloseable {
 
-    private static final double CLOSE_IDLE_DELAY_SECONDS = 0.05;
-    private static final double MILLIS_PER_SECOND = 1e3;
     private static final int READ_BYTES = 64 * 1024;
     private static final int ADDRESSES_PER_BLOCK = 250;
 
@@ -176,7 +172,8 @@
         }
     }
 
-    private void schedule(double delaySeconds, Runnable action) {
+    /** Runs an action on the upstreams' thread after some time. */
+    void schedule(double delaySeconds, Runnable action) {
         tasks.add(new Task(System.nanoTime() + (long) (delaySeconds * 1e9), action));
     }
 
@@ -187,7 +184,7 @@
         if (key.isAcceptable()) {
             accept((ServerSocketChannel) key.channel(), (Integer) key.attachment());
         } else {
-            Connection connection = (Connection) key.attachment();
+            UpstreamConnection connection = (UpstreamConnection) key.attachment();
             if (key.isReadable()) {
                 connection.read();
             }
@@ -205,8 +202,8 @@
         connections.incrementAndGet();
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         channel.configureBlocking(false);
-        Connection connection = new Connection(upstream, channel);
-        connection.key = channel.register(selector, SelectionKey.OP_READ, connection);
+        UpstreamConnection connection = new UpstreamConnection(this, upstream, channel);
+        connection.setKey(channel.register(selector, SelectionKey.OP_READ, connection));
         if (upstream >= firstRefusing) {
             connection.reset();
         }
@@ -230,132 +227,35 @@
         selector.wakeup();
     }
 
-    /** One accepted connection; used by the upstreams' thread alone. */
-    private final class Connection {
-
-        private final int upstream;
-        private final SocketChannel channel;
-        private final RequestParser parser = new RequestParser();
-        private SelectionKey key;
-        private ByteBuffer unwritten = ByteBuffer.allocate(0);
-        private boolean closesOnceWritten;
-        private long requestBeganAt;
-        private long requestBeganAfter;
-
-        Connection(int upstream, SocketChannel channel) {
-            this.upstream = upstream;
-            this.channel = channel;
-        }
-
-        void read() {
-            try {
-                int count = channel.read(readBuffer.clear());
-                if (count < 0) {
-                    ended();
-                    return;
-                }
-                if (parser.unparsedBytes() == 0) {
-                    requestBeganAt = System.nanoTime();
-                    requestBeganAfter = polledBeforeAt;
-                }
-                parser.add(readBuffer.flip());
-                for (RequestParser.Request request = parser.next(); request != null; request = parser.next()) {
-                    arrived(request);
-                }
-            } catch (IOException e) {
-                ended();
-            } catch (IllegalArgumentException e) {
-                malformed.add(new Malformed(upstream, parser.unparsedText()));
-                close();
-            }
-        }
+    // ---- Called by the connections, on the upstreams' thread --------------------------------------------
 
-        /** Records what has arrived of an unfinished request, and closes the connection. */
-        private void ended() {
-            if (parser.unparsedBytes() > 0) {
-                unfinished.add(new Unfinished(upstream, parser.unparsedText()));
-            }
-            close();
-        }
+    void record(Arrival arrival) {
+        arrivals.add(arrival);
+    }
 
-        private void arrived(RequestParser.Request request) {
-            String id = request.headers().get("x-trace-id");
-            arrivals.add(new Arrival(
-                    upstream,
-                    id,
-                    request.firstLine(),
-                    request.body().length,
-                    MessageBody.belongsTo(String.valueOf(id), request.body()),
-                    request.headers().get("idempotency-key"),
-                    toldSeconds(request),
-                    requestBeganAt,
-                    requestBeganAfter));
-            requestBeganAfter = polledBeforeAt;
-            Trouble trouble = script.drawTrouble(troubledShare);
-            if (trouble == Trouble.HANG) {
-                return;
-            }
-            double delay = script.drawDelaySeconds();
-            int length = script.drawAnswerBytes();
-            schedule(delay, () -> answer(String.valueOf(id), length, trouble));
-        }
+    void record(Malformed bytes) {
+        malformed.add(bytes);
+    }
 
-        private static double toldSeconds(RequestParser.Request request) {
-            String millis = request.headers().get("x-expires-in-ms");
-            return millis == null ? Double.NaN : Long.parseLong(millis) / MILLIS_PER_SECOND;
-        }
+    void record(Unfinished bytes) {
+        unfinished.add(bytes);
+    }
 
-        private void answer(String id, int length, Trouble trouble) {
-            if (trouble == Trouble.RESET) {
-                reset();
-                return;
-            }
-            byte[] head =
-                    ("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
-            closesOnceWritten = trouble == Trouble.CUT_SHORT;
-            int written = closesOnceWritten ? length / 2 : length;
-            ByteBuffer answer = ByteBuffer.allocate(unwritten.remaining() + head.length + written);
-            answer.put(unwritten).put(head).put(MessageBody.of(id, length), 0, written);
-            unwritten = answer.flip();
-            write();
-            if (trouble == Trouble.CLOSE_IDLE) {
-                schedule(CLOSE_IDLE_DELAY_SECONDS, this::close);
-            }
-        }
+    /** Returns a time before everything that is read now had arrived. */
+    long polledBeforeAt() {
+        return polledBeforeAt;
+    }
 
-        void write() {
-            if (!channel.isOpen()) {
-                return;
-            }
-            try {
-                channel.write(unwritten);
-                if (!unwritten.hasRemaining() && closesOnceWritten) {
-                    close();
-                } else {
-                    key.interestOps(SelectionKey.OP_READ | (unwritten.hasRemaining() ? SelectionKey.OP_WRITE : 0));
-                }
-            } catch (IOException e) {
-                close();
-            }
-        }
+    /** Returns the buffer that all connections read with, one at a time. */
+    ByteBuffer readBuffer() {
+        return readBuffer;
+    }
 
-        void reset() {
-            try {
-                if (channel.isOpen()) {
-                    channel.setOption(StandardSocketOptions.SO_LINGER, 0);
-                }
-            } catch (IOException e) {
-                // The other side has closed it.
-            }
-            close();
-        }
+    ExchangeScript script() {
+        return script;
+    }
 
-        void close() {
-            try {
-                channel.close();
-            } catch (IOException e) {
-                // The other side has closed it.
-            }
-        }
+    double troubledShare() {
+        return troubledShare;
     }
 }
