A task after a poll waits for a poll that begins after it

Cause: EventLoop.afterPoll let a task join a marker that was written before. The poll that reads it may already have returned, so the task ran before what had come since was handled: a beat counted as handled too early, and a timeout could end a call whose response was in the kernel. Besides, connections waited in the listen queue for longer than the 0.4 s by which arrivals are dated back. Change: tasks that come while a marker is out wait for the next one. ArrivalClock dates back by up to a second.

--- a/core/src/main/java/portrelay/model/EventLoopLag.java
+++ b/core/src/main/java/portrelay/model/EventLoopLag.java
@@ -26,7 +26,7 @@
     private static final double MAX_UNDATED_SECONDS = 0.1;
 
     /** The most by which the time of an arrival is dated back. */
-    public static final double MAX_ARRIVAL_AGE_SECONDS = 0.4;
+    private static final double MAX_ARRIVAL_AGE_SECONDS = 0.4;
 
     private record Gap(double from, double until) {}
 
--- a/daemon/src/main/java/portrelay/net/client/ArrivalClock.java
+++ b/daemon/src/main/java/portrelay/net/client/ArrivalClock.java
@@ -1,7 +1,6 @@
 package portrelay.net.client;
 
 import java.util.function.DoubleSupplier;
-import portrelay.model.EventLoopLag;
 import portrelay.net.eventloop.EventLoop;
 
 /**
@@ -10,6 +9,9 @@
  */
 final class ArrivalClock implements DoubleSupplier {
 
+    /** The most by which the arrival of a connection is dated back: in a crowd, the queue may not be empty for long. */
+    private static final double MAX_QUEUED_SECONDS = 1;
+
     private final EventLoop loop;
     private double queuedSince;
 
@@ -26,7 +28,7 @@
 
     @Override
     public double getAsDouble() {
-        double earliest = Math.min(queuedSince, loop.earliestArrival());
-        return Math.max(earliest, loop.now() - EventLoopLag.MAX_ARRIVAL_AGE_SECONDS);
+        double earliest = Math.max(queuedSince, loop.now() - MAX_QUEUED_SECONDS);
+        return Math.min(earliest, loop.earliestArrival());
     }
 }
--- a/daemon/src/main/java/portrelay/net/eventloop/EventLoop.java
+++ b/daemon/src/main/java/portrelay/net/eventloop/EventLoop.java
@@ -34,7 +34,10 @@
      */
     private ChannelPipe<StreamSourceChannel, StreamSinkChannel> pollMarker;
 
+    /** The tasks that wait for the poll that reads the marker; empty while no marker is written. */
     private final Queue<Runnable> tasksAfterPoll = new ArrayDeque<>();
+    /** The tasks that came after the marker was written: the poll that reads it may have begun before them. */
+    private final Queue<Runnable> tasksAfterNextPoll = new ArrayDeque<>();
 
     /** Creates a loop on a running I/O thread; {@code clock} gives the time of {@link #now}. */
     public EventLoop(XnioIoThread thread, MonotonicClock clock) {
@@ -111,19 +114,25 @@
      * the kernel again, so on a late loop the timer runs before the response is read.
      */
     public void afterPoll(Runnable task) {
+        if (!tasksAfterPoll.isEmpty()) {
+            tasksAfterNextPoll.add(task);
+            return;
+        }
+        tasksAfterPoll.add(task);
+        writePollMarker();
+    }
+
+    private void writePollMarker() {
         try {
             if (pollMarker == null) {
                 pollMarker = thread.createHalfDuplexPipe();
                 pollMarker.getLeftSide().getReadSetter().set(this::pollMarkerRead);
                 pollMarker.getLeftSide().resumeReads();
             }
-            if (tasksAfterPoll.isEmpty()) {
-                pollMarker.getRightSide().write(ByteBuffer.wrap(new byte[1]));
-            }
-            tasksAfterPoll.add(task);
+            pollMarker.getRightSide().write(ByteBuffer.wrap(new byte[1]));
         } catch (IOException e) {
-            // No descriptor is left for the pipe: a task that runs too early is better than one that never runs.
-            execute(task);
+            // No descriptor is left for the pipe: tasks that run too early are better than some that never run.
+            executeTasksAfterPoll();
         }
     }
 
@@ -137,6 +146,15 @@
         } catch (IOException e) {
             // The pipe is closed because the process ends; the tasks are queued all the same.
         }
+        executeTasksAfterPoll();
+        if (!tasksAfterNextPoll.isEmpty()) {
+            tasksAfterPoll.addAll(tasksAfterNextPoll);
+            tasksAfterNextPoll.clear();
+            writePollMarker();
+        }
+    }
+
+    private void executeTasksAfterPoll() {
         tasksAfterPoll.forEach(this::execute);
         tasksAfterPoll.clear();
     }
