--- a/kit/src/main/java/portrelay/faulttest/scale/ScaleRound.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScaleRound.java
@@ -1,9 +1,6 @@
 package portrelay.faulttest.scale;
 
 import java.io.IOException;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -27,10 +24,6 @@
 public final class ScaleRound {
 
     private static final double START_TIMEOUT_SECONDS = 30;
-    /** Below the range from which the system takes the ports of outgoing connections. */
-    private static final int FIRST_PORT = 20_000;
-
-    private static final int PORTS = 12_000;
     private static final double SAMPLE_INTERVAL_SECONDS = 0.25;
     private static final double REFUSED_CALLS_SECONDS = 2;
     /** For how long the operators' pages allow a process to be held. */
@@ -112,7 +105,7 @@
         List<Integer> peerPorts = new ArrayList<>();
         for (int i = 0; i < plan.sidecars(); i++) {
             ports.add(SidecarProcess.freePort());
-            peerPorts.add(freeUdpPort());
+            peerPorts.add(SidecarProcess.freeUdpPort());
         }
         Thread background = DaemonThreads.start("background", () -> runBackground(lists, signals));
         List<SidecarProcess> first = startAll(ports, peerPorts, lists, "first");
@@ -292,18 +285,6 @@
         return exit + ", last line: " + (log.isEmpty() ? "none" : log.get(log.size() - 1));
     }
 
-    private int freeUdpPort() throws IOException {
-        while (true) {
-            int port = FIRST_PORT + random.nextInt(PORTS);
-            try (DatagramSocket probe =
-                    new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))) {
-                return probe.getLocalPort();
-            } catch (IOException e) {
-                // Taken: the next one.
-            }
-        }
-    }
-
     private static void sleep(double seconds) throws InterruptedException {
         TimeUnit.MICROSECONDS.sleep((long) (seconds * 1e6));
     }
--- a/kit/src/main/java/portrelay/standin/SidecarProcess.java
+++ b/kit/src/main/java/portrelay/standin/SidecarProcess.java
@@ -1,6 +1,7 @@
 package portrelay.standin;
 
 import java.io.IOException;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -60,6 +61,18 @@
         }
     }
 
+    /** Returns a loopback port for datagrams that nobody uses at the moment, from the same range. */
+    public static int freeUdpPort() {
+        while (true) {
+            int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+            try (DatagramSocket probe = new DatagramSocket(port, InetAddress.getLoopbackAddress())) {
+                return probe.getLocalPort();
+            } catch (IOException e) {
+                // Taken: another one.
+            }
+        }
+    }
+
     /**
      * Starts a sidecar with the usual heap.
      *
