The upstreams of the soak accept all waiting connections and date their first bytes

Cause: the rig's bound on when an attempt began was wrong. An upstream accepted one connection a poll and took what had come with it for newer than its accept, so the more connections waited, the later an attempt counted as begun. Change: all that wait are accepted, and the first bytes of a connection count from the poll before its accept.

--- a/kit/src/main/java/portrelay/faulttest/scale/ScaleReport.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ScaleReport.java
@@ -79,7 +79,8 @@
     public String toString() {
         return String.format(
                 Locale.ROOT,
-                "%s requests=%d %s arrivals=%d connections=%d ready-s=%.1f successor-ready-s=%.1f killed=%d peak-mb=%.0f list-bytes=%d"
+                "%s requests=%d %s arrivals=%d connections=%d ready-s=%.1f successor-ready-s=%.1f killed=%d"
+                        + " peak-mb=%.0f list-bytes=%d"
                         + " max-wait-s=%.3f%s violations=%s",
                 plan,
                 requests,
--- a/kit/src/main/java/portrelay/standin/UpstreamConnection.java
+++ b/kit/src/main/java/portrelay/standin/UpstreamConnection.java
@@ -27,11 +27,16 @@
     private boolean closesOnceWritten;
     private long requestBeganAt;
     private long requestBeganAfter;
+    /** A time at which the connection had not arrived yet. */
+    private final long acceptedAfter;
+
+    private boolean isFirstRead = true;
 
     UpstreamConnection(UpstreamFleet fleet, int upstream, SocketChannel channel) {
         this.fleet = fleet;
         this.upstream = upstream;
         this.channel = channel;
+        acceptedAfter = fleet.polledBeforeAt();
     }
 
     /** Sets the key by which the connection is registered with the selector. */
@@ -48,8 +53,10 @@
             }
             if (parser.unparsedBytes() == 0) {
                 requestBeganAt = System.nanoTime();
-                requestBeganAfter = fleet.polledBeforeAt();
+                // What came with the connection may have waited until it was accepted.
+                requestBeganAfter = isFirstRead ? acceptedAfter : fleet.polledBeforeAt();
             }
+            isFirstRead = false;
             parser.add(fleet.readBuffer().flip());
             for (RequestParser.Request request = parser.next(); request != null; request = parser.next()) {
                 arrived(request);
--- a/kit/src/main/java/portrelay/standin/UpstreamFleet.java
+++ b/kit/src/main/java/portrelay/standin/UpstreamFleet.java
@@ -182,7 +182,7 @@
             return;
         }
         if (key.isAcceptable()) {
-            accept((ServerSocketChannel) key.channel(), (Integer) key.attachment());
+            acceptAll((ServerSocketChannel) key.channel(), (Integer) key.attachment());
         } else {
             UpstreamConnection connection = (UpstreamConnection) key.attachment();
             if (key.isReadable()) {
@@ -194,11 +194,14 @@
         }
     }
 
-    private void accept(ServerSocketChannel listener, int upstream) throws IOException {
-        SocketChannel channel = listener.accept();
-        if (channel == null) {
-            return;
+    /** Accepts all connections that wait: what the next poll finds has arrived after this one. */
+    private void acceptAll(ServerSocketChannel listener, int upstream) throws IOException {
+        for (SocketChannel channel = listener.accept(); channel != null; channel = listener.accept()) {
+            accepted(channel, upstream);
         }
+    }
+
+    private void accepted(SocketChannel channel, int upstream) throws IOException {
         connections.incrementAndGet();
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         channel.configureBlocking(false);
