A body transfer lets the loop poll between its turns

Cause: a transfer that always has bytes and a sink that always takes them continued by a task, and XNIO runs tasks until none is left before it polls. Other connections, timers that a poll has to precede and signals waited for the whole body. Change: it continues with EventLoop.afterPoll, which waits for a poll and the events that it returned. Result: BodyTransferTest.theLoopPollsWhileATransferAlwaysHasBytes failed on ("the loop has not polled", 10 s), passes now.

--- a/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
+++ b/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
@@ -61,7 +61,7 @@
      */
     public record Size(long length, long max) {}
 
-    /** The maximum number of bytes moved per iteration of the loop, so that other tasks can run in between. */
+    /** The maximum number of bytes moved per turn of the loop, so that other connections are handled in between. */
     private static final int MAX_BYTES_PER_TURN = 256 * 1024;
 
     private static final double CHECK_INTERVAL_SECONDS = 0.5;
@@ -152,7 +152,7 @@
         if (!isOver) {
             source.suspendReads();
             sink.suspendWrites();
-            loop.execute(this::run);
+            loop.afterPoll(this::run);
         }
     }
 
--- a/daemon/src/test/java/portrelay/net/http/BodyTransferTest.java
+++ b/daemon/src/test/java/portrelay/net/http/BodyTransferTest.java
@@ -2,13 +2,17 @@
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.undertow.server.DefaultByteBufferPool;
+import java.lang.reflect.Proxy;
 import java.nio.ByteBuffer;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.xnio.ChannelListener;
 import org.xnio.ChannelPipe;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -19,7 +23,9 @@
 import portrelay.net.eventloop.EventLoop;
 import portrelay.net.eventloop.MonotonicClock;
 
-/** Tests that a listener can stop a {@link BodyTransfer} from within a callback. */
+/**
+ * Tests that a listener can stop a {@link BodyTransfer} from within a callback, and that one does not hold the loop.
+ */
 @Timeout(20)
 class BodyTransferTest {
 
@@ -27,7 +33,7 @@
     private static final BodyTransfer.Size UNKNOWN_LENGTH = new BodyTransfer.Size(-1, 1000);
 
     /** Stops the transfer after its first write, and counts all other calls. */
-    private static final class StoppingListener implements BodyTransfer.Listener {
+    private static class StoppingListener implements BodyTransfer.Listener {
         private BodyTransfer transfer;
         private int otherCalls;
 
@@ -86,4 +92,51 @@
         assertEquals("behind".length(), unread.get(5, TimeUnit.SECONDS));
         worker.shutdownNow();
     }
+
+    /** Guards against a transfer between a fast source and a fast sink that keeps the loop from polling. */
+    @Test
+    void theLoopPollsWhileATransferAlwaysHasBytes() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        EventLoop loop = new EventLoop(worker.getIoThread(), new MonotonicClock());
+        CountDownLatch polled = new CountDownLatch(1);
+        loop.execute(() -> {
+            StoppingListener neverStopping = new StoppingListener() {
+                @Override
+                public void transferred() {
+                    // The transfer goes on.
+                }
+            };
+            new BodyTransfer(
+                            loop,
+                            new DefaultByteBufferPool(true, 1024),
+                            alwaysReady(StreamSourceChannel.class),
+                            alwaysReady(StreamSinkChannel.class),
+                            new byte[0],
+                            new BodyTransfer.Size(-1, Long.MAX_VALUE),
+                            TIMEOUTS,
+                            neverStopping)
+                    .start();
+            loop.afterPoll(polled::countDown);
+        });
+        boolean hasPolled = polled.await(10, TimeUnit.SECONDS);
+        worker.shutdownNow();
+        assertTrue(hasPolled, "the loop has not polled");
+    }
+
+    /** Returns a channel that fills or takes each buffer as a whole, and does nothing else. */
+    private static <T> T alwaysReady(Class<T> type) {
+        Object channel =
+                Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type}, (self, method, arguments) -> {
+                    if (arguments != null && arguments[0] instanceof ByteBuffer buffer) {
+                        int count = buffer.remaining();
+                        buffer.position(buffer.limit());
+                        return count;
+                    }
+                    if (method.getName().endsWith("Setter")) {
+                        return new ChannelListener.SimpleSetter<>();
+                    }
+                    return null;
+                });
+        return type.cast(channel);
+    }
 }
