A pipelining client gets one request in each turn of the event loop

Cause: Undertow reads several pipelined requests at once and, after each response, queues a task for the next one, in which it reads on from the socket. XNIO runs tasks until none is left before it polls, so that the connection holds the loop. Evidence: the stack of the 100th rejection is HttpReadListener.run under WorkerThread.safeRun, a task and no event. Change: RequestFramingFilter, the one place that all bytes from clients pass, ends each read at the end of a request, holds the rest (HeldBytes) and wakes the reader up after a poll. ClientWatch no longer has a buffer of its own and reads 1 MiB in a turn at most; LingeringClose and LateRequestConnection, which handle several requests at once, read without that limit on requests. Framing.parse ends at each message: it passed over all but the first of several in one call.

--- a/daemon/src/main/java/portrelay/net/admin/AdminEndpoint.java
+++ b/daemon/src/main/java/portrelay/net/admin/AdminEndpoint.java
@@ -157,7 +157,10 @@
 
     private void accept(StreamConnection connection) {
         RequestFramingFilter framing = new RequestFramingFilter(
-                connection.getSourceChannel().getConduit(), () -> connections.bytesReceived(connection), loop::now);
+                connection.getSourceChannel().getConduit(),
+                () -> connections.bytesReceived(connection),
+                loop::now,
+                loop::afterPoll);
         connection.getSourceChannel().setConduit(framing);
         connections.opened(connection, framing);
         httpListener.handleEvent(connection);
--- a/daemon/src/main/java/portrelay/net/client/ClientConnections.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientConnections.java
@@ -169,11 +169,6 @@
         return client == null || client.hasClientClosed();
     }
 
-    /** Stops parsing requests: bytes that follow are read up to the end of the stream and discarded. */
-    void stopParsing(HttpServerConnection connection) {
-        ifRegistered(connection, client -> client.filter.stopParsing());
-    }
-
     /** Whether more requests wait for responses than connections are allowed. */
     boolean exceedsRequestCapacity() {
         return capacity.count(ConnectionCapacity.Phase.ASKED) > maxConnections;
--- a/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
@@ -123,7 +123,10 @@
     private void accept(StreamConnection client, double arrivedAfter) {
         ArrivalClock arrivalClock = new ArrivalClock(loop, arrivedAfter);
         RequestFramingFilter filter = new RequestFramingFilter(
-                client.getSourceChannel().getConduit(), () -> connections.bytesReceived(client), arrivalClock);
+                client.getSourceChannel().getConduit(),
+                () -> connections.bytesReceived(client),
+                arrivalClock,
+                loop::afterPoll);
         client.getSourceChannel().setConduit(filter);
         connections.opened(client, filter);
         if (!lateRequests.interceptLateRequests(client, filter)) {
--- a/daemon/src/main/java/portrelay/net/client/ClientResponder.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientResponder.java
@@ -62,7 +62,7 @@
         this.clientRequestId = clientRequestId;
         this.uniqueId = uniqueId;
         this.requestBody = requestBody;
-        this.watch = new ClientWatch(connections, connection, this::clientLeft);
+        this.watch = new ClientWatch(connection, this::clientLeft);
     }
 
     /** Returns the id that the client gave. */
@@ -208,8 +208,6 @@
         end();
         if (watch.isDiscarding()) {
             exchange.setPersistent(false);
-        } else {
-            watch.returnReadAhead();
         }
         connections.phaseChanged(connection, ConnectionCapacity.Phase.ANSWERING);
         if (requestBody != null) {
--- a/daemon/src/main/java/portrelay/net/client/ClientWatch.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientWatch.java
@@ -2,10 +2,7 @@
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.protocol.http.HttpServerConnection;
-import io.undertow.util.ImmediatePooledByteBuffer;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import portrelay.net.connection.HttpCall;
 import portrelay.net.http.Framing;
@@ -13,17 +10,19 @@
 /**
  * Reads a client's connection while its request waits for a response, which Undertow does not do, so that a close by
  * the client is detected. Bytes that arrive before the close are the next request, pipelined by the client: they are
- * kept here until {@link #returnReadAhead} passes them to Undertow, or discarded.
+ * held by the connection's {@link RequestFramingFilter} until Undertow reads them, or discarded.
  */
 final class ClientWatch {
 
     /** Limit of the bytes kept from a client that pipelines: the longest head and the longest body that is buffered. */
     private static final int MAX_READ_AHEAD_BYTES = Framing.MAX_HEAD_BYTES + HttpCall.MAX_BUFFERED_BODY;
 
-    private final ClientConnections connections;
+    /** Maximum number of reads in one turn of the loop, so that the events of others are handled in between. */
+    private static final int MAX_READS_PER_TURN = 64;
+
     private final HttpServerConnection connection;
+    private final RequestFramingFilter filter;
     private final Runnable clientLeft;
-    private final ByteArrayOutputStream readAhead = new ByteArrayOutputStream(0);
 
     private boolean isStarted;
     private boolean isStopped;
@@ -34,9 +33,9 @@
      * @param clientLeft called at most once, when the client closes its side or the connection breaks, and never after
      *     {@link #stop}
      */
-    ClientWatch(ClientConnections connections, HttpServerConnection connection, Runnable clientLeft) {
-        this.connections = connections;
+    ClientWatch(HttpServerConnection connection, Runnable clientLeft) {
         this.connection = connection;
+        this.filter = RequestFramingFilter.of(connection);
         this.clientLeft = clientLeft;
     }
 
@@ -70,7 +69,7 @@
 
     /** As {@link #read}, but discards a full read-ahead and reads on, as the end of the stream may follow. */
     void readToEnd() {
-        if (readAhead.size() >= MAX_READ_AHEAD_BYTES) {
+        if (isReadAheadFull()) {
             startDiscarding();
         }
         read();
@@ -82,21 +81,17 @@
             return;
         }
         try (PooledByteBuffer pooled = connection.getByteBufferPool().allocate()) {
-            ByteBuffer buffer = pooled.getBuffer();
-            for (int count = source.read(buffer); count != 0; count = source.read(buffer.clear())) {
-                if (count < 0) {
-                    clientLeft.run();
-                    return;
-                }
-                if (isDiscarding) {
-                    continue;
-                }
-                appendReadAhead(buffer.flip());
+            int count = 1;
+            for (int reads = 0; reads < MAX_READS_PER_TURN && count > 0; reads++) {
+                count = filter.receiveAhead(pooled.getBuffer());
                 if (isReadAheadFull()) {
                     source.suspendReads();
                     return;
                 }
             }
+            if (count < 0) {
+                clientLeft.run();
+            }
         } catch (RequestFramingFilter.MalformedFramingException e) {
             // Not a request, but its sender is still connected until the end of the stream follows.
             startDiscarding();
@@ -107,36 +102,13 @@
     }
 
     private boolean isReadAheadFull() {
-        return !isDiscarding && readAhead.size() >= MAX_READ_AHEAD_BYTES;
-    }
-
-    private void appendReadAhead(ByteBuffer bytes) {
-        byte[] copy = new byte[bytes.remaining()];
-        bytes.get(copy);
-        readAhead.writeBytes(copy);
+        return !isDiscarding && filter.bytesHeld() >= MAX_READ_AHEAD_BYTES;
     }
 
     private void startDiscarding() {
         isDiscarding = true;
-        readAhead.reset();
-        connections.stopParsing(connection);
-    }
-
-    /** Passes the bytes read ahead to Undertow, which parses them before it reads further from the socket. */
-    void returnReadAhead() {
-        if (readAhead.size() == 0) {
-            return;
-        }
-        PooledByteBuffer extra = connection.getExtraBytes();
-        int extraLength = extra == null ? 0 : extra.getBuffer().remaining();
-        ByteBuffer all = ByteBuffer.allocate(extraLength + readAhead.size());
-        if (extra != null) {
-            all.put(extra.getBuffer());
-            extra.close();
-        }
-        all.put(readAhead.toByteArray()).flip();
-        connection.setExtraBytes(new ImmediatePooledByteBuffer(all));
-        readAhead.reset();
+        filter.discardHeld();
+        filter.stopParsing();
     }
 
     private ConduitStreamSourceChannel source() {
--- a/daemon/src/main/java/portrelay/net/client/LateRequestConnection.java
+++ b/daemon/src/main/java/portrelay/net/client/LateRequestConnection.java
@@ -58,6 +58,7 @@
     /** Takes over all reading from and writing to the connection. */
     void takeOver() {
         filter.stopIntercepting();
+        filter.passPipelined();
         answeredMessages = filter.messageCount();
         socket.getSinkChannel().setConduit(sink);
         ConduitStreamSourceChannel source = socket.getSourceChannel();
--- a/daemon/src/main/java/portrelay/net/client/LingeringClose.java
+++ b/daemon/src/main/java/portrelay/net/client/LingeringClose.java
@@ -100,7 +100,9 @@
                 return;
             }
             ConduitStreamSourceChannel source = socket.getSourceChannel();
-            source.setConduit(connection.getOriginalSourceConduit());
+            RequestFramingFilter filter = RequestFramingFilter.of(connection);
+            filter.passPipelined();
+            source.setConduit(filter);
             source.setReadListener(this::discard);
             source.resumeReads();
             checkLimits();
--- a/daemon/src/main/java/portrelay/net/client/RequestFramingFilter.java
+++ b/daemon/src/main/java/portrelay/net/client/RequestFramingFilter.java
@@ -1,9 +1,11 @@
 package portrelay.net.client;
 
+import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import org.xnio.conduits.StreamSourceConduit;
@@ -14,6 +16,10 @@
  * The lowest source conduit of a client connection. Passes bytes on up to the point where their framing is malformed;
  * reads after that fail with {@link MalformedFramingException}. Can peek at unread bytes, and records when each request
  * was complete.
+ *
+ * <p>No read passes the end of a request: what a client has pipelined is held here, and its reader is woken up for the
+ * next request only once the events of other connections have been handled. A reader that had several requests in its
+ * own buffer would handle them without a poll in between, for as long as the client sends.
  */
 public final class RequestFramingFilter extends ReadFilter {
 
@@ -33,11 +39,24 @@
     private final Framing framing = Framing.ofRequests();
     private final Runnable bytesReceived;
     private final DoubleSupplier arrivalClock;
+    /** Runs a task once the events of other connections have been handled. */
+    private final Executor nextTurn;
     /** When each request was complete: first the one being handled, then the pipelined ones. */
     private final Deque<Double> completionTimes = new ArrayDeque<>();
     /** Bytes read ahead by a peek; null if there are none. */
     private ByteBuffer peeked;
 
+    /** Parsed bytes that have not been passed on. */
+    private final HeldBytes held = new HeldBytes();
+    /** The positions in the stream at which complete requests end that have not been passed on completely. */
+    private final Deque<Long> unpassedEnds = new ArrayDeque<>();
+    /** The position in the stream up to which bytes have been passed on. */
+    private long passedOn;
+    /** Whether a read stops at the end of a request. */
+    private boolean isPassingSingly = true;
+    /** Whether the reader will be woken up in the next turn. */
+    private boolean isWakeUpPending;
+
     /** Returns whether the request that begins now goes to another reader; null if requests are not intercepted. */
     private BooleanSupplier interceptor;
     /** Whether the present reader gets no more bytes. */
@@ -50,11 +69,19 @@
     /**
      * @param bytesReceived called whenever bytes have been read
      * @param arrivalClock returns the earliest time at which bytes that are read now may have arrived, in seconds
+     * @param nextTurn runs a task once the events of other connections have been handled
      */
-    public RequestFramingFilter(StreamSourceConduit next, Runnable bytesReceived, DoubleSupplier arrivalClock) {
+    public RequestFramingFilter(
+            StreamSourceConduit next, Runnable bytesReceived, DoubleSupplier arrivalClock, Executor nextTurn) {
         super(next);
         this.bytesReceived = bytesReceived;
         this.arrivalClock = arrivalClock;
+        this.nextTurn = nextTurn;
+    }
+
+    /** Returns the filter of a connection that Undertow reads. */
+    static RequestFramingFilter of(HttpServerConnection connection) {
+        return (RequestFramingFilter) connection.getOriginalSourceConduit();
     }
 
     /**
@@ -62,26 +89,64 @@
      * open must wake up its reader afterwards.
      */
     public boolean peek() throws IOException {
+        if (!held.isEmpty()) {
+            wakeReader();
+            return true;
+        }
         readPeeked();
         return peeked != null;
     }
 
     @Override
     public int read(ByteBuffer target) throws IOException {
-        if (framing.isMalformed() && isParsing) {
-            throw new MalformedFramingException();
+        if (!held.isEmpty()) {
+            return passOn(held.take(target, maxPassedOn()));
         }
         if (isIntercepted()) {
             return 0;
         }
         int start = target.position();
+        int count = receive(target);
+        if (count > maxPassedOn()) {
+            int end = start + (int) maxPassedOn();
+            held.add(target.duplicate().flip().position(end));
+            target.position(end);
+            count = end - start;
+        }
+        return passOn(count);
+    }
+
+    /**
+     * Receives bytes that are held until they are read; drops them after {@link #stopParsing}.
+     *
+     * @param buffer used for the read; its contents are undefined afterwards
+     * @return the number of bytes, 0 if there are none now, or -1 at the end of the stream
+     */
+    int receiveAhead(ByteBuffer buffer) throws IOException {
+        int count = receive(buffer.clear());
+        if (count > 0 && isParsing) {
+            held.add(buffer.flip());
+        }
+        return count;
+    }
+
+    /** Reads and parses bytes; moves the target's position past those that are well-formed. */
+    private int receive(ByteBuffer target) throws IOException {
+        if (framing.isMalformed() && isParsing) {
+            throw new MalformedFramingException();
+        }
+        int start = target.position();
         int count = peeked == null ? next.read(target) : takePeeked(target);
-        bytesRead += Math.max(0, count);
-        if (count <= 0 || !isParsing) {
+        if (count <= 0) {
+            return count;
+        }
+        long position = passedOn + held.size();
+        bytesRead += count;
+        if (!isParsing) {
             return count;
         }
         bytesReceived.run();
-        int end = parse(target, start);
+        int end = parse(target, start, position);
         target.position(end);
         if (end == start) {
             throw new MalformedFramingException();
@@ -89,14 +154,47 @@
         return end - start;
     }
 
+    /** Returns how many bytes one read may pass on. */
+    private long maxPassedOn() {
+        return isPassingSingly && !unpassedEnds.isEmpty() ? unpassedEnds.peekFirst() - passedOn : Long.MAX_VALUE;
+    }
+
+    private int passOn(int count) {
+        passedOn += Math.max(0, count);
+        while (!unpassedEnds.isEmpty() && unpassedEnds.peekFirst() <= passedOn) {
+            unpassedEnds.removeFirst();
+        }
+        return count;
+    }
+
     @Override
     public void resumeReads() {
         next.resumeReads();
-        if (peeked != null) {
+        if (peeked != null || !held.isEmpty()) {
             wakeReader();
         }
     }
 
+    /** Lets each read pass on all bytes that are available, for a reader that handles several requests at once. */
+    void passPipelined() {
+        isPassingSingly = false;
+    }
+
+    /** Whether bytes of a further request have been received and not passed on. */
+    boolean holdsBytes() {
+        return !held.isEmpty();
+    }
+
+    /** Returns the number of bytes that have been received and not passed on. */
+    int bytesHeld() {
+        return held.size();
+    }
+
+    /** Drops the bytes that have been received and not passed on. */
+    void discardHeld() {
+        passOn(held.clear());
+    }
+
     /**
      * Sets the interceptor, which is called at each read between two requests; once it returns true, reads return 0
      * bytes until {@link #stopIntercepting}.
@@ -176,16 +274,21 @@
         return framing.isAmbiguous();
     }
 
-    /** Parses the bytes put into the target from {@code start} on; returns the position at which they are malformed. */
-    private int parse(ByteBuffer target, int start) {
+    /**
+     * Parses the bytes put into the target from {@code start} on; returns the position at which they are malformed.
+     *
+     * @param streamPosition the position of the first of these bytes in the stream
+     */
+    private int parse(ByteBuffer target, int start, long streamPosition) {
         ByteBuffer unparsed = target.duplicate();
         unparsed.flip().position(start);
-        int messagesBefore = framing.completeMessageCount();
         while (unparsed.hasRemaining() && !framing.isMalformed()) {
+            int messagesBefore = framing.completeMessageCount();
             framing.parse(unparsed);
-        }
-        for (int i = messagesBefore; i < framing.completeMessageCount(); i++) {
-            completionTimes.addLast(arrivalClock.getAsDouble());
+            if (framing.completeMessageCount() > messagesBefore) {
+                completionTimes.addLast(arrivalClock.getAsDouble());
+                unpassedEnds.addLast(streamPosition + unparsed.position() - start);
+            }
         }
         return unparsed.position();
     }
@@ -213,9 +316,20 @@
         return count;
     }
 
-    /** Wakes up the reader for peeked bytes, as the kernel signals only bytes that it still holds. */
+    /**
+     * Wakes up the reader in the next turn for bytes that were received already, as the kernel signals only those that
+     * it still holds.
+     */
     private void wakeReader() {
-        if (next.isReadResumed()) {
+        if (!isWakeUpPending && next.isReadResumed()) {
+            isWakeUpPending = true;
+            nextTurn.execute(this::wakeReaderNow);
+        }
+    }
+
+    private void wakeReaderNow() {
+        isWakeUpPending = false;
+        if (next.isReadResumed() && (peeked != null || !held.isEmpty())) {
             next.wakeupReads();
         }
     }
--- a/daemon/src/main/java/portrelay/net/client/ServiceState.java
+++ b/daemon/src/main/java/portrelay/net/client/ServiceState.java
@@ -71,7 +71,8 @@
      * after this one, as they are due a response too.
      */
     void endConnectionIfDue(HttpServerExchange exchange) {
-        if (closesConnections() && ((HttpServerConnection) exchange.getConnection()).getExtraBytes() == null) {
+        HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
+        if (closesConnections() && !RequestFramingFilter.of(connection).holdsBytes()) {
             exchange.setPersistent(false);
         }
     }
--- a/daemon/src/main/java/portrelay/net/http/Framing.java
+++ b/daemon/src/main/java/portrelay/net/http/Framing.java
@@ -127,7 +127,7 @@
     }
 
     /**
-     * Advances the position of the buffer past well-formed bytes, up to the end of a head, of a response or of the
+     * Advances the position of the buffer past well-formed bytes, up to the end of a head, of a message or of the
      * buffer. If the message is malformed, the position stops before the part of the offending line in this buffer.
      */
     public void parse(ByteBuffer bytes) {
@@ -147,6 +147,7 @@
             if (state == State.COMPLETE && !isCounted) {
                 isCounted = true;
                 completeMessageCount++;
+                return;
             }
             if (wasInHead && !isInHead()) {
                 return;
--- a/daemon/src/test/java/portrelay/net/AdmissionNetTest.java
+++ b/daemon/src/test/java/portrelay/net/AdmissionNetTest.java
@@ -164,7 +164,8 @@
                     return count;
                 });
         AtomicInteger received = new AtomicInteger();
-        RequestFramingFilter filter = new RequestFramingFilter(source, received::incrementAndGet, () -> 0);
+        RequestFramingFilter filter =
+                new RequestFramingFilter(source, received::incrementAndGet, () -> 0, Runnable::run);
         assertTrue(filter.peek());
         assertEquals(
                 1, wakeups.get(), "reads were not woken up, and the kernel does not signal bytes that a peek took");
--- a/kit/src/main/java/portrelay/faulttest/RoundConfiguration.java
+++ b/kit/src/main/java/portrelay/faulttest/RoundConfiguration.java
@@ -9,6 +9,7 @@
 final class RoundConfiguration {
 
     private static final int DEFAULT_SOCKETS = 1024;
+    private static final int DEFAULT_MEMORY_MB = 192;
 
     private RoundConfiguration() {}
 
@@ -43,9 +44,19 @@
      * @param sockets the number of descriptors that the sidecar may use
      */
     static String json(int port, String discovery, String rows, double deadline, int sockets) {
+        return json(port, discovery, rows, deadline, sockets, DEFAULT_MEMORY_MB);
+    }
+
+    /**
+     * Returns the configuration of one sidecar with a limit of descriptors and of memory.
+     *
+     * @param sockets the number of descriptors that the sidecar may use
+     * @param memoryMb its memory limit in MB
+     */
+    static String json(int port, String discovery, String rows, double deadline, int sockets, int memoryMb) {
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery
-                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + sockets
-                + "},"
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMb
+                + ",\"sockets\":" + sockets + "},"
                 + "\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[" + rows + "]},\"settings\":{"
                 + "\"discovery\":\"on_request\",\"siblings\":1,"
                 + "\"tenants\":[{\"name\":\"acme\",\"share\":1}],\"classes\":["
