A response without a length is passed on before its deadline, not at the 65,537th byte

Cause: HttpExchange held a body without a Content-Length until more than 64 KiB had come, whatever the time, and the deadline ended the attempt meanwhile. Change: policy.ResponseHold decides what is owed when, in one place. A body with a length of up to 64 KiB is held as a whole, a longer one passed on at once, as before. One without a length is held for a quarter of the time left at its head, at most 0.5 s, so that short ones stay whole and can be retried, and then passed on as it arrives, if 4 KiB have come; less is rather one that never ends, and fails at the deadline as before. While it is not known to be long, its upstream may be silent for 2 s instead of 10, as its client waits for the end; then the client gets a reset.

--- a/daemon/src/main/java/portrelay/net/connection/HttpCall.java
+++ b/daemon/src/main/java/portrelay/net/connection/HttpCall.java
@@ -4,6 +4,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import io.undertow.util.Protocols;
+import portrelay.policy.ResponseHold;
 
 /**
  * A request to an upstream or to discovery.
@@ -17,7 +18,7 @@
     /** An empty body. */
     public static final byte[] NO_BODY = new byte[0];
     /** The longest body, in bytes, that is buffered; a longer one is forwarded as it arrives. */
-    public static final int MAX_BUFFERED_BODY = 64 * 1024;
+    public static final int MAX_BUFFERED_BODY = ResponseHold.MAX_HELD_BYTES;
     /** The longest body, in bytes, of requests and responses; longer ones are rejected or failed. */
     public static final int MAX_BODY = 36 * 1024 * 1024;
 
--- a/daemon/src/main/java/portrelay/net/connection/HttpConnection.java
+++ b/daemon/src/main/java/portrelay/net/connection/HttpConnection.java
@@ -11,6 +11,7 @@
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import portrelay.net.eventloop.EventLoop;
+import portrelay.policy.ResponseHold;
 
 /**
  * An open connection, and the owner of its socket. Carries one {@link HttpExchange} at a time. It is closed if a
@@ -103,7 +104,7 @@
      * @param done called once, on the loop; possibly before this method returns
      */
     public void exchange(HttpCall call, int maxBody, Consumer<HttpResult> done) {
-        exchange(new HttpExchange(this, call, maxBody, false, null, done));
+        exchange(new HttpExchange(this, call, maxBody, HttpExchange.NEVER_STREAMED, null, done));
     }
 
     /**
@@ -113,17 +114,18 @@
      * @param pieces called with each piece of the body, on the loop; a piece is valid during the call only
      */
     public void exchange(HttpCall call, int maxBody, Consumer<ByteBuffer> pieces, Consumer<HttpResult> done) {
-        exchange(new HttpExchange(this, call, maxBody, false, pieces, done));
+        exchange(new HttpExchange(this, call, maxBody, HttpExchange.NEVER_STREAMED, pieces, done));
     }
 
     /**
-     * Sends a request on an idle connection, and streams a long response: if a response with status 200 has a body of
-     * more than {@link HttpCall#MAX_BUFFERED_BODY} bytes, {@code done} is called before the body is complete.
+     * Sends a request on an idle connection, and streams a long response: {@code done} is called before its body is
+     * complete, as {@link ResponseHold} decides.
      *
+     * @param deadline the deadline of the request, in seconds on the loop's clock
      * @param done called once, on the loop; possibly before this method returns
      */
-    public void beginExchange(HttpCall call, Consumer<HttpResult> done) {
-        exchange(new HttpExchange(this, call, HttpCall.MAX_BUFFERED_BODY, true, null, done));
+    public void beginExchange(HttpCall call, double deadline, Consumer<HttpResult> done) {
+        exchange(new HttpExchange(this, call, HttpCall.MAX_BUFFERED_BODY, deadline, null, done));
     }
 
     private void exchange(HttpExchange exchange) {
--- a/daemon/src/main/java/portrelay/net/connection/HttpExchange.java
+++ b/daemon/src/main/java/portrelay/net/connection/HttpExchange.java
@@ -12,11 +12,12 @@
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 import portrelay.net.http.BodyBuffer;
+import portrelay.policy.ResponseHold;
 
 /**
  * One request and its response on an {@link HttpConnection}. Writes the request, buffers a short response, and passes
- * on a long one before its body is complete. Holds no bytes that were written or passed on: a long response may take
- * minutes. Any failure closes the connection and ends the exchange, once.
+ * on a long one before its body is complete, as {@link ResponseHold} decides. Holds no bytes that were written or
+ * passed on: a long response may take minutes. Any failure closes the connection and ends the exchange, once.
  */
 final class HttpExchange implements ClientCallback<ClientExchange> {
 
@@ -26,6 +27,9 @@
     /** The reads in one turn of the event loop when a body is passed on in pieces: other events follow in between. */
     private static final int READS_PER_TURN = 16;
 
+    /** In place of a deadline, for an exchange whose response is never passed on as a stream. */
+    static final double NEVER_STREAMED = Double.NaN;
+
     private static final ByteBuffer EMPTY_BUFFER = ByteBuffer.allocate(0);
 
     private final HttpConnection connection;
@@ -36,7 +40,11 @@
     private final boolean hasBufferedRequestBody;
 
     private final int maxBuffered;
-    private final boolean mayStream;
+    /**
+     * The deadline of the request, by which the first bytes of a response have to be passed on as a stream;
+     * {@link #NEVER_STREAMED} for a response that is not.
+     */
+    private final double deadline;
     /** Receives the body of a response with status 200 piece by piece; null if it is buffered. */
     private final Consumer<ByteBuffer> pieces;
 
@@ -47,6 +55,8 @@
     private ByteBuffer unwritten;
 
     private ClientResponse head;
+    /** How long a body without a length is held; null for another body or if it is not streamed. */
+    private ResponseHold hold;
     /** The number of bytes of the body that were passed on in pieces. */
     private long passedOn;
     /** Whether {@link #read} is running; it handles the end of the connection itself. */
@@ -58,7 +68,8 @@
      * Creates an exchange that has not started.
      *
      * @param maxBuffered the maximum number of bytes of a response body that are buffered
-     * @param mayStream whether a longer response with status 200 is passed on as a stream instead of failing
+     * @param deadline the deadline of the request, by which the first bytes of a long response with status 200 are
+     *     passed on as a stream; {@link #NEVER_STREAMED} if such a response fails
      * @param pieces receives the body of a response with status 200 piece by piece; null to buffer it
      * @param done called once, unless the owner of the connection closes it first
      */
@@ -66,7 +77,7 @@
             HttpConnection connection,
             HttpCall call,
             int maxBuffered,
-            boolean mayStream,
+            double deadline,
             Consumer<ByteBuffer> pieces,
             Consumer<HttpResult> done) {
         this.connection = connection;
@@ -74,7 +85,7 @@
         this.requestBody = call.requestBody();
         this.hasBufferedRequestBody = call.body().length > 0;
         this.maxBuffered = maxBuffered;
-        this.mayStream = mayStream;
+        this.deadline = deadline;
         this.pieces = pieces;
         this.done = done;
         this.responseBody = new BodyBuffer(maxBuffered + READ_BYTES);
@@ -173,10 +184,29 @@
         } else if (length > maxBuffered) {
             stream(responseExchange.getResponseChannel());
         } else {
-            read(responseExchange.getResponseChannel());
+            StreamSourceChannel source = responseExchange.getResponseChannel();
+            if (length < 0 && isStreamable()) {
+                hold(source);
+            }
+            read(source);
         }
     }
 
+    /** Starts to hold a body without a length; passes it on in time even if nothing more arrives by then. */
+    private void hold(StreamSourceChannel source) {
+        double now = connection.loop().now();
+        hold = new ResponseHold(now, deadline);
+        connection.loop().schedule(hold.endsAt() - now, () -> {
+            if (connection.isCurrent(this) && !isStreaming && isHoldOver()) {
+                stream(source);
+            }
+        });
+    }
+
+    private boolean isHoldOver() {
+        return hold != null && hold.mayPassOn(connection.loop().now(), responseBody.size());
+    }
+
     /** Returns the length of the body in bytes, or -1 if the head does not announce it. */
     private static long length(ClientResponse head) {
         String length = head.getResponseHeaders().getFirst(Headers.CONTENT_LENGTH);
@@ -184,7 +214,7 @@
     }
 
     private boolean isStreamable() {
-        return mayStream && head.getResponseCode() == StatusCodes.OK;
+        return !Double.isNaN(deadline) && head.getResponseCode() == StatusCodes.OK;
     }
 
     private void read(StreamSourceChannel source) {
@@ -209,7 +239,9 @@
                 }
             }
             isReading = false;
-            if (connection.isSocketOpen()) {
+            if (isHoldOver()) {
+                stream(source);
+            } else if (connection.isSocketOpen()) {
                 source.getReadSetter().set(this::read);
                 source.resumeReads();
             } else {
@@ -250,7 +282,8 @@
     private void stream(StreamSourceChannel source) {
         isStreaming = true;
         isReading = false;
-        done.accept(result(HttpCall.NO_BODY, new StreamedResponse(connection, this, source, responseBody.take())));
+        done.accept(result(
+                HttpCall.NO_BODY, new StreamedResponse(connection, this, source, responseBody.take(), hold == null)));
     }
 
     private void complete() {
--- a/daemon/src/main/java/portrelay/net/connection/StreamedResponse.java
+++ b/daemon/src/main/java/portrelay/net/connection/StreamedResponse.java
@@ -4,6 +4,7 @@
 import org.xnio.channels.StreamSourceChannel;
 import portrelay.net.http.BodyTransfer;
 import portrelay.net.http.TransferTimeouts;
+import portrelay.policy.ResponseHold;
 
 /**
  * A long response whose first bytes have been received. Closes the connection if the response is cancelled or breaks
@@ -12,18 +13,36 @@
 final class StreamedResponse implements HttpResult.StreamedBody, BodyTransfer.Listener {
 
     /** An upstream may be silent for 10 s and has no minimum rate; a client must continue to read within 5 s. */
-    private static final TransferTimeouts TIMEOUTS = new TransferTimeouts(10, 0, 5);
+    private static final TransferTimeouts LONG_BODY = new TransferTimeouts(10, 0, 5);
+    /**
+     * For a body that is not known to be long: its client waits for the end, so that one that never ends must not keep
+     * it waiting.
+     */
+    private static final TransferTimeouts UNKNOWN_BODY = new TransferTimeouts(2, 0, 5);
 
     private final HttpConnection connection;
     private final HttpExchange exchange;
     private final StreamSourceChannel source;
     /** The bytes read so far; null once the transfer has started. */
     private byte[] beginning;
+
+    private boolean isKnownToBeLong;
     /** Null until the transfer starts. */
     private BodyTransfer.Listener listener;
 
-    /** @param beginning the bytes of the body that were read so far */
-    StreamedResponse(HttpConnection connection, HttpExchange exchange, StreamSourceChannel source, byte[] beginning) {
+    private BodyTransfer transfer;
+
+    /**
+     * @param beginning the bytes of the body that were read so far
+     * @param isKnownToBeLong whether the body has a length
+     */
+    StreamedResponse(
+            HttpConnection connection,
+            HttpExchange exchange,
+            StreamSourceChannel source,
+            byte[] beginning,
+            boolean isKnownToBeLong) {
+        this.isKnownToBeLong = isKnownToBeLong || ResponseHold.isLong(beginning.length);
         this.connection = connection;
         this.exchange = exchange;
         this.source = source;
@@ -33,14 +52,14 @@
     @Override
     public void transferTo(StreamSinkChannel sink, BodyTransfer.Listener transferListener) {
         listener = transferListener;
-        BodyTransfer transfer = new BodyTransfer(
+        transfer = new BodyTransfer(
                 connection.loop(),
                 connection.bufferPool(),
                 source,
                 sink,
                 beginning,
                 new BodyTransfer.Size(-1, HttpCall.MAX_BODY),
-                TIMEOUTS,
+                isKnownToBeLong ? LONG_BODY : UNKNOWN_BODY,
                 this);
         beginning = null;
         transfer.start();
@@ -63,6 +82,10 @@
 
     @Override
     public void transferred() {
+        if (!isKnownToBeLong && ResponseHold.isLong(transfer.bytesRead())) {
+            isKnownToBeLong = true;
+            transfer.setTimeouts(LONG_BODY);
+        }
         listener.transferred();
     }
 
--- a/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
+++ b/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
@@ -121,6 +121,16 @@
         return bytesRead > size.max;
     }
 
+    /** Returns the number of bytes read, including the beginning. */
+    public long bytesRead() {
+        return bytesRead;
+    }
+
+    /** Replaces the time limits. */
+    public void setTimeouts(TransferTimeouts timeouts) {
+        waits.setTimeouts(timeouts);
+    }
+
     private void run() {
         if (isOver) {
             return;
--- a/daemon/src/main/java/portrelay/net/http/TransferWaits.java
+++ b/daemon/src/main/java/portrelay/net/http/TransferWaits.java
@@ -6,7 +6,7 @@
     /** The source's rate is measured over windows of this many seconds spent waiting for it. */
     private static final double RATE_WINDOW_SECONDS = 4;
 
-    private final TransferTimeouts timeouts;
+    private TransferTimeouts timeouts;
     /** The side that the transfer is waiting for; null while it waits for neither. */
     private BodyTransfer.Side waitingFor;
 
@@ -20,6 +20,10 @@
         this.timeouts = timeouts;
     }
 
+    void setTimeouts(TransferTimeouts newTimeouts) {
+        timeouts = newTimeouts;
+    }
+
     void begin(BodyTransfer.Side side, double now) {
         waitingFor = side;
         waitingSince = now;
--- a/daemon/src/main/java/portrelay/net/upstream/UpstreamActor.java
+++ b/daemon/src/main/java/portrelay/net/upstream/UpstreamActor.java
@@ -209,7 +209,9 @@
         }
         attempt.connection = connection;
         connection.beginExchange(
-                createCall(attempt.request), result -> mailbox.post(() -> handleResult(id, attempt, result)));
+                createCall(attempt.request),
+                attempt.request.arrival().deadline(),
+                result -> mailbox.post(() -> handleResult(id, attempt, result)));
     }
 
     private void refuse(AttemptId id, RunningAttempt attempt, HttpConnection connection, SendCheck.Refusal refusal) {
