A long request's time counts from when its client may have written its last byte

Cause: BodyArrivalObserver counts the deadline from the arrival of the last byte in the receive buffer. Once that buffer is full, the client writes into its own send buffer, up to 4 MiB, and is done when the sidecar has not received them; an upstream that reads slowly puts their arrival off with each piece. Change: while the client's bytes are not read and a quarter of the receive buffer is full, at two observations on end, what remains may have been written since the first of them, if it fits a send buffer (a chunked body may end at any byte). StalledBodiesNetTest passes unchanged.

--- a/daemon/src/main/java/org/xnio/nio/ReceiveQueue.java
+++ b/daemon/src/main/java/org/xnio/nio/ReceiveQueue.java
@@ -14,6 +14,21 @@
 
     private ReceiveQueue() {}
 
+    /**
+     * Returns the size of the buffer that the kernel receives into, in bytes as set by applications; the kernel may use
+     * up to twice as much. {@link #UNKNOWN} for a connection that is closed or not a TCP socket.
+     */
+    public static int capacity(StreamConnection connection) {
+        if (!(connection instanceof NioSocketStreamConnection socket)) {
+            return UNKNOWN;
+        }
+        try {
+            return socket.getChannel().socket().getReceiveBufferSize();
+        } catch (IOException e) {
+            return UNKNOWN;
+        }
+    }
+
     /** Returns the number of bytes, or {@link #UNKNOWN} for a connection that is closed or not a TCP socket. */
     public static int length(StreamConnection connection) {
         if (!(connection instanceof NioSocketStreamConnection socket)) {
--- a/daemon/src/main/java/portrelay/net/client/BodyReception.java
+++ b/daemon/src/main/java/portrelay/net/client/BodyReception.java
@@ -20,4 +20,10 @@
 
     /** Whether bytes are read as soon as they are received. */
     boolean isReading();
+
+    /**
+     * Whether so much has been received and not read that the kernel may keep the client from sending more. What the
+     * client writes then waits in the buffer of its own side.
+     */
+    boolean isBackedUp();
 }
--- a/daemon/src/main/java/portrelay/net/client/ClientConnection.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientConnection.java
@@ -10,6 +10,12 @@
 /** An open client connection, as tracked by {@link ClientConnections}. Used on the loop only. */
 final class ClientConnection implements BodyReception {
 
+    /**
+     * The kernel lets a client send no more at a fraction of the receive buffer that depends on the sizes of its
+     * packets; this is a lower bound.
+     */
+    private static final int BACKED_UP_DIVISOR = 4;
+
     final StreamConnection socket;
     final RequestFramingFilter filter;
     /** The open request; null while there is none. */
@@ -69,6 +75,14 @@
         return filter.isReadResumed();
     }
 
+    @Override
+    public boolean isBackedUp() {
+        int capacity = ReceiveQueue.capacity(socket);
+        return !isReading()
+                && capacity != ReceiveQueue.UNKNOWN
+                && ReceiveQueue.length(socket) >= capacity / BACKED_UP_DIVISOR;
+    }
+
     // ---- Close ------------------------------------------------------------------------------------------
 
     /** Whether bytes from the client have arrived that are still unread; false when the connection is broken. */
--- a/daemon/src/test/java/portrelay/net/client/BodyArrivalObserverTest.java
+++ b/daemon/src/test/java/portrelay/net/client/BodyArrivalObserverTest.java
@@ -1,6 +1,7 @@
 package portrelay.net.client;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 
@@ -19,6 +20,7 @@
         private long left = UNKNOWN;
         private double completedAt = Double.NaN;
         private boolean isReading = true;
+        private boolean isBackedUp;
 
         @Override
         public long bytesRead() {
@@ -44,6 +46,11 @@
         public boolean isReading() {
             return isReading;
         }
+
+        @Override
+        public boolean isBackedUp() {
+            return isBackedUp;
+        }
     }
 
     private final Reception reception = new Reception();
@@ -120,4 +127,46 @@
         reception.read = 2_000;
         assertEquals(2 * INTERVAL, observeAfter(1), TOLERANCE);
     }
+
+    /** Guards against a deadline that a slow upstream puts off with each piece that it reads. */
+    @Test
+    void whatTheClientMayHaveWrittenCountsWhileTheReceiveBufferIsFull() {
+        reception.isBackedUp = true;
+        reception.left = 5_000_000;
+        reception.unread = 1_000_000;
+        observeAfter(INTERVAL);
+        for (int piece = 1; piece <= 20; piece++) {
+            reception.read += 100_000;
+            reception.left -= 100_000;
+            assertEquals(0, observeAfter(INTERVAL), TOLERANCE, "piece " + piece);
+        }
+    }
+
+    @Test
+    void aRestThatNoSendBufferHoldsHasNotBeenWritten() {
+        reception.isBackedUp = true;
+        reception.left = 30_000_000;
+        reception.unread = 1_000_000;
+        double last = 0;
+        for (int piece = 1; piece <= 20; piece++) {
+            reception.read += 100_000;
+            reception.left -= 100_000;
+            double seconds = observeAfter(INTERVAL);
+            assertTrue(seconds > last || piece == 1, "piece " + piece);
+            last = seconds;
+        }
+    }
+
+    /** A client that writes slowly, seen just before its bytes are read. */
+    @Test
+    void aReceiveBufferThatIsFullForAMomentDoesNotCount() {
+        reception.unread = 100_000;
+        reception.left = 1_000_000;
+        reception.isBackedUp = true;
+        observeAfter(3);
+        reception.isBackedUp = false;
+        reception.read = 100_000;
+        reception.unread = 0;
+        assertEquals(NOT_ARRIVED, observeAfter(INTERVAL));
+    }
 }
--- a/kit/src/main/java/portrelay/standin/ScriptedUpstream.java
+++ b/kit/src/main/java/portrelay/standin/ScriptedUpstream.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Queue;
@@ -32,6 +33,8 @@
     }
 
     private static final int BACKLOG = 1024;
+    /** Small, so that the sidecar notices when a script reads slowly. */
+    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
 
     private final ServerSocket listener;
     private final Script script;
@@ -46,7 +49,10 @@
      */
     public ScriptedUpstream(int port, Script script) throws IOException {
         this.script = script;
-        listener = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
+        listener = new ServerSocket();
+        listener.setReuseAddress(true);
+        listener.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
         DaemonThreads.start("upstream", this::acceptAll);
     }
 
