What all client connections hold in memory is counted against one budget

Cause: each connection is bounded, their sum is not: bodies being collected, heads (received and parsed), requests read ahead. Change: admission.BufferBudget, a quarter of the heap, decides in one place; ConnectionBuffers counts what each connection holds. Where there is no room, the connection that has been sending a request for the longest time makes way, then the request that wants more is answered 503 (a head: closed). Requests sent ahead stay in the kernel while there is little room. All bodies of up to 64 KiB are collected by BodyCollector (before: chunked ones), with one read buffer for all.

--- a/core/src/main/java/portrelay/admission/ConnectionCapacity.java
+++ b/core/src/main/java/portrelay/admission/ConnectionCapacity.java
@@ -169,6 +169,15 @@
         return byPhase.get(phase).size();
     }
 
+    /**
+     * Returns the eviction of the connection that has been sending a request for the longest time, to make way for what
+     * others send; null if none is sending.
+     */
+    public Eviction longestSending() {
+        ClientId oldest = oldest(Phase.SENDING);
+        return oldest == null ? null : new Eviction(oldest, Phase.SENDING, Cause.MADE_WAY);
+    }
+
     /** Returns the connections in the phases, phase by phase, the longest in a phase first. */
     public List<ClientId> connectionsIn(Phase... phases) {
         return Stream.of(phases).flatMap(each -> byPhase.get(each).stream()).toList();
--- a/daemon/src/main/java/portrelay/net/admin/AdminEndpoint.java
+++ b/daemon/src/main/java/portrelay/net/admin/AdminEndpoint.java
@@ -23,6 +23,7 @@
 import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
+import portrelay.admission.BufferBudget;
 import portrelay.admission.ConnectionCapacity;
 import portrelay.admission.ConnectionCapacityConfig;
 import portrelay.model.Hash;
@@ -99,7 +100,8 @@
         this.discovery = discovery;
         this.loadBalancer = loadBalancer;
         this.frontend = frontend;
-        connections = new ClientConnections(loop, log, CONNECTION_CAPACITY, new ConnectionCounters());
+        connections = new ClientConnections(
+                loop, log, CONNECTION_CAPACITY, new BufferBudget(BufferBudget.UNLIMITED), new ConnectionCounters());
         connections.setMaxConnections(maxConnections);
         lingeringClose = new LingeringClose(loop, connections, false, LingeringClose.BRIEF);
         httpListener = new HttpOpenListener(
--- a/daemon/src/main/java/portrelay/net/client/ClientConnection.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientConnection.java
@@ -5,6 +5,7 @@
 import java.net.SocketAddress;
 import org.xnio.StreamConnection;
 import org.xnio.nio.ReceiveQueue;
+import portrelay.admission.BufferBudget;
 import portrelay.admission.ConnectionCapacity;
 
 /** An open client connection, as tracked by {@link ClientConnections}. Used on the loop only. */
@@ -16,14 +17,24 @@
      */
     private static final int BACKED_UP_DIVISOR = 4;
 
+    /** A head is held as received and as parsed; short fields take several times their length. */
+    private static final int HEAD_MEMORY_FACTOR = 6;
+
     final StreamConnection socket;
     final RequestFramingFilter filter;
+    final ConnectionBuffers buffers;
     /** The open request; null while there is none. */
     RequestProgress request;
 
-    ClientConnection(StreamConnection socket, RequestFramingFilter filter) {
+    ClientConnection(StreamConnection socket, RequestFramingFilter filter, BufferBudget budget) {
         this.socket = socket;
         this.filter = filter;
+        this.buffers = new ConnectionBuffers(budget);
+    }
+
+    /** Returns an estimate of the memory that the head being read takes, in bytes. */
+    int headMemoryBytes() {
+        return filter.headBytes() * HEAD_MEMORY_FACTOR;
     }
 
     /** Records why the open request ends; does nothing while no request is open. */
--- a/daemon/src/main/java/portrelay/net/client/ClientConnections.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientConnections.java
@@ -9,9 +9,11 @@
 import java.util.function.LongSupplier;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import portrelay.admission.BufferBudget;
 import portrelay.admission.ClientId;
 import portrelay.admission.ConnectionCapacity;
 import portrelay.admission.ConnectionCapacityConfig;
+import portrelay.net.client.ConnectionBuffers.Part;
 import portrelay.net.connection.RequestBody;
 import portrelay.net.eventloop.EventLoop;
 import portrelay.net.eventloop.Log;
@@ -26,10 +28,14 @@
     /** Interval between checks for timeouts; a timeout may be noticed late by as much. */
     private static final double SWEEP_INTERVAL_SECONDS = 0.05;
 
+    /** What has to be left of the budget for requests that clients send ahead; the rest is for open requests. */
+    private static final int READ_AHEAD_RESERVE_BYTES = 2 * 1024 * 1024;
+
     private final EventLoop loop;
     private final Log log;
     private final ConnectionCapacity capacity;
     private final ConnectionCounters counters;
+    private final BufferBudget budget;
     private final double maxIdleSeconds;
     private final Map<StreamConnection, ClientId> ids = new HashMap<>();
     private final Map<ClientId, ClientConnection> connections = new HashMap<>();
@@ -39,8 +45,17 @@
     /** Whether idle connections stay open although fewer were recently in use at the same time. */
     private boolean isKeepingSurplus;
 
-    /** @param counters receives the accepted and evicted connections */
-    public ClientConnections(EventLoop loop, Log log, ConnectionCapacityConfig config, ConnectionCounters counters) {
+    /**
+     * @param budget the bytes that all connections may hold
+     * @param counters receives the accepted and evicted connections
+     */
+    public ClientConnections(
+            EventLoop loop,
+            Log log,
+            ConnectionCapacityConfig config,
+            BufferBudget budget,
+            ConnectionCounters counters) {
+        this.budget = budget;
         this.loop = loop;
         this.log = log;
         this.capacity = new ConnectionCapacity(config);
@@ -58,7 +73,7 @@
     public void opened(StreamConnection socket, RequestFramingFilter filter) {
         ClientId id = new ClientId(nextId++);
         ids.put(socket, id);
-        connections.put(id, new ClientConnection(socket, filter));
+        connections.put(id, new ClientConnection(socket, filter, budget));
         capacity.opened(loop.now(), id);
         counters.countAccepted();
         evictOverLimit();
@@ -70,8 +85,74 @@
         ClientId id = ids.get(socket);
         if (id != null) {
             capacity.bytesReceived(loop.now(), id);
-            connections.get(id).bytesReceived(loop.now());
+            ClientConnection client = connections.get(id);
+            client.bytesReceived(loop.now());
+            holdHead(client);
+        }
+    }
+
+    /** Counts the memory of a head; closes the connection if the process may not hold it and no request is open. */
+    private void holdHead(ClientConnection client) {
+        int bytes = client.headMemoryBytes();
+        if (bytes <= client.buffers.get(Part.HEAD)) {
+            return;
         }
+        boolean isHeld = hold(client, Part.HEAD, bytes);
+        if (!isHeld && client.request == null && client.filter.isInHead()) {
+            counters.countRejectedForMemory();
+            IoUtils.safeClose(client.socket);
+        }
+    }
+
+    /**
+     * Asks to hold so many bytes for a part of the connection, and records them if that is allowed. Where the process
+     * holds too many, connections that have not sent the end of a request make way first, the longest sending first.
+     */
+    boolean holdBuffer(HttpServerConnection connection, Part part, int bytes) {
+        ClientConnection client = find(connection);
+        return client != null && hold(client, part, bytes);
+    }
+
+    private boolean hold(ClientConnection client, Part part, int bytes) {
+        for (int tries = capacity.count(ConnectionCapacity.Phase.SENDING);
+                tries > 0 && !client.buffers.hasRoomFor(part, bytes);
+                tries--) {
+            ConnectionCapacity.Eviction eviction = capacity.longestSending();
+            if (connections.get(eviction.id()) == client) {
+                break;
+            }
+            evict(eviction);
+        }
+        boolean mayHold = client.buffers.hasRoomFor(part, bytes);
+        if (mayHold) {
+            client.buffers.set(part, bytes);
+        }
+        return mayHold;
+    }
+
+    /** Counts a request that is rejected because the process holds too many bytes. */
+    void countRejectedForMemory() {
+        counters.countRejectedForMemory();
+    }
+
+    /** Records how many bytes are held for a part of the connection, also beyond the limit. */
+    void bufferHeld(HttpServerConnection connection, Part part, int bytes) {
+        ifRegistered(connection, client -> client.buffers.set(part, bytes));
+    }
+
+    /** Records that the request and its response are no longer held. */
+    void releaseBuffers(HttpServerConnection connection) {
+        ifRegistered(connection, client -> {
+            client.buffers.set(Part.HEAD, 0);
+            client.buffers.set(Part.REQUEST_BODY, 0);
+            client.buffers.set(Part.RESPONSE, 0);
+            client.buffers.set(Part.PIPELINED, client.filter.bytesHeld());
+        });
+    }
+
+    /** Whether requests that a client sends ahead may be held; otherwise they stay in the kernel. */
+    boolean mayReadAhead() {
+        return budget.hasRoomFor(READ_AHEAD_RESERVE_BYTES);
     }
 
     /**
@@ -141,7 +222,10 @@
 
     /** Records that the next request on the connection is being handled. */
     void nextRequestStarted(HttpServerConnection connection) {
-        ifRegistered(connection, client -> client.filter.nextRequestStarted());
+        ifRegistered(connection, client -> {
+            client.filter.nextRequestStarted();
+            client.buffers.set(Part.PIPELINED, client.filter.bytesHeld());
+        });
     }
 
     /**
@@ -276,6 +360,7 @@
         ClientId id = ids.remove(socket);
         if (id != null) {
             ClientConnection connection = connections.remove(id);
+            connection.buffers.clear();
             ConnectionCapacity.Phase phase = capacity.phase(id);
             capacity.closed(id);
             if (connection.request != null) {
--- a/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
@@ -9,6 +9,7 @@
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
+import portrelay.admission.BufferBudget;
 import portrelay.admission.ConnectionCapacity;
 import portrelay.admission.ConnectionCapacityConfig;
 import portrelay.net.admission.AdmissionActor;
@@ -38,6 +39,7 @@
 
     /**
      * @param buffers pool that Undertow and the transfer of long bodies take their buffers from
+     * @param budget the bytes that all connections may hold
      * @param counters receives the accepted and evicted connections
      * @param retryAfterSeconds the Retry-After sent with a request rejected because of the shutdown, 0 for none
      */
@@ -48,12 +50,13 @@
             RequestReader reader,
             AdmissionActor admission,
             ConnectionCapacityConfig capacity,
+            BufferBudget budget,
             ConnectionCounters counters,
             Shutdown shutdown,
             double retryAfterSeconds) {
         this.loop = loop;
         this.admission = admission;
-        connections = new ClientConnections(loop, log, capacity, counters);
+        connections = new ClientConnections(loop, log, capacity, budget, counters);
         listener = new ClientListener(
                 loop,
                 log,
--- a/daemon/src/main/java/portrelay/net/client/ClientResponder.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientResponder.java
@@ -62,7 +62,7 @@
         this.clientRequestId = clientRequestId;
         this.uniqueId = uniqueId;
         this.requestBody = requestBody;
-        this.watch = new ClientWatch(connection, this::clientLeft);
+        this.watch = new ClientWatch(connections, connection, this::clientLeft);
     }
 
     /** Returns the id that the client gave. */
--- a/daemon/src/main/java/portrelay/net/client/ClientWatch.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientWatch.java
@@ -20,6 +20,7 @@
     /** Maximum number of reads in one turn of the loop, so that the events of others are handled in between. */
     private static final int MAX_READS_PER_TURN = 64;
 
+    private final ClientConnections connections;
     private final HttpServerConnection connection;
     private final RequestFramingFilter filter;
     private final Runnable clientLeft;
@@ -33,7 +34,8 @@
      * @param clientLeft called at most once, when the client closes its side or the connection breaks, and never after
      *     {@link #stop}
      */
-    ClientWatch(HttpServerConnection connection, Runnable clientLeft) {
+    ClientWatch(ClientConnections connections, HttpServerConnection connection, Runnable clientLeft) {
+        this.connections = connections;
         this.connection = connection;
         this.filter = RequestFramingFilter.of(connection);
         this.clientLeft = clientLeft;
@@ -44,7 +46,7 @@
         isStarted = true;
         ConduitStreamSourceChannel source = source();
         source.setConduit(connection.getOriginalSourceConduit());
-        source.setReadListener(this::read);
+        source.setReadListener(this::readIfRoom);
         source.resumeReads();
     }
 
@@ -75,6 +77,15 @@
         read();
     }
 
+    /** Reads as long as the process has room for bytes that are read ahead. */
+    private void readIfRoom(ConduitStreamSourceChannel source) {
+        if (isDiscarding || connections.mayReadAhead()) {
+            read(source);
+        } else {
+            source.suspendReads();
+        }
+    }
+
     private void read(ConduitStreamSourceChannel source) {
         if (isStopped || isReadAheadFull()) {
             source.suspendReads();
@@ -84,6 +95,7 @@
             int count = 1;
             for (int reads = 0; reads < MAX_READS_PER_TURN && count > 0; reads++) {
                 count = filter.receiveAhead(pooled.getBuffer());
+                connections.bufferHeld(connection, ConnectionBuffers.Part.PIPELINED, filter.bytesHeld());
                 if (isReadAheadFull()) {
                     source.suspendReads();
                     return;
--- a/daemon/src/main/java/portrelay/net/client/ConnectionCounters.java
+++ b/daemon/src/main/java/portrelay/net/client/ConnectionCounters.java
@@ -10,6 +10,7 @@
     private int accepted;
     private int notNeeded;
     private int rejectedForCapacity;
+    private int rejectedForMemory;
     private final Map<ConnectionCapacity.Phase, Integer> evicted = new EnumMap<>(ConnectionCapacity.Phase.class);
     private final Map<ConnectionCapacity.Phase, Integer> timedOut = new EnumMap<>(ConnectionCapacity.Phase.class);
 
@@ -22,6 +23,11 @@
         rejectedForCapacity++;
     }
 
+    /** Counts a request that was not read to its end because the process holds too many bytes for its clients. */
+    void countRejectedForMemory() {
+        rejectedForMemory++;
+    }
+
     void countEvicted(ConnectionCapacity.Eviction eviction) {
         switch (eviction.cause()) {
             case MADE_WAY -> evicted.merge(eviction.phase(), 1, Integer::sum);
@@ -33,12 +39,18 @@
     /** Returns a log line, or null if connections were only accepted, and resets the counts to 0. */
     public String summaryLine() {
         String line = null;
-        if (rejectedForCapacity > 0 || notNeeded > 0 || !evicted.isEmpty() || !timedOut.isEmpty()) {
+        if (rejectedForCapacity > 0
+                || rejectedForMemory > 0
+                || notNeeded > 0
+                || !evicted.isEmpty()
+                || !timedOut.isEmpty()) {
             line = "client connections: accepted=" + accepted + " evicted=" + evicted + " timed-out=" + timedOut
-                    + " idle-not-needed=" + notNeeded + " rejected-no-capacity=" + rejectedForCapacity;
+                    + " idle-not-needed=" + notNeeded + " rejected-no-capacity=" + rejectedForCapacity
+                    + " rejected-no-memory=" + rejectedForMemory;
         }
         accepted = 0;
         rejectedForCapacity = 0;
+        rejectedForMemory = 0;
         notNeeded = 0;
         evicted.clear();
         timedOut.clear();
--- a/daemon/src/main/java/portrelay/net/client/RequestFramingFilter.java
+++ b/daemon/src/main/java/portrelay/net/client/RequestFramingFilter.java
@@ -145,9 +145,9 @@
         if (!isParsing) {
             return count;
         }
-        bytesReceived.run();
         int end = parse(target, start, position);
         target.position(end);
+        bytesReceived.run();
         if (end == start) {
             throw new MalformedFramingException();
         }
@@ -226,6 +226,11 @@
         return framing.isInHead();
     }
 
+    /** Returns the number of bytes of the last head that have been received. */
+    int headBytes() {
+        return framing.headBytes();
+    }
+
     /** Returns the number of requests that have been read completely. */
     int messageCount() {
         return framing.completeMessageCount();
--- a/daemon/src/main/java/portrelay/net/client/RequestHandler.java
+++ b/daemon/src/main/java/portrelay/net/client/RequestHandler.java
@@ -7,8 +7,10 @@
 import io.undertow.util.AttachmentKey;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
+import java.nio.ByteBuffer;
 import org.xnio.channels.StreamSourceChannel;
 import portrelay.admission.ConnectionCapacity;
+import portrelay.net.client.ConnectionBuffers.Part;
 import portrelay.net.connection.HttpCall;
 import portrelay.net.connection.RequestBody;
 import portrelay.net.eventloop.EventLoop;
@@ -30,6 +32,7 @@
     private final ServiceState service;
     private final ResponseWriter responses;
     private final RequestDispatcher dispatcher;
+    private final ByteBuffer bodyReadBuffer = BodyCollector.createReadBuffer();
 
     RequestHandler(
             EventLoop loop,
@@ -78,6 +81,7 @@
         connections.nextRequestStarted(connection);
         exchange.addExchangeCompleteListener((completed, next) -> {
             connections.phaseChanged(connection, ConnectionCapacity.Phase.IDLE);
+            connections.releaseBuffers(connection);
             if (completed.isResponseComplete()) {
                 connections.responseCompleted(connection);
             }
@@ -96,22 +100,33 @@
      * @param length length of the body in bytes, -1 if the head does not give it because the body is chunked
      */
     private void receiveBody(HttpServerExchange exchange, long length) {
-        if (length < 0) {
-            // Dispatched: Undertow ends an exchange whose handler returns without a response or a dispatch.
-            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> collectChunked(exchange));
+        if (length == 0) {
+            dispatcher.dispatch(exchange, HttpCall.NO_BODY, null);
         } else if (length > HttpCall.MAX_BUFFERED_BODY) {
             dispatchStreamed(exchange, exchange.getRequestChannel(), HttpCall.NO_BODY, length);
         } else {
-            exchange.getRequestReceiver()
-                    .receiveFullBytes(
-                            (complete, body) -> dispatcher.dispatch(complete, body, null),
-                            (incomplete, cause) -> rejectIncompleteBody(incomplete));
+            // Dispatched: Undertow ends an exchange whose handler returns without a response or a dispatch.
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> collect(exchange));
         }
     }
 
-    private void collectChunked(HttpServerExchange exchange) {
+    private void collect(HttpServerExchange exchange) {
         StreamSourceChannel source = exchange.getRequestChannel();
-        new ChunkedBodyCollector(source, new ChunkedBodyCollector.Listener() {
+        new BodyCollector(bodyReadBuffer, source, new BodyCollector.Listener() {
+                    @Override
+                    public boolean mayHold(int bytes) {
+                        return connections.holdBuffer(connection(exchange), Part.REQUEST_BODY, bytes);
+                    }
+
+                    @Override
+                    public void outOfMemory() {
+                        connections.countRejectedForMemory();
+                        responses.rejectAndClose(
+                                exchange,
+                                new MalformedRequestException(
+                                        StatusCodes.SERVICE_UNAVAILABLE, "no memory for the body"));
+                    }
+
                     @Override
                     public void completed(byte[] body) {
                         dispatcher.dispatch(exchange, body, null);
@@ -119,6 +134,7 @@
 
                     @Override
                     public void exceedsBuffer(byte[] beginning) {
+                        connections.bufferHeld(connection(exchange), Part.REQUEST_BODY, 0);
                         dispatchStreamed(exchange, source, beginning, -1);
                     }
 
--- a/daemon/src/main/java/portrelay/net/client/ResponseWriter.java
+++ b/daemon/src/main/java/portrelay/net/client/ResponseWriter.java
@@ -9,6 +9,7 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import portrelay.admission.ConnectionCapacity;
+import portrelay.net.client.ConnectionBuffers.Part;
 import portrelay.net.eventloop.EventLoop;
 import portrelay.net.eventloop.Log;
 
@@ -57,6 +58,7 @@
     /** Sends the body of a response whose head is set. */
     void send(HttpServerExchange exchange, byte[] body, UnreadInput unreadInput) {
         exchange.setResponseContentLength(body.length);
+        connections.bufferHeld((HttpServerConnection) exchange.getConnection(), Part.RESPONSE, body.length);
         send(exchange, body, whenSent(unreadInput));
     }
 
--- a/daemon/src/main/java/portrelay/net/http/BodyBuffer.java
+++ b/daemon/src/main/java/portrelay/net/http/BodyBuffer.java
@@ -46,10 +46,19 @@
         return content;
     }
 
+    /** Returns how many bytes the buffer will take in memory once so many more are appended. */
+    public int capacityFor(int moreBytes) {
+        int needed = size + moreBytes;
+        if (needed <= bytes.length) {
+            return bytes.length;
+        }
+        long doubled = Math.max(MIN_CAPACITY_BYTES, 2L * bytes.length);
+        return (int) Math.min(maxBytes, Math.max(needed, doubled));
+    }
+
     private void ensureCapacity(int needed) {
         if (needed > bytes.length) {
-            long doubled = Math.max(MIN_CAPACITY_BYTES, 2L * bytes.length);
-            bytes = Arrays.copyOf(bytes, (int) Math.min(maxBytes, Math.max(needed, doubled)));
+            bytes = Arrays.copyOf(bytes, capacityFor(needed - size));
         }
     }
 }
--- a/daemon/src/main/java/portrelay/net/http/Framing.java
+++ b/daemon/src/main/java/portrelay/net/http/Framing.java
@@ -107,6 +107,11 @@
         return state == State.COMPLETE || state == State.FIRST_LINE && headBytes == 0;
     }
 
+    /** Returns the number of bytes of the current message's head, trailers included, that have been parsed. */
+    public int headBytes() {
+        return headBytes;
+    }
+
     /** Whether the parser is within the head of a message, or before it. */
     public boolean isInHead() {
         return state == State.FIRST_LINE || state == State.HEADERS;
--- a/daemon/src/main/java/portrelay/net/lifecycle/SidecarComponents.java
+++ b/daemon/src/main/java/portrelay/net/lifecycle/SidecarComponents.java
@@ -9,6 +9,7 @@
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
+import portrelay.admission.BufferBudget;
 import portrelay.model.RequestArrival;
 import portrelay.model.RequestClass;
 import portrelay.net.admin.AdminEndpoint;
@@ -66,6 +67,9 @@
     final DiscoveryActor discovery;
     final AdmissionActor admission;
     final ConnectionCounters connectionCounters = new ConnectionCounters();
+    /** The bytes that are held for clients. */
+    final BufferBudget buffered = BufferBudget.ofHeap(Runtime.getRuntime().maxMemory());
+
     final ClientFrontend frontend;
     /** Null without an admin endpoint. */
     final AdminEndpoint admin;
@@ -99,6 +103,7 @@
                 new RequestReader(settings),
                 admission,
                 config.admission().connectionCapacity(),
+                buffered,
                 connectionCounters,
                 shutdown.shutdown(),
                 settings.maxRetryAfter());
--- a/daemon/src/main/java/portrelay/net/lifecycle/WarmUp.java
+++ b/daemon/src/main/java/portrelay/net/lifecycle/WarmUp.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Set;
 import portrelay.admission.AdmissionConfig;
+import portrelay.admission.BufferBudget;
 import portrelay.admission.ConnectionCapacityConfig;
 import portrelay.model.CellId;
 import portrelay.model.Endpoint;
@@ -102,6 +103,7 @@
                 new RequestReader(settings),
                 new AdmissionActor(loop, noLog, settings, AdmissionConfig.DEFAULTS, loadBalancer, config.seed()),
                 ConnectionCapacityConfig.DEFAULTS,
+                new BufferBudget(BufferBudget.UNLIMITED),
                 new ConnectionCounters(),
                 Shutdown.never(),
                 0);
