Long bodies get at most half of the connections to upstreams

Cause: a body that is passed on holds a connection to an upstream for as long as its client takes to send it. The uploads took all that the descriptors allow, so that usual requests found none (429), and the rest of the descriptors as clients: at the limit every connection but a new one had an open request, and the new one was closed, by the log phase=SILENT cause=MADE_WAY. What was cut had not been read. Change: DescriptorBudget gives long bodies half of the upstreams' connections; one more is answered 429 at once, never forwarded. The status log counts them (rejected-long-bodies).

--- a/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
@@ -191,6 +191,11 @@
         connections.setMaxConnections(maxConnections);
     }
 
+    /** As {@link RequestDispatcher#setMaxStreamedBodies}. */
+    public void setMaxStreamedBodies(int maxStreamedBodies) {
+        dispatcher.setMaxStreamedBodies(maxStreamedBodies);
+    }
+
     /** Returns the number of connected clients, including those whose connections still wait to be handled. */
     public int clientCount() {
         return connections.count() + listener.pendingCount();
--- a/daemon/src/main/java/portrelay/net/client/ClientResponder.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientResponder.java
@@ -70,6 +70,11 @@
         return clientRequestId;
     }
 
+    /** Whether the body is forwarded while it is received. */
+    boolean hasStreamedBody() {
+        return requestBody != null;
+    }
+
     /** Returns the client's address, or null if the connection is not a socket, as in the warm-up. */
     InetAddress clientAddress() {
         InetSocketAddress peer = connection.getPeerAddress(InetSocketAddress.class);
--- a/daemon/src/main/java/portrelay/net/client/ConnectionCounters.java
+++ b/daemon/src/main/java/portrelay/net/client/ConnectionCounters.java
@@ -11,6 +11,7 @@
     private int notNeeded;
     private int rejectedForCapacity;
     private int rejectedForMemory;
+    private int rejectedForStreams;
     private final Map<ConnectionCapacity.Phase, Integer> evicted = new EnumMap<>(ConnectionCapacity.Phase.class);
     private final Map<ConnectionCapacity.Phase, Integer> timedOut = new EnumMap<>(ConnectionCapacity.Phase.class);
 
@@ -28,6 +29,11 @@
         rejectedForMemory++;
     }
 
+    /** Counts a request with a long body that was rejected because too many are open. */
+    void countRejectedForStreams() {
+        rejectedForStreams++;
+    }
+
     void countEvicted(ConnectionCapacity.Eviction eviction) {
         switch (eviction.cause()) {
             case MADE_WAY -> evicted.merge(eviction.phase(), 1, Integer::sum);
@@ -39,18 +45,16 @@
     /** Returns a log line, or null if connections were only accepted, and resets the counts to 0. */
     public String summaryLine() {
         String line = null;
-        if (rejectedForCapacity > 0
-                || rejectedForMemory > 0
-                || notNeeded > 0
-                || !evicted.isEmpty()
-                || !timedOut.isEmpty()) {
+        int rejected = rejectedForCapacity + rejectedForMemory + rejectedForStreams;
+        if (rejected > 0 || notNeeded > 0 || !evicted.isEmpty() || !timedOut.isEmpty()) {
             line = "client connections: accepted=" + accepted + " evicted=" + evicted + " timed-out=" + timedOut
                     + " idle-not-needed=" + notNeeded + " rejected-no-capacity=" + rejectedForCapacity
-                    + " rejected-no-memory=" + rejectedForMemory;
+                    + " rejected-no-memory=" + rejectedForMemory + " rejected-long-bodies=" + rejectedForStreams;
         }
         accepted = 0;
         rejectedForCapacity = 0;
         rejectedForMemory = 0;
+        rejectedForStreams = 0;
         notNeeded = 0;
         evicted.clear();
         timedOut.clear();
--- a/daemon/src/main/java/portrelay/net/client/RequestDispatcher.java
+++ b/daemon/src/main/java/portrelay/net/client/RequestDispatcher.java
@@ -36,6 +36,8 @@
     /** The requests that wait for a response, by the ids that their clients gave. */
     private final Map<String, ClientResponder> pending = new HashMap<>();
 
+    private int maxStreamedBodies = Integer.MAX_VALUE;
+    private int openStreamedBodies;
     private long dispatchedCount;
     private int rejectedDuringShutdown;
 
@@ -60,6 +62,14 @@
         this.retryAfterSeconds = retryAfterSeconds;
     }
 
+    /**
+     * Sets how many requests may be open whose bodies are forwarded while they are received. Each holds a connection to
+     * an upstream for as long as its client takes to send it.
+     */
+    void setMaxStreamedBodies(int maxStreamedBodies) {
+        this.maxStreamedBodies = maxStreamedBodies;
+    }
+
     /** Returns the number of requests rejected here because of the shutdown. */
     int rejectedDuringShutdown() {
         return rejectedDuringShutdown;
@@ -96,6 +106,7 @@
             return;
         }
         pending.put(clientRequestId, responder);
+        openStreamedBodies += responder.hasStreamedBody() ? 1 : 0;
         log.debug(() -> requestTakenLogLine(clientRequestId, connection, uniqueArrival));
         IncomingRequest incoming = new IncomingRequest(
                 uniqueArrival,
@@ -140,6 +151,11 @@
             responder.rejected(0);
             return true;
         }
+        if (responder.hasStreamedBody() && openStreamedBodies >= maxStreamedBodies) {
+            counters.countRejectedForStreams();
+            responder.rejected(retryAfterSeconds);
+            return true;
+        }
         boolean mayForward = shutdown.mayForward(loop.now());
         if (!mayForward || arrival.deadline() <= loop.now()) {
             // Late in a shutdown, or the deadline passed while a pipelined request waited for the one before it.
@@ -166,7 +182,8 @@
 
     /** Removes a request whose response has begun or whose client no longer waits for one. */
     void responderEnded(ClientResponder responder) {
-        pending.remove(responder.clientRequestId(), responder);
+        boolean wasPending = pending.remove(responder.clientRequestId(), responder);
+        openStreamedBodies -= wasPending && responder.hasStreamedBody() ? 1 : 0;
     }
 
     /** Reports to admission that the client left before the response began. */
--- a/daemon/src/main/java/portrelay/net/lifecycle/DescriptorBudget.java
+++ b/daemon/src/main/java/portrelay/net/lifecycle/DescriptorBudget.java
@@ -19,6 +19,8 @@
     private static final int MAX_ADMIN_CONNECTIONS = 48;
     /** Operators get at most this process's share of the limit divided by this. */
     private static final int ADMIN_DIVISOR = 8;
+    /** Long bodies get at most the connections to upstreams divided by this. */
+    private static final int STREAMED_BODIES_DIVISOR = 2;
     /** The number of connections divided by this is kept free for connects to upstreams. */
     private static final int SPARE_DIVISOR = 16;
     /** While a sibling serves, clients get at least the whole limit divided by this. */
@@ -48,6 +50,14 @@
         return maxConnections() / 2;
     }
 
+    /**
+     * Returns the number of connections to upstreams that may be held by requests whose bodies are forwarded while they
+     * are received; the others are left to requests that hold one for the time of an upstream's work.
+     */
+    int maxStreamedBodies() {
+        return Math.max(1, maxUpstreamConnections() / STREAMED_BODIES_DIVISOR);
+    }
+
     /**
      * Returns the number of connections that clients may hold.
      *
--- a/daemon/src/main/java/portrelay/net/lifecycle/SidecarComponents.java
+++ b/daemon/src/main/java/portrelay/net/lifecycle/SidecarComponents.java
@@ -141,6 +141,7 @@
      * that upstreams no longer hold.
      */
     void updateClientLimit() {
+        frontend.setMaxStreamedBodies(descriptors.maxStreamedBodies());
         frontend.setMaxClients(descriptors.maxClientConnections(upstreamConnector.openCount()));
     }
 
