A keyed request is not retried in the old scope of an upstream that came back in another

Cause, by reading: the list tells a restart late. An attempt that is sent meanwhile is recorded with the row of the old process, its cell too, but reaches the new one, in another cell; its retry went to the old cell, whose upstreams don't know its key. Change: while the list shows a later start of an attempt's upstream, a repeat has to be recognised in both cells.

--- a/core/src/main/java/portrelay/policy/Attempt.java
+++ b/core/src/main/java/portrelay/policy/Attempt.java
@@ -44,6 +44,11 @@
         this.inFlightWhenSent = inFlightWhenSent;
     }
 
+    /** Whether the list has shown a later start of the upstream since the attempt was sent. */
+    boolean isUpstreamRestarted() {
+        return upstream.endpoint.startedAt() > endpoint.startedAt();
+    }
+
     boolean isInFlight() {
         return outcome == null;
     }
--- a/core/src/main/java/portrelay/policy/RetryPolicy.java
+++ b/core/src/main/java/portrelay/policy/RetryPolicy.java
@@ -1,6 +1,7 @@
 package portrelay.policy;
 
 import portrelay.model.AttemptRules;
+import portrelay.model.Endpoint;
 import portrelay.model.RequestClass;
 
 /** Decides whether a request may be sent again without a second effect, and how it ends if it gets no attempt. */
@@ -40,10 +41,20 @@
             case UNSAFE -> false;
             case KEYED ->
                 nowSeconds < possiblyExecuted.sentAt + requestClass.deduplicationWindow()
-                        && requestClass.sharesDeduplication(possiblyExecuted.endpoint, upstream.endpoint);
+                        && recognisesRepeat(requestClass, possiblyExecuted, upstream.endpoint);
         };
     }
 
+    /**
+     * Whether an upstream recognises the repeat of a keyed attempt that may have been executed. Where the upstream of
+     * that attempt has been restarted, either process may have executed it: the list tells late.
+     */
+    private static boolean recognisesRepeat(RequestClass requestClass, Attempt executed, Endpoint repeatedAt) {
+        return requestClass.sharesDeduplication(executed.endpoint, repeatedAt)
+                && (!executed.isUpstreamRestarted()
+                        || requestClass.sharesDeduplication(executed.upstream.endpoint, repeatedAt));
+    }
+
     /** Whether the client may repeat the request at any upstream without a second effect. */
     boolean isSafeToRepeat(OpenRequest request) {
         RequestClass requestClass = request.requestClass;
--- a/core/src/test/java/portrelay/policy/LoadBalancerTest.java
+++ b/core/src/test/java/portrelay/policy/LoadBalancerTest.java
@@ -223,6 +223,29 @@
         assertEquals(cell, second.upstream().value() / 3, "retried in another scope than the first attempt's");
     }
 
+    /** Guards against a second effect where the first attempt reached the new process, whose row came later. */
+    @Test
+    void keyedRequestIsNotRetriedInTheOldScopeOfAnUpstreamThatCameBackInAnother() {
+        LoadBalancerHarness harness = new LoadBalancerHarness(1);
+        harness.listReady(6);
+        double startedAt = harness.now;
+        harness.advance(0.05);
+        RequestId id = harness.requestArrives("a", LoadBalancerHarness.KEYED_IN_CELL, 1.4);
+        LoadBalancerHarness.SentAttempt first = harness.lastSent();
+        Endpoint listed =
+                LoadBalancerHarness.endpoint((int) first.upstream().value(), Endpoint.Health.READY, startedAt);
+        CellId otherCell = new CellId((int) (1 - first.upstream().value() / 3));
+        harness.loadBalancer.endpointsUpdated(
+                harness.now,
+                EndpointUpdate.INCREMENTAL,
+                List.of(new Endpoint(
+                        listed.id(), listed.health(), startedAt, 1, otherCell, listed.zone(), listed.instanceType())));
+        harness.attemptEnds(first, Outcome.CONNECTION_LOST);
+        harness.advance(0.5);
+        assertEquals(first, harness.lastSent(), "retried");
+        assertEquals(List.of(id), harness.failed);
+    }
+
     /** Guards against rejections while nothing is in flight, because nearly all warm upstreams are ejected. */
     @Test
     void ejectedUpstreamsAreUsedWhereOnlyWarmingUpOnesWithoutCreditAreLeft() {
