An unsafe request is not run again under an id whose request may have been executed

Cause: RequestDispatcher knew the ids of open requests only, in a map of one process. Change: RepeatGuard decides: an id of an unsafe request, or of a keyed one whose upstreams don't all recognise the repeat, is answered 409 (failed; nothing promised) until the client can't be waiting any more and upstreams have forgotten its key (class deadline or window, the longer, from the arrival and again from the answer; 60 s at most). A rejected request is forgotten, as it provably never ran. RequestIdTable holds hashes in a file of 258 KB that all processes of the sidecar map into memory, so that a successor knows them at once, also after a SIGKILL; it does not grow under ever new ids.

--- a/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
@@ -16,6 +16,7 @@
 import portrelay.net.connection.HttpCall;
 import portrelay.net.eventloop.EventLoop;
 import portrelay.net.eventloop.Log;
+import portrelay.net.handover.RequestIdTable;
 import portrelay.net.http.Framing;
 import portrelay.shutdown.Shutdown;
 
@@ -39,6 +40,7 @@
 
     /**
      * @param buffers pool that Undertow and the transfer of long bodies take their buffers from
+     * @param executedIds the ids of requests that may have been executed
      * @param budget the bytes that all connections may hold
      * @param counters receives the accepted and evicted connections
      * @param retryAfterSeconds the Retry-After sent with a request rejected because of the shutdown, 0 for none
@@ -48,6 +50,7 @@
             Log log,
             ByteBufferPool buffers,
             RequestReader reader,
+            RequestIdTable executedIds,
             AdmissionActor admission,
             ConnectionCapacityConfig capacity,
             BufferBudget budget,
@@ -65,7 +68,16 @@
         service = new ServiceState(loop, connections, shutdown);
         ResponseWriter responses = new ResponseWriter(loop, log, connections, service);
         dispatcher = new RequestDispatcher(
-                loop, log, reader, admission, connections, counters, responses, shutdown, retryAfterSeconds);
+                loop,
+                log,
+                reader,
+                new RepeatGuard(reader.settings(), executedIds),
+                admission,
+                connections,
+                counters,
+                responses,
+                shutdown,
+                retryAfterSeconds);
         lateRequests = new LateRequestRejecter(loop, connections, shutdown, retryAfterSeconds);
         http = new HttpOpenListener(buffers, undertowOptions());
         http.setRootHandler(new HttpContinueReadHandler(
--- a/daemon/src/main/java/portrelay/net/client/ClientResponder.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientResponder.java
@@ -7,7 +7,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import portrelay.admission.ConnectionCapacity;
-import portrelay.model.RequestId;
+import portrelay.model.RequestArrival;
 import portrelay.net.connection.HttpCall;
 import portrelay.net.connection.HttpResult;
 import portrelay.net.connection.RequestBody;
@@ -30,7 +30,8 @@
     private final HttpServerExchange exchange;
     private final HttpServerConnection connection;
     private final String clientRequestId;
-    private final RequestId uniqueId;
+    /** The request, by its unique id. */
+    private final RequestArrival arrival;
     /** The streamed body; null if the body was read before the request was dispatched. */
     private final RequestBody requestBody;
 
@@ -39,7 +40,7 @@
 
     /**
      * @param clientRequestId the id that the client gave
-     * @param uniqueId the unique id by which the decisions identify the request
+     * @param arrival the request, with the unique id by which the decisions identify it
      * @param requestBody a long body that is still being received, or null
      */
     ClientResponder(
@@ -50,7 +51,7 @@
             RequestDispatcher dispatcher,
             HttpServerExchange exchange,
             String clientRequestId,
-            RequestId uniqueId,
+            RequestArrival arrival,
             RequestBody requestBody) {
         this.loop = loop;
         this.log = log;
@@ -60,7 +61,7 @@
         this.exchange = exchange;
         this.connection = (HttpServerConnection) exchange.getConnection();
         this.clientRequestId = clientRequestId;
-        this.uniqueId = uniqueId;
+        this.arrival = arrival;
         this.requestBody = requestBody;
         this.watch = new ClientWatch(connections, connection, this::clientLeft);
     }
@@ -70,6 +71,10 @@
         return clientRequestId;
     }
 
+    RequestArrival arrival() {
+        return arrival;
+    }
+
     /** Whether the body is forwarded while it is received. */
     boolean hasStreamedBody() {
         return requestBody != null;
@@ -126,7 +131,7 @@
             return;
         }
         end();
-        dispatcher.clientLeft(uniqueId);
+        dispatcher.clientLeft(arrival.id());
         if (isTooLong) {
             responses.rejectAndClose(exchange, RequestReader.bodyTooLong());
         } else {
@@ -145,6 +150,7 @@
             }
             return;
         }
+        dispatcher.answered(this);
         HeaderForwarding.copy(result.headers(), exchange.getResponseHeaders());
         if (streamedBody == null) {
             responses.send(exchange, result.body(), unreadInput());
@@ -179,6 +185,7 @@
     @Override
     public void rejected(double retryAfterSeconds) {
         if (beginResponse(StatusCodes.TOO_MANY_REQUESTS)) {
+            dispatcher.rejected(this);
             if (retryAfterSeconds > 0) {
                 exchange.getResponseHeaders().put(Headers.RETRY_AFTER, retryAfterText(retryAfterSeconds));
             }
@@ -194,6 +201,7 @@
     @Override
     public void failed() {
         if (beginResponse(StatusCodes.BAD_GATEWAY)) {
+            dispatcher.answered(this);
             responses.send(exchange, HttpCall.NO_BODY, unreadInput());
         }
     }
@@ -241,7 +249,7 @@
 
     private void clientLeft() {
         end();
-        dispatcher.clientLeft(uniqueId);
+        dispatcher.clientLeft(arrival.id());
         connections.close(connection, RequestProgress.EndCause.CLIENT_LEFT);
     }
 
--- a/daemon/src/main/java/portrelay/net/client/RequestDispatcher.java
+++ b/daemon/src/main/java/portrelay/net/client/RequestDispatcher.java
@@ -27,6 +27,7 @@
     private final EventLoop loop;
     private final Log log;
     private final RequestReader reader;
+    private final RepeatGuard repeats;
     private final AdmissionActor admission;
     private final ClientConnections connections;
     private final ConnectionCounters counters;
@@ -45,6 +46,7 @@
             EventLoop loop,
             Log log,
             RequestReader reader,
+            RepeatGuard repeats,
             AdmissionActor admission,
             ClientConnections connections,
             ConnectionCounters counters,
@@ -54,6 +56,7 @@
         this.loop = loop;
         this.log = log;
         this.reader = reader;
+        this.repeats = repeats;
         this.admission = admission;
         this.connections = connections;
         this.counters = counters;
@@ -99,7 +102,7 @@
         // which may carry the same id.
         RequestArrival uniqueArrival = arrival.withId(new RequestId(clientRequestId + " " + ++dispatchedCount));
         ClientResponder responder = new ClientResponder(
-                loop, log, connections, responses, this, exchange, clientRequestId, uniqueArrival.id(), requestBody);
+                loop, log, connections, responses, this, exchange, clientRequestId, uniqueArrival, requestBody);
         connections.phaseChanged(connection, ConnectionCapacity.Phase.ASKED);
         connections.requestBegan(connection, clientRequestId, exchange::getResponseBytesSent);
         if (rejectIfNotForwardable(exchange, responder, uniqueArrival)) {
@@ -132,6 +135,9 @@
         if (openResponder != null && !openResponder.isOver()) {
             throw new MalformedRequestException(StatusCodes.CONFLICT, "a query of this id is open");
         }
+        if (!repeats.begin(arrival.id().value(), arrival)) {
+            throw new MalformedRequestException(StatusCodes.CONFLICT, "a query of this id may have been executed");
+        }
         return arrival;
     }
 
@@ -180,6 +186,16 @@
                 arrival.deadline() - loop.now());
     }
 
+    /** Records that the request is answered and may have been executed. */
+    void answered(ClientResponder responder) {
+        repeats.answered(responder.clientRequestId(), responder.arrival());
+    }
+
+    /** Records that the request is rejected and provably was not executed. */
+    void rejected(ClientResponder responder) {
+        repeats.rejected(responder.clientRequestId(), responder.arrival());
+    }
+
     /** Removes a request whose response has begun or whose client no longer waits for one. */
     void responderEnded(ClientResponder responder) {
         boolean wasPending = pending.remove(responder.clientRequestId(), responder);
--- a/daemon/src/main/java/portrelay/net/client/RequestReader.java
+++ b/daemon/src/main/java/portrelay/net/client/RequestReader.java
@@ -69,6 +69,10 @@
         return bytes;
     }
 
+    Settings settings() {
+        return settings;
+    }
+
     /** Returns the rejection of a body of more than {@link HttpCall#MAX_BODY} bytes. */
     static MalformedRequestException bodyTooLong() {
         String message = "body over " + HttpCall.MAX_BODY + " bytes";
--- a/daemon/src/main/java/portrelay/net/lifecycle/SidecarComponents.java
+++ b/daemon/src/main/java/portrelay/net/lifecycle/SidecarComponents.java
@@ -26,6 +26,7 @@
 import portrelay.net.eventloop.MonotonicClock;
 import portrelay.net.handover.HandoverService;
 import portrelay.net.handover.HandoverState;
+import portrelay.net.handover.RequestIdTable;
 import portrelay.net.http.SocketAddresses;
 import portrelay.net.peer.PeerActor;
 import portrelay.net.upstream.UpstreamActor;
@@ -101,6 +102,7 @@
                 log,
                 buffers,
                 new RequestReader(settings),
+                RequestIdTable.open(handover == null ? null : handoverDirectory, config.name(), log),
                 admission,
                 config.admission().connectionCapacity(),
                 buffered,
--- a/daemon/src/main/java/portrelay/net/lifecycle/WarmUp.java
+++ b/daemon/src/main/java/portrelay/net/lifecycle/WarmUp.java
@@ -37,6 +37,7 @@
 import portrelay.net.connection.HttpConnection;
 import portrelay.net.eventloop.EventLoop;
 import portrelay.net.eventloop.Log;
+import portrelay.net.handover.RequestIdTable;
 import portrelay.net.http.WireNames;
 import portrelay.net.upstream.UpstreamActor;
 import portrelay.settings.Settings;
@@ -101,6 +102,7 @@
                 noLog,
                 buffers,
                 new RequestReader(settings),
+                RequestIdTable.ofProcess(),
                 new AdmissionActor(loop, noLog, settings, AdmissionConfig.DEFAULTS, loadBalancer, config.seed()),
                 ConnectionCapacityConfig.DEFAULTS,
                 new BufferBudget(BufferBudget.UNLIMITED),
