Fault test with clients and upstreams that hold what all share: command overload

Bounds are the protocol's: no usual request cut, none over half a second late, responses that have begun whole, no unsafe id twice, memory within its limit. Change: portrelay.faulttest.overload draws from a seed: requests at full speed (six kinds, up to six connections), a crowd (six kinds, up to three quarters of the descriptors), slow responses without a length, clients that leave and ask again, upstreams replaced at their addresses, SIGHUP in series, a successor with SIGTERM and SIGKILL at its earliest. If the machine kept the event loop from running for over 0.15 s, what depends on time does not count.

--- a/kit/src/main/java/portrelay/faulttest/UsualClients.java
+++ b/kit/src/main/java/portrelay/faulttest/UsualClients.java
@@ -16,10 +16,10 @@
  * Clients that send one request after the other on a connection that they keep, beside others that misbehave. Each
  * sends a request once more, on a new connection, if a kept one ends without a byte of the response. Thread-safe.
  */
-final class UsualClients implements AutoCloseable {
+public final class UsualClients implements AutoCloseable {
 
     /** How a request ended for its client. */
-    enum End {
+    public enum End {
         SERVED,
         REJECTED,
         FAILED,
@@ -48,7 +48,7 @@
      * @param port the loopback port of the sidecar
      * @param waitMillis how long they wait for each response
      */
-    UsualClients(int port, int count, int waitMillis) {
+    public UsualClients(int port, int count, int waitMillis) {
         this.port = port;
         this.waitMillis = waitMillis;
         stopped = new CountDownLatch(count);
@@ -143,12 +143,12 @@
     }
 
     /** Returns how many requests have ended in each way. */
-    synchronized Map<End, Integer> ends() {
+    public synchronized Map<End, Integer> ends() {
         return new EnumMap<>(ends);
     }
 
     /** Returns a line for each request that was cut off or answered late. */
-    Queue<String> problems() {
+    public Queue<String> problems() {
         return problems;
     }
 
--- a/kit/src/main/java/portrelay/faulttest/scale/ProcessMeter.java
+++ b/kit/src/main/java/portrelay/faulttest/scale/ProcessMeter.java
@@ -10,7 +10,7 @@
 import portrelay.net.eventloop.EventLoop;
 
 /** Samples what a process uses, from Linux's /proc. */
-final class ProcessMeter {
+public final class ProcessMeter {
 
     private static final double TICKS_PER_SECOND = 100;
     /** Index of the field utime after the thread's name in /proc/PID/task/TID/stat. */
@@ -29,12 +29,13 @@
     private long waitNanos;
     private double maxWaitSeconds;
 
-    ProcessMeter(long processId) {
+    /** @param processId the number of the process */
+    public ProcessMeter(long processId) {
         proc = Path.of("/proc", Long.toString(processId));
     }
 
     /** Takes a sample. Once the process has ended, it holds nothing, and the other values stay. */
-    void sample() {
+    public void sample() {
         try {
             descriptors = count(proc.resolve("fd"));
             maxDescriptors = Math.max(maxDescriptors, descriptors);
@@ -56,6 +57,11 @@
         return descriptors;
     }
 
+    /** Returns the largest memory of all samples, in MB. */
+    public double peakMemoryMb() {
+        return peakMemoryMb;
+    }
+
     /** Returns the memory at the last sample; that which processes share counts in parts. */
     double memoryMb() {
         return memoryMb;
@@ -71,7 +77,7 @@
     }
 
     /** Returns the longest time for which the event loop waited for a core between two samples, in seconds. */
-    double maxWaitSeconds() {
+    public double maxWaitSeconds() {
         return maxWaitSeconds;
     }
 
--- a/kit/src/main/java/portrelay/kit/cli/KitMain.java
+++ b/kit/src/main/java/portrelay/kit/cli/KitMain.java
@@ -19,7 +19,9 @@
                 "shutdown",
                 new ShutdownCommand(),
                 "soak",
-                new SoakCommand());
+                new SoakCommand(),
+                "overload",
+                new OverloadCommand());
         System.exit(Main.run("portrelay-kit", commands, args));
     }
 }
