A slow response is passed on from 1 KiB on, not from 4; a memory close is logged

Change: 1 KiB suffices; less is still held and fails at the deadline. The close for a head without memory has a debug line. SlowResponseTest's 100 bytes stay held.

--- a/core/src/main/java/portrelay/policy/ResponseHold.java
+++ b/core/src/main/java/portrelay/policy/ResponseHold.java
@@ -24,7 +24,7 @@
 
     private static final double MAX_HOLD_SECONDS = 0.5;
     /** The number of bytes from which a body without a length is worth passing on before it is complete. */
-    private static final int MIN_PASSED_ON_BYTES = 4 * 1024;
+    private static final int MIN_PASSED_ON_BYTES = 1024;
 
     private final double endsAt;
 
--- a/daemon/src/main/java/portrelay/net/client/ClientConnections.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientConnections.java
@@ -100,6 +100,8 @@
         boolean isHeld = hold(client, Part.HEAD, bytes);
         if (!isHeld && client.request == null && client.filter.isInHead()) {
             counters.countRejectedForMemory();
+            log.debug(() -> "client connection closed: client=" + client.socket.getPeerAddress()
+                    + " reason=no memory for a head bytes=" + bytes + " held=" + budget.heldBytes());
             IoUtils.safeClose(client.socket);
         }
     }
