--- a/review/stand-ins-2/Kit2.java
+++ b/review/stand-ins-2/Kit2.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -356,6 +357,10 @@
             synchronized (SIDECARS) {
                 SIDECARS.add(this);
             }
+            String pids = System.getProperty("portrelay.pids");
+            if (pids != null) {
+                Files.writeString(Path.of(pids), process.pid() + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+            }
         }
 
         void awaitReady(double seconds) throws Exception {
