A request counts as sent once the sink has taken its last byte, not a step later

Cause: RequestBody counted as written in the step that ends its transfer. Where the last byte fills a turn of the transfer (256 KiB), that step waits for the next poll, and the reset comes with that poll. Change: BodyTransfer counts what the sink has taken, also where the write fails then; lost connections, deadlines and clients that left ask that. Reuse of the connection still asks for a complete transfer.

--- a/daemon/src/main/java/portrelay/net/balancer/LoadBalancerActor.java
+++ b/daemon/src/main/java/portrelay/net/balancer/LoadBalancerActor.java
@@ -250,7 +250,7 @@
         openRequests.markAnswered(request);
         loadBalancer.clientLeft(loop.now(), id);
         if (request.incoming.requestBody() != null
-                && !request.incoming.requestBody().isWritten()) {
+                && !request.incoming.requestBody().isLastByteSent()) {
             // The rest of the body will not arrive, so the attempts are cancelled even if the settings forbid it.
             request.cancelAttempts(Outcome.CANCELLED);
         }
--- a/daemon/src/main/java/portrelay/net/connection/HttpConnection.java
+++ b/daemon/src/main/java/portrelay/net/connection/HttpConnection.java
@@ -80,11 +80,11 @@
     }
 
     /**
-     * Whether the last byte of the current request was sent. Also true if that is unknown because there is no current
-     * exchange, as after its end.
+     * Whether the upstream may have the last byte of the current request. Also true if that is unknown because there is
+     * no current exchange, as after its end.
      */
-    public boolean isRequestWritten() {
-        return current == null || current.isRequestWritten();
+    public boolean isLastByteSent() {
+        return current == null || current.isLastByteSent();
     }
 
     /** Sets a listener that is called once, when a streamed response is complete and the connection is reusable. */
@@ -176,7 +176,7 @@
 
     /** Ends the current exchange; closes the connection if request bytes are unwritten or received bytes are unread. */
     void exchangeCompleted() {
-        boolean isReusable = isRequestWritten() && filter.hasNothingUnread();
+        boolean isReusable = (current == null || current.isRequestWritten()) && filter.hasNothingUnread();
         current = null;
         if (!isReusable) {
             close();
--- a/daemon/src/main/java/portrelay/net/connection/HttpExchange.java
+++ b/daemon/src/main/java/portrelay/net/connection/HttpExchange.java
@@ -97,10 +97,15 @@
         failOnException(() -> connection.sendRequest(requestHead, this));
     }
 
-    /** Whether the last byte of the request was sent. */
+    /** Whether the request is written completely, so that the connection can carry another one. */
     boolean isRequestWritten() {
+        return requestBody == null ? isLastByteSent() : requestBody.isWritten();
+    }
+
+    /** Whether the upstream may have the last byte of the request. */
+    boolean isLastByteSent() {
         if (requestBody != null) {
-            return requestBody.isWritten();
+            return requestBody.isLastByteSent();
         }
         return hasBufferedRequestBody ? !unwritten.hasRemaining() : connection.bytesSent() > bytesSentBefore;
     }
@@ -302,9 +307,9 @@
         if (!connection.isCurrent(this)) {
             return;
         }
-        boolean isWritten = isRequestWritten();
+        boolean isLastByteSent = isLastByteSent();
         connection.close();
-        done.accept(HttpResult.connectionLost(isWritten));
+        done.accept(HttpResult.connectionLost(isLastByteSent));
     }
 
     private HttpResult result(byte[] body, HttpResult.StreamedBody streamedBody) {
--- a/daemon/src/main/java/portrelay/net/connection/HttpResult.java
+++ b/daemon/src/main/java/portrelay/net/connection/HttpResult.java
@@ -11,12 +11,11 @@
  *     malformed
  * @param headers the headers of the response; empty if the status is 0
  * @param body the complete body; empty if {@code streamedBody} is given
- * @param requestWritten whether the last byte of the request was sent; relevant if the status is 0
+ * @param lastByteSent whether the upstream may have the last byte of the request; relevant if the status is 0
  * @param streamedBody a long body that is not complete yet, which the owner of this result must either transfer or
  *     cancel; null if {@code body} is the complete body
  */
-public record HttpResult(
-        int status, HeaderMap headers, byte[] body, boolean requestWritten, StreamedBody streamedBody) {
+public record HttpResult(int status, HeaderMap headers, byte[] body, boolean lastByteSent, StreamedBody streamedBody) {
 
     /** The body of a long response, from its first byte. Exactly one of the methods is called, once. */
     public interface StreamedBody {
@@ -28,7 +27,7 @@
         void cancel();
     }
 
-    static HttpResult connectionLost(boolean requestWritten) {
-        return new HttpResult(0, new HeaderMap(), HttpCall.NO_BODY, requestWritten, null);
+    static HttpResult connectionLost(boolean lastByteSent) {
+        return new HttpResult(0, new HeaderMap(), HttpCall.NO_BODY, lastByteSent, null);
     }
 }
--- a/daemon/src/main/java/portrelay/net/connection/RequestBody.java
+++ b/daemon/src/main/java/portrelay/net/connection/RequestBody.java
@@ -88,11 +88,16 @@
         return length;
     }
 
-    /** Whether the last byte was sent to the upstream. */
+    /** Whether the transfer to the upstream is complete. */
     public boolean isWritten() {
         return isWritten;
     }
 
+    /** Whether the upstream may have the last byte, and so may execute the request; also if the transfer has failed. */
+    public boolean isLastByteSent() {
+        return transfer != null && transfer.isLastByteSent();
+    }
+
     /** Sets the listener; must be called before an attempt starts to send the body. */
     public void setListener(Listener clientSide) {
         listener = clientSide;
--- a/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
+++ b/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
@@ -75,7 +75,11 @@
     private boolean isSourceAtEnd;
     private boolean isCompletionAllowed;
     private boolean isOver;
+    /** Whether the sink was told that nothing follows; the last chunk may be with the receiver from then on. */
+    private boolean isEndBegun;
+
     private long bytesRead;
+    private long bytesWritten;
 
     /**
      * Creates a transfer that has not started.
@@ -126,6 +130,14 @@
         return bytesRead;
     }
 
+    /**
+     * Whether the receiver may have the last byte of the body: the sink has taken it. The transfer may have steps to go
+     * after that, or may even have failed; a receiver acts on what it has got.
+     */
+    public boolean isLastByteSent() {
+        return size.length < 0 ? isEndBegun : bytesWritten >= size.length;
+    }
+
     /** Replaces the time limits. */
     public void setTimeouts(TransferTimeouts timeouts) {
         waits.setTimeouts(timeouts);
@@ -138,7 +150,7 @@
         waits.end(loop.now());
         int written = 0;
         // The listener may stop the transfer in any of its methods.
-        while (written < MAX_BYTES_PER_TURN && !isOver) {
+        while (!isOver && (written < MAX_BYTES_PER_TURN || isLastByteSent())) {
             if (isLastPiece() && !isCompletionAllowed) {
                 isCompletionAllowed = true;
                 if (!listener.mayComplete()) {
@@ -172,8 +184,10 @@
 
     /** Writes as much of the piece as the sink accepts; returns 0 if it accepts nothing now or has failed. */
     private int write() {
+        int unwritten = body.piece().remaining();
         try {
             int count = sink.write(body.piece());
+            bytesWritten += count;
             if (count == 0) {
                 await(Side.SINK);
             } else {
@@ -181,6 +195,8 @@
             }
             return count;
         } catch (IOException e) {
+            // A sink may fail after it has taken bytes.
+            bytesWritten += unwritten - body.piece().remaining();
             failSink();
             return 0;
         }
@@ -217,6 +233,7 @@
     }
 
     private void finish() {
+        isEndBegun = true;
         try {
             sink.shutdownWrites();
             if (sink.flush()) {
--- a/daemon/src/main/java/portrelay/net/upstream/UpstreamActor.java
+++ b/daemon/src/main/java/portrelay/net/upstream/UpstreamActor.java
@@ -264,7 +264,7 @@
     private static Outcome outcome(HttpResult result) {
         return switch (result.status()) {
             // No complete response was received.
-            case 0 -> result.requestWritten() ? Outcome.CONNECTION_LOST : Outcome.CONNECT_FAILED;
+            case 0 -> result.lastByteSent() ? Outcome.CONNECTION_LOST : Outcome.CONNECT_FAILED;
             case StatusCodes.OK -> Outcome.SERVED;
             case StatusCodes.SERVICE_UNAVAILABLE, StatusCodes.GATEWAY_TIME_OUT ->
                 WireNames.TRUE.equals(result.headers().getFirst(WireNames.NOT_EXECUTED))
@@ -279,7 +279,7 @@
         if (attempt == null) {
             return;
         }
-        boolean isWritten = attempt.connection != null && attempt.connection.isRequestWritten();
+        boolean isLastByteSent = attempt.connection != null && attempt.connection.isLastByteSent();
         if (attempt.connectAttempt != null) {
             attempt.connectAttempt.cancel();
         }
@@ -287,7 +287,7 @@
             attempt.connection.close();
         }
         // An attempt that timed out before it was written completely was provably not executed.
-        end(id, attempt, outcome == Outcome.TIMED_OUT && !isWritten ? Outcome.CONNECT_FAILED : outcome, null);
+        end(id, attempt, outcome == Outcome.TIMED_OUT && !isLastByteSent ? Outcome.CONNECT_FAILED : outcome, null);
     }
 
     private void end(AttemptId id, RunningAttempt attempt, Outcome outcome, HttpResult result) {
--- a/daemon/src/test/java/portrelay/net/connection/HttpConnectionTest.java
+++ b/daemon/src/test/java/portrelay/net/connection/HttpConnectionTest.java
@@ -39,8 +39,7 @@
             loop.execute(() -> connector.connect(
                     (InetSocketAddress) listener.getLocalSocketAddress(),
                     5,
-                    connection ->
-                            connection.exchange(call, 9, result -> written.complete(connection.isRequestWritten())),
+                    connection -> connection.exchange(call, 9, result -> written.complete(connection.isLastByteSent())),
                     () -> written.completeExceptionally(new AssertionError("the connection was not opened"))));
             try (Socket upstream = listener.accept()) {
                 upstream.getInputStream().read();
--- a/daemon/src/test/java/portrelay/net/http/BodyTransferTest.java
+++ b/daemon/src/test/java/portrelay/net/http/BodyTransferTest.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.undertow.server.DefaultByteBufferPool;
@@ -123,6 +124,43 @@
         assertTrue(hasPolled, "the loop has not polled");
     }
 
+    /** Guards against a last byte that is with the receiver but counts as not sent, as the transfer fails after it. */
+    @Test
+    void theLastByteCountsAsSentOnceTheSinkHasTakenItAlthoughTheTransferFails() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        EventLoop loop = new EventLoop(worker.getIoThread(), new MonotonicClock());
+        int length = 300_000;
+        FutureTask<Boolean> lastByteSent = new FutureTask<>(() -> {
+            StoppingListener neverStopping = new StoppingListener() {
+                @Override
+                public void transferred() {
+                    // The transfer goes on.
+                }
+            };
+            // The source has more bytes than the body, so that the transfer fails once all of the body is written.
+            BodyTransfer transfer = new BodyTransfer(
+                    loop,
+                    new DefaultByteBufferPool(true, 1000),
+                    alwaysReady(StreamSourceChannel.class),
+                    alwaysReady(StreamSinkChannel.class),
+                    new byte[0],
+                    new BodyTransfer.Size(length, length),
+                    TIMEOUTS,
+                    neverStopping);
+            transfer.start();
+            while (transfer.bytesRead() < length) {
+                assertFalse(transfer.isLastByteSent(), "sent before it was written");
+                transfer.start();
+            }
+            assertEquals(1, neverStopping.otherCalls, "the transfer has not failed");
+            return transfer.isLastByteSent();
+        });
+        loop.execute(lastByteSent);
+        boolean isLastByteSent = lastByteSent.get(5, TimeUnit.SECONDS);
+        worker.shutdownNow();
+        assertTrue(isLastByteSent);
+    }
+
     /** Returns a channel that fills or takes each buffer as a whole, and does nothing else. */
     private static <T> T alwaysReady(Class<T> type) {
         Object channel =
