A client that reads slowly is given the time that the kernels' buffers hide

Cause: 'the client reads' was told by the moments at which the sidecar may write, with fixed limits of 2.5 and 5 s. Change: ReceiverTimeout bounds the send buffer and derives the time from the steps left at 32 kB a second; ConnectionCapacity decides with a time for each connection, the second limit is gone. The same for upstreams that read long request bodies. BodyTransferTest's stub of a channel is open now, as checkTimeouts asks that.

--- a/core/src/main/java/portrelay/admission/ConnectionCapacity.java
+++ b/core/src/main/java/portrelay/admission/ConnectionCapacity.java
@@ -58,10 +58,16 @@
         private Phase phase = Phase.SILENT;
         /** When the connection entered its phase. */
         private double phaseSince;
+        /** Maximum seconds in the phase ANSWERING. */
+        private double readTimeout;
     }
 
     /** The share in a rule that depends on the age of a connection alone. */
     private static final double NO_SHARE_LIMIT = Double.POSITIVE_INFINITY;
+    /** The rule for the phase ANSWERING, in which each connection has a time of its own. */
+    private static final EvictionRule UNREADING = new EvictionRule(Phase.ANSWERING, 0, NO_SHARE_LIMIT);
+    /** The part of its time in the phase ANSWERING after which a connection may be closed under pressure. */
+    private static final double UNREADING_SHARE_UNDER_PRESSURE = 0.5;
     /** The peak of connections that await a response covers the last second, in windows of this length. */
     private static final double PEAK_WINDOW_SECONDS = 0.25;
 
@@ -72,8 +78,10 @@
     private final double minIdleTime;
     /** Rules for too many connections; the first that applies is used. There is none for ASKED. */
     private final List<EvictionRule> evictionRules;
-    /** Maximum seconds in a phase, whether or not there are too many connections; unlimited for other phases. */
-    private final Map<Phase, Double> timeouts = new EnumMap<>(Phase.class);
+    /** Maximum seconds in the phase SENDING, whether or not there are too many connections. */
+    private final double sendTimeout;
+    /** Minimum of the seconds in the phase ANSWERING that each connection is given. */
+    private final double minReadTimeout;
 
     private final Map<ClientId, Connection> connections = new HashMap<>();
     /** Connections by phase, in the order in which they entered it. */
@@ -93,12 +101,12 @@
         minIdle = config.minIdle();
         idlePerAwaiting = config.idlePerAwaiting();
         minIdleTime = config.minIdleTime();
-        timeouts.put(Phase.SENDING, config.sendTimeout());
-        timeouts.put(Phase.ANSWERING, config.readTimeout());
+        sendTimeout = config.sendTimeout();
+        minReadTimeout = config.readTimeout();
         evictionRules = List.of(
                 new EvictionRule(Phase.SILENT, config.firstByteTimeout(), NO_SHARE_LIMIT),
                 new EvictionRule(Phase.SENDING, config.sendTimeout() / 2, NO_SHARE_LIMIT),
-                new EvictionRule(Phase.ANSWERING, config.readTimeout() / 2, NO_SHARE_LIMIT),
+                UNREADING,
                 new EvictionRule(Phase.IDLE, config.idleTimeout(), NO_SHARE_LIMIT),
                 new EvictionRule(Phase.SILENT, 0, config.silentShare()),
                 new EvictionRule(Phase.SENDING, 0, config.sendingShare()),
@@ -131,12 +139,28 @@
         byPhase.get(connection.phase).remove(id);
         connection.phase = phase;
         connection.phaseSince = now;
+        connection.readTimeout = minReadTimeout;
         byPhase.get(phase).add(id);
         if (phase == Phase.ASKED) {
             recordAwaitingPeak(now);
         }
     }
 
+    /**
+     * Sets the phase of a connection to ANSWERING, or renews it after progress. Does nothing for a connection that has
+     * been closed.
+     *
+     * @param timeout maximum seconds in the phase until further progress, where that is more than the configured
+     *     timeout
+     */
+    public void awaitsReader(double now, ClientId id, double timeout) {
+        phaseChanged(now, id, Phase.ANSWERING);
+        Connection connection = connections.get(id);
+        if (connection != null) {
+            connection.readTimeout = Math.max(minReadTimeout, timeout);
+        }
+    }
+
     /** Sets the phase of a silent or idle connection to SENDING; does nothing for other phases. */
     public void bytesReceived(double now, ClientId id) {
         Connection connection = connections.get(id);
@@ -194,13 +218,12 @@
      * Returns a connection that has been in its phase for longer than the timeout of the phase; null if there is none.
      */
     public Eviction overdue(double now) {
-        for (Map.Entry<Phase, Double> each : timeouts.entrySet()) {
-            ClientId oldest = oldest(each.getKey());
-            if (oldest != null && age(now, oldest) > each.getValue()) {
-                return new Eviction(oldest, each.getKey(), Cause.TOO_LONG);
-            }
+        ClientId sending = oldest(Phase.SENDING);
+        if (sending != null && age(now, sending) > sendTimeout) {
+            return new Eviction(sending, Phase.SENDING, Cause.TOO_LONG);
         }
-        return null;
+        ClientId unreading = unreadingFor(now, 1);
+        return unreading == null ? null : new Eviction(unreading, Phase.ANSWERING, Cause.TOO_LONG);
     }
 
     /**
@@ -228,8 +251,9 @@
         }
         Eviction lastResort = null;
         for (EvictionRule rule : evictionRules) {
-            ClientId oldest = oldest(rule.phase);
-            boolean isOld = oldest != null && rule.minAge > 0 && age(now, oldest) > rule.minAge;
+            boolean isUnreading = rule.phase == Phase.ANSWERING;
+            ClientId oldest = isUnreading ? unreadingFor(now, UNREADING_SHARE_UNDER_PRESSURE) : oldest(rule.phase);
+            boolean isOld = isUnreading || oldest != null && rule.minAge > 0 && age(now, oldest) > rule.minAge;
             boolean isOverShare = rule.share < NO_SHARE_LIMIT && count(rule.phase) > rule.share * limit;
             if (oldest != null && (isOld || isOverShare)) {
                 Eviction eviction = new Eviction(oldest, rule.phase, Cause.MADE_WAY);
@@ -252,6 +276,16 @@
         awaitingPeaks[index] = Math.max(awaitingPeaks[index], count(Phase.ASKED));
     }
 
+    /**
+     * Returns the first connection that has been ANSWERING for more than this share of its time; null if there is none.
+     */
+    private ClientId unreadingFor(double now, double share) {
+        return byPhase.get(Phase.ANSWERING).stream()
+                .filter(each -> age(now, each) > share * connections.get(each).readTimeout)
+                .findFirst()
+                .orElse(null);
+    }
+
     private ClientId oldest(Phase phase) {
         Iterator<ClientId> iterator = byPhase.get(phase).iterator();
         return iterator.hasNext() ? iterator.next() : null;
--- a/core/src/main/java/portrelay/admission/ConnectionCapacityConfig.java
+++ b/core/src/main/java/portrelay/admission/ConnectionCapacityConfig.java
@@ -12,8 +12,8 @@
  *     default
  * @param sendTimeout maximum time in which a client sends a request; its connection is closed afterwards, and may be
  *     closed under pressure after half of it; 2.5 by default
- * @param readTimeout maximum time in which a client reads a response; its connection is closed afterwards, and may be
- *     closed under pressure after half of it; 2.5 by default
+ * @param readTimeout minimum of the time without progress after which a client has stopped reading its response; its
+ *     connection is closed afterwards, and may be closed under pressure after half of it; 2.5 by default
  * @param idleTimeout idle time after which a connection may be closed under pressure; 2.1 by default
  * @param silentShare share of all connections, 0 to 1, that silent ones keep under pressure; 0.25 by default
  * @param sendingShare share of all connections, 0 to 1, that sending ones keep under pressure; 0.25 by default
--- a/core/src/test/java/portrelay/admission/ConnectionCapacityTest.java
+++ b/core/src/test/java/portrelay/admission/ConnectionCapacityTest.java
@@ -128,4 +128,35 @@
         capacity.phaseChanged(2.6, id(0), ConnectionCapacity.Phase.ASKED);
         assertNull(capacity.overdue(100));
     }
+
+    /** Guards against one timeout for all clients that read: the steps of a large receive buffer take longer. */
+    @Test
+    void evictsAClientThatDoesNotReadOnceItsOwnTimeIsOver() {
+        ConnectionCapacity capacity = new ConnectionCapacity(ConnectionCapacityConfig.DEFAULTS);
+        capacity.opened(0, id(0));
+        capacity.opened(0, id(1));
+        capacity.awaitsReader(0, id(0), 20);
+        capacity.awaitsReader(0, id(1), 6);
+        assertNull(capacity.overdue(5.9));
+        assertEquals(id(1), capacity.overdue(6.1).id());
+        capacity.awaitsReader(6, id(1), 6);
+        assertNull(capacity.overdue(11.9), "it has read at 6 s");
+        capacity.closed(id(1));
+        assertNull(capacity.overdue(19.9));
+        assertEquals(ConnectionCapacity.Cause.TOO_LONG, capacity.overdue(20.1).cause());
+    }
+
+    @Test
+    void underPressureAClientThatReadsKeepsItsConnectionForHalfOfItsTime() {
+        ConnectionCapacity capacity = new ConnectionCapacity(ConnectionCapacityConfig.DEFAULTS);
+        capacity.opened(0, id(0));
+        capacity.awaitsReader(0, id(0), 20);
+        capacity.opened(0, id(1));
+        capacity.awaitsReader(0, id(1), 6);
+        assertNull(capacity.overLimit(2.9, 0));
+        assertEquals(id(1), capacity.overLimit(3.1, 1).id());
+        capacity.closed(id(1));
+        assertNull(capacity.overLimit(9.9, 0));
+        assertEquals(id(0), capacity.overLimit(10.1, 0).id());
+    }
 }
--- a/daemon/src/main/java/portrelay/net/client/ClientConnections.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientConnections.java
@@ -17,6 +17,7 @@
 import portrelay.net.connection.RequestBody;
 import portrelay.net.eventloop.EventLoop;
 import portrelay.net.eventloop.Log;
+import portrelay.net.http.ReceiverTimeout;
 import portrelay.net.http.RequestHead;
 
 /**
@@ -176,6 +177,18 @@
         }
     }
 
+    /**
+     * Records that the connection waits for its client to read a response.
+     *
+     * @param bytesWritten how many bytes of the response's body have been written
+     */
+    void awaitsReader(HttpServerConnection connection, long bytesWritten) {
+        ClientId id = ids.get(connection.getChannel());
+        if (id != null) {
+            capacity.awaitsReader(loop.now(), id, ReceiverTimeout.seconds(bytesWritten));
+        }
+    }
+
     /**
      * Records that a request is open on the connection, until {@link #responseCompleted}.
      *
--- a/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientFrontend.java
@@ -18,6 +18,7 @@
 import portrelay.net.eventloop.Log;
 import portrelay.net.handover.RequestIdTable;
 import portrelay.net.http.Framing;
+import portrelay.net.http.ReceiverTimeout;
 import portrelay.shutdown.Shutdown;
 
 /**
@@ -143,6 +144,7 @@
                 arrivalClock,
                 loop::afterPoll);
         client.getSourceChannel().setConduit(filter);
+        ReceiverTimeout.boundSendBuffer(client);
         connections.opened(client, filter);
         if (!lateRequests.interceptLateRequests(client, filter)) {
             http.handleEvent(client);
--- a/daemon/src/main/java/portrelay/net/client/ClientResponder.java
+++ b/daemon/src/main/java/portrelay/net/client/ClientResponder.java
@@ -6,7 +6,6 @@
 import io.undertow.util.StatusCodes;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import portrelay.admission.ConnectionCapacity;
 import portrelay.model.RequestArrival;
 import portrelay.net.connection.HttpCall;
 import portrelay.net.connection.HttpResult;
@@ -158,7 +157,7 @@
             responses.send(exchange, result.body(), unreadInput());
             return;
         }
-        ResponseStream stream = new ResponseStream(loop, log, connections, connection);
+        ResponseStream stream = new ResponseStream(loop, log, connections, connection, exchange::getResponseBytesSent);
         if (!setFraming(result.headers().getFirst(Headers.CONTENT_LENGTH))) {
             stream.resetOnEarlyClose();
         }
@@ -224,7 +223,7 @@
         if (watch.isDiscarding()) {
             exchange.setPersistent(false);
         }
-        connections.phaseChanged(connection, ConnectionCapacity.Phase.ANSWERING);
+        connections.awaitsReader(connection, 0);
         if (requestBody != null) {
             requestBody.stop();
         }
--- a/daemon/src/main/java/portrelay/net/client/ResponseStream.java
+++ b/daemon/src/main/java/portrelay/net/client/ResponseStream.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
+import java.util.function.LongSupplier;
 import org.xnio.Options;
 import portrelay.admission.ConnectionCapacity;
 import portrelay.net.eventloop.EventLoop;
@@ -18,6 +19,7 @@
     private final Log log;
     private final ClientConnections connections;
     private final HttpServerConnection connection;
+    private final LongSupplier bytesWritten;
 
     /** Whether the response waits for the client to read, rather than for the upstream to send. */
     private boolean waitsForClient = true;
@@ -28,11 +30,18 @@
      */
     private boolean resetsOnEarlyClose;
 
-    ResponseStream(EventLoop loop, Log log, ClientConnections connections, HttpServerConnection connection) {
+    /** @param bytesWritten returns the number of bytes of the response's body that have been written */
+    ResponseStream(
+            EventLoop loop,
+            Log log,
+            ClientConnections connections,
+            HttpServerConnection connection,
+            LongSupplier bytesWritten) {
         this.loop = loop;
         this.log = log;
         this.connections = connections;
         this.connection = connection;
+        this.bytesWritten = bytesWritten;
     }
 
     /**
@@ -60,7 +69,7 @@
         connections.responseBytesSent(connection);
         if (waitsForClient && loop.now() > phaseRenewedAt + RENEW_PHASE_SECONDS) {
             phaseRenewedAt = loop.now();
-            connections.phaseChanged(connection, ConnectionCapacity.Phase.ANSWERING);
+            connections.awaitsReader(connection, bytesWritten.getAsLong());
         }
     }
 
@@ -74,8 +83,11 @@
         if (isSink != waitsForClient) {
             waitsForClient = isSink;
             phaseRenewedAt = loop.now();
-            connections.phaseChanged(
-                    connection, isSink ? ConnectionCapacity.Phase.ANSWERING : ConnectionCapacity.Phase.ASKED);
+            if (isSink) {
+                connections.awaitsReader(connection, bytesWritten.getAsLong());
+            } else {
+                connections.phaseChanged(connection, ConnectionCapacity.Phase.ASKED);
+            }
         }
     }
 
--- a/daemon/src/main/java/portrelay/net/connection/StreamedResponse.java
+++ b/daemon/src/main/java/portrelay/net/connection/StreamedResponse.java
@@ -12,13 +12,16 @@
  */
 final class StreamedResponse implements HttpResult.StreamedBody, BodyTransfer.Listener {
 
-    /** An upstream may be silent for 10 s and has no minimum rate; a client must continue to read within 5 s. */
-    private static final TransferTimeouts LONG_BODY = new TransferTimeouts(10, 0, 5);
+    /**
+     * An upstream may be silent for 10 s and has no minimum rate. A client that does not read is given up by the owner
+     * of its connection.
+     */
+    private static final TransferTimeouts LONG_BODY = new TransferTimeouts(10, 0, TransferTimeouts.NO_LIMIT);
     /**
      * For a body that is not known to be long: its client waits for the end, so that one that never ends must not keep
      * it waiting.
      */
-    private static final TransferTimeouts UNKNOWN_BODY = new TransferTimeouts(2, 0, 5);
+    private static final TransferTimeouts UNKNOWN_BODY = new TransferTimeouts(2, 0, TransferTimeouts.NO_LIMIT);
 
     private final HttpConnection connection;
     private final HttpExchange exchange;
--- a/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
+++ b/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
@@ -263,7 +263,11 @@
         if (isOver) {
             return;
         }
-        Side overdue = waits.overdueSide(loop.now());
+        if (!sink.isOpen()) {
+            failSink();
+            return;
+        }
+        Side overdue = waits.overdueSide(loop.now(), ReceiverTimeout.seconds(bytesWritten));
         if (overdue == Side.SINK) {
             failSink();
         } else if (overdue == Side.SOURCE) {
--- a/daemon/src/main/java/portrelay/net/http/TransferTimeouts.java
+++ b/daemon/src/main/java/portrelay/net/http/TransferTimeouts.java
@@ -6,6 +6,11 @@
  *
  * @param maxSourceSilence seconds without a byte after which the source has failed
  * @param minSourceRate minimum rate of the source in bytes per second, 0 for no minimum
- * @param maxSinkSilence seconds without accepting a byte after which the sink has failed
+ * @param maxSinkSilence seconds without accepting a byte after which the sink has failed, but not before
+ *     {@link ReceiverTimeout}; {@link #NO_LIMIT} if the sink's owner decides
  */
-public record TransferTimeouts(double maxSourceSilence, double minSourceRate, double maxSinkSilence) {}
+public record TransferTimeouts(double maxSourceSilence, double minSourceRate, double maxSinkSilence) {
+
+    /** In place of a number of seconds. */
+    public static final double NO_LIMIT = Double.POSITIVE_INFINITY;
+}
--- a/daemon/src/main/java/portrelay/net/http/TransferWaits.java
+++ b/daemon/src/main/java/portrelay/net/http/TransferWaits.java
@@ -41,10 +41,15 @@
         sourceBytes += bytes;
     }
 
-    /** Returns the side that has exceeded its timeout or fallen below its rate; null if neither has. */
-    BodyTransfer.Side overdueSide(double now) {
+    /**
+     * Returns the side that has exceeded its timeout or fallen below its rate; null if neither has.
+     *
+     * @param receiverTimeout seconds for which the sink may seem not to read, whatever its timeout is
+     */
+    BodyTransfer.Side overdueSide(double now, double receiverTimeout) {
         double waiting = now - waitingSince;
-        if (waitingFor == BodyTransfer.Side.SINK && waiting > timeouts.maxSinkSilence()) {
+        double sinkTimeout = Math.max(timeouts.maxSinkSilence(), receiverTimeout);
+        if (waitingFor == BodyTransfer.Side.SINK && waiting > sinkTimeout) {
             return BodyTransfer.Side.SINK;
         }
         boolean isWaitingForSource = waitingFor == BodyTransfer.Side.SOURCE;
--- a/daemon/src/test/java/portrelay/net/http/BodyTransferTest.java
+++ b/daemon/src/test/java/portrelay/net/http/BodyTransferTest.java
@@ -170,6 +170,9 @@
                         buffer.position(buffer.limit());
                         return count;
                     }
+                    if (method.getName().equals("isOpen")) {
+                        return true;
+                    }
                     if (method.getName().endsWith("Setter")) {
                         return new ChannelListener.SimpleSetter<>();
                     }
