An upstream that operators enable begins slow start with one credit of all sidecars together

Cause: EndpointTable.setDisabled gave each sidecar a whole slow start credit, so the sum grew with their number. Change: a random part of a credit, as after a restart by the list, and this sidecar's part of one credit for all.

--- a/core/src/main/java/portrelay/policy/EndpointTable.java
+++ b/core/src/main/java/portrelay/policy/EndpointTable.java
@@ -141,7 +141,7 @@
         if (!isDisabled) {
             // Operators usually restart an upstream that they disable: it warms up again, and a trial request tests it.
             upstream.enabledAt = nowSeconds;
-            upstream.reset(nowSeconds, 1);
+            upstream.reset(nowSeconds, random.nextDouble());
             upstream.latencyRatios.clear();
             upstream.promptSendTimes.clear();
             upstream.isUntriedSinceEnabled = true;
--- a/core/src/main/java/portrelay/policy/LoadBalancer.java
+++ b/core/src/main/java/portrelay/policy/LoadBalancer.java
@@ -232,6 +232,9 @@
         nowSeconds = time;
         if (endpoints.setDisabled(id, isDisabled, time)) {
             fleet.subset().endpointsChanged(endpoints.upstreams(), time);
+            if (!isDisabled) {
+                fleet.slowStart().enabled(endpoints.get(id));
+            }
         }
         requests.dequeue(time);
         requestWakeUp();
--- a/core/src/main/java/portrelay/policy/SlowStart.java
+++ b/core/src/main/java/portrelay/policy/SlowStart.java
@@ -53,6 +53,14 @@
         }
     }
 
+    /**
+     * Adds this sidecar's part of one credit, which all sidecars together get for an upstream that operators have
+     * enabled. They enable it at all sidecars at about the same time.
+     */
+    void enabled(UpstreamState upstream) {
+        upstream.slowStartCredit += 1.0 / sendingSidecarCount(upstream);
+    }
+
     /** Whether the upstream is warming up and there is credit for an attempt. */
     boolean hasCredit(UpstreamState upstream, double nowSeconds) {
         return upstream.slowStartCredit >= 1 && !isWarm(upstream, nowSeconds);
--- a/core/src/test/java/portrelay/policy/FleetSimulation.java
+++ b/core/src/test/java/portrelay/policy/FleetSimulation.java
@@ -221,6 +221,14 @@
                         .toList());
     }
 
+    /** Disables or enables the upstream at all sidecars now, as operators do. */
+    void setDisabled(UpstreamId id, boolean isDisabled) {
+        for (LoadBalancerHarness harness : sidecars) {
+            harness.now = now;
+            harness.loadBalancer.setDisabled(now, id, isDisabled);
+        }
+    }
+
     /** Kills a sidecar and starts it again with the same index; its attempts in flight get no end. */
     void restart(int sidecar) {
         LoadBalancerHarness harness = sidecars.get(sidecar);
--- a/core/src/test/java/portrelay/policy/SlowStartSumTest.java
+++ b/core/src/test/java/portrelay/policy/SlowStartSumTest.java
@@ -4,9 +4,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import portrelay.model.SlowStartRule;
+import portrelay.model.UpstreamId;
 
 /**
  * Tests slow start summed over all sidecars, from one to a thousand. Within the overload window a warming-up upstream
@@ -137,4 +139,31 @@
             assertWithinBounds(run(scenario, sidecars, false, sidecars * 2));
         }
     }
+
+    /**
+     * Guards against credit that each sidecar gets for an operator's call, however many sidecars there are: operators
+     * disable an upstream at all sidecars, restart it and enable it at all sidecars, and do so twice.
+     */
+    @Test
+    void anUpstreamThatOperatorsEnableAtAllSidecarsIsNotOverloaded() {
+        for (int sidecars : new int[] {1, 20, 54, 100, 1000}) {
+            FleetSimulation fleet = new FleetSimulation(7, sidecars, UPSTREAMS, false, sidecars);
+            double rate = REQUESTS_PER_SECOND / sidecars;
+            fleet.publishEndpoints();
+            fleet.run(3, rate);
+            FleetSimulation.Server restarted = fleet.servers.get(new UpstreamId(0));
+            for (int round = 1; round <= 2; round++) {
+                fleet.setDisabled(restarted.id, true);
+                fleet.run(1.5, rate);
+                restarted.restart(true);
+                fleet.publishEndpoints();
+                fleet.resetCounts();
+                fleet.setDisabled(restarted.id, false);
+                fleet.run(2, rate);
+                String description = sidecars + " sidecars, round " + round + ": attempts " + restarted.sentCount;
+                assertTrue(restarted.overloadExcess(RULE) <= 0, description);
+                assertTrue(restarted.sentCount > 0, description);
+            }
+        }
+    }
 }
