--- a/daemon/src/main/java/portrelay/net/client/RequestFramingFilter.java
+++ b/daemon/src/main/java/portrelay/net/client/RequestFramingFilter.java
@@ -3,8 +3,6 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
@@ -42,23 +40,13 @@
     private final DoubleSupplier arrivalClock;
     /** Runs a task once the events of other connections have been handled. */
     private final Executor nextTurn;
-    /** When each request was complete: first the one being handled, then the pipelined ones. */
-    private final Deque<Double> completionTimes = new ArrayDeque<>();
-    /** The heads of the requests that have not started, in their order; none once requests are passed on in a row. */
-    private final Deque<RequestHead> unstartedHeads = new ArrayDeque<>();
-    /** The number of characters in these heads. */
-    private int unstartedHeadsSize;
-    /** The head of the request being handled; null if its end was not recognized. */
-    private RequestHead head;
+    /** Has no heads of requests that were received after {@link #passPipelined}. */
+    private final ReceivedRequests requests = new ReceivedRequests();
     /** Bytes read ahead by a peek; null if there are none. */
     private ByteBuffer peeked;
 
     /** Parsed bytes that have not been passed on. */
     private final HeldBytes held = new HeldBytes();
-    /** The positions in the stream at which complete requests end that have not been passed on completely. */
-    private final Deque<Long> unpassedEnds = new ArrayDeque<>();
-    /** The position in the stream up to which bytes have been passed on. */
-    private long passedOn;
     /** Whether a read stops at the end of a request. */
     private boolean isPassingSingly = true;
     /** Whether the reader will be woken up in the next turn. */
@@ -71,7 +59,6 @@
 
     private boolean isParsing = true;
     private long bytesRead;
-    private int requestsStarted;
 
     /**
      * @param bytesReceived called whenever bytes have been read
@@ -147,7 +134,7 @@
         if (count <= 0) {
             return count;
         }
-        long position = passedOn + held.size();
+        long position = requests.passedOn() + held.size();
         bytesRead += count;
         if (!isParsing) {
             return count;
@@ -163,14 +150,11 @@
 
     /** Returns how many bytes one read may pass on. */
     private long maxPassedOn() {
-        return isPassingSingly && !unpassedEnds.isEmpty() ? unpassedEnds.peekFirst() - passedOn : Long.MAX_VALUE;
+        return isPassingSingly ? requests.bytesToNextEnd() : Long.MAX_VALUE;
     }
 
     private int passOn(int count) {
-        passedOn += Math.max(0, count);
-        while (!unpassedEnds.isEmpty() && unpassedEnds.peekFirst() <= passedOn) {
-            unpassedEnds.removeFirst();
-        }
+        requests.bytesPassedOn(Math.max(0, count));
         return count;
     }
 
@@ -194,14 +178,13 @@
 
     /** Returns the number of bytes that are held for requests that have not started. */
     int bytesHeld() {
-        return held.size() + unstartedHeadsSize;
+        return held.size() + requests.unstartedHeadsSize();
     }
 
     /** Drops the bytes that have been received and not passed on. */
     void discardHeld() {
         passOn(held.clear());
-        unstartedHeads.clear();
-        unstartedHeadsSize = 0;
+        requests.dropUnstartedHeads();
     }
 
     /**
@@ -247,22 +230,17 @@
 
     /** Records that the next request is being handled; drops head and completion time of the one before. */
     void nextRequestStarted() {
-        if (requestsStarted > 0) {
-            completionTimes.pollFirst();
-        }
-        requestsStarted++;
-        head = unstartedHeads.pollFirst();
-        unstartedHeadsSize -= head == null ? 0 : head.size();
+        requests.nextStarted();
     }
 
     /** Returns the head of the request being handled, as the client sent it; null if its end was not recognized. */
     RequestHead head() {
-        return head;
+        return requests.head();
     }
 
     /** Returns when the last byte of the request being handled was read; NaN while it is incomplete. */
     double completedAt() {
-        return completionTimes.isEmpty() ? Double.NaN : completionTimes.peekFirst();
+        return requests.completedAt();
     }
 
     /** Whether the next read would return the end of the stream. */
@@ -306,23 +284,17 @@
         while (unparsed.hasRemaining() && !framing.isMalformed()) {
             int messagesBefore = framing.completeMessageCount();
             framing.parse(unparsed);
-            addHead(framing.takeRequestHead());
+            RequestHead head = framing.takeRequestHead();
+            if (head != null && isPassingSingly) {
+                requests.addHead(head);
+            }
             if (framing.completeMessageCount() > messagesBefore) {
-                completionTimes.addLast(arrivalClock.getAsDouble());
-                unpassedEnds.addLast(streamPosition + unparsed.position() - start);
+                requests.addEnd(arrivalClock.getAsDouble(), streamPosition + unparsed.position() - start);
             }
         }
         return unparsed.position();
     }
 
-    /** @param complete the head that was parsed completely; null if there is none */
-    private void addHead(RequestHead complete) {
-        if (complete != null && isPassingSingly) {
-            unstartedHeads.addLast(complete);
-            unstartedHeadsSize += complete.size();
-        }
-    }
-
     private int readPeeked() throws IOException {
         if (peeked != null) {
             return peeked.remaining();
--- a/daemon/src/main/java/portrelay/net/connection/HttpConnection.java
+++ b/daemon/src/main/java/portrelay/net/connection/HttpConnection.java
@@ -11,7 +11,6 @@
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import portrelay.net.eventloop.EventLoop;
-import portrelay.net.http.ReceiverTimeout;
 import portrelay.policy.ResponseHold;
 
 /**
@@ -162,11 +161,6 @@
         return socket.isOpen();
     }
 
-    /** Prepares for a long request body, whose progress tells whether the upstream reads. */
-    void boundSendBuffer() {
-        ReceiverTimeout.boundSendBuffer(socket);
-    }
-
     void sendRequest(ClientRequest head, HttpExchange callback) {
         connection.sendRequest(head, callback);
     }
--- a/daemon/src/main/java/portrelay/net/connection/HttpExchange.java
+++ b/daemon/src/main/java/portrelay/net/connection/HttpExchange.java
@@ -125,7 +125,6 @@
             }
         });
         if (requestBody != null) {
-            connection.boundSendBuffer();
             requestBody.transferTo(exchange.getRequestChannel(), this::fail);
         } else if (unwritten.hasRemaining()) {
             write(exchange.getRequestChannel());
--- a/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
+++ b/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
@@ -267,7 +267,7 @@
             failSink();
             return;
         }
-        Side overdue = waits.overdueSide(loop.now(), ReceiverTimeout.seconds(bytesWritten));
+        Side overdue = waits.overdueSide(loop.now());
         if (overdue == Side.SINK) {
             failSink();
         } else if (overdue == Side.SOURCE) {
--- a/daemon/src/main/java/portrelay/net/http/ReceiverTimeout.java
+++ b/daemon/src/main/java/portrelay/net/http/ReceiverTimeout.java
@@ -5,13 +5,13 @@
 import org.xnio.StreamConnection;
 
 /**
- * How long the receiver of a body may seem not to read. A sender sees that its receiver reads only when the kernels
- * make room, in steps: the receiver's kernel announces room again once a part of its buffer is free, and the sender's
+ * How long a client may seem not to read its response. A sender sees that its receiver reads only when the kernels make
+ * room, in steps: the receiver's kernel announces room again once a part of its buffer is free, and the sender's
  * reports it once a part of its own is. The time is what a receiver at {@link #MIN_RATE} takes for such a step.
  */
 public final class ReceiverTimeout {
 
-    /** The slowest rate of a receiver that is not given up, in bytes per second. */
+    /** The slowest rate of a client that is not given up, in bytes per second. */
     public static final int MIN_RATE = 32_000;
 
     /** Bounds the step of the sender's kernel; without it, the buffer grows to megabytes. */
--- a/daemon/src/main/java/portrelay/net/http/TransferTimeouts.java
+++ b/daemon/src/main/java/portrelay/net/http/TransferTimeouts.java
@@ -6,8 +6,8 @@
  *
  * @param maxSourceSilence seconds without a byte after which the source has failed
  * @param minSourceRate minimum rate of the source in bytes per second, 0 for no minimum
- * @param maxSinkSilence seconds without accepting a byte after which the sink has failed, but not before
- *     {@link ReceiverTimeout}; {@link #NO_LIMIT} if the sink's owner decides
+ * @param maxSinkSilence seconds without accepting a byte after which the sink has failed; {@link #NO_LIMIT} if the
+ *     owner of the sink decides
  */
 public record TransferTimeouts(double maxSourceSilence, double minSourceRate, double maxSinkSilence) {
 
--- a/daemon/src/main/java/portrelay/net/http/TransferWaits.java
+++ b/daemon/src/main/java/portrelay/net/http/TransferWaits.java
@@ -41,15 +41,10 @@
         sourceBytes += bytes;
     }
 
-    /**
-     * Returns the side that has exceeded its timeout or fallen below its rate; null if neither has.
-     *
-     * @param receiverTimeout seconds for which the sink may seem not to read, whatever its timeout is
-     */
-    BodyTransfer.Side overdueSide(double now, double receiverTimeout) {
+    /** Returns the side that has exceeded its timeout or fallen below its rate; null if neither has. */
+    BodyTransfer.Side overdueSide(double now) {
         double waiting = now - waitingSince;
-        double sinkTimeout = Math.max(timeouts.maxSinkSilence(), receiverTimeout);
-        if (waitingFor == BodyTransfer.Side.SINK && waiting > sinkTimeout) {
+        if (waitingFor == BodyTransfer.Side.SINK && waiting > timeouts.maxSinkSilence()) {
             return BodyTransfer.Side.SINK;
         }
         boolean isWaitingForSource = waitingFor == BodyTransfer.Side.SOURCE;
