A transfer whose end waits for room is not failed at the next check of its times

Cause: had the transfer ask whether its sink is open, to end after its connection was closed. A sink that was told the end of the body counts as closed while its last bytes wait for room, so a slow reader of chunks could be cut off at the very end. Found on rereading, before any landing. Change: the listener tells whether the sink's connection is open; the stub of BodyTransferTest needs no isOpen.

--- a/daemon/src/main/java/portrelay/net/client/ResponseStream.java
+++ b/daemon/src/main/java/portrelay/net/client/ResponseStream.java
@@ -54,6 +54,12 @@
         setResetOnClose(true);
     }
 
+    /** False once the connection was closed, which does not wake up a transfer that waits for the client. */
+    @Override
+    public boolean isSinkConnected() {
+        return connection.isOpen();
+    }
+
     /** From here on, all bytes are written, and a reset would destroy those that the client has not read yet. */
     @Override
     public boolean mayComplete() {
--- a/daemon/src/main/java/portrelay/net/connection/StreamedResponse.java
+++ b/daemon/src/main/java/portrelay/net/connection/StreamedResponse.java
@@ -83,6 +83,11 @@
         return listener.mayComplete();
     }
 
+    @Override
+    public boolean isSinkConnected() {
+        return listener.isSinkConnected();
+    }
+
     @Override
     public void transferred() {
         if (!isKnownToBeLong && ResponseHold.isLong(transfer.bytesRead())) {
--- a/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
+++ b/daemon/src/main/java/portrelay/net/http/BodyTransfer.java
@@ -31,6 +31,14 @@
             return true;
         }
 
+        /**
+         * Whether the connection of the sink is open; called at intervals. A sink that was told the end of the body
+         * counts as closed before its last bytes are flushed, so it can't be asked.
+         */
+        default boolean isSinkConnected() {
+            return true;
+        }
+
         /** Called when the last byte has been written. */
         void completed();
 
@@ -263,7 +271,7 @@
         if (isOver) {
             return;
         }
-        if (!sink.isOpen()) {
+        if (!listener.isSinkConnected()) {
             failSink();
             return;
         }
--- a/daemon/src/test/java/portrelay/net/http/BodyTransferTest.java
+++ b/daemon/src/test/java/portrelay/net/http/BodyTransferTest.java
@@ -8,9 +8,11 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.lang.reflect.Proxy;
 import java.nio.ByteBuffer;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.xnio.ChannelListener;
@@ -161,22 +163,62 @@
         assertTrue(isLastByteSent);
     }
 
+    /**
+     * Guards against a response that is cut off while its last bytes wait for room: a sink that was told the end is not
+     * open any more, although its connection is.
+     */
+    @Test
+    void aTransferWhoseEndIsNotFlushedGoesOnWaiting() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        EventLoop loop = new EventLoop(worker.getIoThread(), new MonotonicClock());
+        StreamSourceChannel ended = channel(StreamSourceChannel.class, (method, arguments) -> -1);
+        StreamSinkChannel unflushed = channel(StreamSinkChannel.class, (method, arguments) -> {
+            if (arguments != null && arguments[0] instanceof ByteBuffer buffer) {
+                return takeAll(buffer);
+            }
+            return method.equals("flush") || method.equals("isOpen") ? false : null;
+        });
+        CompletableFuture<Integer> calls = new CompletableFuture<>();
+        loop.execute(() -> {
+            StoppingListener neverStopping = new StoppingListener() {
+                @Override
+                public void transferred() {
+                    // The transfer goes on.
+                }
+            };
+            DefaultByteBufferPool pool = new DefaultByteBufferPool(true, 1000);
+            new BodyTransfer(loop, pool, ended, unflushed, new byte[10], UNKNOWN_LENGTH, TIMEOUTS, neverStopping)
+                    .start();
+            loop.schedule(1.2, () -> calls.complete(neverStopping.otherCalls));
+        });
+        int waitingForTheSink = 1;
+        assertEquals(waitingForTheSink, calls.get(10, TimeUnit.SECONDS));
+        worker.shutdownNow();
+    }
+
+    private static int takeAll(ByteBuffer buffer) {
+        int count = buffer.remaining();
+        buffer.position(buffer.limit());
+        return count;
+    }
+
     /** Returns a channel that fills or takes each buffer as a whole, and does nothing else. */
     private static <T> T alwaysReady(Class<T> type) {
+        return channel(
+                type,
+                (method, arguments) ->
+                        arguments != null && arguments[0] instanceof ByteBuffer buffer ? takeAll(buffer) : null);
+    }
+
+    /** Returns a channel whose methods return what the function returns for their name and arguments. */
+    private static <T> T channel(Class<T> type, BiFunction<String, Object[], Object> behavior) {
         Object channel =
                 Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type}, (self, method, arguments) -> {
-                    if (arguments != null && arguments[0] instanceof ByteBuffer buffer) {
-                        int count = buffer.remaining();
-                        buffer.position(buffer.limit());
-                        return count;
-                    }
-                    if (method.getName().equals("isOpen")) {
-                        return true;
-                    }
                     if (method.getName().endsWith("Setter")) {
                         return new ChannelListener.SimpleSetter<>();
                     }
-                    return null;
+                    Object result = behavior.apply(method.getName(), arguments);
+                    return method.getReturnType() == void.class ? null : result;
                 });
         return type.cast(channel);
     }
